--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Each target works alone from a fresh clone.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: test lint format demo bench binary setup
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	touch $(STAMP)
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	PYTHONPATH=src $(BIN)/lint-imports
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: $(STAMP)
+	$(BIN)/python -m features
+
+demo: $(STAMP)
+	$(BIN)/python -m demo
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration with real processes on one machine."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,140 @@
+"""Starts a deployment, takes a zone out and back, and reports."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+from demo.deployment import (
+    DemoNode,
+    make_nodes,
+    reserve_ports,
+    write_settings,
+    write_text,
+)
+from demo.process_group import ProcessGroup, wait_for_http
+
+START_SECONDS = 20.0
+# The promise for a withdrawn availability zone.
+WITHDRAWAL_SECONDS = 2.0
+REQUESTS = 30
+
+
+def main() -> int:
+    """Runs the demonstration and returns its exit code."""
+    with tempfile.TemporaryDirectory(prefix="rhubarbpaddle-") as name:
+        folder = Path(name)
+        with ProcessGroup(folder) as group:
+            try:
+                return run(group, folder)
+            except (TimeoutError, subprocess.CalledProcessError) as exc:
+                print(f"FAILED: {exc}")
+                for log in sorted(folder.glob("*.log")):
+                    print(f"--- {log.name}\n{log.read_text()[-2000:]}")
+                return 1
+
+
+def run(group: ProcessGroup, folder: Path) -> int:
+    """Runs all steps; returns 0 if each showed what it should."""
+    log_address = f"127.0.0.1:{reserve_ports(1)[0]}"
+    nodes = make_nodes()
+    group.start("log", "standins", "log", log_address)
+    for node in nodes:
+        start_node(group, node, log_address, folder)
+    for node in nodes:
+        wait_for_http(f"http://{node.admin_address}/healthz", START_SECONDS)
+    print(f"started the log's stand-in and {len(nodes)} nodes")
+
+    publish(write_text(folder, None), log_address)
+    for node in nodes:
+        wait_for_http(f"http://{node.admin_address}/readyz", START_SECONDS)
+    wait_for_upstreams(nodes)
+    before = count_zones(nodes)
+    print(f"answers by zone: {dict(before)}")
+
+    publish(write_text(folder, "costa-b"), log_address)
+    time.sleep(WITHDRAWAL_SECONDS)
+    during = count_zones(nodes)
+    print(f"answers by zone with costa-b out of service: {dict(during)}")
+
+    publish(write_text(folder, None), log_address)
+    time.sleep(WITHDRAWAL_SECONDS)
+    after = count_zones(nodes)
+    print(f"answers by zone with costa-b back: {dict(after)}")
+
+    checks = {
+        "all zones served before": len(before) == 3,
+        "no new work in costa-b while out of service": "costa-b" not in during
+        and sum(during.values()) == REQUESTS,
+        "costa-b serves again": after["costa-b"] > 0,
+    }
+    for check, passed in checks.items():
+        print(f"{'ok' if passed else 'FAILED'}: {check}")
+    return 0 if all(checks.values()) else 1
+
+
+def start_node(
+    group: ProcessGroup, node: DemoNode, log_address: str, folder: Path
+) -> None:
+    """Starts a node and the upstream beside it."""
+    settings = write_settings(node, log_address, folder)
+    group.start(node.name, "rhubarbpaddle", "node", str(settings))
+    group.start(
+        f"upstream-{node.name}",
+        "standins",
+        "upstream",
+        node.upstream_address,
+        "--announce-to",
+        node.admin_address,
+        "--service",
+        node.service,
+        "--instance",
+        node.name,
+    )
+
+
+def publish(text: Path, log_address: str) -> None:
+    """Publishes an operators' text with the product's command."""
+    command = ["rhubarbpaddle", "publish", str(text), "--log", log_address]
+    subprocess.run([sys.executable, "-m", *command], check=True)
+
+
+def wait_for_upstreams(nodes: list[DemoNode]) -> None:
+    """Waits until each zone has answered for the first service."""
+    deadline = time.monotonic() + START_SECONDS
+    while time.monotonic() < deadline:
+        if len(count_zones(nodes)) == 3:
+            return
+        time.sleep(0.2)
+    raise TimeoutError("not all upstreams take work")
+
+
+def count_zones(nodes: list[DemoNode]) -> Counter[str]:
+    """Returns how many answers came from each zone."""
+    zones: Counter[str] = Counter()
+    for index in range(REQUESTS):
+        gateway = nodes[index % len(nodes)]
+        command = [
+            "curl",
+            "--silent",
+            "--max-time",
+            "5",
+            "--header",
+            "Host: lanes",
+            f"http://{gateway.caller_address}/availability",
+        ]
+        answer = subprocess.run(
+            command, capture_output=True, check=True, text=True
+        )
+        document = json.loads(answer.stdout)
+        instance = document.get("instance")
+        if instance is not None:
+            zones[instance.removeprefix("lanes-")] += 1
+    return zones
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/demo/deployment.py
@@ -0,0 +1,86 @@
+"""The small deployment that the demonstration runs."""
+
+import json
+import socket
+from pathlib import Path
+from typing import NamedTuple
+
+ZONES = ("costa-a", "costa-b", "costa-c")
+SERVICES = ("lanes", "reservas")
+
+
+class DemoNode(NamedTuple):
+    """A node with the upstream beside it and their addresses."""
+
+    name: str
+    availability_zone: str
+    service: str
+    caller_address: str
+    peer_address: str
+    admin_address: str
+    upstream_address: str
+
+
+def make_nodes() -> list[DemoNode]:
+    """Returns six nodes in three availability zones."""
+    return [
+        DemoNode(
+            f"{service}-{zone}",
+            zone,
+            service,
+            *(f"127.0.0.1:{port}" for port in reserve_ports(4)),
+        )
+        for service in SERVICES
+        for zone in ZONES
+    ]
+
+
+def reserve_ports(count: int) -> list[int]:
+    """Returns ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+def write_settings(node: DemoNode, log_address: str, folder: Path) -> Path:
+    """Writes a node's settings and returns the file's path."""
+    path = folder / f"{node.name}.json"
+    settings = {
+        "cluster": "demo",
+        "secret": "demo-secret",
+        "node_id": node.name,
+        "host": f"host-{node.name}",
+        "availability_zone": node.availability_zone,
+        "caller_address": node.caller_address,
+        "peer_address": node.peer_address,
+        "admin_address": node.admin_address,
+        "log_address": log_address,
+    }
+    path.write_text(json.dumps(settings, indent=2))
+    return path
+
+
+def write_text(folder: Path, withdrawn: str | None) -> Path:
+    """Writes an operators' text, with one zone out of service if named."""
+    path = folder / "services.json"
+    document = {
+        "services": {
+            "lanes": {"slots": 6, "connections": 260},
+            "reservas": {
+                "depends_on": ["lanes"],
+                "slots": 6,
+                "connections": 260,
+            },
+        },
+        "availability_zones": {
+            zone: {"region": "costa", "in_service": zone != withdrawn}
+            for zone in ZONES
+        },
+    }
+    path.write_text(json.dumps(document, indent=2))
+    return path
--- /dev/null
+++ b/demo/process_group.py
@@ -0,0 +1,67 @@
+"""The processes that a demonstration starts and ends."""
+
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Self
+
+_STOP_SECONDS = 10
+
+
+class ProcessGroup:
+    """Starts processes and ends each of them by its own process id."""
+
+    def __init__(self, log_folder: Path) -> None:
+        self._log_folder = log_folder
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.stop_all()
+
+    def start(self, name: str, *arguments: str) -> None:
+        """Starts `python -m` with these arguments under a name."""
+        with (self._log_folder / f"{name}.log").open("ab") as output:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def stop(self, name: str) -> int:
+        """Asks a process to stop and returns its exit code."""
+        process = self._processes.pop(name)
+        process.terminate()
+        try:
+            return process.wait(_STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def stop_all(self) -> None:
+        """Stops all processes, the last one started first."""
+        for name in reversed(tuple(self._processes)):
+            self.stop(name)
+
+
+def wait_for_http(url: str, seconds: float) -> None:
+    """Waits until a URL answers 200.
+
+    Raises:
+        TimeoutError: It did not within the time.
+    """
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        try:
+            with urllib.request.urlopen(url, timeout=1) as response:
+                if response.status == 200:
+                    return
+        except (urllib.error.URLError, OSError):
+            pass
+        time.sleep(0.05)
+    raise TimeoutError(f"{url} did not answer within {seconds} s")
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the behaviour, run by `python -m features`."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,22 @@
+"""Hooks of behave."""
+
+import logging
+
+from behave.model import Scenario
+from behave.runner import Context
+from hypothesis import settings
+
+from features.support.known_red import load_known_red
+
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+settings.load_profile("ci")
+
+
+def before_all(context: Context) -> None:
+    logging.disable(logging.CRITICAL)
+    context.known_red = set(load_known_red())
+
+
+def before_scenario(context: Context, scenario: Scenario) -> None:
+    if scenario.name in context.known_red:
+        scenario.skip("listed in KNOWN-RED.txt")
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces, and what the steps share."""
--- /dev/null
+++ b/features/support/cluster.py
@@ -0,0 +1,174 @@
+"""A few real nodes in one process, joined by memory streams."""
+
+import contextlib
+import json
+import random
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import h11
+import trio
+
+from features.support.host_network import HostNetwork
+from features.support.memory_fabric import MemoryFabric
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.configuration import Publication
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.node import Node, NodeSettings
+from rhubarbpaddle.platform import HttpLogClient
+from standins.http_server import serve_connection
+from standins.log_server import LogServer
+from standins.upstream import Upstream
+
+LOG_ADDRESS = "log:1"
+_RENEWAL_SECONDS = 0.4
+
+
+class Answer(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Cluster:
+    """Starts nodes, upstreams and the log, and sends callers' requests."""
+
+    def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
+        self.fabric = MemoryFabric()
+        self.clock = VirtualClock()
+        self.log = LogServer()
+        self.nodes: dict[str, Node] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self._nursery = nursery
+        self._seed = seed
+
+    async def start_log(self) -> None:
+        """Starts the log's stand-in."""
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            await serve_connection(stream, self.log.handle)
+
+        network = HostNetwork(self.fabric, "log")
+        await self._nursery.start(network.serve, LOG_ADDRESS, handle)
+
+    async def start_node(self, name: str, availability_zone: str) -> Node:
+        """Starts a node on a host of the same name."""
+        settings = NodeSettings(
+            cluster="test",
+            secret="secret",
+            node_id=name,
+            host=name,
+            availability_zone=availability_zone,
+            caller_address=f"{name}:1",
+            peer_address=f"{name}:2",
+            admin_address=f"{name}:3",
+            log_address=LOG_ADDRESS,
+        )
+        network = HostNetwork(self.fabric, name)
+        node = Node(
+            settings,
+            network,
+            HttpLogClient(network, LOG_ADDRESS),
+            self.clock,
+            random.Random(f"{self._seed} {name}"),
+        )
+        await self._nursery.start(node.run)
+        self.nodes[name] = node
+        return node
+
+    async def start_upstream(
+        self, name: str, service: str, slots: int = 6, work: float = 0.005
+    ) -> Upstream:
+        """Starts an upstream beside the node of the same name."""
+        upstream = Upstream(service, name, slots, work)
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            await serve_connection(stream, upstream.handle)
+
+        network = HostNetwork(self.fabric, name)
+        await self._nursery.start(network.serve, f"{name}:4", handle)
+        self._nursery.start_soon(self._announce, upstream, name)
+        self.upstreams[name] = upstream
+        return upstream
+
+    def publish(self, document: Mapping[str, object], base: int) -> int:
+        """Appends a publication to the log and returns its offset."""
+        publication = Publication(
+            kind="publication",
+            id=f"publication-{base}",
+            base=base,
+            text=json.dumps(document),
+            publisher="test",
+        )
+        stream = self.log.streams["configuration"]
+        return stream.append(json.dumps(publication).encode())
+
+    async def send(
+        self,
+        node: str,
+        service: str,
+        method: str = "GET",
+        target: str = "/",
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+    ) -> Answer:
+        """Sends a caller's request to a node on a connection of its own."""
+        return await self.request(
+            f"{node}:1",
+            method,
+            target,
+            {"host": service, **(headers or {})},
+            body,
+        )
+
+    async def request(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> Answer:
+        """Sends a request to any address from the host `caller`."""
+        stream = await self.fabric.connect("caller", address)
+        conn = ClientConnection(stream, address)
+        head = h11.Request(
+            method=method,
+            target=target,
+            headers=[*headers.items(), ("content-length", str(len(body)))],
+        )
+        try:
+            await conn.send_request(head, BytesBody(body))
+            response, response_body = await conn.receive_response()
+            content = bytearray()
+            while part := await response_body.receive():
+                content += part
+        finally:
+            await conn.aclose()
+        answered = {k.decode(): v.decode() for k, v in response.headers}
+        return Answer(response.status_code, answered, bytes(content))
+
+    async def _announce(self, upstream: Upstream, name: str) -> None:
+        incarnation = int(trio.current_time() * 1_000_000) + 1
+        while True:
+            document = {
+                "service": upstream.service,
+                "instance": upstream.instance,
+                "address": f"{name}:4",
+                "incarnation": incarnation,
+                "state": upstream.state,
+            }
+            content = json.dumps(document).encode()
+            with trio.move_on_after(_RENEWAL_SECONDS):
+                with contextlib.suppress(OSError):
+                    await self.request(
+                        f"{name}:3",
+                        "POST",
+                        "/announcements",
+                        {"host": name},
+                        content,
+                    )
+            await trio.sleep(_RENEWAL_SECONDS)
--- /dev/null
+++ b/features/support/host_network.py
@@ -0,0 +1,37 @@
+"""The network as one host of a test sees it."""
+
+import trio
+from trio import TaskStatus
+
+from features.support.memory_fabric import MemoryFabric, StreamHandler
+from features.support.memory_stream import MemoryStream
+
+
+class HostNetwork:
+    """Implements the product's `Network` over a memory fabric."""
+
+    def __init__(self, fabric: MemoryFabric, host: str) -> None:
+        self._fabric = fabric
+        self._host = host
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        return await self._fabric.connect(self._host, address)
+
+    async def serve(
+        self,
+        address: str,
+        handler: StreamHandler,
+        *,
+        task_status: TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            self._fabric.listen(self._host, address, handler, nursery)
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._fabric.stop_listening(address)
+
+    def has_input(self, stream: trio.abc.Stream) -> bool:
+        assert isinstance(stream, MemoryStream)
+        return stream.incoming.has_input()
--- /dev/null
+++ b/features/support/memory_pipe.py
@@ -0,0 +1,69 @@
+"""One direction of a connection in memory."""
+
+from collections.abc import Callable
+
+import trio
+
+_CAPACITY = 1 << 16
+
+
+class MemoryPipe:
+    """Carries bytes one way; can be silenced and cut.
+
+    Attributes:
+        silenced: While True, written bytes disappear without an error.
+    """
+
+    def __init__(self, is_blocked: Callable[[], bool]) -> None:
+        self.silenced = False
+        self._is_blocked = is_blocked
+        self._buffer = bytearray()
+        self._ended = False
+        self._broken = False
+        self._changed = trio.lowlevel.ParkingLot()
+
+    def has_input(self) -> bool:
+        """Returns whether a read would not wait."""
+        return bool(self._buffer) or self._ended or self._broken
+
+    async def write(self, data: bytes) -> None:
+        """Writes bytes; waits while the buffer is full."""
+        await trio.lowlevel.checkpoint()
+        view = bytes(data)
+        while view:
+            if self._broken or self._ended:
+                raise trio.BrokenResourceError
+            if self.silenced or self._is_blocked():
+                self.silenced = True
+                return
+            room = _CAPACITY - len(self._buffer)
+            if room <= 0:
+                await self._changed.park()
+                continue
+            self._buffer += view[:room]
+            view = view[room:]
+            self._changed.unpark_all()
+
+    async def read(self, limit: int | None) -> bytes:
+        """Reads bytes; no bytes at the end of the stream."""
+        await trio.lowlevel.checkpoint()
+        while not self.has_input():
+            await self._changed.park()
+        if self._broken:
+            raise trio.BrokenResourceError
+        count = len(self._buffer) if limit is None else limit
+        data = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        self._changed.unpark_all()
+        return data
+
+    def end(self) -> None:
+        """Ends the stream unless it is silenced."""
+        if not (self.silenced or self._is_blocked()):
+            self._ended = True
+            self._changed.unpark_all()
+
+    def cut(self) -> None:
+        """Breaks the stream at both sides."""
+        self._broken = True
+        self._changed.unpark_all()
--- /dev/null
+++ b/features/support/memory_stream.py
@@ -0,0 +1,37 @@
+"""One end of a connection in memory."""
+
+import trio
+
+from features.support.memory_pipe import MemoryPipe
+
+
+class MemoryStream(trio.abc.HalfCloseableStream):
+    """A stream over two pipes."""
+
+    def __init__(self, outgoing: MemoryPipe, incoming: MemoryPipe) -> None:
+        self.outgoing = outgoing
+        self.incoming = incoming
+        self._closed = False
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        if self._closed:
+            raise trio.ClosedResourceError
+        await self.outgoing.write(bytes(data))
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        if self._closed:
+            raise trio.ClosedResourceError
+        return await self.incoming.read(max_bytes)
+
+    async def send_eof(self) -> None:
+        self.outgoing.end()
+        await trio.lowlevel.checkpoint()
+
+    async def aclose(self) -> None:
+        self._closed = True
+        self.outgoing.end()
+        self.incoming.cut()
+        await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/features/support/virtual_clock.py
@@ -0,0 +1,23 @@
+"""A clock whose wall time follows trio's virtual time."""
+
+from datetime import UTC, datetime, timedelta
+
+import trio
+
+_START = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class VirtualClock:
+    """Time that passes only while every task waits."""
+
+    def monotonic(self) -> float:
+        """Returns trio's virtual time."""
+        return trio.current_time()
+
+    def now(self) -> datetime:
+        """Returns a fixed date plus the virtual time."""
+        return _START + timedelta(seconds=trio.current_time())
+
+    async def sleep(self, duration: timedelta) -> None:
+        """Waits for the duration in virtual time."""
+        await trio.sleep(duration.total_seconds())
--- /dev/null
+++ b/features/whole_path.feature
@@ -0,0 +1,12 @@
+Feature: A request is served from one end to the other
+
+  Scenario: A request reaches an upstream beside another node
+    Given nodes "a1, b1" in availability zones "a, b"
+    And an upstream of service "lanes" beside node "b1"
+    When a caller sends "GET /availability" for "lanes" to node "a1"
+    Then the caller gets status 200 from instance "b1"
+
+  Scenario: A request for a service that nobody lists is refused as not run
+    Given nodes "a1" in availability zones "a"
+    When a caller sends "GET /" for "pesanan" to node "a1"
+    Then the caller gets status 404 with code "unknown_service"
--- /dev/null
+++ b/src/rhubarbpaddle/admission/admission.py
@@ -0,0 +1,34 @@
+"""Admission to one upstream, as the sidecar sees it."""
+
+from typing import Protocol
+
+from rhubarbpaddle.admission.slot import Slot
+from rhubarbpaddle.admission.ticket import Ticket
+from rhubarbpaddle.measuring import LoadReport
+from rhubarbpaddle.membership import UpstreamState
+
+
+class Admission(Protocol):
+    """Decides when a request may enter the upstream."""
+
+    async def acquire(self, ticket: Ticket) -> Slot:
+        """Waits for a slot.
+
+        Args:
+            ticket: The request that asks.
+
+        Returns:
+            The slot, which the caller must release.
+
+        Raises:
+            RefusedError: The request must not run here; it did not run.
+        """
+        ...
+
+    def set_state(self, state: UpstreamState) -> None:
+        """Takes over what the upstream itself announces."""
+        ...
+
+    def get_report(self) -> LoadReport:
+        """Returns the load at this moment."""
+        ...
--- /dev/null
+++ b/src/rhubarbpaddle/admission/ticket.py
@@ -0,0 +1,17 @@
+"""What admission needs to know of a request."""
+
+from typing import NamedTuple
+
+
+class Ticket(NamedTuple):
+    """A request that asks for a slot.
+
+    Attributes:
+        tenant: The tenant that the request belongs to.
+        deadline: Monotonic seconds after which the request is useless.
+        may_queue: False if the sender prefers another instance to waiting.
+    """
+
+    tenant: str
+    deadline: float
+    may_queue: bool
--- /dev/null
+++ b/src/rhubarbpaddle/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from rhubarbpaddle.cli.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/rhubarbpaddle/cli/exit_code.py
@@ -0,0 +1,18 @@
+"""The exit codes of the executable."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What the exit code of a command means."""
+
+    SUCCESS = 0
+    FAILURE = 1
+    USAGE = 2
+    INVALID_TEXT = 3
+    LOST_RACE = 4
+    LOG_UNREACHABLE = 5
+    PUBLICATION_UNKNOWN = 6
+    NOT_IN_FORCE = 7
+    INVALID_SETTINGS = 64
+    FORCED_STOP = 75
--- /dev/null
+++ b/src/rhubarbpaddle/configuration/__init__.py
@@ -0,0 +1,22 @@
+"""The operators' text, its check, and which publication is accepted."""
+
+from rhubarbpaddle.configuration.accepted import AcceptedConfiguration
+from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
+from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.history import ConfigurationHistory
+from rhubarbpaddle.configuration.records import Checkpoint, Publication
+from rhubarbpaddle.configuration.service import Service
+from rhubarbpaddle.configuration.tenant import Tenant
+from rhubarbpaddle.configuration.text import parse_configuration
+
+__all__ = [
+    "AcceptedConfiguration",
+    "AvailabilityZone",
+    "Checkpoint",
+    "Configuration",
+    "ConfigurationHistory",
+    "Publication",
+    "Service",
+    "Tenant",
+    "parse_configuration",
+]
--- /dev/null
+++ b/src/rhubarbpaddle/configuration/configuration.py
@@ -0,0 +1,21 @@
+"""The operators' text in checked form."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
+from rhubarbpaddle.configuration.service import Service
+from rhubarbpaddle.configuration.tenant import Tenant
+
+
+class Configuration(NamedTuple):
+    """Everything that operators can state, checked as a whole."""
+
+    services: Mapping[str, Service]
+    availability_zones: Mapping[str, AvailabilityZone]
+    tenants: Mapping[str, Tenant]
+
+    def is_in_service(self, availability_zone: str) -> bool:
+        """Returns whether a zone may get new work; unknown zones may not."""
+        zone = self.availability_zones.get(availability_zone)
+        return zone is not None and zone.in_service
--- /dev/null
+++ b/src/rhubarbpaddle/exceptions/__init__.py
@@ -0,0 +1,23 @@
+"""One tree of errors; each carries a code, the step and the peer."""
+
+from rhubarbpaddle.exceptions.append_unknown import AppendUnknownError
+from rhubarbpaddle.exceptions.base import RhubarbpaddleError
+from rhubarbpaddle.exceptions.configuration import ConfigurationError
+from rhubarbpaddle.exceptions.log_unavailable import LogUnavailableError
+from rhubarbpaddle.exceptions.peer_silent import PeerSilentError
+from rhubarbpaddle.exceptions.protocol import ProtocolError
+from rhubarbpaddle.exceptions.refused import RefusedError
+from rhubarbpaddle.exceptions.settings import SettingsError
+from rhubarbpaddle.exceptions.truncated import TruncatedError
+
+__all__ = [
+    "AppendUnknownError",
+    "ConfigurationError",
+    "LogUnavailableError",
+    "PeerSilentError",
+    "ProtocolError",
+    "RefusedError",
+    "RhubarbpaddleError",
+    "SettingsError",
+    "TruncatedError",
+]
--- /dev/null
+++ b/src/rhubarbpaddle/execution/body.py
@@ -0,0 +1,42 @@
+"""The body of a request or response, read in parts."""
+
+from typing import Protocol
+
+
+class Body(Protocol):
+    """A body that arrives in parts.
+
+    Attributes:
+        length: Bytes in all, or None if this is not known beforehand.
+    """
+
+    @property
+    def length(self) -> int | None:
+        """Bytes in all, or None if this is not known beforehand."""
+        ...
+
+    async def receive(self) -> bytes:
+        """Returns the next part, or no bytes at the end.
+
+        Raises:
+            TruncatedError: The body ended before it was whole.
+        """
+        ...
+
+
+class BytesBody:
+    """A body that is already in memory."""
+
+    def __init__(self, content: bytes) -> None:
+        self.content = content
+        self._rest = content
+
+    @property
+    def length(self) -> int | None:
+        """Bytes in all."""
+        return len(self.content)
+
+    async def receive(self) -> bytes:
+        """Returns all bytes once, then none."""
+        part, self._rest = self._rest, b""
+        return part
--- /dev/null
+++ b/src/rhubarbpaddle/execution/request.py
@@ -0,0 +1,42 @@
+"""A request on its way from a caller to an upstream."""
+
+from typing import NamedTuple
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Request(NamedTuple):
+    """A request without its body.
+
+    Attributes:
+        request_id: Names the request in logs on every node.
+        tenant: The tenant that the request belongs to.
+        service: The service that it is for.
+        method: The HTTP method.
+        target: The HTTP request target.
+        headers: End-to-end headers, names in lower case.
+        deadline: Monotonic seconds on this node after which an answer is
+            useless.
+        idempotent: Whether it may be sent more than once.
+        key: The idempotency key, or the empty string.
+        attempt: 1 for the first try; higher if a node above has retried.
+        depth: How many calls deep in a chain of services the request is.
+        may_queue: False if the sender prefers another instance to waiting.
+        claim: The token of the claim that permits a non-idempotent request.
+        fingerprint: A digest that names equal requests.
+    """
+
+    request_id: str
+    tenant: str
+    service: str
+    method: str
+    target: str
+    headers: Headers
+    deadline: float
+    idempotent: bool
+    key: str = ""
+    attempt: int = 1
+    depth: int = 0
+    may_queue: bool = True
+    claim: str = ""
+    fingerprint: str = ""
--- /dev/null
+++ b/src/rhubarbpaddle/http/client_connection.py
@@ -0,0 +1,58 @@
+"""The client's side of an HTTP/1.1 connection."""
+
+import h11
+import trio
+
+from rhubarbpaddle.exceptions import TruncatedError
+from rhubarbpaddle.execution import Body, BytesBody
+from rhubarbpaddle.http.connection import HttpConnection
+from rhubarbpaddle.http.event_body import EventBody, get_length
+
+
+class ClientConnection(HttpConnection):
+    """Sends one request after another and reads their answers."""
+
+    def __init__(self, stream: trio.abc.Stream, peer: str) -> None:
+        super().__init__(stream, h11.CLIENT, peer)
+
+    async def send_request(self, head: h11.Request, body: Body) -> None:
+        """Sends a request with its body.
+
+        Raises:
+            TruncatedError: The connection is gone, or the body ended early.
+        """
+        if isinstance(body, BytesBody):
+            await self.send(
+                head, h11.Data(data=body.content), h11.EndOfMessage()
+            )
+            return
+        await self.send(head)
+        while part := await body.receive():
+            await self.send(h11.Data(data=part))
+        await self.send(h11.EndOfMessage())
+
+    async def receive_response(self) -> tuple[h11.Response, EventBody]:
+        """Returns the next final response and its body.
+
+        Raises:
+            TruncatedError: The connection ended before a response.
+            ProtocolError: The far side does not speak HTTP/1.1.
+        """
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                length = get_length(event.headers)
+                return event, EventBody(self.next_event, length, self.peer)
+            raise TruncatedError(
+                "the connection ended before a response",
+                step="receive_response",
+                peer=self.peer,
+            )
+
+    def is_reusable(self) -> bool:
+        """Returns whether both messages were sent and read to their ends."""
+        return (
+            self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+        )
--- /dev/null
+++ b/src/rhubarbpaddle/http/event_body.py
@@ -0,0 +1,62 @@
+"""A body read from an h11 connection."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import h11
+
+from rhubarbpaddle.exceptions import TruncatedError
+
+
+class EventBody:
+    """Reads the body of the message that an h11 connection is receiving.
+
+    Attributes:
+        complete: Whether the body was read to its end.
+    """
+
+    def __init__(
+        self,
+        next_event: Callable[[], Awaitable[object]],
+        length: int | None,
+        peer: str,
+    ) -> None:
+        self.complete = False
+        self._next_event = next_event
+        self._length = length
+        self._peer = peer
+
+    @property
+    def length(self) -> int | None:
+        """Bytes in all, or None if this is not known beforehand."""
+        return self._length
+
+    async def receive(self) -> bytes:
+        """Returns the next part, or no bytes at the end.
+
+        Raises:
+            TruncatedError: The connection ended before the body was whole.
+            ProtocolError: The bytes are not a valid body.
+        """
+        while not self.complete:
+            event = await self._next_event()
+            match event:
+                case h11.Data(data=data):
+                    if data:
+                        return bytes(data)
+                case h11.EndOfMessage():
+                    self.complete = True
+                case _:
+                    raise TruncatedError(
+                        "the body ended early",
+                        step="receive_body",
+                        peer=self._peer,
+                    )
+        return b""
+
+
+def get_length(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Returns the length that a message's headers announce, or None."""
+    for key, value in headers:
+        if key == b"content-length":
+            return int(value)
+    return None
--- /dev/null
+++ b/src/rhubarbpaddle/http/headers.py
@@ -0,0 +1,40 @@
+"""Headers that a proxy adds, removes and reads."""
+
+from collections.abc import Iterable
+
+from rhubarbpaddle.execution import Headers
+
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+def get_header(headers: Headers, name: bytes) -> str | None:
+    """Returns the first value of a header, or None."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+def remove_hop_by_hop(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Returns the end-to-end headers (RFC 9110, section 7.6.1)."""
+    kept = list(headers)
+    named = {
+        token.strip().lower()
+        for key, value in kept
+        if key == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = _HOP_BY_HOP | named
+    return [(key, value) for key, value in kept if key not in dropped]
--- /dev/null
+++ b/src/rhubarbpaddle/membership/__init__.py
@@ -0,0 +1,15 @@
+"""Which nodes and upstreams there are."""
+
+from rhubarbpaddle.membership.member import Member
+from rhubarbpaddle.membership.member_status import MemberStatus
+from rhubarbpaddle.membership.member_table import MemberTable
+from rhubarbpaddle.membership.upstream_state import UpstreamState
+from rhubarbpaddle.membership.upstream_summary import UpstreamSummary
+
+__all__ = [
+    "Member",
+    "MemberStatus",
+    "MemberTable",
+    "UpstreamState",
+    "UpstreamSummary",
+]
--- /dev/null
+++ b/src/rhubarbpaddle/node/admin_handler.py
@@ -0,0 +1,100 @@
+"""Serves operators, scrapers and the upstream on the admin address."""
+
+from collections.abc import Callable
+
+import h11
+import msgspec
+import trio
+
+from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.exceptions import RhubarbpaddleError
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.http.event_body import EventBody
+from rhubarbpaddle.http.server_connection import ServerConnection
+from rhubarbpaddle.node.announcement import Announcement
+from rhubarbpaddle.node.announcement_document import AnnouncementDocument
+from rhubarbpaddle.node.status import NodeStatus
+from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
+from rhubarbpaddle.telemetry import Metrics, get_logger
+
+_MAX_BODY_BYTES = 64 * 1024
+
+_log = get_logger("admin")
+
+
+class AdminHandler:
+    """Answers health, readiness, metrics, status and announcements."""
+
+    def __init__(
+        self,
+        registry: UpstreamRegistry,
+        metrics: Metrics,
+        get_accepted: Callable[[], AcceptedConfiguration | None],
+        get_status: Callable[[], NodeStatus],
+    ) -> None:
+        self._registry = registry
+        self._metrics = metrics
+        self._get_accepted = get_accepted
+        self._get_status = get_status
+
+    async def handle(self, stream: trio.abc.Stream) -> None:
+        """Serves one connection until it ends."""
+        conn = ServerConnection(stream, "admin")
+        try:
+            while received := await conn.receive_request():
+                head, body = received
+                status, kind, content = await self._answer(head, body)
+                await conn.send_response(
+                    head.method,
+                    status,
+                    [(b"content-type", kind)],
+                    BytesBody(content),
+                )
+                if not conn.start_next_cycle():
+                    break
+        except RhubarbpaddleError as exc:
+            _log.debug("admin_connection_ended", error=exc)
+        finally:
+            await conn.aclose()
+
+    async def _answer(
+        self, head: h11.Request, body: EventBody
+    ) -> tuple[int, bytes, bytes]:
+        content = await _read(body)
+        match head.method, head.target:
+            case b"GET", b"/healthz":
+                return 200, b"text/plain", b"ok\n"
+            case b"GET", b"/readyz":
+                if self._get_accepted() is None:
+                    return 503, b"text/plain", b"no configuration\n"
+                return 200, b"text/plain", b"ready\n"
+            case b"GET", b"/metrics":
+                return 200, b"text/plain; version=0.0.4", self._metrics.render()
+            case b"GET", b"/status":
+                status = msgspec.json.encode(self._get_status()._asdict())
+                return 200, b"application/json", status
+            case b"POST", b"/announcements":
+                return await self._announce(content)
+        return 404, b"text/plain", b"not found\n"
+
+    async def _announce(self, content: bytes) -> tuple[int, bytes, bytes]:
+        try:
+            document = msgspec.json.decode(content, type=AnnouncementDocument)
+        except msgspec.DecodeError as exc:
+            return 400, b"text/plain", f"{exc}\n".encode()
+        accepted = self._get_accepted()
+        if accepted is None:
+            return 503, b"text/plain", b"no configuration\n"
+        announcement = Announcement(**document)
+        if not await self._registry.announce(announcement, accepted):
+            return 409, b"text/plain", b"unknown service\n"
+        return 200, b"text/plain", b"ok\n"
+
+
+async def _read(body: EventBody) -> bytes:
+    content = bytearray()
+    while part := await body.receive():
+        content += part
+        if len(content) > _MAX_BODY_BYTES:
+            break
+    return bytes(content)
--- /dev/null
+++ b/src/rhubarbpaddle/node/node.py
@@ -0,0 +1,174 @@
+"""One node: its parts and its tasks."""
+
+import random
+import signal
+from typing import Self
+
+import trio
+from trio import TaskStatus
+
+from rhubarbpaddle.clock import Clock, SystemClock
+from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.execution.gateway import Gateway
+from rhubarbpaddle.execution.sidecar import Sidecar
+from rhubarbpaddle.http import CallerHandler
+from rhubarbpaddle.membership import Member, MemberStatus, MemberTable
+from rhubarbpaddle.network import Network, TcpNetwork
+from rhubarbpaddle.node.admin_handler import AdminHandler
+from rhubarbpaddle.node.configuration_follower import ConfigurationFollower
+from rhubarbpaddle.node.member_follower import MemberFollower
+from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
+from rhubarbpaddle.node.settings import NodeSettings
+from rhubarbpaddle.node.status import NodeStatus
+from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
+from rhubarbpaddle.peer import (
+    ExchangeServer,
+    PeerIdentity,
+    PeerListener,
+    PeerPool,
+    RemoteDispatcher,
+)
+from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.platform import HttpLogClient, LogClient
+from rhubarbpaddle.routing import LeastLoadedRouter
+from rhubarbpaddle.telemetry import Metrics, get_logger
+
+_log = get_logger("node")
+
+
+class Node:
+    """Serves callers, peers and the upstream beside it."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        network: Network,
+        log: LogClient,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self._network = network
+        incarnation = int(clock.now().timestamp() * 1_000_000)
+        own = Member(
+            node_id=settings.node_id,
+            incarnation=incarnation,
+            version=1,
+            status=MemberStatus.ALIVE,
+            host=settings.host,
+            availability_zone=settings.availability_zone,
+            peer_address=settings.peer_address,
+            admin_address=settings.admin_address,
+            upstream=None,
+        )
+        self.table = MemberTable(own)
+        self.sidecar = Sidecar(clock)
+        self.configuration = ConfigurationFollower(
+            log, clock, self._apply_configuration
+        )
+        self._members = MemberFollower(self.table, log, clock)
+        identity = PeerIdentity(
+            settings.cluster,
+            settings.node_id,
+            incarnation,
+            settings.secret.encode(),
+        )
+        pool = PeerPool(network, PeerConnector(network, identity))
+        remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
+        gateway = Gateway(
+            LeastLoadedRouter(self.table, rng),
+            NodeDispatcher(settings.node_id, self.sidecar, remote),
+            clock,
+            self.configuration.get_accepted,
+        )
+        metrics = Metrics()
+        self._registry = UpstreamRegistry(
+            self.sidecar,
+            self.table,
+            network,
+            clock,
+            settings.announcement_lease,
+        )
+        self._callers = CallerHandler(
+            gateway, clock, metrics, self.configuration.get_accepted
+        )
+        self._peers = PeerListener(
+            identity, {"exchange": ExchangeServer(self.sidecar, clock)}
+        )
+        self._admin = AdminHandler(
+            self._registry,
+            metrics,
+            self.configuration.get_accepted,
+            self.get_status,
+        )
+
+    @classmethod
+    def from_config(cls, settings: NodeSettings) -> Self:
+        """Makes a node that uses TCP, the system's clock and the real log."""
+        network = TcpNetwork()
+        log = HttpLogClient(network, settings.log_address)
+        return cls(settings, network, log, SystemClock(), random.Random())
+
+    async def run(
+        self,
+        *,
+        task_status: TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Runs all tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            listeners = (
+                (self.settings.peer_address, self._peers.handle),
+                (self.settings.admin_address, self._admin.handle),
+                (self.settings.caller_address, self._callers.handle),
+            )
+            for address, handler in listeners:
+                await nursery.start(self._network.serve, address, handler)
+            nursery.start_soon(self.configuration.run)
+            nursery.start_soon(self._members.run)
+            nursery.start_soon(self._registry.run)
+            self.table.update_own()
+            _log.info("node_started", node=self.settings.node_id)
+            task_status.started()
+
+    async def run_until_signal(self) -> None:
+        """Runs until the process is told to stop."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.run)
+            with trio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT
+            ) as signals:
+                async for signum in signals:
+                    _log.info("node_stopping", signal=signum)
+                    break
+            nursery.cancel_scope.cancel()
+
+    def get_status(self) -> NodeStatus:
+        """Returns what operators see of this node."""
+        accepted = self.configuration.get_accepted()
+        status = NodeStatus(
+            node_id=self.settings.node_id,
+            availability_zone=self.settings.availability_zone,
+            in_service=self.sidecar.in_service,
+            version=accepted.version if accepted else 0,
+            digest=accepted.digest if accepted else "",
+            members={
+                member.node_id: member.admin_address for member in self.table
+            },
+        )
+        upstream = self.sidecar.upstream
+        if upstream is None:
+            return status
+        report = upstream.admission.get_report()
+        return status._replace(
+            service=upstream.summary.service,
+            instance=upstream.summary.instance,
+            upstream_state=upstream.summary.state.value,
+            in_flight=report.in_flight,
+            queued=report.queued,
+            limit=report.limit,
+        )
+
+    def _apply_configuration(self, accepted: AcceptedConfiguration) -> None:
+        zone = self.settings.availability_zone
+        in_service = accepted.configuration.is_in_service(zone)
+        self.sidecar.in_service = in_service
--- /dev/null
+++ b/src/rhubarbpaddle/peer/__init__.py
@@ -0,0 +1,17 @@
+"""Messages between nodes and the connections that carry them."""
+
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.exchange_server import ExchangeServer
+from rhubarbpaddle.peer.identity import PeerIdentity
+from rhubarbpaddle.peer.listener import PeerListener
+from rhubarbpaddle.peer.pool import PeerPool
+from rhubarbpaddle.peer.remote_dispatcher import RemoteDispatcher
+
+__all__ = [
+    "ExchangeServer",
+    "PeerConnection",
+    "PeerIdentity",
+    "PeerListener",
+    "PeerPool",
+    "RemoteDispatcher",
+]
--- /dev/null
+++ b/src/rhubarbpaddle/peer/connector.py
@@ -0,0 +1,62 @@
+"""Opens authenticated connections to other nodes."""
+
+import trio
+
+from rhubarbpaddle.exceptions import PeerSilentError, ProtocolError
+from rhubarbpaddle.network import Network
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.identity import PeerIdentity
+from rhubarbpaddle.peer.messages import Challenge, Welcome
+
+CONNECT_SECONDS = 1.0
+
+
+class PeerConnector:
+    """Opens connections and proves this node's identity on each."""
+
+    def __init__(self, network: Network, identity: PeerIdentity) -> None:
+        self._network = network
+        self._identity = identity
+
+    async def connect(self, address: str, purpose: str) -> PeerConnection:
+        """Opens a connection.
+
+        Args:
+            address: `IP:PORT` of the other node's peer listener.
+            purpose: What the connection is for.
+
+        Raises:
+            OSError: The other node is unreachable.
+            PeerSilentError: It did not answer in time.
+            TruncatedError: It closed the connection.
+            ProtocolError: It refused the connection.
+        """
+        with trio.move_on_after(CONNECT_SECONDS):
+            stream = await self._network.connect(address)
+            conn = PeerConnection(stream, address)
+            try:
+                await self._introduce(conn, purpose)
+            except BaseException:
+                await conn.aclose()
+                raise
+            return conn
+        raise PeerSilentError(
+            f"no connection within {CONNECT_SECONDS} s",
+            step="connect_peer",
+            peer=address,
+        )
+
+    async def _introduce(self, conn: PeerConnection, purpose: str) -> None:
+        challenge = await conn.receive()
+        if not isinstance(challenge, Challenge):
+            raise ProtocolError(
+                "expected a challenge", step="connect_peer", peer=conn.peer
+            )
+        await conn.send(self._identity.make_hello(purpose, challenge.nonce))
+        answer = await conn.receive()
+        if not isinstance(answer, Welcome):
+            raise ProtocolError(
+                f"connection refused: {answer}",
+                step="connect_peer",
+                peer=conn.peer,
+            )
--- /dev/null
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -0,0 +1,189 @@
+"""The sidecar's side of exchanges."""
+
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import (
+    ProtocolError,
+    RefusedError,
+    RhubarbpaddleError,
+)
+from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+from rhubarbpaddle.execution.sidecar import Sidecar
+from rhubarbpaddle.peer.channel_body import ChannelBody
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.messages import (
+    BodyEnd,
+    BodyPart,
+    Call,
+    Hello,
+    KeepAlive,
+    Refusal,
+    ResponseHead,
+)
+from rhubarbpaddle.telemetry import get_logger
+
+KEEP_ALIVE_SECONDS = 1.0
+# Bodies up to this length travel in the message of their head.
+INLINE_BODY_BYTES = 16 * 1024
+_PART_BYTES = 64 * 1024
+
+_log = get_logger("peer")
+
+
+class ExchangeServer:
+    """Runs the calls that arrive on a connection, one after another."""
+
+    def __init__(self, sidecar: Sidecar, clock: Clock) -> None:
+        self._sidecar = sidecar
+        self._clock = clock
+
+    async def serve(self, conn: PeerConnection, hello: Hello) -> None:
+        """Serves one connection until it ends."""
+        while not conn.broken:
+            call = await conn.receive()
+            if not isinstance(call, Call):
+                raise ProtocolError(
+                    f"expected a call, got {type(call).__name__}",
+                    step="receive_call",
+                    peer=conn.peer,
+                )
+            await self._serve_call(conn, call)
+
+    async def _serve_call(self, conn: PeerConnection, call: Call) -> None:
+        sender, receiver = trio.open_memory_channel[bytes](0)
+        body: Body
+        if call.body is None:
+            body = ChannelBody(
+                conn, call.request_id, call.body_length, receiver
+            )
+        else:
+            body = BytesBody(call.body)
+        async with trio.open_nursery() as nursery:
+            scope = nursery.cancel_scope
+            nursery.start_soon(self._watch, conn, call, sender, scope)
+            try:
+                await self._answer(conn, call, body)
+            except RhubarbpaddleError as exc:
+                conn.broken = True
+                _log.warn("call_failed", request_id=call.request_id, error=exc)
+            scope.cancel()
+
+    async def _watch(
+        self,
+        conn: PeerConnection,
+        call: Call,
+        parts: trio.MemorySendChannel[bytes],
+        scope: trio.CancelScope,
+    ) -> None:
+        """Reads the body and notices when the gateway gives up the call."""
+        whole = call.body is not None
+        try:
+            while True:
+                message: object = None
+                with trio.move_on_after(KEEP_ALIVE_SECONDS):
+                    message = await conn.receive()
+                if message is None:
+                    await conn.send(KeepAlive())
+                    continue
+                match message:
+                    case BodyPart(content=content) if not whole:
+                        await self._pass_on(conn, parts, content)
+                    case BodyEnd() if not whole:
+                        whole = True
+                        await self._pass_on(conn, parts, b"")
+                    case _:
+                        conn.broken = True
+                        break
+        except RhubarbpaddleError as exc:
+            _log.info("call_cancelled", request_id=call.request_id, error=exc)
+        scope.cancel()
+
+    async def _pass_on(
+        self,
+        conn: PeerConnection,
+        parts: trio.MemorySendChannel[bytes],
+        content: bytes,
+    ) -> None:
+        while True:
+            with trio.move_on_after(KEEP_ALIVE_SECONDS):
+                await parts.send(content)
+                return
+            await conn.send(KeepAlive())
+
+    async def _answer(
+        self, conn: PeerConnection, call: Call, body: Body
+    ) -> None:
+        request = self._to_request(call)
+        try:
+            async with self._sidecar.handle(
+                request, body, call.instance, call.incarnation
+            ) as response:
+                await self._send_response(conn, call.request_id, response)
+        except RefusedError as exc:
+            await conn.send(self._to_refusal(call.request_id, exc))
+
+    async def _send_response(
+        self, conn: PeerConnection, request_id: str, response: Response
+    ) -> None:
+        length = response.body.length
+        inline = None
+        if length is not None and length <= INLINE_BODY_BYTES:
+            inline = b"".join(
+                [part async for part in _iter_parts(response.body)]
+            )
+        await conn.send(
+            ResponseHead(
+                request_id,
+                response.status,
+                response.headers,
+                response.report,
+                inline,
+                length,
+            )
+        )
+        if inline is not None:
+            return
+        async for part in _iter_parts(response.body):
+            await conn.send(BodyPart(request_id, part))
+        await conn.send(BodyEnd(request_id))
+
+    def _to_request(self, call: Call) -> Request:
+        return Request(
+            request_id=call.request_id,
+            tenant=call.tenant,
+            service=call.service,
+            method=call.method,
+            target=call.target,
+            headers=call.headers,
+            deadline=self._clock.monotonic() + call.time_left_ms / 1000,
+            idempotent=call.idempotent,
+            key=call.key,
+            attempt=call.attempt,
+            depth=call.depth,
+            may_queue=call.may_queue,
+            claim=call.claim,
+            fingerprint=call.fingerprint,
+        )
+
+    def _to_refusal(self, request_id: str, exc: RefusedError) -> Refusal:
+        return Refusal(
+            request_id=request_id,
+            code=exc.code,
+            detail=exc.detail,
+            step=exc.step,
+            status=exc.status,
+            outcome=exc.outcome,
+            retry_after_ms=exc.retry_after // timedelta(milliseconds=1),
+            may_retry=exc.may_retry,
+            report=self._sidecar.get_report(),
+        )
+
+
+async def _iter_parts(body: Body) -> AsyncIterator[bytes]:
+    while part := await body.receive():
+        for start in range(0, len(part), _PART_BYTES):
+            yield part[start : start + _PART_BYTES]
--- /dev/null
+++ b/src/rhubarbpaddle/peer/identity.py
@@ -0,0 +1,65 @@
+"""Who a node is towards its peers."""
+
+import hashlib
+import hmac
+from typing import NamedTuple
+
+from rhubarbpaddle.peer.messages import Hello
+
+PROTOCOL_VERSION = 1
+
+
+class PeerIdentity(NamedTuple):
+    """What a node proves when it connects to another.
+
+    Attributes:
+        cluster: The cluster's name.
+        node_id: This node's name.
+        incarnation: This node's incarnation.
+        secret: What all nodes of the cluster share.
+    """
+
+    cluster: str
+    node_id: str
+    incarnation: int
+    secret: bytes
+
+    def make_hello(self, purpose: str, nonce: bytes) -> Hello:
+        """Returns the introduction that answers a challenge."""
+        hello = Hello(
+            self.cluster,
+            PROTOCOL_VERSION,
+            self.node_id,
+            self.incarnation,
+            purpose,
+            b"",
+        )
+        return Hello(
+            self.cluster,
+            PROTOCOL_VERSION,
+            self.node_id,
+            self.incarnation,
+            purpose,
+            self._make_proof(hello, nonce),
+        )
+
+    def find_fault(self, hello: Hello, nonce: bytes) -> str | None:
+        """Returns why an introduction is not accepted, or None."""
+        if hello.protocol != PROTOCOL_VERSION:
+            return f"protocol version {hello.protocol} is not supported"
+        if hello.cluster != self.cluster:
+            return "the node belongs to another cluster"
+        if not hmac.compare_digest(hello.proof, self._make_proof(hello, nonce)):
+            return "the proof does not match the shared secret"
+        return None
+
+    def _make_proof(self, hello: Hello, nonce: bytes) -> bytes:
+        fields = (
+            hello.cluster,
+            str(hello.protocol),
+            hello.node_id,
+            str(hello.incarnation),
+            hello.purpose,
+        )
+        covered = "\0".join(fields).encode() + b"\0" + nonce
+        return hmac.digest(self.secret, covered, hashlib.sha256)
--- /dev/null
+++ b/src/rhubarbpaddle/peer/listener.py
@@ -0,0 +1,69 @@
+"""Accepts connections from other nodes."""
+
+import secrets
+from collections.abc import Mapping
+from typing import Protocol
+
+import trio
+
+from rhubarbpaddle.exceptions import RhubarbpaddleError
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.identity import PeerIdentity
+from rhubarbpaddle.peer.messages import Challenge, Hello, Reject, Welcome
+from rhubarbpaddle.telemetry import get_logger
+
+HANDSHAKE_SECONDS = 2.0
+_NONCE_BYTES = 16
+
+_log = get_logger("peer")
+
+
+class ConnectionHandler(Protocol):
+    """Serves one authenticated connection until it ends."""
+
+    async def serve(self, conn: PeerConnection, hello: Hello) -> None:
+        """Serves the connection."""
+        ...
+
+
+class PeerListener:
+    """Authenticates each connection and hands it to its purpose's handler."""
+
+    def __init__(
+        self, identity: PeerIdentity, handlers: Mapping[str, ConnectionHandler]
+    ) -> None:
+        self._identity = identity
+        self._handlers = handlers
+
+    async def handle(self, stream: trio.abc.Stream) -> None:
+        """Serves one connection; its errors end only this connection."""
+        conn = PeerConnection(stream, "unauthenticated")
+        try:
+            hello = await self._authenticate(conn)
+            if hello is not None:
+                await self._handlers[hello.purpose].serve(conn, hello)
+        except RhubarbpaddleError as exc:
+            _log.debug("peer_connection_ended", error=exc)
+        finally:
+            await conn.aclose()
+
+    async def _authenticate(self, conn: PeerConnection) -> Hello | None:
+        nonce = secrets.token_bytes(_NONCE_BYTES)
+        with trio.move_on_after(HANDSHAKE_SECONDS):
+            await conn.send(Challenge(nonce))
+            hello = await conn.receive()
+            if not isinstance(hello, Hello):
+                return None
+            fault = self._identity.find_fault(hello, nonce)
+            if fault is None and hello.purpose not in self._handlers:
+                fault = f"unknown purpose {hello.purpose!r}"
+            if fault is not None:
+                _log.warn("peer_rejected", peer=hello.node_id, reason=fault)
+                await conn.send(Reject(fault))
+                return None
+            conn.peer = hello.node_id
+            await conn.send(
+                Welcome(self._identity.node_id, self._identity.incarnation)
+            )
+            return hello
+        return None
--- /dev/null
+++ b/src/rhubarbpaddle/peer/message_body.py
@@ -0,0 +1,57 @@
+"""A body that arrives in messages from another node."""
+
+from rhubarbpaddle.exceptions import ProtocolError
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.messages import BodyEnd, BodyPart, KeepAlive
+
+
+class MessageBody:
+    """Reads a response's body from the connection of its exchange.
+
+    Attributes:
+        complete: Whether the body was read to its end.
+    """
+
+    def __init__(
+        self,
+        conn: PeerConnection,
+        request_id: str,
+        length: int | None,
+        silence_seconds: float,
+    ) -> None:
+        self.complete = False
+        self._conn = conn
+        self._request_id = request_id
+        self._length = length
+        self._silence_seconds = silence_seconds
+
+    @property
+    def length(self) -> int | None:
+        """Bytes in all, or None if this is not known beforehand."""
+        return self._length
+
+    async def receive(self) -> bytes:
+        """Returns the next part, or no bytes at the end.
+
+        Raises:
+            PeerSilentError: Nothing arrived for too long.
+            TruncatedError: The connection ended before the body was whole.
+            ProtocolError: A message of another exchange arrived.
+        """
+        while not self.complete:
+            message = await self._conn.receive_within(self._silence_seconds)
+            match message:
+                case KeepAlive():
+                    continue
+                case BodyPart(request_id=self._request_id, content=content):
+                    return content
+                case BodyEnd(request_id=self._request_id):
+                    self.complete = True
+                case _:
+                    self._conn.broken = True
+                    raise ProtocolError(
+                        f"unexpected {type(message).__name__}",
+                        step="receive_body",
+                        peer=self._conn.peer,
+                    )
+        return b""
--- /dev/null
+++ b/src/rhubarbpaddle/peer/messages/__init__.py
@@ -0,0 +1,42 @@
+"""The messages between nodes, one type in each module."""
+
+from rhubarbpaddle.peer.messages.admitted import Admitted
+from rhubarbpaddle.peer.messages.body_end import BodyEnd
+from rhubarbpaddle.peer.messages.body_part import BodyPart
+from rhubarbpaddle.peer.messages.call import Call
+from rhubarbpaddle.peer.messages.challenge import Challenge
+from rhubarbpaddle.peer.messages.hello import Hello
+from rhubarbpaddle.peer.messages.keep_alive import KeepAlive
+from rhubarbpaddle.peer.messages.refusal import Refusal
+from rhubarbpaddle.peer.messages.reject import Reject
+from rhubarbpaddle.peer.messages.response_head import ResponseHead
+from rhubarbpaddle.peer.messages.welcome import Welcome
+
+Message = (
+    Admitted
+    | BodyEnd
+    | BodyPart
+    | Call
+    | Challenge
+    | Hello
+    | KeepAlive
+    | Refusal
+    | Reject
+    | ResponseHead
+    | Welcome
+)
+
+__all__ = [
+    "Admitted",
+    "BodyEnd",
+    "BodyPart",
+    "Call",
+    "Challenge",
+    "Hello",
+    "KeepAlive",
+    "Message",
+    "Refusal",
+    "Reject",
+    "ResponseHead",
+    "Welcome",
+]
--- /dev/null
+++ b/src/rhubarbpaddle/peer/messages/challenge.py
@@ -0,0 +1,13 @@
+"""The first message on a connection between nodes."""
+
+import msgspec
+
+
+class Challenge(msgspec.Struct, array_like=True, tag="challenge", frozen=True):
+    """Asks the connecting node to prove that it knows the secret.
+
+    Attributes:
+        nonce: Random bytes that the proof must cover.
+    """
+
+    nonce: bytes
--- /dev/null
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -0,0 +1,221 @@
+"""The gateway's side of exchanges."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import (
+    ProtocolError,
+    RefusedError,
+    RhubarbpaddleError,
+)
+from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.exchange_server import INLINE_BODY_BYTES
+from rhubarbpaddle.peer.message_body import MessageBody
+from rhubarbpaddle.peer.messages import (
+    Admitted,
+    BodyEnd,
+    BodyPart,
+    Call,
+    KeepAlive,
+    Message,
+    Refusal,
+    ResponseHead,
+)
+from rhubarbpaddle.peer.pool import PeerPool
+from rhubarbpaddle.routing import Candidate
+
+# Three missed signs of life.
+SILENCE_SECONDS = 3.0
+
+
+class RemoteDispatcher:
+    """Sends requests to the nodes beside other upstreams."""
+
+    def __init__(
+        self, pool: PeerPool, clock: Clock, get_version: Callable[[], int]
+    ) -> None:
+        self._pool = pool
+        self._clock = clock
+        self._get_version = get_version
+
+    @asynccontextmanager
+    async def dispatch(
+        self, request: Request, body: Body, candidate: Candidate
+    ) -> AsyncIterator[Response]:
+        """Sends a request and returns its answer."""
+        conn = await self._acquire(candidate)
+        finished = False
+        try:
+            answer = await self._exchange(conn, request, body, candidate)
+            if isinstance(answer, Refusal):
+                finished = True
+                raise _to_error(answer, candidate)
+            response_body = _make_body(conn, answer)
+            yield Response(
+                answer.status, answer.headers, response_body, answer.report
+            )
+            finished = (
+                not isinstance(response_body, MessageBody)
+                or response_body.complete
+            )
+        finally:
+            if finished:
+                await self._pool.release(candidate.peer_address, conn)
+            else:
+                await conn.aclose()
+
+    async def _acquire(self, candidate: Candidate) -> PeerConnection:
+        try:
+            return await self._pool.acquire(candidate.peer_address)
+        except (OSError, RhubarbpaddleError) as exc:
+            raise RefusedError(
+                "peer_unreachable",
+                f"no connection to the node beside the instance: {exc}",
+                step="connect_peer",
+                peer=candidate.node_id,
+                may_retry=True,
+            ) from exc
+
+    async def _exchange(
+        self,
+        conn: PeerConnection,
+        request: Request,
+        body: Body,
+        candidate: Candidate,
+    ) -> ResponseHead | Refusal:
+        call = self._to_call(request, body, candidate)
+        try:
+            await conn.send(call)
+            answer = await self._receive(conn, request)
+            if isinstance(answer, Admitted):
+                answer = await self._upload(conn, request, body)
+        except RhubarbpaddleError as exc:
+            if isinstance(exc, RefusedError):
+                raise
+            await self._pool.purge(candidate.peer_address)
+            raise RefusedError(
+                "peer_lost",
+                f"the node beside the instance was lost: {exc}",
+                step="exchange",
+                peer=candidate.node_id,
+                status=502,
+                outcome=Outcome.UNKNOWN,
+                may_retry=isinstance(body, BytesBody),
+            ) from exc
+        return answer
+
+    async def _receive(
+        self, conn: PeerConnection, request: Request
+    ) -> ResponseHead | Refusal | Admitted:
+        while True:
+            message = await conn.receive_within(SILENCE_SECONDS)
+            if isinstance(message, KeepAlive):
+                continue
+            if (
+                isinstance(message, ResponseHead | Refusal | Admitted)
+                and message.request_id == request.request_id
+            ):
+                return message
+            raise _unexpected(conn, message)
+
+    async def _upload(
+        self, conn: PeerConnection, request: Request, body: Body
+    ) -> ResponseHead | Refusal:
+        """Sends the body while waiting for the answer.
+
+        An answer that comes before the body was sent ends the upload, and the
+        connection is not used again.
+        """
+        failure: RhubarbpaddleError | None = None
+        answer: ResponseHead | Refusal | Admitted | None = None
+
+        async def send_body() -> None:
+            nonlocal failure
+            try:
+                while part := await body.receive():
+                    await conn.send(BodyPart(request.request_id, part))
+                await conn.send(BodyEnd(request.request_id))
+            except RhubarbpaddleError as exc:
+                conn.broken = True
+                failure = exc
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_body)
+            try:
+                answer = await self._receive(conn, request)
+            except RhubarbpaddleError as exc:
+                failure = exc
+            if nursery.child_tasks:
+                conn.broken = True
+            nursery.cancel_scope.cancel()
+        if isinstance(answer, ResponseHead | Refusal):
+            return answer
+        raise failure or _unexpected(conn, answer)
+
+    def _to_call(
+        self, request: Request, body: Body, candidate: Candidate
+    ) -> Call:
+        inline = None
+        if isinstance(body, BytesBody):
+            inline = body.content
+            assert len(inline) <= INLINE_BODY_BYTES
+        time_left = request.deadline - self._clock.monotonic()
+        return Call(
+            request_id=request.request_id,
+            tenant=request.tenant,
+            service=request.service,
+            instance=candidate.instance,
+            incarnation=candidate.incarnation,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            time_left_ms=int(time_left * 1000),
+            idempotent=request.idempotent,
+            key=request.key,
+            attempt=request.attempt,
+            depth=request.depth,
+            may_queue=request.may_queue,
+            claim=request.claim,
+            fingerprint=request.fingerprint,
+            configuration_version=self._get_version(),
+            body=inline,
+            body_length=body.length,
+        )
+
+
+def _make_body(conn: PeerConnection, answer: ResponseHead) -> Body:
+    if answer.body is not None:
+        return BytesBody(answer.body)
+    return MessageBody(
+        conn, answer.request_id, answer.body_length, SILENCE_SECONDS
+    )
+
+
+def _to_error(refusal: Refusal, candidate: Candidate) -> RefusedError:
+    return RefusedError(
+        refusal.code,
+        refusal.detail,
+        step=refusal.step,
+        peer=candidate.node_id,
+        status=refusal.status,
+        outcome=refusal.outcome,
+        retry_after=timedelta(milliseconds=refusal.retry_after_ms),
+        may_retry=refusal.may_retry,
+        report=refusal.report,
+    )
+
+
+def _unexpected(conn: PeerConnection, message: Message | None) -> ProtocolError:
+    conn.broken = True
+    return ProtocolError(
+        f"unexpected {type(message).__name__}",
+        step="exchange",
+        peer=conn.peer,
+    )
--- /dev/null
+++ b/src/rhubarbpaddle/routing/__init__.py
@@ -0,0 +1,7 @@
+"""Which instance gets a request."""
+
+from rhubarbpaddle.routing.candidate import Candidate
+from rhubarbpaddle.routing.least_loaded_router import LeastLoadedRouter
+from rhubarbpaddle.routing.router import Router
+
+__all__ = ["Candidate", "LeastLoadedRouter", "Router"]
--- /dev/null
+++ b/src/rhubarbpaddle/routing/least_loaded_router.py
@@ -0,0 +1,76 @@
+"""Routing by the load known locally."""
+
+import random
+from collections import Counter
+from collections.abc import Collection
+
+from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.measuring import LoadReport
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    UpstreamState,
+)
+from rhubarbpaddle.routing.candidate import Candidate
+
+
+class LeastLoadedRouter:
+    """Chooses the instance with the fewest own requests in flight."""
+
+    def __init__(self, table: MemberTable, rng: random.Random) -> None:
+        self._table = table
+        self._rng = rng
+        self._in_flight: Counter[str] = Counter()
+
+    def choose(
+        self, cfg: Configuration, service: str, tried: Collection[str]
+    ) -> Candidate | None:
+        """Returns the instance for the next try."""
+        candidates = [
+            _to_candidate(member)
+            for member in self._table
+            if member.node_id not in tried
+            and _may_take_work(cfg, member, service)
+        ]
+        if not candidates:
+            return None
+        self._rng.shuffle(candidates)
+        return min(candidates, key=lambda c: self._in_flight[c.node_id])
+
+    def started(self, candidate: Candidate) -> None:
+        """Notes that a request was sent to the candidate."""
+        self._in_flight[candidate.node_id] += 1
+
+    def finished(
+        self,
+        candidate: Candidate,
+        latency: float,
+        succeeded: bool,
+        report: LoadReport | None,
+    ) -> None:
+        """Notes the end of a request."""
+        self._in_flight[candidate.node_id] -= 1
+
+
+def _may_take_work(cfg: Configuration, member: Member, service: str) -> bool:
+    upstream = member.upstream
+    return (
+        upstream is not None
+        and upstream.service == service
+        and upstream.state in (UpstreamState.COLD, UpstreamState.WARM)
+        and member.status is MemberStatus.ALIVE
+        and cfg.is_in_service(member.availability_zone)
+    )
+
+
+def _to_candidate(member: Member) -> Candidate:
+    assert member.upstream is not None
+    return Candidate(
+        node_id=member.node_id,
+        peer_address=member.peer_address,
+        availability_zone=member.availability_zone,
+        service=member.upstream.service,
+        instance=member.upstream.instance,
+        incarnation=member.upstream.incarnation,
+    )
--- /dev/null
+++ b/src/rhubarbpaddle/telemetry/event_logger.py
@@ -0,0 +1,61 @@
+"""Logs one line of key=value pairs for each event."""
+
+import json
+import re
+
+import logbook
+
+from rhubarbpaddle.exceptions import RhubarbpaddleError
+
+_BARE_VALUE = re.compile(r"[^\s=\"]+")
+
+
+class EventLogger:
+    """Writes events of one part of the program."""
+
+    def __init__(self, name: str) -> None:
+        self._logger = logbook.Logger(name)
+
+    def debug(self, event: str, **fields: object) -> None:
+        """Logs an event that matters only when something is being traced."""
+        if self._logger.level <= logbook.DEBUG:
+            self._logger.debug(format_event(event, fields))
+
+    def info(self, event: str, **fields: object) -> None:
+        """Logs an event of normal operation."""
+        self._logger.info(format_event(event, fields))
+
+    def warn(self, event: str, **fields: object) -> None:
+        """Logs an event that an operator may have to look at."""
+        self._logger.warn(format_event(event, fields))
+
+    def error(self, event: str, **fields: object) -> None:
+        """Logs an event that an operator has to look at."""
+        self._logger.error(format_event(event, fields))
+
+
+def get_logger(name: str) -> EventLogger:
+    """Returns the logger of a part of the program."""
+    return EventLogger(name)
+
+
+def format_event(event: str, fields: dict[str, object]) -> str:
+    """Returns the event's line; an error gives its code, step and peer."""
+    pairs = [("event", event)]
+    for name, value in fields.items():
+        if isinstance(value, RhubarbpaddleError):
+            pairs += [
+                ("code", value.code),
+                ("step", value.step),
+                ("peer", value.peer),
+                ("detail", value.detail),
+            ]
+        else:
+            pairs.append((name, str(value)))
+    return " ".join(f"{name}={_quote(value)}" for name, value in pairs)
+
+
+def _quote(value: str) -> str:
+    if _BARE_VALUE.fullmatch(value):
+        return value
+    return json.dumps(value, ensure_ascii=False)
--- /dev/null
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -0,0 +1,62 @@
+"""What a node counts and measures, by OpenTelemetry."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import (
+    ExplicitBucketHistogramAggregation,
+    View,
+)
+from prometheus_client import CollectorRegistry, generate_latest
+
+_LATENCY_SECONDS = (
+    0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064,
+    0.128, 0.256, 0.512, 1.0, 2.0, 4.0, 8.0, 16.0,
+)  # fmt: skip
+
+
+class Metrics:
+    """The instruments of one node."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._registry)
+        buckets = ExplicitBucketHistogramAggregation(_LATENCY_SECONDS)
+        provider = MeterProvider(
+            metric_readers=[reader],
+            views=[
+                View(
+                    instrument_name="rhubarbpaddle.request.duration",
+                    aggregation=buckets,
+                )
+            ],
+        )
+        meter = provider.get_meter("rhubarbpaddle")
+        self._duration = meter.create_histogram(
+            "rhubarbpaddle.request.duration",
+            unit="s",
+            description="Time from a request's head to its answer's end",
+        )
+        self._refusals = meter.create_counter(
+            "rhubarbpaddle.refusals", description="Refusals by code"
+        )
+
+    def record_request(
+        self, tenant: str, service: str, status: int, seconds: float
+    ) -> None:
+        """Records an answered request."""
+        attributes: dict[str, str | int] = {
+            "tenant": tenant,
+            "service": service,
+            "status": status,
+        }
+        self._duration.record(seconds, attributes)
+
+    def record_refusal(self, service: str, code: str, outcome: str) -> None:
+        """Records a refused request."""
+        self._refusals.add(
+            1, {"service": service, "code": code, "outcome": outcome}
+        )
+
+    def render(self) -> bytes:
+        """Returns all instruments in the Prometheus text format."""
+        return generate_latest(self._registry)
