Replace members from the log by control links between neighbours

Cause: following the log's `membership` stream made each node depend on the log for liveness, could not notice a node that ends without a word, and would cost each of 800 nodes a read of every change. Ruled out: a full mesh of heartbeats (traffic grows with the fleet); heartbeats of all members spread over all links (800 entries a second exceed 13 KB/s). Change: three rings of hashed node ids give each node about six links; changes are flooded, differences of the tables are repaired, suspicions can be refuted, lost nodes are contacted again. The log keeps only addresses for the start. The accepted configuration travels over the same links.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that can be run again."""
--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,204 @@
+from collections.abc import Awaitable, Callable
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from trio.testing import MockClock
+
+from features.support.host_network import HostNetwork
+from features.support.memory_fabric import MemoryFabric
+from features.support.overlay_group import OverlayGroup, OverlayHost
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.configuration import (
+    AcceptedConfiguration,
+    parse_configuration,
+)
+from rhubarbpaddle.exceptions import ProtocolError
+from rhubarbpaddle.membership import MemberStatus, Suspicion, choose_neighbours
+from rhubarbpaddle.peer import PeerIdentity
+from rhubarbpaddle.peer.connector import PeerConnector
+
+_JOIN_SECONDS = 30.0
+_TEXT = '{"services": {}, "availability_zones": {"a": {}}}'
+
+Scenario = Callable[[OverlayGroup], Awaitable[None]]
+
+
+def run_group(context: Context, scenario: Scenario) -> None:
+    """Starts the nodes, lets them join and runs the scenario."""
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            group = OverlayGroup(nursery)
+            names = [f"n{index}" for index in range(context.count)]
+            for name in names:
+                group.start(name, "n0:2")
+            await group.wait_for_agreement(set(names), _JOIN_SECONDS)
+            await trio.sleep(_JOIN_SECONDS)
+            context.names = set(names)
+            await scenario(group)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@given("{count:d} nodes that know each other")
+def step_count(context: Context, count: int) -> None:
+    context.count = count
+
+
+@when("one node is killed")
+def step_killed(context: Context) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        group.kill("n5")
+        expected = context.names - {"n5"}
+        context.took = await group.wait_for_agreement(expected, 30.0)
+
+    run_group(context, scenario)
+
+
+@when("one node loses all its traffic for {seconds:g} seconds")
+def step_silent(context: Context, seconds: float) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        others = context.names - {"n5"}
+        cut = {("n5", name) for name in others}
+        group.fabric.blocked = cut | {(b, a) for a, b in cut}
+        silent = group.hosts.pop("n5")
+        context.took = await group.wait_for_agreement(others, 30.0)
+        await trio.sleep(seconds - context.took)
+        group.fabric.blocked = set()
+        group.hosts["n5"] = silent
+        context.agreed = await group.wait_for_agreement(context.names, 60.0)
+
+    run_group(context, scenario)
+
+
+@when("one node is killed and started again without state")
+def step_replaced(context: Context) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        group.kill("n5")
+        await trio.sleep(0.2)
+        group.start("n5", "n0:2")
+        context.agreed = await group.wait_for_agreement(context.names, 60.0)
+
+    run_group(context, scenario)
+
+
+@when("two halves lose each other for {seconds:g} seconds")
+def step_halves(context: Context, seconds: float) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        left = {name for name in context.names if int(name[1:]) < 6}
+        right = context.names - left
+        cut = {(a, b) for a in left for b in right}
+        group.fabric.blocked = cut | {(b, a) for a, b in cut}
+        await trio.sleep(seconds)
+        assert group.hosts["n0"].get_alive() == left
+        assert group.hosts["n9"].get_alive() == right
+        group.fabric.blocked = set()
+        context.agreed = await group.wait_for_agreement(context.names, 120.0)
+
+    run_group(context, scenario)
+
+
+@when("one pair of neighbours loses its traffic for {seconds:g} seconds")
+def step_pair(context: Context, seconds: float) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        other = min(choose_neighbours("n5", context.names))
+        group.fabric.block_both_ways("n5", other)
+        context.dead = set()
+        for _ in range(int(seconds / 0.1)):
+            await trio.sleep(0.1)
+            context.dead |= {
+                member.node_id
+                for host in group.hosts.values()
+                for member in host.table
+                if member.status is MemberStatus.DEAD
+            }
+
+    run_group(context, scenario)
+
+
+@when("one node takes a configuration from the log")
+def step_configuration(context: Context) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        accepted = AcceptedConfiguration(
+            1, "digest", _TEXT, 0, parse_configuration(_TEXT)
+        )
+        group.hosts["n3"].configuration.accepted = accepted
+        group.hosts["n3"].overlay.wake()
+        started = trio.current_time()
+        hosts = group.hosts.values()
+        while not all(h.configuration.accepted for h in hosts):
+            await trio.sleep(0.01)
+            assert trio.current_time() - started < 30.0
+        context.took = trio.current_time() - started
+
+    run_group(context, scenario)
+
+
+@when("a stranger with another secret connects")
+def step_stranger(context: Context) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        network = HostNetwork(group.fabric, "stranger")
+        identity = PeerIdentity("test", "stranger", 1, b"guess")
+        connector = PeerConnector(network, identity)
+        context.rejected = False
+        try:
+            await connector.connect("n0:2", "control")
+        except ProtocolError:
+            context.rejected = True
+        await trio.sleep(5.0)
+        context.members = {m.node_id for m in group.hosts["n0"].table}
+
+    run_group(context, scenario)
+
+
+@given("a node that was declared dead")
+def step_declared_dead(context: Context) -> None:
+    context.host = OverlayHost("n0", MemoryFabric(), 1, (), 1)
+
+
+@when("{seconds:g} seconds pass")
+def step_pass(context: Context, seconds: float) -> None:
+    async def run() -> None:
+        table = context.host.table
+        clock = VirtualClock()
+        suspicion = Suspicion(table, clock)
+        dead = table.own._replace(node_id="n1", status=MemberStatus.DEAD)
+        table.merge(dead)
+        await trio.sleep(seconds)
+        suspicion.expire()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("its address is still known")
+def step_known(context: Context) -> None:
+    assert context.host.table.get("n1") is not None
+
+
+@then("all others hold it to be dead within {seconds:g} seconds")
+def step_dead_within(context: Context, seconds: float) -> None:
+    assert context.took <= seconds, context.took
+
+
+@then("all nodes agree again {seconds:g} seconds after the traffic is back")
+@then("all nodes agree again {seconds:g} seconds after the start")
+def step_agreed(context: Context, seconds: float) -> None:
+    assert context.agreed <= seconds, context.agreed
+
+
+@then("no node holds another to be dead")
+def step_none_dead(context: Context) -> None:
+    assert not context.dead, context.dead
+
+
+@then("it is in force on all nodes within {seconds:g} second")
+def step_in_force(context: Context, seconds: float) -> None:
+    assert context.took <= seconds, context.took
+
+
+@then("its connection is rejected and no member is added")
+def step_rejected(context: Context) -> None:
+    assert context.rejected
+    assert context.members == context.names
--- a/features/support/memory_pipe.py
+++ b/features/support/memory_pipe.py
@@ -1,6 +1,7 @@
 """One direction of a connection in memory."""
 
 from collections.abc import Callable
+from typing import ClassVar
 
 import trio
 
@@ -12,8 +13,11 @@
 
     Attributes:
         silenced: While True, written bytes disappear without an error.
+        total_bytes: Bytes written to all pipes of the process.
     """
 
+    total_bytes: ClassVar[int] = 0
+
     def __init__(self, is_blocked: Callable[[], bool]) -> None:
         self.silenced = False
         self._is_blocked = is_blocked
@@ -30,6 +34,7 @@
         """Writes bytes; waits while the buffer is full."""
         await trio.lowlevel.checkpoint()
         view = bytes(data)
+        MemoryPipe.total_bytes += len(view)
         while view:
             if self._broken or self._ended:
                 raise trio.BrokenResourceError
--- /dev/null
+++ b/features/support/overlay_group.py
@@ -0,0 +1,138 @@
+"""Several nodes' control links in one process, without the data path."""
+
+import random
+
+import trio
+
+from features.support.host_network import HostNetwork
+from features.support.memory_fabric import MemoryFabric
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    Suspicion,
+)
+from rhubarbpaddle.peer import Overlay, PeerIdentity, PeerListener
+from rhubarbpaddle.peer.connector import PeerConnector
+
+
+class HeldConfiguration:
+    """Takes any newer configuration."""
+
+    def __init__(self) -> None:
+        self.accepted: AcceptedConfiguration | None = None
+
+    def get_accepted(self) -> AcceptedConfiguration | None:
+        return self.accepted
+
+    def adopt(self, accepted: AcceptedConfiguration) -> bool:
+        if self.accepted and self.accepted.version >= accepted.version:
+            return False
+        self.accepted = accepted
+        return True
+
+
+class OverlayHost:
+    """One node's member table and links."""
+
+    def __init__(
+        self,
+        name: str,
+        fabric: MemoryFabric,
+        incarnation: int,
+        seeds: tuple[str, ...],
+        seed: int,
+    ) -> None:
+        own = Member(
+            node_id=name,
+            incarnation=incarnation,
+            version=1,
+            status=MemberStatus.ALIVE,
+            host=name,
+            availability_zone="a",
+            peer_address=f"{name}:2",
+            admin_address=f"{name}:3",
+            upstream=None,
+        )
+        clock = VirtualClock()
+        self.table = MemberTable(own)
+        self.configuration = HeldConfiguration()
+        self.network = HostNetwork(fabric, name)
+        identity = PeerIdentity("test", name, incarnation, b"secret")
+        self.overlay = Overlay(
+            PeerConnector(self.network, identity),
+            self.table,
+            Suspicion(self.table, clock),
+            self.configuration,
+            clock,
+            random.Random(f"{seed} {name} {incarnation}"),
+            lambda: seeds,
+        )
+        self.listener = PeerListener(identity, {"control": self.overlay})
+        self.scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        """Runs until the scope is cancelled."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                address = self.table.own.peer_address
+                await nursery.start(
+                    self.network.serve, address, self.listener.handle
+                )
+                nursery.start_soon(self.overlay.run)
+
+    def get_alive(self) -> set[str]:
+        """Returns the ids of the nodes that this one takes to be alive."""
+        return {
+            member.node_id
+            for member in self.table
+            if member.status is MemberStatus.ALIVE
+        }
+
+
+class OverlayGroup:
+    """Starts hosts, kills them and waits until their tables agree."""
+
+    def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
+        self.fabric = MemoryFabric()
+        self.hosts: dict[str, OverlayHost] = {}
+        self._nursery = nursery
+        self._seed = seed
+        self._incarnation = 0
+
+    def start(self, name: str, *seeds: str) -> OverlayHost:
+        """Starts a node that knows only the peer addresses given."""
+        self._incarnation += 1
+        host = OverlayHost(
+            name, self.fabric, self._incarnation, seeds, self._seed
+        )
+        self.hosts[name] = host
+        self._nursery.start_soon(host.run)
+        return host
+
+    def kill(self, name: str) -> None:
+        """Ends a node without a word."""
+        self.hosts.pop(name).scope.cancel()
+
+    async def wait_for_agreement(
+        self, expected: set[str], limit: float
+    ) -> float:
+        """Waits until all hosts hold exactly these nodes to be alive.
+
+        Returns:
+            The virtual seconds that it took.
+        """
+        started = trio.current_time()
+        while trio.current_time() - started < limit:
+            if all(
+                host.get_alive() == expected for host in self.hosts.values()
+            ):
+                return trio.current_time() - started
+            await trio.sleep(0.05)
+        views = {
+            name: sorted(host.get_alive() ^ expected)
+            for name, host in self.hosts.items()
+        }
+        raise AssertionError(f"no agreement within {limit} s: {views}")
--- a/src/rhubarbpaddle/membership/__init__.py
+++ b/src/rhubarbpaddle/membership/__init__.py
@@ -3,6 +3,8 @@
 from rhubarbpaddle.membership.member import Member
 from rhubarbpaddle.membership.member_status import MemberStatus
 from rhubarbpaddle.membership.member_table import MemberTable
+from rhubarbpaddle.membership.neighbours import choose_neighbours
+from rhubarbpaddle.membership.suspicion import Suspicion
 from rhubarbpaddle.membership.upstream_state import UpstreamState
 from rhubarbpaddle.membership.upstream_summary import UpstreamSummary
 
@@ -10,6 +12,8 @@
     "Member",
     "MemberStatus",
     "MemberTable",
+    "Suspicion",
     "UpstreamState",
     "UpstreamSummary",
+    "choose_neighbours",
 ]
--- /dev/null
+++ b/src/rhubarbpaddle/membership/suspicion.py
@@ -0,0 +1,78 @@
+"""When an unreachable node is declared dead."""
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.membership.member import Member
+from rhubarbpaddle.membership.member_status import MemberStatus
+from rhubarbpaddle.membership.member_table import MemberTable
+
+# A node that still runs refutes a suspicion within this time.
+REFUTATION_SECONDS = 2.0
+# A node that lost one neighbour but is reached by others refutes at once.
+# Raising the same suspicion again and again would flood the cluster.
+MIN_REPEAT_SECONDS = 5.0
+MAX_REPEAT_SECONDS = 60.0
+# Regions lose each other for an hour; entries of dead nodes are kept longer,
+# so that both sides can find each other again.
+TOMBSTONE_SECONDS = 3 * 3600.0
+
+
+class Suspicion:
+    """Raises suspicions, and turns them into deaths if nobody refutes."""
+
+    def __init__(self, table: MemberTable, clock: Clock) -> None:
+        self._table = table
+        self._clock = clock
+        self._suspected: dict[str, float] = {}
+        self._dead: dict[str, float] = {}
+        self._raised: dict[str, tuple[float, float]] = {}
+        table.add_listener(self._note_change)
+
+    def suspect(self, node_id: str) -> bool:
+        """Raises a suspicion against a node that can't be reached.
+
+        Returns:
+            Whether it was raised; it is not if the node is not alive or has
+            refuted a suspicion of this node a short time ago.
+        """
+        member = self._table.get(node_id)
+        if member is None or member.status not in (
+            MemberStatus.ALIVE,
+            MemberStatus.LEAVING,
+        ):
+            return False
+        now = self._clock.monotonic()
+        raised, pause = self._raised.get(node_id, (float("-inf"), 0.0))
+        if now - raised < pause:
+            return False
+        if now - raised > 2 * MAX_REPEAT_SECONDS:
+            pause = 0.0
+        pause = min(max(2 * pause, MIN_REPEAT_SECONDS), MAX_REPEAT_SECONDS)
+        self._raised[node_id] = (now, pause)
+        if member.status is MemberStatus.LEAVING:
+            return self._table.merge(member._replace(status=MemberStatus.DEAD))
+        return self._table.merge(member._replace(status=MemberStatus.SUSPECT))
+
+    def expire(self) -> None:
+        """Declares dead who did not refute, and drops old entries."""
+        now = self._clock.monotonic()
+        for node_id, since in tuple(self._suspected.items()):
+            if now - since >= REFUTATION_SECONDS:
+                member = self._table.get(node_id)
+                assert member is not None
+                self._table.merge(member._replace(status=MemberStatus.DEAD))
+        for node_id, since in tuple(self._dead.items()):
+            if now - since >= TOMBSTONE_SECONDS:
+                del self._dead[node_id]
+                self._raised.pop(node_id, None)
+                self._table.remove(node_id)
+
+    def _note_change(self, member: Member, source: str | None) -> None:
+        node_id = member.node_id
+        if member.status is MemberStatus.SUSPECT:
+            self._suspected.setdefault(node_id, self._clock.monotonic())
+        else:
+            self._suspected.pop(node_id, None)
+        if member.status is MemberStatus.DEAD:
+            self._dead.setdefault(node_id, self._clock.monotonic())
+        else:
+            self._dead.pop(node_id, None)
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -44,6 +44,14 @@
         accepted = self.history.accepted
         return accepted.version if accepted else 0
 
+    def adopt(self, accepted: AcceptedConfiguration) -> bool:
+        """Takes a configuration from a peer if it is newer."""
+        if accepted.version <= self.get_version():
+            return False
+        self.history.accepted = accepted
+        self._announce()
+        return True
+
     async def run(self) -> None:
         """Reads the stream for as long as the node runs."""
         while True:
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -12,17 +12,23 @@
 from rhubarbpaddle.execution.gateway import Gateway
 from rhubarbpaddle.execution.sidecar import Sidecar
 from rhubarbpaddle.http import CallerHandler
-from rhubarbpaddle.membership import Member, MemberStatus, MemberTable
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    Suspicion,
+)
 from rhubarbpaddle.network import Network, TcpNetwork
 from rhubarbpaddle.node.admin_handler import AdminHandler
 from rhubarbpaddle.node.configuration_follower import ConfigurationFollower
-from rhubarbpaddle.node.member_follower import MemberFollower
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
+from rhubarbpaddle.node.seed_stream import SeedRecord, SeedStream
 from rhubarbpaddle.node.settings import NodeSettings
 from rhubarbpaddle.node.status import NodeStatus
 from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
 from rhubarbpaddle.peer import (
     ExchangeServer,
+    Overlay,
     PeerIdentity,
     PeerListener,
     PeerPool,
@@ -66,14 +72,32 @@
         self.configuration = ConfigurationFollower(
             log, clock, self._apply_configuration
         )
-        self._members = MemberFollower(self.table, log, clock)
         identity = PeerIdentity(
             settings.cluster,
             settings.node_id,
             incarnation,
             settings.secret.encode(),
         )
-        pool = PeerPool(network, PeerConnector(network, identity))
+        connector = PeerConnector(network, identity)
+        self._seeds = SeedStream(
+            SeedRecord(
+                node_id=settings.node_id, peer_address=settings.peer_address
+            ),
+            settings.seeds,
+            log,
+            clock,
+            rng,
+        )
+        self.overlay = Overlay(
+            connector,
+            self.table,
+            Suspicion(self.table, clock),
+            self.configuration,
+            clock,
+            rng,
+            self._seeds.get_addresses,
+        )
+        pool = PeerPool(network, connector)
         remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
         gateway = Gateway(
             LeastLoadedRouter(self.table, rng),
@@ -93,7 +117,11 @@
             gateway, clock, metrics, self.configuration.get_accepted
         )
         self._peers = PeerListener(
-            identity, {"exchange": ExchangeServer(self.sidecar, clock)}
+            identity,
+            {
+                "exchange": ExchangeServer(self.sidecar, clock),
+                "control": self.overlay,
+            },
         )
         self._admin = AdminHandler(
             self._registry,
@@ -124,9 +152,9 @@
             for address, handler in listeners:
                 await nursery.start(self._network.serve, address, handler)
             nursery.start_soon(self.configuration.run)
-            nursery.start_soon(self._members.run)
+            nursery.start_soon(self._seeds.run)
+            nursery.start_soon(self.overlay.run)
             nursery.start_soon(self._registry.run)
-            self.table.update_own()
             _log.info("node_started", node=self.settings.node_id)
             task_status.started()
 
@@ -172,3 +200,4 @@
         zone = self.settings.availability_zone
         in_service = accepted.configuration.is_in_service(zone)
         self.sidecar.in_service = in_service
+        self.overlay.wake()
--- /dev/null
+++ b/src/rhubarbpaddle/node/seed_stream.py
@@ -0,0 +1,86 @@
+"""Addresses of other nodes, kept in the log's `membership` stream."""
+
+import json
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import TypedDict
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
+from rhubarbpaddle.platform import LogClient
+from rhubarbpaddle.telemetry import get_logger
+
+STREAM = "membership"
+# The newest records suffice to find one node that still runs.
+_TAIL_RECORDS = 64
+_RETRY_SECONDS = 1.0
+_READ_SECONDS = 60.0
+# Keeps the stream from running empty between restarts while 800 nodes write
+# one record in 4.5 s.
+_WRITE_SECONDS = 3600.0
+
+_log = get_logger("membership")
+
+
+class SeedRecord(TypedDict):
+    """A record of the `membership` stream."""
+
+    node_id: str
+    peer_address: str
+
+
+class SeedStream:
+    """Writes this node's address to the log and reads those of others."""
+
+    def __init__(
+        self,
+        own: SeedRecord,
+        settings_seeds: Sequence[str],
+        log: LogClient,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._settings_seeds = settings_seeds
+        self._log = log
+        self._clock = clock
+        self._rng = rng
+        self._addresses: tuple[str, ...] = ()
+
+    def get_addresses(self) -> tuple[str, ...]:
+        """Returns the addresses from the log and from the settings."""
+        return (*self._addresses, *self._settings_seeds)
+
+    async def run(self) -> None:
+        """Writes and reads the stream for as long as the node runs."""
+        written = float("-inf")
+        while True:
+            pause = _READ_SECONDS
+            try:
+                if self._clock.monotonic() - written >= _WRITE_SECONDS:
+                    payload = json.dumps(self._own).encode()
+                    await self._log.append(STREAM, payload)
+                    written = self._clock.monotonic()
+                await self._read()
+            except (AppendUnknownError, LogUnavailableError) as exc:
+                _log.warn("seed_stream_failed", error=exc)
+                pause = _RETRY_SECONDS
+            if len(self._addresses) < 2:
+                pause = _RETRY_SECONDS
+            jitter = 0.5 + self._rng.random()
+            await self._clock.sleep(timedelta(seconds=pause * jitter))
+
+    async def _read(self) -> None:
+        """Reads the stream's newest records."""
+        end = (await self._log.read(STREAM, 0, 1, timedelta())).end_offset
+        start = max(0, end - _TAIL_RECORDS)
+        batch = await self._log.read(STREAM, start, _TAIL_RECORDS, timedelta())
+        addresses = {}
+        for record in batch.records:
+            try:
+                document: SeedRecord = json.loads(record.payload)
+                addresses[document["node_id"]] = document["peer_address"]
+            except (ValueError, KeyError, TypeError):
+                _log.warn("seed_record_invalid", offset=record.offset)
+        self._addresses = tuple(addresses.values())
--- a/src/rhubarbpaddle/peer/__init__.py
+++ b/src/rhubarbpaddle/peer/__init__.py
@@ -4,11 +4,13 @@
 from rhubarbpaddle.peer.exchange_server import ExchangeServer
 from rhubarbpaddle.peer.identity import PeerIdentity
 from rhubarbpaddle.peer.listener import PeerListener
+from rhubarbpaddle.peer.overlay import Overlay
 from rhubarbpaddle.peer.pool import PeerPool
 from rhubarbpaddle.peer.remote_dispatcher import RemoteDispatcher
 
 __all__ = [
     "ExchangeServer",
+    "Overlay",
     "PeerConnection",
     "PeerIdentity",
     "PeerListener",
--- a/src/rhubarbpaddle/peer/connector.py
+++ b/src/rhubarbpaddle/peer/connector.py
@@ -60,3 +60,4 @@
                 step="connect_peer",
                 peer=conn.peer,
             )
+        conn.peer = answer.node_id
--- /dev/null
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -0,0 +1,169 @@
+"""One control connection between two neighbours."""
+
+import hashlib
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration import (
+    AcceptedConfiguration,
+    parse_configuration,
+)
+from rhubarbpaddle.exceptions import ConfigurationError, ProtocolError
+from rhubarbpaddle.membership import Member, MemberTable
+from rhubarbpaddle.peer.configuration_source import ConfigurationSource
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.messages import (
+    ConfigurationUpdate,
+    Heartbeat,
+    MemberUpdate,
+)
+from rhubarbpaddle.peer.messages.member_update import MEMBERS_PER_MESSAGE
+from rhubarbpaddle.telemetry import get_logger
+
+HEARTBEAT_SECONDS = 0.5
+# Four missed heartbeats.
+SILENCE_SECONDS = 2.0
+# Tables differ for a moment after each change. Only a difference that lasts
+# is repaired, and not more often than this.
+_REPAIR_SECONDS = 10.0
+_DIFFERENCE_HEARTBEATS = 4
+
+_log = get_logger("control")
+
+
+class ControlLink:
+    """Exchanges members and the configuration with one neighbour.
+
+    Attributes:
+        peer_id: The neighbour's node id.
+    """
+
+    def __init__(
+        self,
+        conn: PeerConnection,
+        peer_id: str,
+        table: MemberTable,
+        configuration: ConfigurationSource,
+        clock: Clock,
+    ) -> None:
+        self.peer_id = peer_id
+        self._conn = conn
+        self._table = table
+        self._configuration = configuration
+        self._clock = clock
+        self._pending: dict[str, Member] = {}
+        self._wake = trio.Event()
+        self._sent_version = 0
+        self._differences = 0
+        self._repaired = float("-inf")
+
+    def enqueue(self, member: Member) -> None:
+        """Sends an entry to the neighbour as soon as the link is free."""
+        self._pending[member.node_id] = member
+        self._wake.set()
+
+    def wake(self) -> None:
+        """Sends what has changed without waiting for the next heartbeat."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Exchanges messages until the link breaks.
+
+        Raises:
+            RhubarbpaddleError: The link broke, fell silent or carried
+                something unexpected.
+        """
+        failure: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_all, nursery.cancel_scope)
+            try:
+                await self._receive_all()
+            except Exception as exc:
+                failure = exc
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _send_all(self, scope: trio.CancelScope) -> None:
+        try:
+            while True:
+                await self._send_pending()
+                with trio.move_on_after(HEARTBEAT_SECONDS):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+        except Exception as exc:
+            _log.debug("control_send_failed", peer=self.peer_id, reason=exc)
+            scope.cancel()
+
+    async def _send_pending(self) -> None:
+        pending, self._pending = self._pending, {}
+        members = tuple(pending.values())
+        for start in range(0, len(members), MEMBERS_PER_MESSAGE):
+            part = members[start : start + MEMBERS_PER_MESSAGE]
+            await self._conn.send(MemberUpdate(part))
+        accepted = self._configuration.get_accepted()
+        version = accepted.version if accepted else 0
+        if accepted is not None and version > self._sent_version:
+            self._sent_version = version
+            await self._conn.send(
+                ConfigurationUpdate(version, accepted.as_of, accepted.text)
+            )
+        await self._conn.send(Heartbeat(self._table.digest, version))
+
+    async def _receive_all(self) -> None:
+        while True:
+            message = await self._conn.receive_within(SILENCE_SECONDS)
+            match message:
+                case Heartbeat():
+                    self._compare(message)
+                case MemberUpdate(members=members):
+                    for member in members:
+                        self._table.merge(member, self.peer_id)
+                case ConfigurationUpdate():
+                    self._adopt(message)
+                case _:
+                    raise ProtocolError(
+                        f"unexpected {type(message).__name__}",
+                        step="control_link",
+                        peer=self.peer_id,
+                    )
+
+    def _compare(self, heartbeat: Heartbeat) -> None:
+        """Sends the whole table if the neighbour's differs for long."""
+        if heartbeat.members_digest == self._table.digest:
+            self._differences = 0
+            return
+        self._differences += 1
+        first = self._repaired == float("-inf")
+        now = self._clock.monotonic()
+        if first or (
+            self._differences >= _DIFFERENCE_HEARTBEATS
+            and now - self._repaired >= _REPAIR_SECONDS
+        ):
+            self._repaired = now
+            self._differences = 0
+            for member in self._table:
+                self.enqueue(member)
+
+    def _adopt(self, update: ConfigurationUpdate) -> None:
+        accepted = self._configuration.get_accepted()
+        if accepted is not None and accepted.version >= update.version:
+            return
+        try:
+            configuration = parse_configuration(update.text)
+        except ConfigurationError as exc:
+            raise ProtocolError(
+                "the configuration is invalid",
+                step="adopt_configuration",
+                peer=self.peer_id,
+            ) from exc
+        self._configuration.adopt(
+            AcceptedConfiguration(
+                version=update.version,
+                digest=hashlib.sha256(update.text.encode()).hexdigest(),
+                text=update.text,
+                as_of=update.as_of,
+                configuration=configuration,
+            )
+        )
--- a/src/rhubarbpaddle/peer/messages/__init__.py
+++ b/src/rhubarbpaddle/peer/messages/__init__.py
@@ -5,8 +5,13 @@
 from rhubarbpaddle.peer.messages.body_part import BodyPart
 from rhubarbpaddle.peer.messages.call import Call
 from rhubarbpaddle.peer.messages.challenge import Challenge
+from rhubarbpaddle.peer.messages.configuration_update import (
+    ConfigurationUpdate,
+)
+from rhubarbpaddle.peer.messages.heartbeat import Heartbeat
 from rhubarbpaddle.peer.messages.hello import Hello
 from rhubarbpaddle.peer.messages.keep_alive import KeepAlive
+from rhubarbpaddle.peer.messages.member_update import MemberUpdate
 from rhubarbpaddle.peer.messages.refusal import Refusal
 from rhubarbpaddle.peer.messages.reject import Reject
 from rhubarbpaddle.peer.messages.response_head import ResponseHead
@@ -18,8 +23,11 @@
     | BodyPart
     | Call
     | Challenge
+    | ConfigurationUpdate
+    | Heartbeat
     | Hello
     | KeepAlive
+    | MemberUpdate
     | Refusal
     | Reject
     | ResponseHead
@@ -32,8 +40,11 @@
     "BodyPart",
     "Call",
     "Challenge",
+    "ConfigurationUpdate",
+    "Heartbeat",
     "Hello",
     "KeepAlive",
+    "MemberUpdate",
     "Message",
     "Refusal",
     "Reject",
--- /dev/null
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -0,0 +1,181 @@
+"""The control links of this node."""
+
+import random
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import RhubarbpaddleError
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    Suspicion,
+    choose_neighbours,
+)
+from rhubarbpaddle.peer.configuration_source import ConfigurationSource
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.control_link import ControlLink
+from rhubarbpaddle.peer.messages import Hello
+from rhubarbpaddle.telemetry import get_logger
+
+PURPOSE = "control"
+_ROUND = timedelta(milliseconds=250)
+_RETRY = timedelta(milliseconds=250)
+# How often a node that has links looks for nodes that it lost, and how long
+# such a link lasts; two heartbeats suffice to exchange the tables.
+_REJOIN_SECONDS = 5.0
+_REJOIN_LINK_SECONDS = 3.0
+_CONTACTS = 3
+
+_log = get_logger("control")
+
+
+class Overlay:
+    """Keeps a link to each neighbour and floods changes over all links."""
+
+    def __init__(
+        self,
+        connector: PeerConnector,
+        table: MemberTable,
+        suspicion: Suspicion,
+        configuration: ConfigurationSource,
+        clock: Clock,
+        rng: random.Random,
+        get_seeds: Callable[[], Sequence[str]],
+    ) -> None:
+        self._connector = connector
+        self._table = table
+        self._suspicion = suspicion
+        self._configuration = configuration
+        self._clock = clock
+        self._rng = rng
+        self._get_seeds = get_seeds
+        self._links: list[ControlLink] = []
+        self._tasks: dict[str, trio.CancelScope] = {}
+        self._members_changed = True
+        self._rejoined = float("-inf")
+        table.add_listener(self._flood)
+
+    @property
+    def link_count(self) -> int:
+        """How many links are open."""
+        return len(self._links)
+
+    def wake(self) -> None:
+        """Sends a new configuration to all neighbours at once."""
+        for link in self._links:
+            link.wake()
+
+    async def serve(self, conn: PeerConnection, hello: Hello) -> None:
+        """Serves a link that a neighbour has opened."""
+        await self._run_link(conn, hello.node_id)
+
+    async def run(self) -> None:
+        """Opens and closes links as the members change."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._suspicion.expire()
+                if self._members_changed:
+                    self._members_changed = False
+                    self._adjust_tasks(nursery)
+                self._look_for_others(nursery)
+                await self._clock.sleep(_ROUND)
+
+    def _flood(self, member: Member, source: str | None) -> None:
+        self._members_changed = True
+        for link in self._links:
+            if link.peer_id != source:
+                link.enqueue(member)
+
+    def _adjust_tasks(self, nursery: trio.Nursery) -> None:
+        linkable = (
+            member.node_id
+            for member in self._table
+            if member.status is not MemberStatus.DEAD
+        )
+        neighbours = choose_neighbours(self._table.own.node_id, linkable)
+        for node_id in self._tasks.keys() - neighbours:
+            self._tasks.pop(node_id).cancel()
+        for node_id in sorted(neighbours - self._tasks.keys()):
+            scope = self._tasks[node_id] = trio.CancelScope()
+            nursery.start_soon(self._keep_link, node_id, scope)
+
+    async def _keep_link(self, node_id: str, scope: trio.CancelScope) -> None:
+        """Keeps a link to one neighbour until the scope is cancelled."""
+        with scope:
+            while True:
+                member = self._table.get(node_id)
+                if member is None or member.status is MemberStatus.DEAD:
+                    break
+                try:
+                    conn = await self._connector.connect(
+                        member.peer_address, PURPOSE
+                    )
+                except (OSError, RhubarbpaddleError) as exc:
+                    if self._suspicion.suspect(node_id):
+                        _log.warn("member_suspected", peer=node_id, reason=exc)
+                    await self._clock.sleep(_RETRY)
+                    continue
+                await self._run_link_logged(conn, node_id)
+        if self._tasks.get(node_id) is scope:
+            del self._tasks[node_id]
+            self._members_changed = True
+
+    def _look_for_others(self, nursery: trio.Nursery) -> None:
+        """Contacts nodes that this one has lost or does not know yet."""
+        now = self._clock.monotonic()
+        if self._links and now - self._rejoined < _REJOIN_SECONDS:
+            return
+        self._rejoined = now
+        own_address = self._table.own.peer_address
+        known = {
+            member.peer_address
+            for member in self._table
+            if member.status is not MemberStatus.DEAD
+        }
+        lost = [
+            member.peer_address
+            for member in self._table
+            if member.status is MemberStatus.DEAD
+        ]
+        addresses = {*self._get_seeds(), *lost} - known - {own_address}
+        if not addresses:
+            return
+        count = 1 if self._links else _CONTACTS
+        chosen = self._rng.sample(sorted(addresses), min(count, len(addresses)))
+        for address in chosen:
+            nursery.start_soon(self._contact, address)
+
+    async def _contact(self, address: str) -> None:
+        try:
+            conn = await self._connector.connect(address, PURPOSE)
+        except (OSError, RhubarbpaddleError) as exc:
+            _log.debug("contact_failed", peer=address, reason=exc)
+            return
+        with trio.move_on_after(_REJOIN_LINK_SECONDS):
+            await self._run_link_logged(conn, conn.peer)
+
+    async def _run_link_logged(
+        self, conn: PeerConnection, node_id: str
+    ) -> None:
+        try:
+            await self._run_link(conn, node_id)
+        except RhubarbpaddleError as exc:
+            _log.info("control_link_lost", peer=node_id, reason=exc.detail)
+        finally:
+            await conn.aclose()
+
+    async def _run_link(self, conn: PeerConnection, node_id: str) -> None:
+        link = ControlLink(
+            conn, node_id, self._table, self._configuration, self._clock
+        )
+        self._links.append(link)
+        try:
+            link.enqueue(self._table.own)
+            await link.run()
+        finally:
+            self._links.remove(link)
