Build one executable that starts no process and writes no file

Cause: hosts have no disks and a process may start no other; the daemon has to be one file. Ruled out: PyInstaller's one-file bundle (unpacks to a temporary folder and runs a child), zipapp (needs an interpreter on the host, can't hold extension modules). Change: a launcher with the interpreter linked in and the modules appended as an uncompressed archive; extension modules and the libraries they need are loaded from anonymous memory. The test traces the process.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
+
+binary: $(STAMP)
+	$(BIN)/python -m binary
--- /dev/null
+++ b/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the single executable file."""
--- /dev/null
+++ b/binary/bootstrap_archive.py
@@ -0,0 +1,72 @@
+"""Imports extension modules from the archive without unpacking them.
+
+This module is stored in the archive as `_bootstrap_archive`; the launcher
+imports it first.
+"""
+
+import os
+import sys
+import zipimport
+from importlib.machinery import ExtensionFileLoader, ModuleSpec
+from importlib.util import spec_from_file_location
+
+EXTENSIONS_FOLDER = "extensions"
+LIBRARIES_FOLDER = "libraries"
+LIBRARIES_INDEX = f"{LIBRARIES_FOLDER}/index.txt"
+EXTENSIONS_INDEX = f"{EXTENSIONS_FOLDER}/index.txt"
+
+
+class MemoryExtensionFinder:
+    """Loads extension modules from anonymous files in memory."""
+
+    def __init__(self, archive: zipimport.zipimporter) -> None:
+        self._archive = archive
+        self._names = frozenset(read_index(archive, EXTENSIONS_INDEX))
+
+    def find_spec(
+        self, name: str, path: object = None, target: object = None
+    ) -> ModuleSpec | None:
+        """Returns the spec of an extension module in the archive."""
+        if name not in self._names:
+            return None
+        content = self._archive.get_data(
+            os.path.join(self._archive.archive, EXTENSIONS_FOLDER, name)
+        )
+        location = store_in_memory(name, content)
+        loader = ExtensionFileLoader(name, location)
+        return spec_from_file_location(name, location, loader=loader)
+
+
+def read_index(archive: zipimport.zipimporter, index: str) -> list[str]:
+    """Returns the lines of a text file in the archive."""
+    content = archive.get_data(os.path.join(archive.archive, index))
+    return content.decode().split()
+
+
+def store_in_memory(name: str, content: bytes) -> str:
+    """Returns the path of an anonymous file with this content.
+
+    The file stays open: the dynamic linker identifies libraries by their
+    path, so a descriptor must not be used again for another one.
+    """
+    descriptor = os.memfd_create(name, os.MFD_CLOEXEC)
+    with open(descriptor, "wb", closefd=False) as file:
+        file.write(content)
+    return f"/proc/self/fd/{descriptor}"
+
+
+def run() -> None:
+    """Prepares imports and runs the command line."""
+    import _launcher
+
+    archive = zipimport.zipimporter(sys.executable)
+    for name in read_index(archive, LIBRARIES_INDEX):
+        content = archive.get_data(
+            os.path.join(archive.archive, LIBRARIES_FOLDER, name)
+        )
+        _launcher.load_library(store_in_memory(name, content))
+    sys.meta_path.insert(0, MemoryExtensionFinder(archive))
+
+    from rhubarbpaddle.cli import main
+
+    main()
--- /dev/null
+++ b/features/steps/binary_steps.py
@@ -0,0 +1,97 @@
+import json
+import os
+import re
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import urllib.request
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+from demo.deployment import reserve_ports
+from demo.process_group import wait_for_http
+
+_ROOT = Path(__file__).parents[2]
+_START_SECONDS = 20.0
+# A thread shares its parent's memory; anything else is a process.
+_NEW_PROCESS = re.compile(
+    r"\b(fork|vfork|execve)\(|clone3?\((?!.*CLONE_THREAD)"
+)
+_WRITABLE_OPEN = re.compile(r"open(at)?\(.*O_(WRONLY|RDWR|CREAT)")
+
+
+@given("the built executable, copied to an empty folder")
+def step_built(context: Context) -> None:
+    subprocess.run([sys.executable, "-m", "binary"], check=True, cwd=_ROOT)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name)
+    shutil.copy(_ROOT / "dist" / "rhubarbpaddle", context.folder)
+
+
+@when("it runs a node under a trace with an empty environment")
+def step_runs(context: Context) -> None:
+    caller, peer, admin, log = (
+        f"127.0.0.1:{port}" for port in reserve_ports(4)
+    )
+    settings = {
+        "cluster": "test",
+        "secret": "a-secret-of-the-test-cluster",
+        "node_id": "n1",
+        "host": "h1",
+        "availability_zone": "a",
+        "caller_address": caller,
+        "peer_address": peer,
+        "admin_address": admin,
+        "log_address": log,
+    }
+    (context.folder / "node.json").write_text(json.dumps(settings))
+    trace = context.folder / "trace"
+    command = ["strace", "-f", "-e", "trace=%process,%file,kill"]
+    command += ["-o", str(trace), "env", "-i", "./rhubarbpaddle"]
+    process = subprocess.Popen(
+        [*command, "node", "node.json"],
+        cwd=context.folder,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        url = f"http://{admin}/healthz"
+        wait_for_http(url, _START_SECONDS)
+        with urllib.request.urlopen(url) as response:
+            context.health = response.status
+        pid = int(trace.read_text().split(maxsplit=1)[0])
+        os.kill(pid, signal.SIGTERM)
+        context.exit_code = process.wait(_START_SECONDS)
+    finally:
+        process.kill()
+    lines = trace.read_text().splitlines()
+    # strace starts env, and env becomes the executable.
+    first = 'execve("./rhubarbpaddle"'
+    start = next(n for n, line in enumerate(lines) if first in line)
+    context.trace = lines[start + 1 :]
+
+
+@then("the node answers its health check")
+def step_healthy(context: Context) -> None:
+    assert context.health == 200
+
+
+@then("the trace shows no child process")
+def step_no_child(context: Context) -> None:
+    found = [line for line in context.trace if _NEW_PROCESS.search(line)]
+    assert not found, found
+
+
+@then("the trace shows no file opened for writing")
+def step_no_file(context: Context) -> None:
+    found = [line for line in context.trace if _WRITABLE_OPEN.search(line)]
+    assert not found, found
+
+
+@then("it ends with exit code {code:d} on SIGTERM")
+def step_ended(context: Context, code: int) -> None:
+    assert context.exit_code == code, context.exit_code
