Add a stateful machine and an oracle that knows only the promises

Cause: no test drives several nodes through kills, cuts, silent connections, outages, racing operators and resends together.

--- /dev/null
+++ b/features/promises/__init__.py
@@ -0,0 +1,1 @@
+"""A stateful test of all promises against a simple oracle."""
--- /dev/null
+++ b/features/promises/interpreter.py
@@ -0,0 +1,169 @@
+"""Carries out a run's steps against real nodes in one process."""
+
+from collections import Counter
+from collections.abc import Sequence
+
+import trio
+from trio.testing import MockClock
+
+from features.promises.operation import Operation
+from features.promises.oracle import Oracle
+from features.promises.sent_request import SentRequest
+from features.promises.world import NODES, SERVICES, World
+
+_SETTLE_SECONDS = 10.0
+# Claims, suspicions and lapsed leases of the run are over by then.
+_HEAL_SECONDS = 30.0
+
+
+class Interpreter:
+    """Runs operations and asks the oracle at the end.
+
+    Attributes:
+        operations: How often each kind of operation was carried out.
+        checked: What the oracle compared.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.operations: Counter[str] = Counter()
+        self.checked: Counter[str] = Counter()
+        self._seed = seed
+
+    def run(self, operations: Sequence[Operation]) -> None:
+        """Runs all operations in virtual time.
+
+        Raises:
+            AssertionError: A promise was broken.
+        """
+        clock = MockClock(autojump_threshold=0)
+        trio.run(self._run, operations, clock=clock)
+
+    async def _run(self, operations: Sequence[Operation]) -> None:
+        async with trio.open_nursery() as nursery:
+            self._world = World(nursery, self._seed)
+            await self._world.start()
+            await trio.sleep(_SETTLE_SECONDS)
+            for operation in operations:
+                self.operations[operation.name] += 1
+                await getattr(self, operation.name)(*operation.arguments)
+            await self._check()
+            nursery.cancel_scope.cancel()
+
+    async def _check(self) -> None:
+        """Ends all faults, waits, and compares."""
+        oracle = Oracle(self._world)
+        await self.heal()
+        await trio.sleep(_HEAL_SECONDS)
+        oracle.check_all()
+        oracle.check_agreement()
+        requests = [
+            SentRequest(f"final-{node}-{service}", service, "GET", "")
+            for node in NODES
+            for service in SERVICES
+        ]
+        for node, request in zip(
+            sorted(NODES * 2)[: len(requests)], requests, strict=True
+        ):
+            self._world.send(node, request)
+        await trio.sleep(_SETTLE_SECONDS)
+        oracle.check_served(requests)
+        oracle.check_all()
+        self.checked.update(oracle.checked)
+
+    async def advance(self, seconds: float) -> None:
+        """Lets time pass."""
+        await trio.sleep(seconds)
+
+    async def send(
+        self, node: str, service: str, kind: str, method: str, count: int
+    ) -> None:
+        """Sends some requests at once."""
+        for _ in range(count):
+            marker = f"{kind}{len(self._world.sent)}"
+            key = self._world.make_key() if method == "POST" else ""
+            request = SentRequest(marker, service, method, key)
+            self._world.send(node, request)
+        await trio.lowlevel.checkpoint()
+
+    async def send_again(self, index: int, node: str) -> None:
+        """Sends an earlier request again through any node."""
+        if self._world.sent:
+            first = self._world.sent[index % len(self._world.sent)]
+            request = SentRequest(
+                first.marker, first.service, first.method, first.key
+            )
+            self._world.send(node, request)
+        await trio.lowlevel.checkpoint()
+
+    async def replace_node(self, node: str, pause: float) -> None:
+        """Kills a node and starts another without state in its place."""
+        self._world.kill_node(node)
+        await trio.sleep(pause)
+        await self._world.start_node(node)
+
+    async def replace_upstream(self, node: str, pause: float) -> None:
+        """Kills an upstream and starts another in its place."""
+        self._world.kill_upstream(node)
+        await trio.sleep(pause)
+        await self._world.start_upstream(node)
+
+    async def slow_down(self, node: str, seconds: float) -> None:
+        """Makes an upstream a straggler, or normal again."""
+        upstream = self._world.live_upstreams.get(node)
+        if upstream is not None:
+            upstream.delay = seconds
+        await trio.lowlevel.checkpoint()
+
+    async def fail_fast(self, node: str, failing: bool) -> None:
+        """Makes an upstream answer errors at once, or normal again."""
+        upstream = self._world.live_upstreams.get(node)
+        if upstream is not None:
+            upstream.failing = failing
+        await trio.lowlevel.checkpoint()
+
+    async def block(self, source: str, target: str) -> None:
+        """Loses all traffic from one host to another."""
+        self._world.fabric.blocked.add((source, target))
+        await trio.lowlevel.checkpoint()
+
+    async def silence(self, first: str, second: str) -> None:
+        """Silences the connections open now; new ones work."""
+        self._world.fabric.silence(first, second)
+        await trio.lowlevel.checkpoint()
+
+    async def cut(self, first: str, second: str) -> None:
+        """Breaks the connections open now."""
+        self._world.fabric.cut(first, second)
+        await trio.lowlevel.checkpoint()
+
+    async def set_log_available(self, available: bool) -> None:
+        """Begins or ends an outage of the log."""
+        self._world.log.available = available
+        await trio.lowlevel.checkpoint()
+
+    async def lose_log_answers(self, count: int) -> None:
+        """Loses the answers of the next appends after their effect."""
+        self._world.log.lost_answers += count
+        await trio.lowlevel.checkpoint()
+
+    async def publish(self, zones: frozenset[str], race: bool) -> None:
+        """Publishes a text; in a race, a second one on the same base."""
+        base = self._world.get_winner()
+        self._world.publish(zones, base)
+        if race:
+            self._world.publish(frozenset(), base)
+        await trio.lowlevel.checkpoint()
+
+    async def heal(self) -> None:
+        """Ends all faults and replaces what is missing."""
+        world = self._world
+        world.fabric.blocked.clear()
+        world.log.available = True
+        world.log.lost_answers = 0
+        world.publish(frozenset(), world.get_winner())
+        for upstream in world.live_upstreams.values():
+            upstream.delay = 0.005
+            upstream.failing = False
+        for node in NODES:
+            await world.start_node(node)
+            await world.start_upstream(node)
--- /dev/null
+++ b/features/promises/recording_upstream.py
@@ -0,0 +1,100 @@
+"""An upstream that records everything that it runs."""
+
+from typing import NamedTuple
+
+import trio
+
+from standins.http_server import StandinRequest, StandinResponse
+
+_COLD_SECONDS = 2.0
+_COLD_CAPACITY = 1
+_BODY_BYTES = 300
+_LARGE_BODY_BYTES = 100_000
+
+
+class Run(NamedTuple):
+    """One execution of a request."""
+
+    marker: str
+    method: str
+    instance: str
+    availability_zone: str
+    time: float
+
+
+class RecordingUpstream:
+    """Runs requests and notes what must not happen.
+
+    Attributes:
+        runs: Shared by all upstreams of the test.
+        violations: More work than a cold upstream or its slots can bear.
+        probe_seconds: Time spent on health and load requests.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        availability_zone: str,
+        slots: int,
+        runs: list[Run],
+    ) -> None:
+        self.instance = instance
+        self.service = service
+        self.availability_zone = availability_zone
+        self.runs = runs
+        self.state = "warm"
+        self.delay = 0.005
+        self.failing = False
+        self.crashed = trio.Event()
+        self.violations: list[str] = []
+        self.probe_seconds = 0.0
+        self._slots = slots
+        self._in_flight = 0
+        self._cold_until = trio.current_time() + _COLD_SECONDS
+
+    def fall_back_into_cold_start(self) -> None:
+        """Starts to bear little again, without a word."""
+        self._cold_until = trio.current_time() + _COLD_SECONDS
+
+    async def handle(self, request: StandinRequest) -> StandinResponse:
+        """Answers one request."""
+        if request.target in ("/health", "/load"):
+            self.probe_seconds += 0.006
+            await trio.sleep(0.006)
+            return StandinResponse(200, b"{}")
+        marker = request.target.strip("/")
+        if marker.startswith("crash"):
+            self._record(request, marker)
+            self.crashed.set()
+            return StandinResponse(0, b"")
+        self._record(request, marker)
+        if self.failing:
+            return StandinResponse(500, f"{marker}:failed".encode())
+        self._in_flight += 1
+        try:
+            self._check_capacity()
+            await trio.sleep(self.delay)
+        finally:
+            self._in_flight -= 1
+        large = marker.startswith("large")
+        length = _LARGE_BODY_BYTES if large else _BODY_BYTES
+        return StandinResponse(200, f"{marker}:".encode().ljust(length, b"."))
+
+    def _record(self, request: StandinRequest, marker: str) -> None:
+        self.runs.append(
+            Run(
+                marker,
+                request.method,
+                self.instance,
+                self.availability_zone,
+                trio.current_time(),
+            )
+        )
+
+    def _check_capacity(self) -> None:
+        if self._in_flight > self._slots:
+            self.violations.append(f"{self.instance}: {self._in_flight} slots")
+        cold = trio.current_time() < self._cold_until
+        if cold and self._in_flight > _COLD_CAPACITY:
+            self.violations.append(f"{self.instance}: {self._in_flight} cold")
--- /dev/null
+++ b/features/promises/world.py
@@ -0,0 +1,281 @@
+"""Six nodes in three availability zones, and the faults that hit them."""
+
+import contextlib
+import json
+import random
+import uuid
+from collections.abc import Mapping
+
+import h11
+import trio
+
+from features.promises.published_text import PublishedText
+from features.promises.recording_upstream import RecordingUpstream, Run
+from features.promises.sent_request import SentRequest
+from features.support.host_network import HostNetwork
+from features.support.memory_fabric import MemoryFabric
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.configuration import Publication
+from rhubarbpaddle.exceptions import RhubarbpaddleError
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.node import Node, NodeSettings
+from rhubarbpaddle.platform import HttpLogClient
+from standins.http_server import serve_connection
+from standins.log_server import LogServer
+
+ZONES = ("costa-a", "costa-b", "costa-c")
+SERVICES = ("lanes", "reservas")
+NODES = tuple(f"{service}-{zone}" for service in SERVICES for zone in ZONES)
+SLOTS = 3
+_LOG_ADDRESS = "log:1"
+_RENEWAL_SECONDS = 0.4
+_ANSWER_SECONDS = 20.0
+
+
+class World:
+    """All processes of the test, with what the oracle has to know.
+
+    Attributes:
+        runs: Everything that any upstream ran.
+        sent: Everything that callers sent and were told.
+        published: All publications, in the order of the log.
+        versions: Each node's version in force, over time.
+        upstreams: All upstreams that ever ran.
+    """
+
+    def __init__(self, nursery: trio.Nursery, seed: int) -> None:
+        self.fabric = MemoryFabric()
+        self.log = LogServer()
+        self.runs: list[Run] = []
+        self.sent: list[SentRequest] = []
+        self.published: list[PublishedText] = []
+        self.versions: list[tuple[str, int, int]] = []
+        self.upstreams: list[RecordingUpstream] = []
+        self.nodes: dict[str, Node] = {}
+        self.live_upstreams: dict[str, RecordingUpstream] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nursery = nursery
+        self._seed = seed
+        self._clock = VirtualClock()
+        self._starts = 0
+        self._keys = 0
+
+    async def start(self) -> None:
+        """Starts the log, all nodes and all upstreams."""
+        network = HostNetwork(self.fabric, "log")
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            await serve_connection(stream, self.log.handle)
+
+        await self._nursery.start(network.serve, _LOG_ADDRESS, handle)
+        self.publish(frozenset(), 0)
+        for name in NODES:
+            await self.start_node(name)
+            await self.start_upstream(name)
+        self._nursery.start_soon(self._observe_versions)
+
+    async def start_node(self, name: str) -> None:
+        """Starts a node without any state."""
+        if name in self.nodes:
+            return
+        self._starts += 1
+        settings = NodeSettings(
+            cluster="test",
+            secret="a-secret-of-the-test-cluster",
+            node_id=name,
+            host=name,
+            availability_zone=_get_zone(name),
+            caller_address=f"{name}:1",
+            peer_address=f"{name}:2",
+            admin_address=f"{name}:3",
+            log_address=_LOG_ADDRESS,
+            seeds=tuple(f"{other}:2" for other in NODES[:2]),
+        )
+        network = HostNetwork(self.fabric, name)
+        node = Node(
+            settings,
+            network,
+            HttpLogClient(network, _LOG_ADDRESS),
+            self._clock,
+            random.Random(f"{self._seed} {self._starts}"),
+        )
+        scope = self._scopes[name] = trio.CancelScope()
+        started = trio.Event()
+
+        async def run() -> None:
+            with scope:
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(node.run)
+                    started.set()
+
+        self._nursery.start_soon(run)
+        await started.wait()
+        self.nodes[name] = node
+
+    def kill_node(self, name: str) -> None:
+        """Ends a node without a word."""
+        if self.nodes.pop(name, None) is not None:
+            self._scopes.pop(name).cancel()
+
+    async def start_upstream(self, name: str) -> None:
+        """Starts a new upstream beside a node, without any state."""
+        if name in self.live_upstreams:
+            return
+        service = name.partition("-")[0]
+        upstream = RecordingUpstream(
+            name, service, _get_zone(name), SLOTS, self.runs
+        )
+        self.upstreams.append(upstream)
+        self.live_upstreams[name] = upstream
+        started = trio.Event()
+        self._nursery.start_soon(self._run_upstream, name, upstream, started)
+        await started.wait()
+
+    def kill_upstream(self, name: str) -> None:
+        """Ends an upstream without a word."""
+        upstream = self.live_upstreams.pop(name, None)
+        if upstream is not None:
+            upstream.crashed.set()
+
+    def get_winner(self) -> int:
+        """Returns the version that the order of publications gives."""
+        version = 0
+        for published in self.published:
+            if published.base == version:
+                version += 1
+        return version
+
+    def make_key(self) -> str:
+        """Returns a fresh UUIDv7."""
+        milliseconds = int(self._clock.now().timestamp() * 1000)
+        self._keys += 1
+        value = milliseconds << 80 | 0x7 << 76 | 0x2 << 62 | self._keys
+        return str(uuid.UUID(int=value))
+
+    def publish(self, out_of_service: frozenset[str], base: int) -> None:
+        """Appends a publication, as an operator's command does."""
+        document = {
+            "services": {
+                name: {"slots": SLOTS, "timeout_ms": 2000} for name in SERVICES
+            },
+            "availability_zones": {
+                zone: {"in_service": zone not in out_of_service}
+                for zone in ZONES
+            },
+        }
+        publication = Publication(
+            kind="publication",
+            id=f"{base}-{len(self.published)}",
+            base=base,
+            text=json.dumps(document),
+            publisher="test",
+        )
+        self.published.append(
+            PublishedText(trio.current_time(), base, out_of_service)
+        )
+        stream = self.log.streams["configuration"]
+        stream.append(json.dumps(publication).encode())
+
+    def send(self, node: str, request: SentRequest) -> None:
+        """Sends a request in the background."""
+        self.sent.append(request)
+        self._nursery.start_soon(self._send, node, request)
+
+    async def _send(self, node: str, request: SentRequest) -> None:
+        headers = {"host": request.service}
+        if request.key:
+            headers["idempotency-key"] = request.key
+        with (
+            trio.move_on_after(_ANSWER_SECONDS),
+            contextlib.suppress(OSError, RhubarbpaddleError),
+        ):
+            stream = await self.fabric.connect("caller", f"{node}:1")
+            conn = ClientConnection(stream, node)
+            try:
+                await self._exchange(conn, request, headers)
+            finally:
+                await conn.aclose()
+
+    async def _exchange(
+        self,
+        conn: ClientConnection,
+        request: SentRequest,
+        headers: Mapping[str, str],
+    ) -> None:
+        content = b"" if request.method == "GET" else b"booking"
+        head = h11.Request(
+            method=request.method,
+            target=f"/{request.marker}",
+            headers=[*headers.items(), ("content-length", str(len(content)))],
+        )
+        await conn.send_request(head, BytesBody(content))
+        response, body = await conn.receive_response()
+        received = bytearray()
+        while part := await body.receive():
+            received += part
+        told = {k.decode(): v.decode() for k, v in response.headers}
+        request.status = response.status_code
+        request.outcome = told.get("rhubarbpaddle-outcome", "")
+        request.body = bytes(received)
+
+    async def _run_upstream(
+        self, name: str, upstream: RecordingUpstream, started: trio.Event
+    ) -> None:
+        async def handle(stream: trio.abc.Stream) -> None:
+            await serve_connection(stream, upstream.handle)
+
+        network = HostNetwork(self.fabric, f"upstream-{name}")
+        async with trio.open_nursery() as nursery:
+            await nursery.start(network.serve, f"{name}:4", handle)
+            nursery.start_soon(self._announce, name, upstream)
+            started.set()
+            await upstream.crashed.wait()
+            nursery.cancel_scope.cancel()
+        if self.live_upstreams.get(name) is upstream:
+            del self.live_upstreams[name]
+
+    async def _announce(self, name: str, upstream: RecordingUpstream) -> None:
+        incarnation = len(self.upstreams)
+        while True:
+            document = {
+                "service": upstream.service,
+                "instance": name,
+                "address": f"{name}:4",
+                "incarnation": incarnation,
+                "state": upstream.state,
+            }
+            content = json.dumps(document).encode()
+            with (
+                trio.move_on_after(_RENEWAL_SECONDS),
+                contextlib.suppress(OSError, RhubarbpaddleError),
+            ):
+                stream = await self.fabric.connect(
+                    f"upstream-{name}", f"{name}:3"
+                )
+                conn = ClientConnection(stream, name)
+                head = h11.Request(
+                    method="POST",
+                    target="/announcements",
+                    headers=[
+                        ("host", name),
+                        ("content-length", str(len(content))),
+                    ],
+                )
+                try:
+                    await conn.send_request(head, BytesBody(content))
+                    await conn.receive_response()
+                finally:
+                    await conn.aclose()
+            await trio.sleep(_RENEWAL_SECONDS)
+
+    async def _observe_versions(self) -> None:
+        while True:
+            for name, node in self.nodes.items():
+                version = node.configuration.get_version()
+                self.versions.append((name, id(node), version))
+            await trio.sleep(0.1)
+
+
+def _get_zone(name: str) -> str:
+    return name.partition("-")[2]
