--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with real processes on loopback."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,38 @@
+"""A closed loop of many callers in one thread."""
+
+import selectors
+import time
+
+from bench.raw_client import RawClient
+
+
+def run_load(
+    address: str, service: str, connections: int, seconds: float
+) -> int:
+    """Keeps one request in flight on each connection.
+
+    Args:
+        address: `IP:PORT` of the server.
+        service: The service to ask for.
+        connections: The number of callers.
+        seconds: How long to run.
+
+    Returns:
+        The number of complete answers.
+    """
+    answers = 0
+    with selectors.DefaultSelector() as selector:
+        clients = [RawClient(address, service) for _ in range(connections)]
+        for client in clients:
+            selector.register(client.socket, selectors.EVENT_READ, client)
+            client.send()
+        deadline = time.perf_counter() + seconds
+        while time.perf_counter() < deadline:
+            for key, _ in selector.select(timeout=1):
+                client = key.data
+                if client.receive():
+                    answers += 1
+                    client.send()
+        for client in clients:
+            client.socket.close()
+    return answers
--- a/demo/process_group.py
+++ b/demo/process_group.py
@@ -33,6 +33,14 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def run(self, *arguments: str) -> None:
+        """Runs `python -m` with these arguments to its end."""
+        subprocess.run([sys.executable, "-m", *arguments], check=True)
+
+    def pid(self, name: str) -> int:
+        """Returns the process id of a running process."""
+        return self._processes[name].pid
+
     def stop(self, name: str) -> int:
         """Asks a process to stop and returns its exit code."""
         process = self._processes.pop(name)
