Watch running calls from one task and make frames safe to cancel

Cause: two faults lost calls between nodes. A second task read the exchange connection until the answer was sent, so it took the next call of a quick gateway for a stray message and closed the connection. And a frame that arrived in two parts around a `KeepAlive` was cut: its length had already been taken from the buffer when the wait was cancelled. Ruled out: a confirmation after each answer, which costs a round trip; a reading task that hands messages over, which costs two wake-ups for each call. Change: `StreamWatch` checks the connections of all running calls ten times a second from one task, cancels the work of a far side that is gone and sends the `KeepAlive`. Only the task of the call reads the connection. A frame leaves the buffer only when it is whole. `Upload` sends a streamed body while the answer may arrive; an early rejection ends it, and a positive answer that overtakes the last part does not. The TCP user timeout is 30 s instead of 3 s, since the kernel also counts the time in which a slow reader keeps its window closed.

--- a/features/support/host_network.py
+++ b/features/support/host_network.py
@@ -5,6 +5,7 @@
 
 from features.support.memory_fabric import MemoryFabric, StreamHandler
 from features.support.memory_stream import MemoryStream
+from rhubarbpaddle.remote_state import RemoteState
 
 
 class HostNetwork:
@@ -35,3 +36,22 @@
     def has_input(self, stream: trio.abc.Stream) -> bool:
         assert isinstance(stream, MemoryStream)
         return stream.incoming.has_input()
+
+    def get_remote_state(self, stream: trio.abc.Stream) -> RemoteState:
+        assert isinstance(stream, MemoryStream)
+        if stream.outgoing.broken:
+            return RemoteState.CLOSED
+        if stream.incoming.ended:
+            return RemoteState.HALF_CLOSED
+        return RemoteState.OPEN
+
+    def get_remote_address(self, stream: trio.abc.Stream) -> str:
+        return "192.0.2.1"
+
+    def try_send(self, stream: trio.abc.Stream, data: bytes) -> bool:
+        assert isinstance(stream, MemoryStream)
+        return stream.outgoing.try_write(data)
+
+    def reset_on_close(self, stream: trio.abc.Stream) -> None:
+        assert isinstance(stream, MemoryStream)
+        stream.reset_on_close = True
--- a/features/support/memory_stream.py
+++ b/features/support/memory_stream.py
@@ -6,11 +6,16 @@
 
 
 class MemoryStream(trio.abc.HalfCloseableStream):
-    """A stream over two pipes."""
+    """A stream over two pipes.
+
+    Attributes:
+        reset_on_close: Whether a close reaches the far side as an error.
+    """
 
     def __init__(self, outgoing: MemoryPipe, incoming: MemoryPipe) -> None:
         self.outgoing = outgoing
         self.incoming = incoming
+        self.reset_on_close = False
         self._closed = False
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
@@ -32,6 +37,8 @@
 
     async def aclose(self) -> None:
         self._closed = True
+        if self.reset_on_close:
+            self.outgoing.cut()
         self.outgoing.end()
         self.incoming.cut()
         await trio.lowlevel.checkpoint()
--- a/src/rhubarbpaddle/network.py
+++ b/src/rhubarbpaddle/network.py
@@ -1,6 +1,9 @@
 """Byte streams between processes, passed in so that tests can replace them."""
 
+import os
+import select
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -8,11 +11,21 @@
 from trio import TaskStatus
 
 from rhubarbpaddle.exceptions import RhubarbpaddleError
+from rhubarbpaddle.remote_state import RemoteState
 
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 # Unacknowledged data for this long ends a connection whose far side vanished.
-_USER_TIMEOUT_MS = 3_000
+# The kernel also counts the time in which a far side keeps its receive window
+# closed, so this is the time that a slow reader may pause.
+_USER_TIMEOUT_MS = 30_000
+# Idle connections to a host that vanished end after about 30 s.
+_KEEP_ALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 15),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+)
 _BACKLOG = 1_024
 
 
@@ -41,6 +54,27 @@
         """Returns whether bytes or the end of the stream can be read now."""
         ...
 
+    def get_remote_state(self, stream: trio.abc.Stream) -> RemoteState:
+        """Returns what is known of the far side, without reading."""
+        ...
+
+    def get_remote_address(self, stream: trio.abc.Stream) -> str:
+        """Returns the far side's IP number, or `unknown`."""
+        ...
+
+    def try_send(self, stream: trio.abc.Stream, data: bytes) -> bool:
+        """Sends a few bytes at once, or none if the stream takes none now.
+
+        Returns:
+            False if the stream failed or took only a part of the bytes; it
+            must then not be used again.
+        """
+        ...
+
+    def reset_on_close(self, stream: trio.abc.Stream) -> None:
+        """Makes a later close reach the far side as an error, not an end."""
+        ...
+
 
 class TcpNetwork:
     """TCP of the operating system."""
@@ -55,7 +89,7 @@
             sock.close()
             raise
         stream = trio.SocketStream(sock)
-        _set_user_timeout(stream)
+        _set_options(stream)
         return stream
 
     async def serve(
@@ -72,7 +106,7 @@
         )
 
         async def handle(stream: trio.SocketStream) -> None:
-            _set_user_timeout(stream)
+            _set_options(stream)
             await handler(stream)
 
         task_status.started()
@@ -80,17 +114,45 @@
 
     def has_input(self, stream: trio.abc.Stream) -> bool:
         """Returns whether bytes or the end of the stream can be read now."""
+        return _poll(stream, select.POLLIN | select.POLLRDHUP) != 0
+
+    def get_remote_state(self, stream: trio.abc.Stream) -> RemoteState:
+        """Returns what is known of the far side, without reading."""
+        events = _poll(stream, select.POLLRDHUP)
+        if events & (select.POLLERR | select.POLLHUP | select.POLLNVAL):
+            return RemoteState.CLOSED
+        if events & select.POLLRDHUP:
+            return RemoteState.HALF_CLOSED
+        return RemoteState.OPEN
+
+    def get_remote_address(self, stream: trio.abc.Stream) -> str:
+        """Returns the far side's IP number, or `unknown`."""
         assert isinstance(stream, trio.SocketStream)
-        sock = stream.socket
         try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            with socket.socket(fileno=socket.dup(sock.fileno())) as peeked:
-                peeked.recv(1, flags)
-        except BlockingIOError:
-            return False
+            return str(stream.socket.getpeername()[0])
         except OSError:
+            return "unknown"
+
+    def try_send(self, stream: trio.abc.Stream, data: bytes) -> bool:
+        """Sends a few bytes at once, or none if the stream takes none now."""
+        assert isinstance(stream, trio.SocketStream)
+        descriptor = stream.socket.fileno()
+        if descriptor < 0:
+            return False
+        try:
+            # The descriptor does not block, so this does not wait.
+            return os.write(descriptor, data) == len(data)
+        except BlockingIOError:
             return True
-        return True
+        except OSError:
+            return False
+
+    def reset_on_close(self, stream: trio.abc.Stream) -> None:
+        """Makes a later close reach the far side as an error, not an end."""
+        assert isinstance(stream, trio.SocketStream)
+        stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -107,7 +169,20 @@
     return host.strip("[]"), int(port)
 
 
-def _set_user_timeout(stream: trio.SocketStream) -> None:
+def _set_options(stream: trio.SocketStream) -> None:
     stream.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
     )
+    for level, option, value in _KEEP_ALIVE:
+        stream.setsockopt(level, option, value)
+
+
+def _poll(stream: trio.abc.Stream, events: int) -> int:
+    assert isinstance(stream, trio.SocketStream)
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return select.POLLNVAL
+    poller = select.poll()
+    poller.register(descriptor, events)
+    found = poller.poll(0)
+    return found[0][1] if found else 0
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -31,6 +31,7 @@
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.platform import HttpLogClient, LogClient
 from rhubarbpaddle.routing import LeastLoadedRouter
+from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.telemetry import Metrics, get_logger
 
 _log = get_logger("node")
@@ -82,6 +83,7 @@
             self.configuration.get_accepted,
         )
         metrics = Metrics()
+        self._watch = StreamWatch(network, clock)
         self._registry = UpstreamRegistry(
             self.sidecar,
             self.table,
@@ -90,10 +92,14 @@
             settings.announcement_lease,
         )
         self._callers = CallerHandler(
-            gateway, clock, metrics, self.configuration.get_accepted
+            gateway,
+            clock,
+            metrics,
+            self.configuration.get_accepted,
         )
         self._peers = PeerListener(
-            identity, {"exchange": ExchangeServer(self.sidecar, clock)}
+            identity,
+            {"exchange": ExchangeServer(self.sidecar, clock, self._watch)},
         )
         self._admin = AdminHandler(
             self._registry,
@@ -125,6 +131,7 @@
                 await nursery.start(self._network.serve, address, handler)
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self._members.run)
+            nursery.start_soon(self._watch.run)
             nursery.start_soon(self._registry.run)
             self.table.update_own()
             _log.info("node_started", node=self.settings.node_id)
--- a/src/rhubarbpaddle/peer/connection.py
+++ b/src/rhubarbpaddle/peer/connection.py
@@ -10,16 +10,27 @@
     ProtocolError,
     TruncatedError,
 )
-from rhubarbpaddle.peer.messages import Message
+from rhubarbpaddle.peer.messages import KeepAlive, Message
+from rhubarbpaddle.remote_state import RemoteState
 
 MAX_FRAME_BYTES = 1 << 20
 _RECEIVE_BYTES = 1 << 16
+# With the interval of `StreamWatch` this is one `KeepAlive` each second.
+_CHECKS_PER_KEEP_ALIVE = 10
 _LENGTH = struct.Struct(">I")
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
+def _make_frame(message: Message) -> bytes:
+    body = _encoder.encode(message)
+    return _LENGTH.pack(len(body)) + body
+
+
+_KEEP_ALIVE_FRAME = _make_frame(KeepAlive())
+
+
 class PeerConnection:
     """Sends and receives messages over one byte stream.
 
@@ -35,7 +46,8 @@
         self.stream = stream
         self.broken = False
         self._received = bytearray()
-        self._send_lock = trio.StrictFIFOLock()
+        self._sending = False
+        self._checks = 0
 
     async def send(self, *messages: Message) -> None:
         """Sends messages in one write.
@@ -43,48 +55,50 @@
         Raises:
             TruncatedError: The connection is gone.
         """
-        frames = bytearray()
-        for message in messages:
-            body = _encoder.encode(message)
-            frames += _LENGTH.pack(len(body))
-            frames += body
-        async with self._send_lock:
-            try:
-                await self.stream.send_all(bytes(frames))
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                self.broken = True
-                raise TruncatedError(
-                    "connection lost", step="send_message", peer=self.peer
-                ) from exc
-            except trio.Cancelled:
-                # A frame may have been sent in part.
-                self.broken = True
-                raise
+        frames = b"".join([_make_frame(message) for message in messages])
+        # A cancelled send may have sent a frame in part.
+        completed = False
+        self._sending = True
+        self._checks = 0
+        try:
+            await self.stream.send_all(frames)
+            completed = True
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise TruncatedError(
+                "connection lost", step="send_message", peer=self.peer
+            ) from exc
+        finally:
+            self._sending = False
+            self.broken = self.broken or not completed
+
+    def get_sign(self, state: RemoteState) -> bytes | None:
+        """Returns a `KeepAlive` each second, None once the peer is gone."""
+        if state is not RemoteState.OPEN:
+            return None
+        self._checks += 1
+        if self._sending or self._checks < _CHECKS_PER_KEEP_ALIVE:
+            return b""
+        self._checks = 0
+        return _KEEP_ALIVE_FRAME
 
     async def receive(self) -> Message:
         """Returns the next message.
 
+        May be cancelled and called again: a frame that arrived in part stays.
+
         Raises:
             TruncatedError: The connection ended.
             ProtocolError: The bytes are not a message.
         """
-        header = await self._receive_exactly(_LENGTH.size)
-        (length,) = _LENGTH.unpack(header)
-        if length > MAX_FRAME_BYTES:
-            self.broken = True
-            raise ProtocolError(
-                f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}",
-                step="receive_message",
-                peer=self.peer,
-            )
-        body = await self._receive_exactly(length)
-        try:
-            return _decoder.decode(body)
-        except msgspec.DecodeError as exc:
-            self.broken = True
-            raise ProtocolError(
-                str(exc), step="receive_message", peer=self.peer
-            ) from exc
+        received = self._received
+        while True:
+            if len(received) >= _LENGTH.size:
+                end = self._find_end(received)
+                if len(received) >= end:
+                    body = bytes(received[_LENGTH.size : end])
+                    del received[:end]
+                    return self._decode(body)
+            received += await self._receive_some()
 
     async def receive_within(self, seconds: float) -> Message:
         """Returns the next message, or fails if nothing arrives in time.
@@ -111,22 +125,37 @@
         self.broken = True
         await trio.aclose_forcefully(self.stream)
 
-    async def _receive_exactly(self, length: int) -> bytes:
-        received = self._received
-        while len(received) < length:
-            try:
-                data = await self.stream.receive_some(_RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                self.broken = True
-                raise TruncatedError(
-                    "connection lost", step="receive_message", peer=self.peer
-                ) from exc
-            if not data:
-                self.broken = True
-                raise TruncatedError(
-                    "connection ended", step="receive_message", peer=self.peer
-                )
-            received += data
-        content = bytes(received[:length])
-        del received[:length]
-        return content
+    def _find_end(self, received: bytearray) -> int:
+        (length,) = _LENGTH.unpack_from(received)
+        if length > MAX_FRAME_BYTES:
+            self.broken = True
+            raise ProtocolError(
+                f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}",
+                step="receive_message",
+                peer=self.peer,
+            )
+        return _LENGTH.size + int(length)
+
+    def _decode(self, body: bytes) -> Message:
+        try:
+            return _decoder.decode(body)
+        except msgspec.DecodeError as exc:
+            self.broken = True
+            raise ProtocolError(
+                str(exc), step="receive_message", peer=self.peer
+            ) from exc
+
+    async def _receive_some(self) -> bytes:
+        try:
+            data = await self.stream.receive_some(_RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self.broken = True
+            raise TruncatedError(
+                "connection lost", step="receive_message", peer=self.peer
+            ) from exc
+        if not data:
+            self.broken = True
+            raise TruncatedError(
+                "connection ended", step="receive_message", peer=self.peer
+            )
+        return bytes(data)
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -3,8 +3,6 @@
 from collections.abc import AsyncIterator
 from datetime import timedelta
 
-import trio
-
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import (
     ProtocolError,
@@ -13,23 +11,23 @@
 )
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
 from rhubarbpaddle.execution.sidecar import Sidecar
-from rhubarbpaddle.peer.channel_body import ChannelBody
+from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.peer.call_body import CallBody
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.messages import (
     BodyEnd,
     BodyPart,
     Call,
     Hello,
-    KeepAlive,
     Refusal,
     ResponseHead,
 )
+from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.telemetry import get_logger
 
-KEEP_ALIVE_SECONDS = 1.0
 # Bodies up to this length travel in the message of their head.
 INLINE_BODY_BYTES = 16 * 1024
-_PART_BYTES = 64 * 1024
+PART_BYTES = 64 * 1024
 
 _log = get_logger("peer")
 
@@ -37,9 +35,12 @@
 class ExchangeServer:
     """Runs the calls that arrive on a connection, one after another."""
 
-    def __init__(self, sidecar: Sidecar, clock: Clock) -> None:
+    def __init__(
+        self, sidecar: Sidecar, clock: Clock, watch: StreamWatch
+    ) -> None:
         self._sidecar = sidecar
         self._clock = clock
+        self._watch = watch
 
     async def serve(self, conn: PeerConnection, hello: Hello) -> None:
         """Serves one connection until it ends."""
@@ -54,65 +55,24 @@
             await self._serve_call(conn, call)
 
     async def _serve_call(self, conn: PeerConnection, call: Call) -> None:
-        sender, receiver = trio.open_memory_channel[bytes](0)
         body: Body
         if call.body is None:
-            body = ChannelBody(
-                conn, call.request_id, call.body_length, receiver
-            )
+            body = CallBody(conn, call.request_id, call.body_length)
         else:
             body = BytesBody(call.body)
-        async with trio.open_nursery() as nursery:
-            scope = nursery.cancel_scope
-            nursery.start_soon(self._watch, conn, call, sender, scope)
-            try:
-                await self._answer(conn, call, body)
-            except RhubarbpaddleError as exc:
-                conn.broken = True
-                _log.warn("call_failed", request_id=call.request_id, error=exc)
-            scope.cancel()
-
-    async def _watch(
-        self,
-        conn: PeerConnection,
-        call: Call,
-        parts: trio.MemorySendChannel[bytes],
-        scope: trio.CancelScope,
-    ) -> None:
-        """Reads the body and notices when the gateway gives up the call."""
-        whole = call.body is not None
         try:
-            while True:
-                message: object = None
-                with trio.move_on_after(KEEP_ALIVE_SECONDS):
-                    message = await conn.receive()
-                if message is None:
-                    await conn.send(KeepAlive())
-                    continue
-                match message:
-                    case BodyPart(content=content) if not whole:
-                        await self._pass_on(conn, parts, content)
-                    case BodyEnd() if not whole:
-                        whole = True
-                        await self._pass_on(conn, parts, b"")
-                    case _:
-                        conn.broken = True
-                        break
+            with self._watch.watch(conn) as scope:
+                await self._answer(conn, call, body)
         except RhubarbpaddleError as exc:
-            _log.info("call_cancelled", request_id=call.request_id, error=exc)
-        scope.cancel()
-
-    async def _pass_on(
-        self,
-        conn: PeerConnection,
-        parts: trio.MemorySendChannel[bytes],
-        content: bytes,
-    ) -> None:
-        while True:
-            with trio.move_on_after(KEEP_ALIVE_SECONDS):
-                await parts.send(content)
-                return
-            await conn.send(KeepAlive())
+            conn.broken = True
+            _log.warn("call_failed", request_id=call.request_id, error=exc)
+            return
+        if scope.cancelled_caught:
+            conn.broken = True
+            _log.info("call_cancelled", request_id=call.request_id)
+        elif isinstance(body, CallBody) and not body.is_settled():
+            # Parts of this call's body may still arrive.
+            conn.broken = True
 
     async def _answer(
         self, conn: PeerConnection, call: Call, body: Body
@@ -132,9 +92,7 @@
         length = response.body.length
         inline = None
         if length is not None and length <= INLINE_BODY_BYTES:
-            inline = b"".join(
-                [part async for part in _iter_parts(response.body)]
-            )
+            inline = await _read_whole(response.body)
         await conn.send(
             ResponseHead(
                 request_id,
@@ -183,7 +141,25 @@
         )
 
 
+async def _read_whole(body: Body) -> bytes:
+    """Reads a short body; a failure is refused, as no head was sent yet."""
+    content = bytearray()
+    try:
+        while part := await body.receive():
+            content += part
+    except RhubarbpaddleError as exc:
+        raise RefusedError(
+            "upstream_lost",
+            f"the response's body failed: {exc.detail}",
+            step=exc.step,
+            peer=exc.peer,
+            status=502,
+            outcome=Outcome.UNKNOWN,
+        ) from exc
+    return bytes(content)
+
+
 async def _iter_parts(body: Body) -> AsyncIterator[bytes]:
     while part := await body.receive():
-        for start in range(0, len(part), _PART_BYTES):
-            yield part[start : start + _PART_BYTES]
+        for start in range(0, len(part), PART_BYTES):
+            yield part[start : start + PART_BYTES]
--- a/src/rhubarbpaddle/peer/message_body.py
+++ b/src/rhubarbpaddle/peer/message_body.py
@@ -44,7 +44,8 @@
                 case KeepAlive():
                     continue
                 case BodyPart(request_id=self._request_id, content=content):
-                    return content
+                    if content:
+                        return content
                 case BodyEnd(request_id=self._request_id):
                     self.complete = True
                 case _:
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -1,11 +1,10 @@
 """The gateway's side of exchanges."""
 
+import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from datetime import timedelta
 
-import trio
-
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import (
     ProtocolError,
@@ -13,9 +12,10 @@
     RhubarbpaddleError,
 )
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+from rhubarbpaddle.execution.upload import Upload
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.peer.connection import PeerConnection
-from rhubarbpaddle.peer.exchange_server import INLINE_BODY_BYTES
+from rhubarbpaddle.peer.exchange_server import INLINE_BODY_BYTES, PART_BYTES
 from rhubarbpaddle.peer.message_body import MessageBody
 from rhubarbpaddle.peer.messages import (
     Admitted,
@@ -127,37 +127,27 @@
     async def _upload(
         self, conn: PeerConnection, request: Request, body: Body
     ) -> ResponseHead | Refusal:
-        """Sends the body while waiting for the answer.
-
-        An answer that comes before the body was sent ends the upload, and the
-        connection is not used again.
-        """
-        failure: RhubarbpaddleError | None = None
-        answer: ResponseHead | Refusal | Admitted | None = None
-
-        async def send_body() -> None:
-            nonlocal failure
-            try:
-                while part := await body.receive():
-                    await conn.send(BodyPart(request.request_id, part))
+        """Sends the body while waiting for the answer."""
+
+        async def send_part(part: bytes) -> None:
+            for start in range(0, len(part), PART_BYTES):
+                content = part[start : start + PART_BYTES]
+                await conn.send(BodyPart(request.request_id, content))
+            if not part:
                 await conn.send(BodyEnd(request.request_id))
-            except RhubarbpaddleError as exc:
-                conn.broken = True
-                failure = exc
-                nursery.cancel_scope.cancel()
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send_body)
-            try:
-                answer = await self._receive(conn, request)
-            except RhubarbpaddleError as exc:
-                failure = exc
-            if nursery.child_tasks:
-                conn.broken = True
-            nursery.cancel_scope.cancel()
-        if isinstance(answer, ResponseHead | Refusal):
-            return answer
-        raise failure or _unexpected(conn, answer)
+
+        upload: Upload[ResponseHead | Refusal | Admitted] = Upload(
+            body,
+            send_part,
+            lambda: self._receive(conn, request),
+            _is_rejection,
+        )
+        answer = await upload.run(math.inf)
+        if not upload.complete:
+            conn.broken = True
+        if isinstance(answer, Admitted):
+            raise _unexpected(conn, answer)
+        return answer
 
     def _to_call(
         self, request: Request, body: Body, candidate: Candidate
@@ -190,6 +180,10 @@
         )
 
 
+def _is_rejection(answer: ResponseHead | Refusal | Admitted) -> bool:
+    return not isinstance(answer, ResponseHead) or answer.status >= 400
+
+
 def _make_body(conn: PeerConnection, answer: ResponseHead) -> Body:
     if answer.body is not None:
         return BytesBody(answer.body)
--- /dev/null
+++ b/src/rhubarbpaddle/stream_watch.py
@@ -0,0 +1,57 @@
+"""Notices far sides that go away while their request runs."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.network import Network
+from rhubarbpaddle.watchable import Watchable
+
+CHECK_INTERVAL = timedelta(milliseconds=100)
+
+
+class StreamWatch:
+    """Checks all connections with a running request from one task.
+
+    One task for all connections costs less than a second task for each
+    request, and it leaves the bytes of pipelined requests unread.
+    """
+
+    def __init__(self, network: Network, clock: Clock) -> None:
+        self._network = network
+        self._clock = clock
+        self._scopes: dict[Watchable, trio.CancelScope] = {}
+
+    @contextmanager
+    def watch(self, conn: Watchable) -> Iterator[trio.CancelScope]:
+        """Cancels the enclosed work once the far side is gone.
+
+        Args:
+            conn: The connection to check until the context is left.
+
+        Yields:
+            The scope; `cancelled_caught` tells that the far side was gone.
+        """
+        with trio.CancelScope() as scope:
+            self._scopes[conn] = scope
+            try:
+                yield scope
+            finally:
+                del self._scopes[conn]
+
+    async def run(self) -> None:
+        """Checks until cancelled."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL)
+            for conn, scope in tuple(self._scopes.items()):
+                if not self._check(conn):
+                    scope.cancel()
+
+    def _check(self, conn: Watchable) -> bool:
+        sign = conn.get_sign(self._network.get_remote_state(conn.stream))
+        if sign is None:
+            return False
+        return not sign or self._network.try_send(conn.stream, sign)
