Harden the callers' and the upstream's side of HTTP/1.1

Cause: heads that two parsers read differently were accepted (both length headers, bare line feeds, folded lines), a caller that went away was not noticed, nothing bounded idle or slow callers, an error before the first byte of an answer was reported as the caller's fault, and a connection to the upstream was closed after each answer on the local path, because the end of a body of known length was never read. Ruled out: h11's own leniency switches, of which there are none; a second task for each caller that reads ahead, which breaks pipelining and backpressure. Change: strict checks of the raw and of the parsed head; limits for heads, pauses and idle connections; an interim `100 Continue` tells a half-closed caller from one that is gone; forwarding headers; depth, attempt and time left are passed on; `100 Continue` for an upload only once an instance asks for the body; a 503 with `Rhubarbpaddle-Outcome: not-run` is retried elsewhere; after a time-out on a kept connection the older idle ones are closed; the time for an answer counts from the end of a streamed body; the tenant label is bounded.

--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -8,23 +8,26 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import AcceptedConfiguration
-from rhubarbpaddle.exceptions import (
-    ProtocolError,
-    RefusedError,
-    RhubarbpaddleError,
-)
-from rhubarbpaddle.execution import Body, BytesBody, Request
+from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
+from rhubarbpaddle.execution import Body, BytesBody, Request, Response
 from rhubarbpaddle.execution.gateway import Gateway
+from rhubarbpaddle.http.caller_head import CallerHead
 from rhubarbpaddle.http.event_body import EventBody
-from rhubarbpaddle.http.headers import get_header, remove_hop_by_hop
+from rhubarbpaddle.http.headers import VIA
+from rhubarbpaddle.http.idle_connections import IdleConnections
+from rhubarbpaddle.http.limits import DEFAULT_LIMITS, CallerLimits
 from rhubarbpaddle.http.problem import make_problem
 from rhubarbpaddle.http.server_connection import ServerConnection
+from rhubarbpaddle.network import Network
+from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.telemetry import Metrics, get_logger
 
 # Bodies up to this length are read before an instance is chosen, so that the
 # request can be sent again.
 _BUFFERED_BODY_BYTES = 16 * 1024
 _REQUEST_ID_BYTES = 8
+_OTHER_TENANT = "other"
 
 _log = get_logger("caller")
 
@@ -38,27 +41,70 @@
         clock: Clock,
         metrics: Metrics,
         get_accepted: Callable[[], AcceptedConfiguration | None],
+        network: Network,
+        watch: StreamWatch,
+        limits: CallerLimits = DEFAULT_LIMITS,
     ) -> None:
         self._gateway = gateway
         self._clock = clock
         self._metrics = metrics
         self._get_accepted = get_accepted
+        self._network = network
+        self._watch = watch
+        self._limits = limits
+        self._idle = IdleConnections(limits.idle_connections)
+        self._draining = False
+
+    def drain(self) -> None:
+        """Ends idle connections now and the others after their answer."""
+        self._draining = True
+        self._idle.close_all()
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serves one connection until it ends."""
-        conn = ServerConnection(stream, "caller")
+        address = self._network.get_remote_address(stream)
+        conn = ServerConnection(stream, address, self._limits)
         try:
-            while received := await conn.receive_request():
-                await self._serve_request(conn, *received)
-                if not conn.start_next_cycle():
-                    break
-        except ProtocolError as exc:
-            await self._reject(conn, exc)
+            await self._serve(conn)
+        except RefusedError as exc:
+            await self._refuse(conn, b"GET", "-", "-", exc)
+            await conn.linger()
         except RhubarbpaddleError as exc:
+            # An answer that was cut short must not look complete, not even
+            # one whose end is the end of the connection.
+            self._network.reset_on_close(stream)
             _log.info("caller_connection_ended", error=exc)
+        except Exception as exc:
+            _log.error("caller_connection_failed", reason=repr(exc))
+            failure = RefusedError(
+                "internal",
+                "the node failed; its log has the reason",
+                step="serve_request",
+                status=500,
+                outcome=Outcome.UNKNOWN,
+            )
+            self._network.reset_on_close(stream)
+            await self._refuse(conn, b"GET", "-", "-", failure)
         finally:
+            self._idle.remove(conn)
             await conn.aclose()
 
+    async def _serve(self, conn: ServerConnection) -> None:
+        while not self._draining:
+            self._idle.add(conn)
+            received = await conn.receive_request()
+            self._idle.remove(conn)
+            if received is None:
+                return
+            with self._watch.watch(conn) as scope:
+                await self._serve_request(conn, *received)
+            if scope.cancelled_caught:
+                _log.info("caller_gone", peer=conn.peer)
+                return
+            if not conn.start_next_cycle():
+                await conn.linger()
+                return
+
     async def _serve_request(
         self, conn: ServerConnection, head: h11.Request, body: EventBody
     ) -> None:
@@ -66,80 +112,88 @@
         started = self._clock.monotonic()
         service = "-"
         try:
-            request = self._make_request(head, request_id)
+            accepted = self._get_accepted()
+            if accepted is None:
+                raise RefusedError(
+                    "not_ready", "no configuration is in force", step="route"
+                )
+            caller_head = CallerHead.from_head(head, conn.peer)
+            request = self._make_request(caller_head, accepted, request_id)
             service = request.service
-            buffered = await _buffer_body(body)
+            # Reading a body asks a caller that expects `100 Continue` for it,
+            # which must wait until an instance has admitted the request.
+            expects = conn.h11.they_are_waiting_for_100_continue
+            buffered = body if expects else await _buffer_body(body)
             async with self._gateway.handle(request, buffered) as response:
-                await conn.send_response(
-                    head.method,
-                    response.status,
-                    response.headers,
-                    response.body,
-                )
+                await self._send_response(conn, head.method, response)
+            tenants = accepted.configuration.tenants
             self._metrics.record_request(
-                request.tenant,
+                request.tenant if request.tenant in tenants else _OTHER_TENANT,
                 service,
                 response.status,
                 self._clock.monotonic() - started,
             )
         except RefusedError as exc:
-            self._metrics.record_refusal(service, exc.code, exc.outcome)
-            _log.info("request_refused", request_id=request_id, error=exc)
-            headers, content = make_problem(exc, request_id)
-            await conn.send_response(
-                head.method, exc.status, headers, BytesBody(content)
-            )
+            await self._refuse(conn, head.method, service, request_id, exc)
 
-    async def _reject(self, conn: ServerConnection, exc: ProtocolError) -> None:
-        if conn.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        refusal = RefusedError(
-            "bad_request", exc.detail, step=exc.step, status=400
+    async def _send_response(
+        self, conn: ServerConnection, method: bytes, response: Response
+    ) -> None:
+        headers = [*response.headers, VIA]
+        if self._draining:
+            headers.append((b"connection", b"close"))
+        await conn.send_response(
+            method, response.status, headers, response.body
         )
-        headers, content = make_problem(refusal, "-")
+
+    async def _refuse(
+        self,
+        conn: ServerConnection,
+        method: bytes,
+        service: str,
+        request_id: str,
+        exc: RefusedError,
+    ) -> None:
+        self._metrics.record_refusal(service, exc.code, exc.outcome)
+        _log.info("request_refused", request_id=request_id, error=exc)
+        if not conn.can_answer():
+            self._network.reset_on_close(conn.stream)
+            return
+        headers, content = make_problem(exc, request_id)
         try:
-            await conn.send_response(b"GET", 400, headers, BytesBody(content))
+            await conn.send_response(
+                method, exc.status, headers, BytesBody(content)
+            )
         except RhubarbpaddleError as error:
             _log.info("caller_connection_ended", error=error)
 
-    def _make_request(self, head: h11.Request, request_id: str) -> Request:
-        headers = remove_hop_by_hop(head.headers)
-        service_name = get_header(headers, b"rhubarbpaddle-service")
-        host = get_header(headers, b"host") or ""
-        name = service_name or host.partition(".")[0].partition(":")[0]
-        accepted = self._get_accepted()
-        if accepted is None:
-            raise RefusedError(
-                "not_ready", "no configuration is in force", step="route"
-            )
-        service = accepted.configuration.services.get(name)
+    def _make_request(
+        self,
+        head: CallerHead,
+        accepted: AcceptedConfiguration,
+        request_id: str,
+    ) -> Request:
+        service = accepted.configuration.services.get(head.service)
         if service is None:
             raise RefusedError(
                 "unknown_service",
-                f"there is no service {name!r}",
+                f"there is no service {head.service!r}",
                 step="route",
                 status=404,
             )
-        method = head.method.decode("ascii")
-        target = head.target.decode("ascii")
-        timeout = service.timeout.total_seconds()
-        timeout_ms = get_header(headers, b"rhubarbpaddle-timeout-ms")
-        if timeout_ms is not None and timeout_ms.isdigit():
-            timeout = min(timeout, int(timeout_ms) / 1000)
+        timeout = min(service.timeout.total_seconds(), head.timeout_ms / 1000)
         return Request(
             request_id=request_id,
-            tenant=get_header(headers, b"rhubarbpaddle-tenant") or "default",
-            service=name,
-            method=method,
-            target=target,
-            headers=[
-                (key, value)
-                for key, value in headers
-                if key not in (b"content-length", b"expect")
-            ],
+            tenant=head.tenant,
+            service=head.service,
+            method=head.method,
+            target=head.target,
+            headers=head.headers,
             deadline=self._clock.monotonic() + timeout,
-            idempotent=service.is_idempotent(method, target),
-            key=get_header(headers, b"idempotency-key") or "",
+            idempotent=service.is_idempotent(head.method, head.target),
+            key=head.key,
+            attempt=head.attempt,
+            depth=head.depth,
         )
 
 
--- /dev/null
+++ b/src/rhubarbpaddle/http/caller_head.py
@@ -0,0 +1,146 @@
+"""Turns a caller's head into a request."""
+
+import re
+from typing import NamedTuple, Self
+
+import h11
+
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution import Headers
+from rhubarbpaddle.http.headers import VIA, get_header, remove_hop_by_hop
+from rhubarbpaddle.http.strict_head import make_bad_request
+
+# Deeper chains can only be loops: the design's bound is 25.
+_MAX_DEPTH = 100
+_MAX_NAME_LENGTH = 128
+_NO_TIMEOUT_MS = 10**9
+_NUMBER = re.compile(r"[0-9]{1,9}")
+# Read here and written anew by the upstream client.
+_CONTROL_HEADERS = frozenset(
+    {
+        b"content-length",
+        b"expect",
+        b"rhubarbpaddle-attempt",
+        b"rhubarbpaddle-depth",
+        b"rhubarbpaddle-timeout-ms",
+    }
+)
+
+
+class CallerHead(NamedTuple):
+    """What a caller's head says.
+
+    Attributes:
+        service: The service's name.
+        tenant: The tenant's name.
+        method: The HTTP method.
+        target: The target in origin form, or `*`.
+        headers: What is passed on, names in lower case.
+        timeout_ms: Milliseconds until the caller gives up; very many if it
+            did not say.
+        attempt: 1 unless a node above has retried.
+        depth: How many calls deep the request is.
+        key: The idempotency key, or the empty string.
+    """
+
+    service: str
+    tenant: str
+    method: str
+    target: str
+    headers: Headers
+    timeout_ms: int
+    attempt: int
+    depth: int
+    key: str
+
+    @classmethod
+    def from_head(cls, head: h11.Request, address: str) -> Self:
+        """Reads a head.
+
+        Args:
+            head: The parsed head.
+            address: The caller's IP number.
+
+        Raises:
+            RefusedError: A header that the node reads is invalid.
+        """
+        received = remove_hop_by_hop(head.headers)
+        host = get_header(received, b"host") or ""
+        target = head.target.decode("ascii")
+        if target[:1] not in ("/", "*"):
+            host, target = _split_absolute(target)
+            received = [
+                (name, host.encode() if name == b"host" else value)
+                for name, value in received
+            ]
+        service = (
+            get_header(received, b"rhubarbpaddle-service")
+            or (host.partition(":")[0].partition(".")[0])
+        )
+        depth = _read_number(received, b"rhubarbpaddle-depth", 0)
+        if depth > _MAX_DEPTH:
+            raise RefusedError(
+                "too_deep",
+                f"more than {_MAX_DEPTH} calls deep",
+                step="receive_request",
+                status=508,
+            )
+        return cls(
+            service=service,
+            tenant=_read_name(received, b"rhubarbpaddle-tenant", "default"),
+            method=head.method.decode("ascii"),
+            target=target,
+            headers=_add_forwarding(received, address),
+            timeout_ms=_read_number(
+                received, b"rhubarbpaddle-timeout-ms", _NO_TIMEOUT_MS
+            ),
+            attempt=max(_read_number(received, b"rhubarbpaddle-attempt", 1), 1),
+            depth=depth,
+            key=_read_name(received, b"idempotency-key", ""),
+        )
+
+
+def _split_absolute(target: str) -> tuple[str, str]:
+    scheme, separator, rest = target.partition("://")
+    host, slash, path = rest.partition("/")
+    if not separator or scheme.lower() not in ("http", "https") or not host:
+        raise make_bad_request("the request target has no known form")
+    return host, slash + path if slash else "/"
+
+
+def _add_forwarding(received: Headers, address: str) -> Headers:
+    passed_on = [
+        (name, value)
+        for name, value in received
+        if name not in _CONTROL_HEADERS and name != b"x-forwarded-for"
+    ]
+    hops = [value for name, value in received if name == b"x-forwarded-for"]
+    hops.append(address.encode())
+    passed_on.append((b"x-forwarded-for", b", ".join(hops)))
+    if not any(name == b"x-forwarded-proto" for name, _ in received):
+        passed_on.append((b"x-forwarded-proto", b"http"))
+    passed_on.append(VIA)
+    return passed_on
+
+
+def _read_number(headers: Headers, name: bytes, default: int) -> int:
+    value = get_header(headers, name)
+    if value is None:
+        return default
+    if not _NUMBER.fullmatch(value):
+        raise make_bad_request(f"{name.decode()} is not a whole number")
+    return int(value)
+
+
+def _read_name(headers: Headers, name: bytes, default: str) -> str:
+    values = [value for key, value in headers if key == name]
+    if not values:
+        return default
+    value = values[0].decode("latin-1")
+    if (
+        len(values) > 1
+        or not 0 < len(value) <= _MAX_NAME_LENGTH
+        or not value.isascii()
+    ):
+        raise make_bad_request(f"{name.decode()} is invalid")
+    return value
--- a/src/rhubarbpaddle/http/client_connection.py
+++ b/src/rhubarbpaddle/http/client_connection.py
@@ -3,7 +3,7 @@
 import h11
 import trio
 
-from rhubarbpaddle.exceptions import TruncatedError
+from rhubarbpaddle.exceptions import ProtocolError, TruncatedError
 from rhubarbpaddle.execution import Body, BytesBody
 from rhubarbpaddle.http.connection import HttpConnection
 from rhubarbpaddle.http.event_body import EventBody, get_length
@@ -27,9 +27,19 @@
             )
             return
         await self.send(head)
-        while part := await body.receive():
-            await self.send(h11.Data(data=part))
-        await self.send(h11.EndOfMessage())
+        part = b"-"
+        while part:
+            part = await body.receive()
+            await self.send_part(part)
+
+    async def send_part(self, part: bytes) -> None:
+        """Sends a part of the body, or its end if there are no bytes.
+
+        Raises:
+            TruncatedError: The connection is gone.
+            ProtocolError: The body is longer or shorter than announced.
+        """
+        await self.send(h11.Data(data=part) if part else h11.EndOfMessage())
 
     async def receive_response(self) -> tuple[h11.Response, EventBody]:
         """Returns the next final response and its body.
@@ -43,6 +53,7 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                self._check_length(event)
                 length = get_length(event.headers)
                 return event, EventBody(self.next_event, length, self.peer)
             raise TruncatedError(
@@ -51,8 +62,19 @@
                 peer=self.peer,
             )
 
+    def _check_length(self, response: h11.Response) -> None:
+        names = {name for name, _ in response.headers}
+        if {b"content-length", b"transfer-encoding"} <= names:
+            raise ProtocolError(
+                "the response has two lengths",
+                step="receive_response",
+                peer=self.peer,
+            )
+
     def is_reusable(self) -> bool:
-        """Returns whether both messages were sent and read to their ends."""
+        """Returns whether both messages ended and nothing follows them."""
         return (
-            self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+            self.h11.our_state is h11.DONE
+            and self.h11.their_state is h11.DONE
+            and not self.h11.trailing_data[0]
         )
--- a/src/rhubarbpaddle/http/connection.py
+++ b/src/rhubarbpaddle/http/connection.py
@@ -16,28 +16,45 @@
     Attributes:
         h11: The state machine of this side.
         peer: The far side's address, for errors and logs.
+        stream: The byte stream.
+        sending: Whether bytes are being sent.
     """
 
     def __init__(self, stream: trio.abc.Stream, role: Role, peer: str) -> None:
         self.h11 = h11.Connection(role)
         self.peer = peer
         self.stream = stream
+        self.sending = False
 
     async def send(self, *events: h11.Event) -> None:
         """Sends events in one write.
 
         Raises:
             TruncatedError: The connection is gone.
+            ProtocolError: The events are not a valid message.
         """
-        data = b"".join([self.h11.send(event) or b"" for event in events])
-        if not data:
-            return
+        try:
+            data = b"".join([self.h11.send(event) or b"" for event in events])
+        except h11.LocalProtocolError as exc:
+            raise ProtocolError(str(exc), step="send", peer=self.peer) from exc
+        if data:
+            await self.send_bytes(data)
+
+    async def send_bytes(self, data: bytes) -> None:
+        """Sends bytes.
+
+        Raises:
+            TruncatedError: The connection is gone.
+        """
+        self.sending = True
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise TruncatedError(
                 "connection lost", step="send", peer=self.peer
             ) from exc
+        finally:
+            self.sending = False
 
     async def next_event(self) -> object:
         """Returns the next event.
@@ -47,20 +64,36 @@
             ProtocolError: The far side does not speak HTTP/1.1.
         """
         while True:
-            try:
-                event = self.h11.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                data = await self.stream.receive_some(_RECEIVE_BYTES)
-                self.h11.receive_data(bytes(data))
-            except h11.RemoteProtocolError as exc:
-                raise ProtocolError(
-                    str(exc), step="receive", peer=self.peer
-                ) from exc
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                raise TruncatedError(
-                    "connection lost", step="receive", peer=self.peer
-                ) from exc
+            event = self.parse_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.h11.receive_data(await self.receive_bytes())
+
+    def parse_event(self) -> object:
+        """Returns the next event that has arrived, or `h11.NEED_DATA`.
+
+        Raises:
+            ProtocolError: The far side does not speak HTTP/1.1.
+        """
+        try:
+            return self.h11.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise ProtocolError(
+                str(exc), step="receive", peer=self.peer
+            ) from exc
+
+    async def receive_bytes(self) -> bytes:
+        """Returns the next bytes, or none at the end of the stream.
+
+        Raises:
+            TruncatedError: The connection is gone.
+        """
+        try:
+            return bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise TruncatedError(
+                "connection lost", step="receive", peer=self.peer
+            ) from exc
 
     async def aclose(self) -> None:
         """Closes the connection at once."""
--- a/src/rhubarbpaddle/http/event_body.py
+++ b/src/rhubarbpaddle/http/event_body.py
@@ -23,6 +23,7 @@
         self.complete = False
         self._next_event = next_event
         self._length = length
+        self._missing = length
         self._peer = peer
 
     @property
@@ -41,18 +42,36 @@
             event = await self._next_event()
             match event:
                 case h11.Data(data=data):
-                    if data:
-                        return bytes(data)
+                    if not data:
+                        continue
+                    part = bytes(data)
+                    if self._missing is not None:
+                        self._missing -= len(part)
+                        if not self._missing:
+                            await self._read_end()
+                    return part
                 case h11.EndOfMessage():
                     self.complete = True
                 case _:
-                    raise TruncatedError(
-                        "the body ended early",
-                        step="receive_body",
-                        peer=self._peer,
-                    )
+                    raise self._make_error()
         return b""
 
+    async def _read_end(self) -> None:
+        """Takes the end of a body of known length along with its last part.
+
+        Readers that know the length do not ask again, and the connection can
+        be used again only after its end was read. This does not wait.
+        """
+        event = await self._next_event()
+        if not isinstance(event, h11.EndOfMessage):
+            raise self._make_error()
+        self.complete = True
+
+    def _make_error(self) -> TruncatedError:
+        return TruncatedError(
+            "the body ended early", step="receive_body", peer=self._peer
+        )
+
 
 def get_length(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
     """Returns the length that a message's headers announce, or None."""
--- a/src/rhubarbpaddle/http/headers.py
+++ b/src/rhubarbpaddle/http/headers.py
@@ -19,6 +19,9 @@
 )
 
 
+VIA = (b"via", b"1.1 rhubarbpaddle")
+
+
 def get_header(headers: Headers, name: bytes) -> str | None:
     """Returns the first value of a header, or None."""
     for key, value in headers:
--- /dev/null
+++ b/src/rhubarbpaddle/http/idle_connections.py
@@ -0,0 +1,28 @@
+"""The callers' connections that wait for their next request."""
+
+from rhubarbpaddle.http.server_connection import ServerConnection
+
+
+class IdleConnections:
+    """Bounds how many connections wait; the longest wait ends first."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._waiting: dict[ServerConnection, None] = {}
+
+    def add(self, conn: ServerConnection) -> None:
+        """Notes that a connection waits for its next request."""
+        self._waiting[conn] = None
+        if len(self._waiting) > self._limit:
+            oldest = next(iter(self._waiting))
+            del self._waiting[oldest]
+            oldest.idle_scope.cancel()
+
+    def remove(self, conn: ServerConnection) -> None:
+        """Notes that a connection received a request or ended."""
+        self._waiting.pop(conn, None)
+
+    def close_all(self) -> None:
+        """Ends all waits, for a graceful shutdown."""
+        for conn in tuple(self._waiting):
+            conn.idle_scope.cancel()
--- a/src/rhubarbpaddle/http/problem.py
+++ b/src/rhubarbpaddle/http/problem.py
@@ -26,6 +26,7 @@
     content = json.dumps(document).encode() + b"\n"
     retry_after = math.ceil(refusal.retry_after.total_seconds())
     headers = [
+        (b"server", b"rhubarbpaddle"),
         (b"content-type", b"application/problem+json"),
         (b"rhubarbpaddle-outcome", refusal.outcome.value.encode()),
     ]
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -3,29 +3,64 @@
 import h11
 import trio
 
+from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution import Body, Headers
 from rhubarbpaddle.http.connection import HttpConnection
 from rhubarbpaddle.http.event_body import EventBody, get_length
+from rhubarbpaddle.http.limits import DEFAULT_LIMITS, CallerLimits
+from rhubarbpaddle.http.strict_head import (
+    HEAD_END,
+    check_head,
+    check_partial_head,
+    check_raw_head,
+    make_bad_request,
+)
+from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.remote_state import RemoteState
 
-_SERVER_HEADER = (b"server", b"rhubarbpaddle")
+_INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+# With the interval of `StreamWatch` this is one interim response each second.
+_CHECKS_PER_INTERIM = 10
 
 
 class ServerConnection(HttpConnection):
-    """Receives one request after another and sends their answers."""
+    """Receives one request after another and sends their answers.
 
-    def __init__(self, stream: trio.abc.Stream, peer: str) -> None:
+    Attributes:
+        idle_scope: Cancelled to close the connection while it waits for its
+            next request.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        peer: str,
+        limits: CallerLimits = DEFAULT_LIMITS,
+    ) -> None:
         super().__init__(stream, h11.SERVER, peer)
+        self.idle_scope = trio.CancelScope()
+        self._limits = limits
+        self._answering = False
+        self._takes_interim = False
+        self._checks = 0
 
     async def receive_request(self) -> tuple[h11.Request, EventBody] | None:
         """Returns the next request and its body, or None at the end.
 
         Raises:
             TruncatedError: The connection is gone.
-            ProtocolError: The far side does not speak HTTP/1.1.
+            RefusedError: The request is malformed, too long or too slow.
         """
-        event = await self.next_event()
+        if not await self._receive_head():
+            return None
+        try:
+            event = self.h11.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise make_bad_request(str(exc), exc.error_status_hint) from exc
         if not isinstance(event, h11.Request):
             return None
+        check_head(event)
+        self._takes_interim = event.http_version != b"1.0"
         length = get_length(event.headers)
         if length is None and not _is_chunked(event):
             length = 0
@@ -38,23 +73,27 @@
 
         Raises:
             TruncatedError: The connection is gone, or the body ended early.
+            RefusedError: The body failed, and nothing was sent yet.
         """
-        headers = [*headers, _SERVER_HEADER]
         if method == b"HEAD" or status in (204, 304):
+            self._answering = True
             head = h11.Response(status_code=status, headers=headers)
             await self.send(head, h11.EndOfMessage())
             return
-        if body.length is not None:
-            headers.append((b"content-length", str(body.length).encode()))
+        if body.length is None:
+            self._answering = True
+            await self.send(h11.Response(status_code=status, headers=headers))
+            await self._send_rest(body)
+            return
+        part = await _receive_first(body)
+        self._answering = True
+        headers = [*headers, (b"content-length", b"%d" % body.length)]
         head = h11.Response(status_code=status, headers=headers)
-        part = await body.receive()
-        if body.length is not None and len(part) == body.length:
+        if len(part) == body.length:
             await self.send(head, h11.Data(data=part), h11.EndOfMessage())
             return
         await self.send(head, h11.Data(data=part))
-        while part := await body.receive():
-            await self.send(h11.Data(data=part))
-        await self.send(h11.EndOfMessage())
+        await self._send_rest(body)
 
     def start_next_cycle(self) -> bool:
         """Prepares for the next request; returns False if there is none."""
@@ -64,14 +103,144 @@
         ):
             return False
         self.h11.start_next_cycle()
+        self._answering = False
+        self._checks = 0
+        return True
+
+    def can_answer(self) -> bool:
+        """Returns whether no part of an answer was sent yet."""
+        return not self._answering and self.h11.our_state in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        )
+
+    def get_sign(self, state: RemoteState) -> bytes | None:
+        """Returns what tells a half-closed caller from one that is gone.
+
+        Both look the same until bytes are sent: a caller that is gone then
+        resets the connection. An interim response is harmless to a caller
+        that only closed its sending side.
+        """
+        if state is RemoteState.CLOSED:
+            return None
+        if (
+            state is RemoteState.OPEN
+            or self._answering
+            or self.sending
+            or not self._takes_interim
+        ):
+            return b""
+        self._checks += 1
+        return _INTERIM if self._checks % _CHECKS_PER_INTERIM == 1 else b""
+
+    async def linger(self) -> None:
+        """Lets the caller read the answer before the connection is closed.
+
+        A close with unread bytes resets the connection, which can destroy an
+        answer that the caller has not read yet.
+        """
+        discarded = 0
+        with trio.move_on_after(self._limits.linger_seconds):
+            try:
+                if isinstance(self.stream, trio.abc.HalfCloseableStream):
+                    await self.stream.send_eof()
+                while discarded < self._limits.linger_bytes:
+                    data = await self.receive_bytes()
+                    if not data:
+                        return
+                    discarded += len(data)
+            except (RhubarbpaddleError, trio.BrokenResourceError):
+                return
+
+    async def _receive_head(self) -> bool:
+        """Waits until a whole head has arrived and checks its bytes."""
+        received, ended = self.h11.trailing_data
+        end = received.find(HEAD_END)
+        if end < 0 and not ended:
+            limits = self._limits
+            now = trio.current_time()
+            waited = limits.head_seconds if received else limits.idle_seconds
+            self.idle_scope = trio.CancelScope(deadline=now + waited)
+            with self.idle_scope:
+                while end < 0:
+                    data = await self.receive_bytes()
+                    self.h11.receive_data(data)
+                    if not data:
+                        ended = True
+                        break
+                    if not received:
+                        self.idle_scope.deadline = (
+                            trio.current_time() + limits.head_seconds
+                        )
+                    received += data
+                    end = received.find(HEAD_END)
+                    if end < 0:
+                        self._check_partial(received)
+            if self.idle_scope.cancelled_caught:
+                if not received:
+                    return False
+                raise make_bad_request("the head took too long", 408)
+        if end < 0:
+            if not received:
+                return False
+            raise make_bad_request("the connection ended within the head")
+        if end > self._limits.head_bytes:
+            raise make_bad_request("the head is too long", 431)
+        check_raw_head(received[: end + len(HEAD_END)])
         return True
 
+    def _check_partial(self, received: bytes) -> None:
+        check_partial_head(received)
+        if len(received) > self._limits.head_bytes:
+            raise make_bad_request("the head is too long", 431)
+
+    async def _send_rest(self, body: Body) -> None:
+        while part := await body.receive():
+            await self.send(h11.Data(data=part))
+        await self.send(h11.EndOfMessage())
+
     async def _next_body_event(self) -> object:
         if self.h11.they_are_waiting_for_100_continue:
             await self.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        return await self.next_event()
+        try:
+            with trio.move_on_after(self._limits.body_idle_seconds):
+                event = await self.next_event()
+                if isinstance(event, h11.Data | h11.EndOfMessage):
+                    return event
+                raise _make_body_refusal("the body ended early", 400)
+        except RefusedError:
+            raise
+        except RhubarbpaddleError as exc:
+            raise _make_body_refusal(exc.detail, 400) from exc
+        raise _make_body_refusal("the body paused for too long", 408)
+
+
+async def _receive_first(body: Body) -> bytes:
+    try:
+        return await body.receive()
+    except RefusedError:
+        raise
+    except RhubarbpaddleError as exc:
+        raise RefusedError(
+            "upstream_lost",
+            f"the response's body failed: {exc.detail}",
+            step=exc.step,
+            peer=exc.peer,
+            status=502,
+            outcome=Outcome.UNKNOWN,
+        ) from exc
+
+
+def _make_body_refusal(detail: str, status: int) -> RefusedError:
+    return RefusedError(
+        "bad_request_body",
+        detail,
+        step="receive_body",
+        status=status,
+        outcome=Outcome.UNKNOWN,
+    )
 
 
 def _is_chunked(head: h11.Request) -> bool:
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -1,20 +1,37 @@
 """Sends requests to the upstream beside this node."""
 
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from datetime import timedelta
 
 import h11
 import trio
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
-from rhubarbpaddle.execution import Body, BytesBody, Request, Response
-from rhubarbpaddle.http.client_connection import ClientConnection
-from rhubarbpaddle.http.headers import remove_hop_by_hop
+from rhubarbpaddle.execution import (
+    Body,
+    BytesBody,
+    Headers,
+    Request,
+    Response,
+)
+from rhubarbpaddle.execution.upload import Upload
+from rhubarbpaddle.http.event_body import EventBody
+from rhubarbpaddle.http.headers import get_header, remove_hop_by_hop
+from rhubarbpaddle.http.idle_body import IdleBody
+from rhubarbpaddle.http.upstream_connection import UpstreamConnection
 from rhubarbpaddle.network import Network
 from rhubarbpaddle.outcome import Outcome
 
 _CONNECT_SECONDS = 1.0
+_BODY_IDLE_SECONDS = 30.0
+# A refusal's body up to this length is read so that its connection stays.
+_REFUSAL_BODY_BYTES = 64 * 1024
+_RETRY_AFTER = re.compile(r"[0-9]{1,6}")
+
+_Answer = tuple[h11.Response, EventBody]
 
 
 class HttpUpstreamClient:
@@ -26,34 +43,51 @@
         self._network = network
         self._clock = clock
         self._address = address
-        self._limit = trio.CapacityLimiter(connections)
-        self._idle: list[ClientConnection] = []
+        self._free = trio.Semaphore(connections)
+        self._idle: list[UpstreamConnection] = []
+        self._closed = False
 
     @asynccontextmanager
     async def send(
         self, request: Request, body: Body
     ) -> AsyncIterator[Response]:
         """Sends a request and returns its answer."""
-        async with self._limit:
-            conn = await self._acquire(request)
+        await self._acquire_connection(request)
+        try:
+            conn = await self._connect(request)
             try:
                 yield await self._exchange(conn, request, body)
             finally:
                 await self._release(conn)
+        finally:
+            self._free.release()
 
     async def aclose(self) -> None:
-        """Closes all idle connections."""
+        """Closes all idle connections, and the others after their use."""
+        self._closed = True
         while self._idle:
             await self._idle.pop().aclose()
 
-    async def _acquire(self, request: Request) -> ClientConnection:
+    async def _acquire_connection(self, request: Request) -> None:
+        """Waits until one connection more may be used."""
+        try:
+            self._free.acquire_nowait()
+        except trio.WouldBlock:
+            with trio.move_on_after(self._get_time_left(request)):
+                await self._free.acquire()
+                return
+            raise _make_late_refusal(self._address) from None
+
+    async def _connect(self, request: Request) -> UpstreamConnection:
         while self._idle:
+            # The newest: it is the least likely to have gone silent.
             conn = self._idle.pop()
             if not self._network.has_input(conn.stream):
                 return conn
             await conn.aclose()
+        seconds = min(_CONNECT_SECONDS, self._get_time_left(request))
         try:
-            with trio.fail_after(_CONNECT_SECONDS):
+            with trio.fail_after(seconds):
                 stream = await self._network.connect(self._address)
         except (OSError, trio.TooSlowError) as exc:
             raise RefusedError(
@@ -63,35 +97,46 @@
                 peer=self._address,
                 may_retry=True,
             ) from exc
-        return ClientConnection(stream, self._address)
+        return UpstreamConnection(stream, self._address)
 
-    async def _release(self, conn: ClientConnection) -> None:
-        if conn.is_reusable():
+    async def _release(self, conn: UpstreamConnection) -> None:
+        if conn.is_reusable() and not self._closed:
             conn.h11.start_next_cycle()
+            conn.last_success = self._clock.monotonic()
             self._idle.append(conn)
         else:
             await conn.aclose()
 
     async def _exchange(
-        self, conn: ClientConnection, request: Request, body: Body
+        self, conn: UpstreamConnection, request: Request, body: Body
     ) -> Response:
-        head = _make_head(request, body, self._address)
-        time_left = request.deadline - self._clock.monotonic()
+        started = self._clock.monotonic()
+        time_left = request.deadline - started
+        if time_left <= 0:
+            raise _make_late_refusal(self._address)
+        head = _make_head(request, body, time_left, self._address)
+        repeatable = isinstance(body, BytesBody)
         try:
-            await conn.send_request(head, body)
-            with trio.fail_after(max(time_left, 0)):
-                response, response_body = await conn.receive_response()
+            response, response_body = await _send_and_receive(
+                conn, head, body, time_left
+            )
         except trio.TooSlowError as exc:
+            if conn.last_success is not None:
+                await self._purge(started)
             raise _make_refusal(
                 "upstream_timeout",
                 "the upstream did not answer before the deadline",
                 self._address,
                 504,
             ) from exc
+        except RefusedError:
+            raise
         except RhubarbpaddleError as exc:
             raise _make_refusal(
-                "upstream_lost", str(exc), self._address, 502
+                "upstream_lost", str(exc), self._address, 502, repeatable
             ) from exc
+        if response.status_code == 503:
+            await self._raise_if_not_run(response, response_body, repeatable)
         if request.method == "HEAD" or response.status_code in (204, 304):
             await response_body.receive()
             headers = remove_hop_by_hop(response.headers)
@@ -101,15 +146,89 @@
             for key, value in remove_hop_by_hop(response.headers)
             if key != b"content-length"
         ]
-        return Response(response.status_code, headers, response_body, None)
+        return Response(
+            response.status_code,
+            headers,
+            IdleBody(response_body, _BODY_IDLE_SECONDS, self._address),
+            None,
+        )
+
+    async def _purge(self, before: float) -> None:
+        """Closes idle connections without a success since a time.
 
+        A request that timed out on a kept connection may mean that the path
+        silently dropped the connections of that time. Connections in use stay,
+        since their requests may only be slow.
+        """
+        kept = []
+        for conn in self._idle:
+            if conn.last_success is None or conn.last_success < before:
+                await conn.aclose()
+            else:
+                kept.append(conn)
+        self._idle = kept
 
-def _make_head(request: Request, body: Body, address: str) -> h11.Request:
-    headers = list(request.headers)
+    async def _raise_if_not_run(
+        self, response: h11.Response, body: EventBody, repeatable: bool
+    ) -> None:
+        headers = list(response.headers)
+        if get_header(headers, b"rhubarbpaddle-outcome") != Outcome.NOT_RUN:
+            return
+        if body.length is not None and body.length <= _REFUSAL_BODY_BYTES:
+            with trio.move_on_after(_CONNECT_SECONDS):
+                try:
+                    while await body.receive():
+                        pass
+                except RhubarbpaddleError:
+                    # The refusal holds; the connection is not used again.
+                    pass
+        seconds = get_header(headers, b"retry-after") or ""
+        if not _RETRY_AFTER.fullmatch(seconds):
+            seconds = "1"
+        raise RefusedError(
+            "upstream_refused",
+            "the upstream refused the request before it ran",
+            step="run_request",
+            peer=self._address,
+            retry_after=timedelta(seconds=int(seconds)),
+            may_retry=repeatable,
+        )
+
+    def _get_time_left(self, request: Request) -> float:
+        return max(request.deadline - self._clock.monotonic(), 0)
+
+
+async def _send_and_receive(
+    conn: UpstreamConnection, head: h11.Request, body: Body, seconds: float
+) -> _Answer:
+    """Runs one exchange; the time for the answer counts from the body's end."""
+    if isinstance(body, BytesBody):
+        with trio.fail_after(seconds):
+            await conn.send_request(head, body)
+            return await conn.receive_response()
+    with trio.fail_after(seconds):
+        await conn.send(head)
+    upload = Upload(body, conn.send_part, conn.receive_response, _is_rejection)
+    return await upload.run(seconds)
+
+
+def _is_rejection(answer: _Answer) -> bool:
+    return answer[0].status_code >= 400
+
+
+def _make_head(
+    request: Request, body: Body, time_left: float, address: str
+) -> h11.Request:
+    headers: Headers = [
+        *request.headers,
+        (b"rhubarbpaddle-depth", b"%d" % (request.depth + 1)),
+        (b"rhubarbpaddle-attempt", b"%d" % request.attempt),
+        (b"rhubarbpaddle-timeout-ms", b"%d" % (time_left * 1000)),
+    ]
     if body.length is None:
         headers.append((b"transfer-encoding", b"chunked"))
     elif body.length or request.method in ("POST", "PUT", "PATCH"):
-        headers.append((b"content-length", str(body.length).encode()))
+        headers.append((b"content-length", b"%d" % body.length))
     if not any(key == b"host" for key, _ in headers):
         headers.append((b"host", address.encode()))
     return h11.Request(
@@ -117,8 +236,18 @@
     )
 
 
+def _make_late_refusal(address: str) -> RefusedError:
+    return RefusedError(
+        "deadline_exceeded",
+        "the deadline passed before the request was sent",
+        step="run_request",
+        peer=address,
+        status=504,
+    )
+
+
 def _make_refusal(
-    code: str, detail: str, address: str, status: int
+    code: str, detail: str, address: str, status: int, may_retry: bool = False
 ) -> RefusedError:
     return RefusedError(
         code,
@@ -127,5 +256,5 @@
         peer=address,
         status=status,
         outcome=Outcome.UNKNOWN,
-        may_retry=status == 502,
+        may_retry=may_retry,
     )
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -96,6 +96,8 @@
             clock,
             metrics,
             self.configuration.get_accepted,
+            network,
+            self._watch,
         )
         self._peers = PeerListener(
             identity,
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -43,7 +43,15 @@
     def record_request(
         self, tenant: str, service: str, status: int, seconds: float
     ) -> None:
-        """Records an answered request."""
+        """Records an answered request.
+
+        Args:
+            tenant: A tenant of the configuration, or `other`; names that
+                callers invent would make the number of series unbounded.
+            service: A service of the configuration.
+            status: The HTTP status.
+            seconds: Time from the request's head to the answer's end.
+        """
         attributes: dict[str, str | int] = {
             "tenant": tenant,
             "service": service,
