--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -10,7 +10,7 @@
 import trio
 
 from features.support.host_network import HostNetwork
-from features.support.memory_fabric import MemoryFabric
+from features.support.memory_fabric import MemoryFabric, StreamHandler
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.configuration import Publication
 from rhubarbpaddle.execution import BytesBody
@@ -80,14 +80,23 @@
         return node
 
     async def start_upstream(
-        self, name: str, service: str, slots: int = 6, work: float = 0.005
+        self,
+        name: str,
+        service: str,
+        slots: int = 6,
+        work: float = 0.005,
+        handler: StreamHandler | None = None,
     ) -> Upstream:
-        """Starts an upstream beside the node of the same name."""
+        """Starts an upstream beside the node of the same name.
+
+        A handler replaces what the stand-in does with its connections.
+        """
         upstream = Upstream(service, name, slots, work)
 
-        async def handle(stream: trio.abc.Stream) -> None:
+        async def serve(stream: trio.abc.Stream) -> None:
             await serve_connection(stream, upstream.handle)
 
+        handle = handler or serve
         network = HostNetwork(self.fabric, name)
         await self._nursery.start(network.serve, f"{name}:4", handle)
         self._nursery.start_soon(self._announce, upstream, name)
--- /dev/null
+++ b/features/support/http_world.py
@@ -0,0 +1,78 @@
+"""Two nodes: `a1` has no upstream, a scripted one stands beside `b1`."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TypeVar
+
+import trio
+from trio.testing import MockClock
+
+from features.support.cluster import Cluster
+from features.support.raw_caller import RawAnswer, RawCaller
+from features.support.scripted_upstream import ScriptedUpstream
+
+ResultT = TypeVar("ResultT")
+
+_SETTLE_SECONDS = 3.0
+
+
+class HttpWorld:
+    """What a script of the HTTP features uses."""
+
+    def __init__(self, cluster: Cluster, nursery: trio.Nursery) -> None:
+        self.cluster = cluster
+        self.nursery = nursery
+        self.upstream = ScriptedUpstream()
+
+    async def connect(self, node: str = "b1") -> RawCaller:
+        return await RawCaller.connect(self.cluster.fabric, node)
+
+    async def ask(
+        self, request: bytes, node: str = "b1", end: bool = False
+    ) -> RawAnswer | None:
+        """Sends bytes on a new connection and returns the answer."""
+        caller = await self.connect(node)
+        await caller.send(request)
+        if end:
+            await caller.stream.send_eof()
+        return await caller.receive()
+
+
+def run_http_world(
+    script: Callable[[HttpWorld], Awaitable[ResultT]],
+    service: Mapping[str, object] | None = None,
+) -> ResultT:
+    """Runs a script against the two nodes under a virtual clock."""
+
+    async def run() -> ResultT:
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery)
+            world = HttpWorld(cluster, nursery)
+            await cluster.start_log()
+            document = {
+                "services": {"lanes": service or {}},
+                "availability_zones": {"a": {}, "b": {}},
+                "tenants": {"club": {}},
+            }
+            cluster.publish(document, base=0)
+            await cluster.start_node("a1", "a")
+            await cluster.start_node("b1", "b")
+            await cluster.start_upstream(
+                "b1", "lanes", handler=world.upstream.handle
+            )
+            await trio.sleep(_SETTLE_SECONDS)
+            result = await script(world)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+def make_request(
+    method: str, target: str, body: bytes = b"", **headers: str
+) -> bytes:
+    """Returns the bytes of a request; `_` in header names means `-`."""
+    lines = [f"{method} {target} HTTP/1.1", "Host: lanes"]
+    lines += [f"{n.replace('_', '-')}: {v}" for n, v in headers.items()]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
--- /dev/null
+++ b/features/support/scripted_upstream.py
@@ -0,0 +1,119 @@
+"""An upstream that does what the target of a request names."""
+
+from urllib.parse import urlsplit
+
+import h11
+import trio
+
+_PART = b"x" * 16_384
+
+
+class ScriptedUpstream:
+    """Serves connections and records what it saw.
+
+    Attributes:
+        heads: All heads received.
+        bodies: Whole bodies received, by target.
+        ended: Targets whose connection ended before their answer was sent.
+        sent: Bytes of `/stream` that were sent.
+        open: Connections open now.
+        most_open: The most connections that were ever open at once.
+    """
+
+    def __init__(self) -> None:
+        self.heads: list[h11.Request] = []
+        self.bodies: dict[str, bytes] = {}
+        self.ended: list[str] = []
+        self.sent = 0
+        self.open = 0
+        self.most_open = 0
+
+    async def handle(self, stream: trio.abc.Stream) -> None:
+        """Serves one connection until it ends."""
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        conn = h11.Connection(h11.SERVER)
+        try:
+            while isinstance(head := await _next(stream, conn), h11.Request):
+                self.heads.append(head)
+                await self._answer(stream, conn, head)
+                conn.start_next_cycle()
+        except (trio.BrokenResourceError, h11.ProtocolError):
+            pass
+        finally:
+            self.open -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _answer(
+        self, stream: trio.abc.Stream, conn: h11.Connection, head: h11.Request
+    ) -> None:
+        url = urlsplit(head.target.decode())
+        action, _, argument = url.path[1:].partition("/")
+        if action == "reject":
+            await _send(stream, conn, 413, b"too long\n")
+            raise trio.BrokenResourceError
+        body = bytearray()
+        while isinstance(event := await _next(stream, conn), h11.Data):
+            body += event.data
+        if not isinstance(event, h11.EndOfMessage):
+            self.ended.append(url.path)
+            raise trio.BrokenResourceError
+        self.bodies[url.path] = bytes(body)
+        match action:
+            case "slow":
+                await self._work(stream, url.path, float(argument))
+            case "cut":
+                start = b"HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\n"
+                await stream.send_all(start + _PART)
+                raise trio.BrokenResourceError
+            case "stream":
+                await self._stream(stream, conn, int(argument))
+                return
+            case "refuse":
+                outcome = ("rhubarbpaddle-outcome", "not-run")
+                await _send(stream, conn, 503, b"", outcome)
+                return
+            case "extra":
+                await _send(stream, conn, 200, b"first")
+                await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n")
+                return
+        await _send(stream, conn, 200, bytes(body) or url.path.encode())
+
+    async def _work(
+        self, stream: trio.abc.Stream, path: str, seconds: float
+    ) -> None:
+        with trio.move_on_after(seconds):
+            await stream.receive_some()
+            self.ended.append(path)
+            raise trio.BrokenResourceError
+
+    async def _stream(
+        self, stream: trio.abc.Stream, conn: h11.Connection, length: int
+    ) -> None:
+        response = h11.Response(status_code=200, headers=[])
+        await stream.send_all(conn.send(response) or b"")
+        while length > 0:
+            part = _PART[:length]
+            await stream.send_all(conn.send(h11.Data(data=part)) or b"")
+            self.sent += len(part)
+            length -= len(part)
+        await stream.send_all(conn.send(h11.EndOfMessage()) or b"")
+
+
+async def _next(stream: trio.abc.Stream, conn: h11.Connection) -> object:
+    while (event := conn.next_event()) is h11.NEED_DATA:
+        conn.receive_data(bytes(await stream.receive_some()))
+    return event
+
+
+async def _send(
+    stream: trio.abc.Stream,
+    conn: h11.Connection,
+    status: int,
+    body: bytes,
+    *headers: tuple[str, str],
+) -> None:
+    length = ("content-length", str(len(body)))
+    head = h11.Response(status_code=status, headers=[*headers, length])
+    events = (head, h11.Data(data=body), h11.EndOfMessage())
+    await stream.send_all(b"".join(conn.send(e) or b"" for e in events))
