Test how callers are served and noticed when they go

Cause: pipelining, 100 Continue, half-closed and vanished callers, limits and headers had no test. Ruled out: nothing.

--- /dev/null
+++ b/features/steps/http_callers_steps.py
@@ -0,0 +1,207 @@
+import re
+
+import trio
+from behave import then, when
+from behave.runner import Context
+
+from features.support.http_world import HttpWorld, make_request, run_http_world
+from features.support.raw_caller import RawAnswer
+
+_HEADERS = {
+    "Connection": "keep-alive, X-Private",
+    "X-Private": "1",
+    "Keep-Alive": "timeout=5",
+    "TE": "trailers",
+    "X-Forwarded-For": "198.51.100.7",
+    "Rhubarbpaddle-Depth": "4",
+    "Rhubarbpaddle-Attempt": "2",
+    "Rhubarbpaddle-Timeout-Ms": "700",
+    "Rhubarbpaddle-Tenant": "club",
+    "Idempotency-Key": "key-1",
+}
+
+
+@when('a caller sends requests for "{targets}" at once to node "{node}"')
+def step_pipeline(context: Context, targets: str, node: str) -> None:
+    async def script(world: HttpWorld) -> list[RawAnswer | None]:
+        caller = await world.connect(node)
+        names = targets.split(", ")
+        await caller.send(b"".join(make_request("GET", t) for t in names))
+        return [await caller.receive() for _ in names]
+
+    context.answers = run_http_world(script)
+
+
+@then('it gets the answers of "{targets}" in this order')
+def step_in_order(context: Context, targets: str) -> None:
+    bodies = [answer.body.decode() for answer in context.answers]
+    assert bodies == targets.split(", "), bodies
+
+
+@when('a caller of node "{node}" expects 100 Continue')
+def step_expect(context: Context, node: str) -> None:
+    async def script(world: HttpWorld) -> None:
+        head = make_request(
+            "PUT", "/echo/1", Expect="100-continue", Content_Length="4"
+        )
+        # The only slot is in use, so the upload has to wait for it.
+        world.nursery.start_soon(
+            world.ask, make_request("GET", "/slow/5"), "b1"
+        )
+        await trio.sleep(1)
+        caller = await world.connect(node)
+        await caller.send(head)
+        with trio.move_on_after(3):
+            context.early = await caller.stream.receive_some()
+        context.interim = bytes(await caller.stream.receive_some())
+        await caller.send(b"abcd")
+        context.answer = await caller.receive()
+        refused = await world.connect(node)
+        await refused.send(head.replace(b"Host: lanes", b"Host: nobody"))
+        context.refusal = await refused.receive()
+
+    context.early = None
+    run_http_world(script, {"slots": 1})
+
+
+@then("it gets 100 once the instance has admitted it, and none when refused")
+def step_expected(context: Context) -> None:
+    assert context.early is None, context.early
+    assert context.interim.startswith(b"HTTP/1.1 100"), context.interim
+    assert context.answer.body == b"abcd", context.answer
+    assert context.refusal.status == 404
+    assert context.refusal.interim == []
+
+
+@when(
+    'a caller of node "{node}" sends a request, closes its sending side'
+    " and waits"
+)
+def step_half_close(context: Context, node: str) -> None:
+    async def script(world: HttpWorld) -> RawAnswer | None:
+        return await world.ask(make_request("GET", "/slow/5"), node, end=True)
+
+    context.answer = run_http_world(script)
+
+
+@then("it gets its answer")
+def step_gets_answer(context: Context) -> None:
+    assert context.answer.status == 200, context.answer
+    assert set(context.answer.interim) == {100}
+
+
+@when('a caller of node "{node}" goes away while its request runs')
+def step_go_away(context: Context, node: str) -> None:
+    async def script(world: HttpWorld) -> list[str]:
+        caller = await world.connect(node)
+        await caller.send(make_request("GET", "/slow/5"))
+        await trio.sleep(1)
+        await caller.stream.aclose()
+        await trio.sleep(1)
+        return list(world.upstream.ended)
+
+    context.ended = run_http_world(script)
+
+
+@then("the upstream sees the request end within a second")
+def step_ended(context: Context) -> None:
+    assert context.ended == ["/slow/5"], context.ended
+
+
+@when("callers send nothing, half a head, and half a body")
+def step_slow(context: Context) -> None:
+    starts = [
+        b"",
+        b"GET / HTTP/1.1\r\n",
+        make_request("PUT", "/echo", Content_Length="4") + b"ab",
+    ]
+
+    async def script(world: HttpWorld) -> list[tuple[str, float]]:
+        ends = []
+        for start in starts:
+            started = trio.current_time()
+            answer = await world.ask(start)
+            status = str(answer.status) if answer else "none"
+            ends.append((status, trio.current_time() - started))
+        return ends
+
+    context.ends = run_http_world(script)
+
+
+@then('they are closed with "{statuses}" after "{seconds}" seconds')
+def step_closed(context: Context, statuses: str, seconds: str) -> None:
+    expected = [float(value) for value in seconds.split(", ")]
+    assert [end[0] for end in context.ends] == statuses.split(", ")
+    for end, limit in zip(context.ends, expected, strict=True):
+        assert limit <= end[1] < limit + 1, context.ends
+
+
+@when("{count:d} callers wait for their next request")
+def step_many(context: Context, count: int) -> None:
+    async def script(world: HttpWorld) -> list[int]:
+        callers = [await world.connect() for _ in range(count)]
+        await trio.sleep(1)
+        return [
+            index
+            for index, caller in enumerate(callers)
+            if caller.stream.incoming.has_input()  # type: ignore[attr-defined]
+        ]
+
+    context.closed = run_http_world(script)
+
+
+@then("the {count:d} that have waited longest are closed")
+def step_oldest(context: Context, count: int) -> None:
+    assert context.closed == list(range(count)), context.closed
+
+
+@when(
+    'a caller sends hop-by-hop, forwarding and control headers to node "{node}"'
+)
+def step_headers(context: Context, node: str) -> None:
+    async def script(world: HttpWorld) -> RawAnswer | None:
+        lines = "".join(f"{k}: {v}\r\n" for k, v in _HEADERS.items())
+        request = f"GET http://lanes.test/x HTTP/1.1\r\nHost: o\r\n{lines}\r\n"
+        answer = await world.ask(request.encode(), node)
+        context.head = world.upstream.heads[-1]
+        return answer
+
+    context.answer = run_http_world(script)
+
+
+@then("the upstream gets the right headers and so does the caller")
+def step_right_headers(context: Context) -> None:
+    headers = {k.decode(): v.decode() for k, v in context.head.headers}
+    for name in ("connection", "x-private", "keep-alive", "te"):
+        assert name not in headers, headers
+    assert context.head.target == b"/x"
+    assert headers["host"] == "lanes.test"
+    assert headers["x-forwarded-for"] == "198.51.100.7, 192.0.2.1"
+    assert headers["x-forwarded-proto"] == "http"
+    assert headers["via"] == "1.1 rhubarbpaddle"
+    assert headers["rhubarbpaddle-depth"] == "5"
+    assert headers["rhubarbpaddle-attempt"] == "2"
+    assert headers["idempotency-key"] == "key-1"
+    assert 0 < int(headers["rhubarbpaddle-timeout-ms"]) <= 700
+    assert context.answer.headers["via"] == "1.1 rhubarbpaddle"
+
+
+@when('callers of tenants "{tenants}" send requests')
+def step_tenants(context: Context, tenants: str) -> None:
+    async def script(world: HttpWorld) -> str:
+        for tenant in tenants.split(", "):
+            await world.ask(
+                make_request("GET", "/x", Rhubarbpaddle_Tenant=tenant)
+            )
+        answer = await world.cluster.request(
+            "b1:3", "GET", "/metrics", {"host": "b1"}, b""
+        )
+        return answer.body.decode()
+
+    context.metrics = run_http_world(script)
+
+
+@then('the metrics know the tenants "{tenants}"')
+def step_metrics(context: Context, tenants: str) -> None:
+    names = set(re.findall(r'tenant="([^"]*)"', context.metrics))
+    assert names == set(tenants.split(", ")), names
