Test bodies and the connections to the upstream

Cause: streaming, backpressure, truncation, early rejection, the limit of connections, silent connections and late answers had no test. Ruled out: nothing. A connection whose last success falls on the very start of a request that timed out counts as older, so it is closed too. At first one failed: after a time-out on a silent connection, the next request got another silent one (504). Conclusion: fixed by the comparison above; under the virtual clock both times are equal, with a real clock it would have been rare.

--- a/features/support/memory_fabric.py
+++ b/features/support/memory_fabric.py
@@ -57,11 +57,21 @@
             if {source, target} == {first, second}:
                 pipe.cut()
 
-    def silence(self, first: str, second: str) -> None:
-        """Silences the connections open now, but not later ones."""
-        for source, target, pipe in self._pipes:
-            if {source, target} == {first, second}:
-                pipe.silenced = True
+    def silence(self, first: str, second: str, skipped: int = 0) -> None:
+        """Silences the connections open now, but not later ones.
+
+        Args:
+            first: A host.
+            second: The other host, which may be the same.
+            skipped: How many of their oldest connections stay as they are.
+        """
+        pipes = [
+            pipe
+            for source, target, pipe in self._pipes
+            if {source, target} == {first, second}
+        ]
+        for pipe in pipes[2 * skipped :]:
+            pipe.silenced = True
 
     def block_both_ways(self, *hosts: str) -> None:
         """Blocks all traffic between neighbours of a list of hosts."""
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -154,7 +154,7 @@
         )
 
     async def _purge(self, before: float) -> None:
-        """Closes idle connections without a success since a time.
+        """Closes idle connections without a success after a time.
 
         A request that timed out on a kept connection may mean that the path
         silently dropped the connections of that time. Connections in use stay,
@@ -162,7 +162,7 @@
         """
         kept = []
         for conn in self._idle:
-            if conn.last_success is None or conn.last_success < before:
+            if conn.last_success is None or conn.last_success <= before:
                 await conn.aclose()
             else:
                 kept.append(conn)
