Test exchanges between nodes, and callers that leave over TCP

Cause: the two faults that lost calls between nodes had no test, and callers that go away were tested over streams in memory only, where a close is seen at once. Ruled out: nothing. A head that a peer sends and h11 refuses is a refusal instead of an error that ends the node. Conclusion: over TCP a caller that closed is noticed within 0.6 s, and one that half-closed keeps its request.

--- /dev/null
+++ b/features/steps/http_exchange_steps.py
@@ -0,0 +1,184 @@
+import contextlib
+import json
+
+import trio
+import trio.testing
+from behave import then, when
+from behave.runner import Context
+from hypothesis import given as given_examples
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.support.host_network import HostNetwork
+from features.support.http_world import HttpWorld, make_request, run_http_world
+from features.support.memory_pipe import MemoryPipe
+from features.support.memory_stream import MemoryStream
+from rhubarbpaddle.clock import SystemClock
+from rhubarbpaddle.http.server_connection import ServerConnection
+from rhubarbpaddle.network import TcpNetwork
+from rhubarbpaddle.peer import PeerIdentity
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.messages import BodyPart, KeepAlive
+from rhubarbpaddle.stream_watch import StreamWatch
+
+
+@then("a message that arrives in two pieces around a cancelled wait is read")
+def step_pieces(context: Context) -> None:
+    async def run() -> None:
+        pipe = MemoryPipe(lambda: False)
+        sender = PeerConnection(MemoryStream(pipe, pipe), "-")
+        await sender.send(BodyPart("1", b"content"), KeepAlive())
+        whole = await pipe.read(None)
+        for cut in range(1, len(whole)):
+            pipe = MemoryPipe(lambda: False)
+            receiver = PeerConnection(MemoryStream(pipe, pipe), "-")
+            messages = []
+            for piece in (whole[:cut], whole[cut:]):
+                await pipe.write(piece)
+                with trio.move_on_after(0.01):
+                    while True:
+                        messages.append(await receiver.receive())
+            assert messages == [BodyPart("1", b"content"), KeepAlive()]
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@when(
+    '{callers:d} callers of node "{node}" send {count:d} requests each, one'
+    " after another"
+)
+def step_again(context: Context, callers: int, node: str, count: int) -> None:
+    async def script(world: HttpWorld) -> None:
+        async def run(index: int) -> None:
+            caller = await world.connect(node)
+            for number in range(count):
+                target = f"/{index}-{number}"
+                await caller.send(make_request("GET", target))
+                answer = await caller.receive()
+                assert answer is not None
+                context.pairs.append((target, answer.body.decode()))
+
+        async with trio.open_nursery() as nursery:
+            for index in range(callers):
+                nursery.start_soon(run, index)
+
+    context.pairs = []
+    context.total = callers * count
+    run_http_world(script, {"slots": 64})
+
+
+@then("each gets its own answers")
+def step_own(context: Context) -> None:
+    assert len(context.pairs) == context.total
+    for target, body in context.pairs:
+        assert target == body, (target, body)
+
+
+@then("a node closes the connection of a peer that sends damaged frames")
+def step_damaged(context: Context) -> None:
+    @settings(max_examples=30)
+    @given_examples(st.binary(min_size=1, max_size=60), st.booleans())
+    def check(content: bytes, framed: bool) -> None:
+        length = len(content).to_bytes(4, "big") if framed else b""
+
+        async def script(world: HttpWorld) -> None:
+            identity = PeerIdentity("test", "other", 1, b"secret")
+            network = HostNetwork(world.cluster.fabric, "other")
+            connector = PeerConnector(network, identity)
+            conn = await connector.connect("b1:2", "exchange")
+            await conn.stream.send_all(length + content)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await conn.stream.send_eof()  # type: ignore[attr-defined]
+            with trio.fail_after(5):
+                assert not await conn.stream.receive_some()
+            answer = await world.ask(make_request("GET", "/x"), "a1")
+            assert answer is not None and answer.status == 200
+
+        run_http_world(script)
+
+    check()
+
+
+@when(
+    'a caller of node "{node}" sends a request that takes {seconds:d} seconds'
+)
+def step_long(context: Context, node: str, seconds: int) -> None:
+    async def script(world: HttpWorld) -> None:
+        request = make_request("GET", f"/slow/{seconds}")
+        context.answer = await world.ask(request, node)
+
+    run_http_world(script)
+
+
+@then("the caller gets the answer")
+def step_got(context: Context) -> None:
+    assert context.answer.status == 200, context.answer
+
+
+@when("the node beside the instance goes silent while a request runs")
+def step_silent(context: Context) -> None:
+    async def script(world: HttpWorld) -> None:
+        async def silence() -> None:
+            await trio.sleep(0.5)
+            world.cluster.fabric.silence("a1", "b1")
+
+        world.nursery.start_soon(silence)
+        started = trio.current_time()
+        request = make_request("POST", "/slow/9", Idempotency_Key="k")
+        context.answer = await world.ask(request, "a1")
+        context.elapsed = trio.current_time() - started
+
+    run_http_world(script, {"key_required": False})
+
+
+@then(
+    'the caller gets 502 "{code}" with outcome "{outcome}" within'
+    " {seconds:d} seconds"
+)
+def step_lost(context: Context, code: str, outcome: str, seconds: int) -> None:
+    assert context.answer.status == 502, context.answer
+    assert json.loads(context.answer.body)["code"] == code
+    assert context.answer.headers["rhubarbpaddle-outcome"] == outcome
+    assert context.elapsed < seconds
+
+
+@when("callers half-close and close TCP connections while they wait")
+def step_tcp(context: Context) -> None:
+    network = TcpNetwork()
+    watch = StreamWatch(network, SystemClock())
+
+    async def handle(stream: trio.SocketStream) -> None:
+        conn = ServerConnection(stream, "-")
+        received = await conn.receive_request()
+        assert received is not None
+        target = received[0].target.decode()
+        with watch.watch(conn) as scope:
+            await trio.sleep(0.6)
+        context.cancelled[target] = scope.cancelled_caught
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            nursery.start_soon(trio.serve_listeners, handle, listeners)
+            nursery.start_soon(watch.run)
+            callers = []
+            for target in ("/waits", "/half-closes", "/closes"):
+                caller = await trio.open_tcp_stream("127.0.0.1", port)
+                await caller.send_all(make_request("GET", target))
+                callers.append(caller)
+            await trio.sleep(0.1)
+            await callers[1].send_eof()
+            await callers[2].aclose()
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+
+    context.cancelled = {}
+    trio.run(run)
+
+
+@then("only the work of the one that closed is cancelled")
+def step_cancelled(context: Context) -> None:
+    expected = {"/waits": False, "/half-closes": False, "/closes": True}
+    assert context.cancelled == expected, context.cancelled
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -231,9 +231,14 @@
         headers.append((b"content-length", b"%d" % body.length))
     if not any(key == b"host" for key, _ in headers):
         headers.append((b"host", address.encode()))
-    return h11.Request(
-        method=request.method, target=request.target, headers=headers
-    )
+    try:
+        return h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+    except h11.LocalProtocolError as exc:
+        raise RefusedError(
+            "bad_request", str(exc), step="run_request", status=400
+        ) from exc
 
 
 def _make_late_refusal(address: str) -> RefusedError:
