Compare grpcio with framed msgspec over trio

Cause: the choice of the transport between nodes rests on figures that could not be made again. Ruled out: grpc.aio, which needs asyncio, as both event loops do not mix. Change: `python -m bench.transport`.

--- /dev/null
+++ b/bench/transport_client.py
@@ -0,0 +1,52 @@
+"""Makes calls over one of the two transports when told to.
+
+Run as `python -m bench.transport_client (grpc|msgspec) PORT`. Each line of the
+input is a number of calls; the answer is their seconds as one line of JSON.
+"""
+
+import json
+import sys
+import time
+
+import trio
+
+from bench.transport_call import CALL, METHOD, decoder, encoder
+
+
+def run_grpc(port: int) -> None:
+    """Makes unary calls over one channel."""
+    import grpc
+
+    with grpc.insecure_channel(f"127.0.0.1:{port}") as channel:
+        call = channel.unary_unary(METHOD)
+        for line in sys.stdin:
+            seconds = []
+            for _ in range(int(line)):
+                started = time.perf_counter()
+                decoder.decode(call(encoder.encode(CALL), wait_for_ready=True))
+                seconds.append(time.perf_counter() - started)
+            print(json.dumps(seconds), flush=True)
+
+
+async def run_msgspec(port: int) -> None:
+    """Makes exchanges over one connection."""
+    from rhubarbpaddle.network import TcpNetwork
+    from rhubarbpaddle.peer.connection import PeerConnection
+
+    stream = await TcpNetwork().connect(f"127.0.0.1:{port}")
+    conn = PeerConnection(stream, "server")
+    while line := await trio.to_thread.run_sync(sys.stdin.readline):
+        seconds = []
+        for _ in range(int(line)):
+            started = time.perf_counter()
+            await conn.send(CALL)
+            await conn.receive()
+            seconds.append(time.perf_counter() - started)
+        print(json.dumps(seconds), flush=True)
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "grpc":
+        run_grpc(int(sys.argv[2]))
+    else:
+        trio.run(run_msgspec, int(sys.argv[2]))
--- /dev/null
+++ b/bench/transport_process.py
@@ -0,0 +1,32 @@
+"""A client process of the transport benchmark."""
+
+import json
+import subprocess
+import sys
+
+
+class TransportClient:
+    """A client process that makes calls when told to."""
+
+    def __init__(self, transport: str, port: int) -> None:
+        command = [sys.executable, "-m", "bench.transport_client"]
+        self.process = subprocess.Popen(
+            [*command, transport, str(port)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+    def run(self, calls: int) -> list[float]:
+        """Makes calls one after another and returns the seconds of each."""
+        assert self.process.stdin and self.process.stdout
+        self.process.stdin.write(f"{calls}\n")
+        self.process.stdin.flush()
+        seconds: list[float] = json.loads(self.process.stdout.readline())
+        return seconds
+
+    def stop(self) -> None:
+        """Ends the process."""
+        assert self.process.stdin
+        self.process.stdin.close()
+        self.process.wait(10)
