--- a/src/rhubarbpaddle/http/client_connection.py
+++ b/src/rhubarbpaddle/http/client_connection.py
@@ -3,11 +3,13 @@
 import h11
 import trio
 
-from rhubarbpaddle.exceptions import TruncatedError
+from rhubarbpaddle.exceptions import ProtocolError, TruncatedError
 from rhubarbpaddle.execution import Body, BytesBody
 from rhubarbpaddle.http.connection import HttpConnection
 from rhubarbpaddle.http.event_body import EventBody, get_length
 
+_BODY_IDLE_SECONDS = 30.0
+
 
 class ClientConnection(HttpConnection):
     """Sends one request after another and reads their answers."""
@@ -27,9 +29,19 @@
             )
             return
         await self.send(head)
-        while part := await body.receive():
-            await self.send(h11.Data(data=part))
-        await self.send(h11.EndOfMessage())
+        part = b"-"
+        while part:
+            part = await body.receive()
+            await self.send_part(part)
+
+    async def send_part(self, part: bytes) -> None:
+        """Sends a part of the body, or its end if there are no bytes.
+
+        Raises:
+            TruncatedError: The connection is gone.
+            ProtocolError: The body is longer or shorter than announced.
+        """
+        await self.send(h11.Data(data=part) if part else h11.EndOfMessage())
 
     async def receive_response(self) -> tuple[h11.Response, EventBody]:
         """Returns the next final response and its body.
@@ -39,20 +51,40 @@
             ProtocolError: The far side does not speak HTTP/1.1.
         """
         while True:
-            event = await self.next_event()
+            event = self.parse_event()
+            if event is h11.NEED_DATA:
+                self.h11.receive_data(await self.receive_bytes())
+                continue
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                self._check_length(event)
                 length = get_length(event.headers)
-                return event, EventBody(self.next_event, length, self.peer)
+                return event, EventBody(
+                    self._next_body_event, length, self.peer
+                )
             raise TruncatedError(
                 "the connection ended before a response",
                 step="receive_response",
                 peer=self.peer,
             )
 
+    async def _next_body_event(self) -> object:
+        return await self.next_event(_BODY_IDLE_SECONDS)
+
+    def _check_length(self, response: h11.Response) -> None:
+        names = {name for name, _ in response.headers}
+        if {b"content-length", b"transfer-encoding"} <= names:
+            raise ProtocolError(
+                "the response has two lengths",
+                step="receive_response",
+                peer=self.peer,
+            )
+
     def is_reusable(self) -> bool:
-        """Returns whether both messages were sent and read to their ends."""
+        """Returns whether both messages ended and nothing follows them."""
         return (
-            self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+            self.h11.our_state is h11.DONE
+            and self.h11.their_state is h11.DONE
+            and not self.h11.trailing_data[0]
         )
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -37,6 +37,7 @@
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.platform import HttpLogClient, LogClient
 from rhubarbpaddle.routing import LeastLoadedRouter
+from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.telemetry import Metrics, get_logger
 
 _log = get_logger("node")
@@ -106,6 +107,7 @@
             self.configuration.get_accepted,
         )
         metrics = Metrics()
+        self._watch = StreamWatch(network, clock)
         self._registry = UpstreamRegistry(
             self.sidecar,
             self.table,
@@ -114,12 +116,17 @@
             settings.announcement_lease,
         )
         self._callers = CallerHandler(
-            gateway, clock, metrics, self.configuration.get_accepted
+            gateway,
+            clock,
+            metrics,
+            self.configuration.get_accepted,
+            network,
+            self._watch,
         )
         self._peers = PeerListener(
             identity,
             {
-                "exchange": ExchangeServer(self.sidecar, clock),
+                "exchange": ExchangeServer(self.sidecar, clock, self._watch),
                 "control": self.overlay,
             },
         )
@@ -154,6 +161,7 @@
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self._seeds.run)
             nursery.start_soon(self.overlay.run)
+            nursery.start_soon(self._watch.run)
             nursery.start_soon(self._registry.run)
             _log.info("node_started", node=self.settings.node_id)
             task_status.started()
