Check the operators' text as a whole and report each place

Cause: the text was read by key look-ups, so a misspelled key was ignored and a wrong type appeared as the repr of a Python error without a place. Ruled out: msgspec for the check (its errors give a JSON path but neither line nor column, and it stops at the first one); a library that keeps positions (none is installed in the shared environment). Change: a scanner of JSON with comments that keeps the place of each key and value; sections that read typed keys and collect problems with remedies; dependency cycles, unknown names, duplicate keys, host labels, last zone out of service, warnings for weaker guarantees.

--- /dev/null
+++ b/features/steps/configuration_text_steps.py
@@ -0,0 +1,121 @@
+import json
+import string
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as for_any
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from rhubarbpaddle.configuration import check_text
+from rhubarbpaddle.exceptions import ConfigurationError, SettingsError
+from rhubarbpaddle.node import NodeSettings
+
+TEXT = """{
+  // The services.
+  "services": {
+    "lanes": { "slots": 6 },
+    "reservas": { "depends_on": ["lanes"] }
+  },
+  /* zones */
+  "availability_zones": { "costa-a": { "in_service": true } },
+  "tenants": { "club-norte": { "weight": 2 } }
+}"""
+SETTINGS = """{
+  "cluster": "test",
+  "secret": "s",
+  "node_id": "lanes-1",
+  "host": "host-1",
+  "availability_zone": "costa-a",
+  "caller_address": "127.0.0.1:4100",
+  "peer_address": "127.0.0.1:4101",
+  "admin_address": "127.0.0.1:4102",
+  "log_address": "127.0.0.1:4000",
+  "log_level": "info"
+}"""
+
+
+@given('the operators\' text with "{old}" replaced by "{new}"')
+def step_text(context: Context, old: str, new: str) -> None:
+    assert old in TEXT, old
+    context.operators_text = TEXT.replace(old, new)
+
+
+@given('"{old}" is replaced by "{new}" in it')
+def step_replace(context: Context, old: str, new: str) -> None:
+    context.operators_text = context.operators_text.replace(old, new)
+
+
+@when("the text is checked")
+def step_check(context: Context) -> None:
+    context.problems = context.warnings = ()
+    try:
+        context.warnings = check_text(context.operators_text).warnings
+    except ConfigurationError as exc:
+        context.problems = exc.problems
+
+
+@then('it is invalid with "{problem}"')
+def step_invalid(context: Context, problem: str) -> None:
+    assert any(problem in p for p in context.problems), context.problems
+
+
+@then("{count:d} problems are found")
+def step_count(context: Context, count: int) -> None:
+    assert len(context.problems) == count, context.problems
+
+
+@then('it is valid with the warning "{warning}"')
+def step_warning(context: Context, warning: str) -> None:
+    assert not context.problems, context.problems
+    assert any(warning in w for w in context.warnings), context.warnings
+
+
+@then("no text raises anything but a ConfigurationError")
+def step_any_text(context: Context) -> None:
+    words = "services availability_zones tenants lanes depends_on slots region"
+    keys = st.sampled_from(words.split())
+    scalars = st.none() | st.booleans() | st.integers() | st.floats()
+    documents = st.recursive(
+        scalars | keys | st.text(),
+        lambda inner: st.lists(inner) | st.dictionaries(keys, inner),
+    ).map(json.dumps)
+    alphabet = '{}[]:,"\\/*\n -.0123eE\ud800' + string.ascii_lowercase
+    edits = st.tuples(
+        st.integers(0, len(TEXT)),
+        st.integers(0, 20),
+        st.text(st.sampled_from(alphabet)),
+    ).map(lambda e: TEXT[: e[0]] + e[2] + TEXT[e[0] + e[1] :])
+
+    @hypothesis_settings(max_examples=300)
+    @for_any(documents | edits | st.text() | st.just("[" * 2_000))
+    def check(text: str) -> None:
+        try:
+            check_text(text)
+        except ConfigurationError as exc:
+            assert exc.problems
+
+    check()
+
+
+@given('a node\'s settings with "{old}" replaced by "{new}"')
+def step_settings(context: Context, old: str, new: str) -> None:
+    assert old in SETTINGS, old
+    context.settings = SETTINGS.replace(old, new)
+
+
+@then('the settings are invalid with "{problem}"')
+def step_settings_invalid(context: Context, problem: str) -> None:
+    try:
+        NodeSettings.from_config(context.settings)
+    except SettingsError as exc:
+        assert problem in exc.detail, exc.detail
+        assert "\n" not in exc.detail
+    else:
+        raise AssertionError("the settings were taken")
+
+
+@then('the example "{path}" is valid')
+def step_example(context: Context, path: str) -> None:
+    check_text(Path(path).read_text(encoding="utf-8"))
--- a/src/rhubarbpaddle/configuration/__init__.py
+++ b/src/rhubarbpaddle/configuration/__init__.py
@@ -2,21 +2,24 @@
 
 from rhubarbpaddle.configuration.accepted import AcceptedConfiguration
 from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
+from rhubarbpaddle.configuration.checked_text import CheckedText
 from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.configuration.history import ConfigurationHistory
 from rhubarbpaddle.configuration.records import Checkpoint, Publication
 from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.configuration.tenant import Tenant
-from rhubarbpaddle.configuration.text import parse_configuration
+from rhubarbpaddle.configuration.text import check_text, parse_configuration
 
 __all__ = [
     "AcceptedConfiguration",
     "AvailabilityZone",
+    "CheckedText",
     "Checkpoint",
     "Configuration",
     "ConfigurationHistory",
     "Publication",
     "Service",
     "Tenant",
+    "check_text",
     "parse_configuration",
 ]
--- /dev/null
+++ b/src/rhubarbpaddle/configuration/dependency_graph.py
@@ -0,0 +1,57 @@
+"""The dependencies between services."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from rhubarbpaddle.configuration.findings import Findings
+from rhubarbpaddle.configuration.section import suggest
+
+
+class DependencyGraph(NamedTuple):
+    """Which service depends on which.
+
+    Attributes:
+        edges: For each service the services that it calls, each with its
+            place in the text.
+    """
+
+    edges: Mapping[str, Mapping[str, int]]
+
+    def check(self, findings: Findings) -> None:
+        """Reports unknown dependencies and each cycle once."""
+        for name, dependencies in self.edges.items():
+            for dependency, offset in dependencies.items():
+                if dependency not in self.edges:
+                    findings.add_problem(
+                        offset,
+                        f'"{name}" depends on the unknown service '
+                        f'"{dependency}"',
+                        suggest(dependency, self.edges.keys()),
+                    )
+        finished: set[str] = set()
+        for name in self.edges:
+            self._find_cycles(name, finished, findings)
+
+    def _find_cycles(
+        self, root: str, finished: set[str], findings: Findings
+    ) -> None:
+        """Searches depth first, without recursion."""
+        if root in finished:
+            return
+        path = [root]
+        remaining = [iter(self.edges[root].items())]
+        while path:
+            dependency, offset = next(remaining[-1], (None, 0))
+            if dependency is None:
+                finished.add(path.pop())
+                remaining.pop()
+            elif dependency in path:
+                cycle = [*path[path.index(dependency) :], dependency]
+                findings.add_problem(
+                    offset,
+                    f"dependency cycle: {' -> '.join(cycle)}",
+                    "remove one of these dependencies",
+                )
+            elif dependency in self.edges and dependency not in finished:
+                path.append(dependency)
+                remaining.append(iter(self.edges[dependency].items()))
--- /dev/null
+++ b/src/rhubarbpaddle/configuration/section.py
@@ -0,0 +1,216 @@
+"""Reads the keys of one object of a text."""
+
+import difflib
+import re
+from collections.abc import Callable, Collection, Iterator
+from datetime import timedelta
+
+from rhubarbpaddle.configuration.findings import Findings
+from rhubarbpaddle.configuration.text_value import TextMember, TextValue
+
+HOST_LABEL = re.compile(r"[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?")
+_LABEL_REMEDY = (
+    "use 1 to 63 of a-z, 0-9 and -, starting and ending with a letter or digit"
+)
+
+
+class Section:
+    """Reads known keys and reports what is wrong with each.
+
+    Each `read_` method returns the default if the key is missing or its value
+    is wrong; a wrong value is added to the findings. `finish` reports the keys
+    that nobody read.
+    """
+
+    def __init__(
+        self, value: TextValue, title: str, findings: Findings
+    ) -> None:
+        self.offset = value.offset
+        self.title = title
+        self.findings = findings
+        self._known: list[str] = []
+        self._members: dict[str, TextMember] = {}
+        if isinstance(value.content, dict):
+            self._members = value.content
+        else:
+            findings.add_problem(
+                value.offset,
+                f"{title} is {value.kind}",
+                "write an object in braces",
+            )
+
+    def get_offset(self, name: str) -> int:
+        """Returns the place of a key's value, or of the section."""
+        member = self._members.get(name)
+        return member.value.offset if member else self.offset
+
+    def read_section(self, name: str) -> "Section | None":
+        """Reads an object, or None if the key is missing."""
+        member = self._take(name)
+        if member is None:
+            return None
+        return Section(member.value, f'"{name}"', self.findings)
+
+    def read_named(self, noun: str) -> Iterator[tuple[str, "Section"]]:
+        """Reads all members as sections whose names are host labels."""
+        for name, member in self._members.items():
+            self._known.append(name)
+            if not HOST_LABEL.fullmatch(name):
+                self.findings.add_problem(
+                    member.key_offset,
+                    f"the {noun} {name!r} is not a valid host label",
+                    _LABEL_REMEDY,
+                )
+            title = f'{noun} "{name}"'
+            yield name, Section(member.value, title, self.findings)
+
+    def require(self, *names: str) -> None:
+        """Reports keys that are missing."""
+        for name in names:
+            if name not in self._members:
+                self.findings.add_problem(
+                    self.offset,
+                    f'{self.title} has no "{name}"',
+                    f'add the key "{name}"',
+                )
+
+    def read_bool(self, name: str, default: bool) -> bool:
+        """Reads `true` or `false`."""
+        member = self._take(name)
+        if member is None:
+            return default
+        if isinstance(member.value.content, bool):
+            return member.value.content
+        self._report(name, member.value, "write true or false")
+        return default
+
+    def read_int(self, name: str, default: int, low: int, high: int) -> int:
+        """Reads a whole number from `low` to `high`."""
+        member = self._take(name)
+        if member is None:
+            return default
+        content = member.value.content
+        remedy = f"write a whole number from {low} to {high}"
+        if isinstance(content, int) and not isinstance(content, bool):
+            if low <= content <= high:
+                return content
+            self._report_range(name, member.value, remedy)
+        else:
+            self._report(name, member.value, remedy)
+        return default
+
+    def read_float(
+        self, name: str, default: float, low: float, high: float
+    ) -> float:
+        """Reads a number from `low` to `high`."""
+        member = self._take(name)
+        if member is None:
+            return default
+        content = member.value.content
+        remedy = f"write a number from {low:g} to {high:g}"
+        if isinstance(content, int | float) and not isinstance(content, bool):
+            if low <= content <= high:
+                return float(content)
+            self._report_range(name, member.value, remedy)
+        else:
+            self._report(name, member.value, remedy)
+        return default
+
+    def read_duration(
+        self,
+        name: str,
+        default: timedelta,
+        unit: timedelta,
+        low: int,
+        high: int,
+    ) -> timedelta:
+        """Reads a whole number of units from `low` to `high`."""
+        return self.read_int(name, default // unit, low, high) * unit
+
+    def read_string(
+        self,
+        name: str,
+        default: str,
+        find_fault: Callable[[str], str | None] = lambda _: None,
+    ) -> str:
+        """Reads a string.
+
+        Args:
+            name: The key.
+            default: What a missing key means.
+            find_fault: Returns what would be right instead of a string, or
+                None if the string is valid.
+        """
+        member = self._take(name)
+        if member is None:
+            return default
+        if not isinstance(member.value.content, str):
+            self._report(name, member.value, "write a string")
+        elif remedy := find_fault(member.value.content):
+            self._report_range(name, member.value, remedy)
+        else:
+            return member.value.content
+        return default
+
+    def read_strings(
+        self,
+        name: str,
+        default: Collection[str],
+        find_fault: Callable[[str], str | None] = lambda _: None,
+    ) -> dict[str, int]:
+        """Reads a list of strings.
+
+        Returns:
+            Each string with its place in the text.
+        """
+        member = self._take(name)
+        if member is None:
+            return dict.fromkeys(default, self.offset)
+        if not isinstance(member.value.content, tuple):
+            self._report(name, member.value, "write a list of strings")
+            return {}
+        strings: dict[str, int] = {}
+        for value in member.value.content:
+            if not isinstance(value.content, str):
+                self._report(name, value, "write only strings in the list")
+            elif remedy := find_fault(value.content):
+                self._report_range(name, value, remedy)
+            elif value.content in strings:
+                self.findings.add_problem(
+                    value.offset,
+                    f'"{value.content}" is listed twice',
+                    "keep only one of them",
+                )
+            else:
+                strings[value.content] = value.offset
+        return strings
+
+    def finish(self) -> None:
+        """Reports keys that nobody read, with the nearest right one."""
+        for name, member in self._members.items():
+            if name not in self._known:
+                self.findings.add_problem(
+                    member.key_offset,
+                    f'unknown key "{name}" in {self.title}',
+                    suggest(name, self._known),
+                )
+
+    def _take(self, name: str) -> TextMember | None:
+        self._known.append(name)
+        return self._members.get(name)
+
+    def _report(self, name: str, value: TextValue, remedy: str) -> None:
+        detail = f'"{name}" of {self.title} is {value.kind}'
+        self.findings.add_problem(value.offset, detail, remedy)
+
+    def _report_range(self, name: str, value: TextValue, remedy: str) -> None:
+        detail = f'"{name}" of {self.title} is {value.content!r}'
+        self.findings.add_problem(value.offset, detail, remedy)
+
+
+def suggest(name: str, known: Collection[str]) -> str:
+    """Returns the remedy for a name that is not one of the known ones."""
+    nearest = difflib.get_close_matches(name, known, n=1)
+    if nearest:
+        return f'did you mean "{nearest[0]}"?'
+    return f"use one of: {', '.join(sorted(known)) or '(none)'}"
--- a/src/rhubarbpaddle/configuration/text.py
+++ b/src/rhubarbpaddle/configuration/text.py
@@ -1,34 +1,24 @@
 """The operators' text: JSON with comments."""
 
-import json
-import re
-from datetime import timedelta
-from typing import Any
-
 from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
+from rhubarbpaddle.configuration.checked_text import CheckedText
 from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.dependency_graph import DependencyGraph
+from rhubarbpaddle.configuration.findings import Findings
+from rhubarbpaddle.configuration.section import HOST_LABEL, Section
 from rhubarbpaddle.configuration.service import Service
+from rhubarbpaddle.configuration.service_reader import read_service
 from rhubarbpaddle.configuration.tenant import Tenant
+from rhubarbpaddle.configuration.text_scanner import TextScanner
 from rhubarbpaddle.exceptions import ConfigurationError
 
-_STRING_OR_COMMENT = re.compile(
-    r'"(?:\\.|[^"\\])*"|//[^\n]*|/\*.*?\*/', re.DOTALL
-)
 _STEP = "check_configuration"
-
-
-def strip_comments(text: str) -> str:
-    """Returns the text with comments blanked, so that positions stay."""
-
-    def blank(match: re.Match[str]) -> str:
-        token = match.group()
-        return token if token[0] == '"' else re.sub(r"[^\n]", " ", token)
-
-    return _STRING_OR_COMMENT.sub(blank, text)
+# A text travels in one frame of at most 1 MiB between nodes.
+MAX_TEXT_CHARACTERS = 256 * 1024
 
 
 def parse_configuration(text: str) -> Configuration:
-    """Parses and checks the operators' text.
+    """Checks an operators' text and returns its checked form.
 
     Args:
         text: JSON with `//` and `/* */` comments.
@@ -39,38 +29,96 @@
     Raises:
         ConfigurationError: The text is invalid.
     """
-    try:
-        document: dict[str, Any] = json.loads(strip_comments(text))
-        return Configuration(
-            services={
-                name: _parse_service(name, fields)
-                for name, fields in document["services"].items()
-            },
-            availability_zones={
-                name: AvailabilityZone(
-                    name,
-                    fields.get("region", "default"),
-                    fields.get("in_service", True),
-                )
-                for name, fields in document["availability_zones"].items()
-            },
-            tenants={
-                name: Tenant(name, fields.get("weight", 1))
-                for name, fields in document.get("tenants", {}).items()
-            },
+    return check_text(text).configuration
+
+
+def check_text(text: str) -> CheckedText:
+    """Checks an operators' text as a whole.
+
+    Args:
+        text: JSON with `//` and `/* */` comments, at most 256 Ki characters.
+
+    Returns:
+        The checked configuration with warnings.
+
+    Raises:
+        ConfigurationError: The text is invalid; it holds all problems.
+    """
+    findings = Findings(text)
+    configuration = _read(text, findings)
+    if findings.problems or configuration is None:
+        raise ConfigurationError(findings.list_problems(), step=_STEP)
+    warnings = tuple(str(warning) for warning in sorted(findings.warnings))
+    return CheckedText(configuration, warnings)
+
+
+def _read(text: str, findings: Findings) -> Configuration | None:
+    if len(text) > MAX_TEXT_CHARACTERS:
+        findings.add_problem(
+            0,
+            f"the text has {len(text)} characters",
+            f"write at most {MAX_TEXT_CHARACTERS}",
         )
-    except json.JSONDecodeError as exc:
-        problem = f"line {exc.lineno}, column {exc.colno}: {exc.msg}"
-        raise ConfigurationError([problem], step=_STEP) from exc
-    except (KeyError, TypeError, AttributeError) as exc:
-        raise ConfigurationError([repr(exc)], step=_STEP) from exc
-
-
-def _parse_service(name: str, fields: dict[str, Any]) -> Service:
-    return Service(
-        name=name,
-        depends_on=tuple(fields.get("depends_on", ())),
-        slots=fields.get("slots", 6),
-        connections=fields.get("connections", 240),
-        timeout=timedelta(milliseconds=fields.get("timeout_ms", 10_000)),
+        return None
+    value = TextScanner(text, findings).scan()
+    if value is None:
+        return None
+    root = Section(value, "the text", findings)
+    root.require("services", "availability_zones")
+    configuration = Configuration(
+        services=_read_services(root),
+        availability_zones=_read_zones(root),
+        tenants=_read_tenants(root),
     )
+    root.finish()
+    return configuration
+
+
+def _read_services(root: Section) -> dict[str, Service]:
+    section = root.read_section("services")
+    services: dict[str, Service] = {}
+    edges: dict[str, dict[str, int]] = {}
+    if section is not None:
+        for name, entry in section.read_named("service"):
+            edges[name] = entry.read_strings("depends_on", ())
+            services[name] = read_service(name, entry, edges[name])
+        DependencyGraph(edges).check(root.findings)
+    return services
+
+
+def _read_zones(root: Section) -> dict[str, AvailabilityZone]:
+    section = root.read_section("availability_zones")
+    zones: dict[str, AvailabilityZone] = {}
+    if section is None:
+        return zones
+    for name, entry in section.read_named("availability zone"):
+        zones[name] = AvailabilityZone(
+            name,
+            entry.read_string("region", "default", _check_region),
+            entry.read_bool("in_service", True),
+        )
+        entry.finish()
+    if not any(zone.in_service for zone in zones.values()):
+        root.findings.add_problem(
+            section.offset,
+            "no availability zone is in service, so no request could run",
+            "leave at least one in service",
+        )
+    return zones
+
+
+def _read_tenants(root: Section) -> dict[str, Tenant]:
+    section = root.read_section("tenants")
+    tenants: dict[str, Tenant] = {}
+    if section is None:
+        return tenants
+    for name, entry in section.read_named("tenant"):
+        tenants[name] = Tenant(name, entry.read_int("weight", 1, 1, 1_000))
+        entry.finish()
+    return tenants
+
+
+def _check_region(region: str) -> str | None:
+    if HOST_LABEL.fullmatch(region):
+        return None
+    return "use letters a-z, digits and -"
