Start from checkpoints, report gaps and take the text of peers

Cause: the history ignored checkpoints, so a node without state could not start from a truncated log, and a malformed record ended the follower. Conclusion: 150 random logs of 40 steps with truncation, repetition, restarts, adoption and malformed records show neither disagreement nor reversion.

--- /dev/null
+++ b/features/steps/configuration_history_steps.py
@@ -0,0 +1,269 @@
+import json
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+from trio.testing import MockClock
+
+from features.support.cluster import Cluster
+from features.support.history_machine import HistoryMachine, make_text
+from features.support.host_network import HostNetwork
+from features.support.memory_fabric import MemoryFabric
+from rhubarbpaddle.configuration import (
+    AcceptedConfiguration,
+    ConfigurationHistory,
+)
+from rhubarbpaddle.node.configuration_reader import ConfigurationReader
+from rhubarbpaddle.platform import HttpLogClient
+from standins.http_server import serve_connection
+from standins.log_server import LogServer
+
+
+@then("readers with any start, truncation, repetition and outage agree")
+def step_machine(context: Context) -> None:
+    limits = settings(max_examples=150, stateful_step_count=40)
+    run_state_machine_as_test(HistoryMachine, settings=limits)
+
+
+@given(
+    "a log with {count:d} publications and a checkpoint after {after:d} of them"
+)
+def step_log(context: Context, count: int, after: int) -> None:
+    context.log = LogServer()
+    context.stream = context.log.streams["configuration"]
+    context.history = ConfigurationHistory()
+    for number in range(1, count + 1):
+        append_publication(context, number)
+        if number == after:
+            document = {
+                "kind": "checkpoint",
+                "version": number,
+                "text": make_text(number),
+                "as_of": number - 1,
+            }
+            context.stream.append(json.dumps(document).encode())
+
+
+def append_publication(context: Context, number: int) -> None:
+    document = {
+        "kind": "publication",
+        "id": str(number),
+        "base": number - 1,
+        "text": make_text(number),
+        "publisher": "test",
+    }
+    context.stream.append(json.dumps(document).encode())
+
+
+@when("the first {count:d} records expire")
+def step_expire(context: Context, count: int) -> None:
+    context.stream.expire(count)
+
+
+@when("malformed records are appended")
+def step_malformed(context: Context) -> None:
+    for payload in (
+        b"",
+        b"\xff",
+        b"[" * 5_000,
+        b'{"kind": "publication", "base": "3"}',
+        b'{"kind": "checkpoint", "version": 9, "as_of": 900, "text": "{}"}',
+        b'{"kind": "checkpoint", "version": 0, "as_of": -1, "text": "{}"}',
+        b'{"kind": "other"}',
+    ):
+        context.stream.append(payload)
+
+
+@when("a new reader follows the log")
+def step_follow(context: Context) -> None:
+    context.history = ConfigurationHistory()
+    read_to_end(context, find_start=True)
+
+
+@when("a reader follows the log up to offset {offset:d}")
+def step_follow_to(context: Context, offset: int) -> None:
+    records, context.stream.records = (
+        context.stream.records,
+        context.stream.records[:offset],
+    )
+    read_to_end(context, find_start=False)
+    context.stream.records = records
+
+
+@when("a new reader adopts version {version:d} from a peer")
+def step_adopt(context: Context, version: int) -> None:
+    text = make_text(version)
+    # The checkpoint moves later publications by one offset.
+    accepted = AcceptedConfiguration.from_text(version, text, version)
+    assert context.history.adopt(accepted)
+
+
+@then("the reader is unverified at version {version:d}")
+def step_unverified(context: Context, version: int) -> None:
+    assert context.history.unverified
+    assert context.history.version == version
+
+
+@then("the reader keeps version {version:d} and reports a gap")
+def step_keeps(context: Context, version: int) -> None:
+    context.history.observe(
+        context.stream.first_offset, context.stream.end_offset
+    )
+    assert context.history.gap
+    assert context.history.version == version
+
+
+@then("the reader has version {version:d} without a gap")
+def step_version(context: Context, version: int) -> None:
+    assert context.history.version == version, context.history.version
+    assert not context.history.gap
+    assert not context.history.unverified
+
+
+@then(
+    "the reader has version {version:d} without a gap after it read to the end"
+)
+def step_version_after(context: Context, version: int) -> None:
+    read_to_end(context, find_start=False)
+    step_version(context, version)
+
+
+@then("the reader has no configuration and reports a gap")
+def step_no_state(context: Context) -> None:
+    assert context.history.accepted is None
+    assert context.history.gap
+
+
+def read_to_end(context: Context, *, find_start: bool) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            fabric = MemoryFabric()
+
+            async def handle(stream: trio.abc.Stream) -> None:
+                await serve_connection(stream, context.log.handle)
+
+            network = HostNetwork(fabric, "log")
+            await nursery.start(network.serve, "log:1", handle)
+            reader = ConfigurationReader(
+                HttpLogClient(network, "log:1"), context.history, lambda: None
+            )
+            if find_start:
+                await reader.find_start()
+            await reader.catch_up()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@given("{count:d} nodes with a checkpoint interval of {seconds:d} seconds")
+def step_nodes(context: Context, count: int, seconds: int) -> None:
+    context.count = count
+    context.interval = timedelta(seconds=seconds)
+
+
+@when("the nodes run for {seconds:d} seconds after a publication")
+def step_run(context: Context, seconds: int) -> None:
+    async def run(cluster: Cluster) -> None:
+        cluster.publish(json.loads(make_text(0)), base=0)
+        await trio.sleep(seconds)
+        context.records = cluster.log.streams["configuration"].records
+
+    run_nodes(context, run)
+
+
+@then("the log holds {count:d} checkpoints")
+def step_checkpoints(context: Context, count: int) -> None:
+    kinds = [json.loads(record)["kind"] for record in context.records]
+    assert kinds.count("checkpoint") == count, kinds
+
+
+@when(
+    "the log is down for {seconds:d} seconds and the second node adopts the "
+    "text"
+)
+def step_outage(context: Context, seconds: int) -> None:
+    async def run(cluster: Cluster) -> None:
+        first, second = (cluster.nodes[f"node-{i}"] for i in range(2))
+        cluster.log.available = False
+        accepted = AcceptedConfiguration.from_text(1, make_text(0), 0)
+        await trio.sleep(1)
+        assert second.configuration.adopt(accepted)
+        context.during = second.configuration.get_state()
+        stream = cluster.log.streams["configuration"]
+        document = {
+            "kind": "publication",
+            "id": "p",
+            "base": 0,
+            "text": make_text(0),
+            "publisher": "test",
+        }
+        stream.append(json.dumps(document).encode())
+        await trio.sleep(seconds)
+        cluster.log.available = True
+        await trio.sleep(5)
+        context.after = second.configuration.get_state()
+        assert first.configuration.get_version() == 1
+
+    run_nodes(context, run)
+
+
+@then("the second node reported the text as unverified during the outage")
+def step_during(context: Context) -> None:
+    assert context.during.unverified
+    assert context.during.version == 1
+
+
+@then("the second node has verified the text 5 seconds after the outage")
+def step_after(context: Context) -> None:
+    assert context.after.version == 1
+    assert not context.after.unverified
+    assert context.after.age_seconds <= 5
+
+
+@when("{count:d} publications are made")
+def step_publish(context: Context, count: int) -> None:
+    async def run(cluster: Cluster) -> None:
+        context.delays = []
+        for base in range(count):
+            await trio.sleep(1.37)
+            cluster.publish(json.loads(make_text(base)), base=base)
+            start = trio.current_time()
+            for node in cluster.nodes.values():
+                for _ in range(10_000):
+                    if node.configuration.get_version() == base + 1:
+                        break
+                    await trio.sleep(0.001)
+            context.delays.append(trio.current_time() - start)
+
+    run_nodes(context, run)
+
+
+@then(
+    "each was in force on each node within {seconds:g} seconds of virtual time"
+)
+def step_in_force(context: Context, seconds: float) -> None:
+    assert max(context.delays) <= seconds, context.delays
+
+
+def run_nodes(
+    context: Context, use: Callable[[Cluster], Awaitable[None]]
+) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery)
+            await cluster.start_log()
+            for index in range(context.count):
+                await cluster.start_node(
+                    f"node-{index}",
+                    "zone-0",
+                    checkpoint_interval=context.interval,
+                )
+            with trio.fail_after(100_000):
+                await use(cluster)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -4,7 +4,7 @@
 import json
 import random
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import h11
 import trio
@@ -54,8 +54,16 @@
         network = HostNetwork(self.fabric, "log")
         await self._nursery.start(network.serve, LOG_ADDRESS, handle)
 
-    async def start_node(self, name: str, availability_zone: str) -> Node:
-        """Starts a node on a host of the same name."""
+    async def start_node(
+        self, name: str, availability_zone: str, **changes: Any
+    ) -> Node:
+        """Starts a node on a host of the same name.
+
+        Args:
+            name: The node's id and its host's name.
+            availability_zone: The host's zone.
+            **changes: Fields of the settings that differ from the default.
+        """
         settings = NodeSettings(
             cluster="test",
             secret="secret",
@@ -66,7 +74,7 @@
             peer_address=f"{name}:2",
             admin_address=f"{name}:3",
             log_address=LOG_ADDRESS,
-        )
+        )._replace(**changes)
         network = HostNetwork(self.fabric, name)
         node = Node(
             settings,
--- a/src/rhubarbpaddle/configuration/__init__.py
+++ b/src/rhubarbpaddle/configuration/__init__.py
@@ -1,20 +1,30 @@
 """The operators' text, its check, and which publication is accepted."""
 
 from rhubarbpaddle.configuration.accepted import AcceptedConfiguration
+from rhubarbpaddle.configuration.accepted_publication import (
+    AcceptedPublication,
+)
 from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
 from rhubarbpaddle.configuration.checked_text import CheckedText
+from rhubarbpaddle.configuration.checkpoint_mark import CheckpointMark
 from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.configuration.history import ConfigurationHistory
-from rhubarbpaddle.configuration.records import Checkpoint, Publication
+from rhubarbpaddle.configuration.records import (
+    Checkpoint,
+    Publication,
+    parse_record,
+)
 from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.configuration.text import check_text, parse_configuration
 
 __all__ = [
     "AcceptedConfiguration",
+    "AcceptedPublication",
     "AvailabilityZone",
     "CheckedText",
     "Checkpoint",
+    "CheckpointMark",
     "Configuration",
     "ConfigurationHistory",
     "Publication",
@@ -22,4 +32,5 @@
     "Tenant",
     "check_text",
     "parse_configuration",
+    "parse_record",
 ]
--- a/src/rhubarbpaddle/configuration/accepted.py
+++ b/src/rhubarbpaddle/configuration/accepted.py
@@ -1,8 +1,10 @@
 """A configuration that the log's order has accepted."""
 
-from typing import NamedTuple
+import hashlib
+from typing import NamedTuple, Self
 
 from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.text import parse_configuration
 
 
 class AcceptedConfiguration(NamedTuple):
@@ -21,3 +23,14 @@
     text: str
     as_of: int
     configuration: Configuration
+
+    @classmethod
+    def from_text(cls, version: int, text: str, as_of: int) -> Self:
+        """Makes an accepted configuration from what a record or peer says.
+
+        Raises:
+            ConfigurationError: The text is invalid.
+        """
+        configuration = parse_configuration(text)
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        return cls(version, digest, text, as_of, configuration)
--- a/src/rhubarbpaddle/configuration/history.py
+++ b/src/rhubarbpaddle/configuration/history.py
@@ -1,10 +1,11 @@
 """Which publication is accepted, by replay of the log."""
 
-import hashlib
-
 from rhubarbpaddle.configuration.accepted import AcceptedConfiguration
+from rhubarbpaddle.configuration.accepted_publication import (
+    AcceptedPublication,
+)
+from rhubarbpaddle.configuration.checkpoint_mark import CheckpointMark
 from rhubarbpaddle.configuration.records import Checkpoint, Publication
-from rhubarbpaddle.configuration.text import parse_configuration
 from rhubarbpaddle.exceptions import ConfigurationError
 
 EMPTY_VERSION = 0
@@ -15,43 +16,196 @@
 
     All readers replay the same records in the same order and so agree. A
     reader without state starts at offset 0 or from a checkpoint that covers
-    everything that the log no longer holds.
+    everything that the log no longer holds. The version never decreases.
+
+    The caller reads the stream at `next_offset`, passes the range that the
+    log holds to `observe`, and each record to `apply`. `next_offset` moves
+    back when a checkpoint is taken, so the caller drops the rest of a batch
+    whose next record is not at `next_offset`.
+
+    Attributes:
+        accepted: The configuration in force, or None.
+        origin: The publication that replay accepted last, or None.
+        checkpoint: The newest checkpoint seen, or None.
+        next_offset: The offset to read next.
+        end_offset: The end of the log at the last read.
+        unverified: Whether `accepted` came from a peer and the log has not
+            been read up to its end since.
+        gap: Whether records were lost to retention, so that `accepted` may
+            not be the newest. Publications are not applied meanwhile, since
+            their base can't be compared.
+        remark: Why the last record had no effect, or the empty string.
     """
 
     def __init__(self) -> None:
         self.accepted: AcceptedConfiguration | None = None
+        self.origin: AcceptedPublication | None = None
+        self.checkpoint: CheckpointMark | None = None
         self.next_offset = 0
+        self.end_offset = 0
+        self.unverified = False
+        self.gap = False
+        self.remark = ""
+        self._first_offset = 0
+
+    @property
+    def version(self) -> int:
+        """The version in force, or 0."""
+        return self.accepted.version if self.accepted else EMPTY_VERSION
+
+    @property
+    def lag(self) -> int:
+        """How many records of the log are not yet applied."""
+        return max(0, self.end_offset - self.next_offset)
+
+    def observe(self, first_offset: int, end_offset: int) -> None:
+        """Takes note of the records that the log holds.
+
+        Args:
+            first_offset: The oldest offset that the log still holds.
+            end_offset: The offset that the next append will get.
+        """
+        self._first_offset = first_offset
+        self.end_offset = end_offset
+        if self.next_offset < first_offset:
+            self.gap = True
+            self.next_offset = first_offset
+        self._verify()
 
-    def apply(self, offset: int, record: Publication | Checkpoint) -> bool:
+    def apply(
+        self, offset: int, record: Publication | Checkpoint | None
+    ) -> bool:
         """Applies one record.
 
         Args:
             offset: The record's offset in the stream.
-            record: The record at this offset.
+            record: The record at this offset, or None if it is malformed.
 
         Returns:
-            Whether the accepted configuration changed.
+            Whether the accepted version changed.
         """
         if offset < self.next_offset:
             return False
+        if offset > self.next_offset:
+            self.gap = True
         self.next_offset = offset + 1
-        if record["kind"] == "checkpoint":
-            return False
-        return self._apply_publication(offset, record)
+        version = self.version
+        self.remark = ""
+        if record is None:
+            self.remark = "malformed"
+        elif record["kind"] == "checkpoint":
+            self._apply_checkpoint(offset, record)
+        else:
+            self._apply_publication(offset, record)
+        if self.accepted is not None and not self.gap:
+            self.accepted = self.accepted._replace(as_of=self.next_offset - 1)
+        self._verify()
+        return self.version != version
+
+    def restore(self, offset: int, record: Checkpoint) -> bool:
+        """Takes a checkpoint if it leads further than the present state.
+
+        Args:
+            offset: The checkpoint's own offset.
+            record: The checkpoint.
 
-    def _apply_publication(self, offset: int, record: Publication) -> bool:
-        version = self.accepted.version if self.accepted else EMPTY_VERSION
-        if record["base"] != version:
+        Returns:
+            Whether it was taken; then `next_offset` follows its `as_of`.
+        """
+        as_of = record["as_of"]
+        covers_loss = as_of >= self._first_offset - 1
+        leads_further = self.gap or as_of >= self.next_offset
+        if (
+            as_of >= offset
+            or not covers_loss
+            or not leads_further
+            or record["version"] < self.version
+        ):
             return False
         try:
-            configuration = parse_configuration(record["text"])
+            accepted = AcceptedConfiguration.from_text(
+                record["version"], record["text"], as_of
+            )
         except ConfigurationError:
+            self.remark = "checkpoint with an invalid text"
             return False
-        self.accepted = AcceptedConfiguration(
-            version=version + 1,
-            digest=hashlib.sha256(record["text"].encode()).hexdigest(),
-            text=record["text"],
-            as_of=offset,
-            configuration=configuration,
-        )
+        self._note_checkpoint(record)
+        if accepted.version > self.version:
+            self.origin = None
+        self._continue_from(accepted)
         return True
+
+    def adopt(self, accepted: AcceptedConfiguration) -> bool:
+        """Takes the configuration that a peer has accepted, if it is newer.
+
+        Args:
+            accepted: The peer's configuration, stamped with the offset
+                through which the peer had replayed.
+
+        Returns:
+            Whether the accepted version changed.
+        """
+        version = self.version
+        if accepted.version < version:
+            return False
+        if accepted.version == version:
+            held = self.accepted
+            if held is None or held.digest != accepted.digest or not self.gap:
+                return False
+        elif not self.gap and accepted.as_of < self.next_offset:
+            # The log, read beyond this offset, has accepted no such version.
+            return False
+        if accepted.as_of >= self._first_offset - 1:
+            self._continue_from(accepted)
+        else:
+            self.accepted = accepted
+        self.unverified = True
+        if accepted.version > version:
+            self.origin = None
+        return accepted.version > version
+
+    def _apply_publication(self, offset: int, record: Publication) -> None:
+        if self.gap:
+            self.remark = "no known base after a gap"
+            return
+        if record["base"] != self.version:
+            self.remark = f"base {record['base']} is not {self.version}"
+            return
+        version = self.version + 1
+        try:
+            self.accepted = AcceptedConfiguration.from_text(
+                version, record["text"], offset
+            )
+        except ConfigurationError as exc:
+            self.remark = f"invalid text: {exc.problems[0]}"
+            return
+        self.origin = AcceptedPublication(
+            record["id"], record["publisher"], offset, version
+        )
+
+    def _apply_checkpoint(self, offset: int, record: Checkpoint) -> None:
+        if record["as_of"] >= offset:
+            self.remark = "checkpoint of the future"
+        elif self.gap:
+            if not self.restore(offset, record):
+                self.remark = self.remark or "checkpoint is too old"
+        elif record["version"] > self.version:
+            self.remark = "checkpoint disagrees with replay"
+        else:
+            self._note_checkpoint(record)
+
+    def _note_checkpoint(self, record: Checkpoint) -> None:
+        if self.checkpoint and self.checkpoint.as_of >= record["as_of"]:
+            return
+        self.checkpoint = CheckpointMark(
+            record["as_of"], record["version"], record.get("written_ms", 0)
+        )
+
+    def _continue_from(self, accepted: AcceptedConfiguration) -> None:
+        self.accepted = accepted
+        self.next_offset = accepted.as_of + 1
+        self.gap = False
+
+    def _verify(self) -> None:
+        if not self.gap and self.next_offset == self.end_offset:
+            self.unverified = False
--- a/src/rhubarbpaddle/configuration/text_scanner.py
+++ b/src/rhubarbpaddle/configuration/text_scanner.py
@@ -141,8 +141,10 @@
                 "a string without closing quote on its line",
                 'write the closing " (and \\n for a line break)',
             )
+        value = match.group()[1:-1]
         try:
-            value: str = json.loads(match.group())
+            if "\\" in value:
+                value = json.loads(match.group())
             value.encode()
         except ValueError as exc:
             raise self._fail(
--- /dev/null
+++ b/src/rhubarbpaddle/node/checkpoint_writer.py
@@ -0,0 +1,117 @@
+"""Writes checkpoints of the configuration before the log forgets it."""
+
+import hashlib
+import json
+from collections.abc import Callable, Collection
+from datetime import timedelta
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration import (
+    Checkpoint,
+    CheckpointMark,
+    ConfigurationHistory,
+)
+from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
+from rhubarbpaddle.node.configuration_reader import STREAM
+from rhubarbpaddle.platform import LogClient
+from rhubarbpaddle.telemetry import get_logger
+
+# A reader without state replays at most about this many publications, which
+# takes about 1 s at 10 ms for the check of a text.
+_MAX_REPLAY = 100
+_CHECK_PERIOD = timedelta(seconds=5)
+# The time that a writer needs for its append to reach the other members.
+_RANK_DELAY = timedelta(seconds=2)
+_MAX_DELAY = timedelta(minutes=10)
+
+_log = get_logger("configuration")
+
+
+class CheckpointWriter:
+    """Writes a checkpoint when the newest one has become too old.
+
+    The member first by rendezvous hash writes first; each other one waits
+    longer and finds that nothing is left to do.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        interval: timedelta,
+        history: ConfigurationHistory,
+        log: LogClient,
+        clock: Clock,
+        get_members: Callable[[], Collection[str]],
+    ) -> None:
+        self._node_id = node_id
+        self._interval = interval
+        self._history = history
+        self._log = log
+        self._clock = clock
+        self._get_members = get_members
+        self._seen: CheckpointMark | None = None
+        self._seen_at = 0.0
+        self._seen_age = timedelta()
+
+    async def run(self) -> None:
+        """Writes checkpoints for as long as the node runs."""
+        period = min(_CHECK_PERIOD, self._interval / 4)
+        while True:
+            await self._clock.sleep(period)
+            if not self._is_due():
+                continue
+            await self._clock.sleep(self._get_delay())
+            if self._is_due():
+                await self._write()
+
+    def _is_due(self) -> bool:
+        history = self._history
+        if history.accepted is None or history.gap or history.unverified:
+            return False
+        if history.lag:
+            return False
+        mark = history.checkpoint
+        if mark is None or history.version - mark.version >= _MAX_REPLAY:
+            return True
+        return self._get_age(mark) >= self._interval
+
+    def _get_age(self, mark: CheckpointMark) -> timedelta:
+        """Returns a checkpoint's age; clocks that are ahead don't reduce it."""
+        now = self._clock.monotonic()
+        if mark != self._seen:
+            now_ms = self._clock.now().timestamp() * 1000
+            age_ms = max(0.0, now_ms - mark.written_ms)
+            self._seen = mark
+            self._seen_at = now
+            self._seen_age = min(timedelta(milliseconds=age_ms), self._interval)
+        return self._seen_age + timedelta(seconds=now - self._seen_at)
+
+    def _get_delay(self) -> timedelta:
+        hashes = sorted(map(_hash, {*self._get_members(), self._node_id}))
+        rank = hashes.index(_hash(self._node_id))
+        return min(rank * _RANK_DELAY, _MAX_DELAY, self._interval / 2)
+
+    async def _write(self) -> None:
+        accepted = self._history.accepted
+        assert accepted is not None
+        checkpoint = Checkpoint(
+            kind="checkpoint",
+            version=accepted.version,
+            text=accepted.text,
+            as_of=accepted.as_of,
+            written_ms=int(self._clock.now().timestamp() * 1000),
+        )
+        try:
+            offset = await self._log.append(
+                STREAM, json.dumps(checkpoint).encode()
+            )
+        except (AppendUnknownError, LogUnavailableError) as exc:
+            # If the record was appended, the follower reads it, and the next
+            # check finds nothing due.
+            _log.warn("checkpoint_append_failed", error=exc)
+            return
+        _log.info("checkpoint_written", version=accepted.version, offset=offset)
+
+
+def _hash(node_id: str) -> bytes:
+    return hashlib.sha256(f"checkpoint {node_id}".encode()).digest()
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -1,8 +1,11 @@
 """Follows the log's `configuration` stream."""
 
-import json
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Collection
 from datetime import timedelta
+from typing import Self
+
+import trio
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import (
@@ -10,13 +13,15 @@
     ConfigurationHistory,
 )
 from rhubarbpaddle.exceptions import LogUnavailableError
+from rhubarbpaddle.node.backoff import Backoff
+from rhubarbpaddle.node.checkpoint_writer import CheckpointWriter
+from rhubarbpaddle.node.configuration_reader import ConfigurationReader
+from rhubarbpaddle.node.configuration_state import ConfigurationState
+from rhubarbpaddle.node.settings import NodeSettings
 from rhubarbpaddle.platform import LogClient
 from rhubarbpaddle.telemetry import get_logger
 
-STREAM = "configuration"
-_BATCH_RECORDS = 100
 _WAIT = timedelta(seconds=5)
-_RETRY_DELAY = timedelta(milliseconds=500)
 
 _log = get_logger("configuration")
 
@@ -26,39 +31,121 @@
 
     def __init__(
         self,
+        node_id: str,
+        checkpoint_interval: timedelta,
         log: LogClient,
         clock: Clock,
+        rng: random.Random,
+        get_members: Callable[[], Collection[str]],
         on_change: Callable[[AcceptedConfiguration], None],
     ) -> None:
         self.history = ConfigurationHistory()
-        self._log = log
         self._clock = clock
         self._on_change = on_change
+        self._backoff = Backoff(rng)
+        self._reader = ConfigurationReader(log, self.history, self._announce)
+        self._checkpoints = CheckpointWriter(
+            node_id, checkpoint_interval, self.history, log, clock, get_members
+        )
+        self._confirmed_at: float | None = None
+        self._had_gap = False
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: NodeSettings,
+        log: LogClient,
+        clock: Clock,
+        rng: random.Random,
+        get_members: Callable[[], Collection[str]],
+        on_change: Callable[[AcceptedConfiguration], None],
+    ) -> Self:
+        """Makes the follower of a node.
+
+        Args:
+            settings: The node's settings.
+            log: The platform's log.
+            clock: The source of time.
+            rng: The source of jitter.
+            get_members: Returns the ids of the members alive; they share the
+                writing of checkpoints.
+            on_change: Called with each configuration that comes into force.
+        """
+        return cls(
+            settings.node_id,
+            settings.checkpoint_interval,
+            log,
+            clock,
+            rng,
+            get_members,
+            on_change,
+        )
 
     def get_accepted(self) -> AcceptedConfiguration | None:
-        """Returns the configuration in force."""
+        """Returns the configuration in force, stamped for peers."""
         return self.history.accepted
 
     def get_version(self) -> int:
         """Returns the version in force, or 0."""
+        return self.history.version
+
+    def get_state(self) -> ConfigurationState:
+        """Returns how well this node knows the configuration."""
         accepted = self.history.accepted
-        return accepted.version if accepted else 0
+        age = None
+        if self._confirmed_at is not None:
+            age = self._clock.monotonic() - self._confirmed_at
+        return ConfigurationState(
+            version=self.history.version,
+            digest=accepted.digest if accepted else "",
+            age_seconds=age,
+            unverified=self.history.unverified,
+            gap=self.history.gap,
+            lag=self.history.lag,
+        )
+
+    def adopt(self, accepted: AcceptedConfiguration) -> bool:
+        """Takes a peer's configuration if it is newer.
+
+        Returns:
+            Whether it came into force here.
+        """
+        changed = self.history.adopt(accepted)
+        if changed:
+            self._announce()
+        return changed
 
     async def run(self) -> None:
         """Reads the stream for as long as the node runs."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._checkpoints.run)
+            nursery.start_soon(self._follow)
+
+    async def _follow(self) -> None:
+        has_start = False
         while True:
             try:
-                batch = await self._log.read(
-                    STREAM, self.history.next_offset, _BATCH_RECORDS, _WAIT
-                )
+                if not has_start and not self.history.version:
+                    await self._reader.find_start()
+                has_start = True
+                await self._reader.read(_WAIT)
             except LogUnavailableError as exc:
                 _log.warn("configuration_read_failed", error=exc)
-                await self._clock.sleep(_RETRY_DELAY)
+                await self._clock.sleep(self._backoff.next_delay())
                 continue
-            for record in batch.records:
-                document = json.loads(record.payload)
-                if self.history.apply(record.offset, document):
-                    self._announce()
+            self._backoff.reset()
+            if not self.history.lag:
+                self._confirmed_at = self._clock.monotonic()
+            self._report_gap()
+
+    def _report_gap(self) -> None:
+        if self.history.gap and not self._had_gap:
+            _log.error(
+                "configuration_gap",
+                version=self.history.version,
+                next_offset=self.history.next_offset,
+            )
+        self._had_gap = self.history.gap
 
     def _announce(self) -> None:
         accepted = self.history.accepted
@@ -68,5 +155,6 @@
             version=accepted.version,
             digest=accepted.digest[:12],
             offset=accepted.as_of,
+            unverified=self.history.unverified,
         )
         self._on_change(accepted)
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -63,8 +63,13 @@
         )
         self.table = MemberTable(own)
         self.sidecar = Sidecar(clock)
-        self.configuration = ConfigurationFollower(
-            log, clock, self._apply_configuration
+        self.configuration = ConfigurationFollower.from_config(
+            settings,
+            log,
+            clock,
+            rng,
+            self._list_alive,
+            self._apply_configuration,
         )
         self._members = MemberFollower(self.table, log, clock)
         identity = PeerIdentity(
@@ -144,13 +149,17 @@
 
     def get_status(self) -> NodeStatus:
         """Returns what operators see of this node."""
-        accepted = self.configuration.get_accepted()
+        state = self.configuration.get_state()
         status = NodeStatus(
             node_id=self.settings.node_id,
             availability_zone=self.settings.availability_zone,
             in_service=self.sidecar.in_service,
-            version=accepted.version if accepted else 0,
-            digest=accepted.digest if accepted else "",
+            version=state.version,
+            digest=state.digest,
+            configuration_age_seconds=state.age_seconds,
+            unverified=state.unverified,
+            gap=state.gap,
+            lag=state.lag,
             members={
                 member.node_id: member.admin_address for member in self.table
             },
@@ -168,6 +177,13 @@
             limit=report.limit,
         )
 
+    def _list_alive(self) -> list[str]:
+        return [
+            member.node_id
+            for member in self.table
+            if member.status is MemberStatus.ALIVE
+        ]
+
     def _apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         zone = self.settings.availability_zone
         in_service = accepted.configuration.is_in_service(zone)
--- a/src/rhubarbpaddle/node/status.py
+++ b/src/rhubarbpaddle/node/status.py
@@ -13,6 +13,12 @@
         version: The configuration version in force, or 0.
         digest: SHA-256 of the text in force, or the empty string.
         members: The node ids and admin addresses of all members known.
+        configuration_age_seconds: Seconds since the log confirmed the
+            configuration; None if it never did.
+        unverified: Whether the configuration comes from a peer and the log
+            has not confirmed it yet.
+        gap: Whether the log lost records before this node read them.
+        lag: How many records of the log this node has not applied.
         service: The service of the upstream beside the node, or `-`.
         instance: That upstream's name, or `-`.
         upstream_state: That upstream's state, or `-`.
@@ -27,6 +33,10 @@
     version: int
     digest: str
     members: dict[str, str]
+    configuration_age_seconds: float | None = None
+    unverified: bool = False
+    gap: bool = False
+    lag: int = 0
     service: str = "-"
     instance: str = "-"
     upstream_state: str = "-"
