Show the difference, publish once and report what all nodes run

Cause: `publish` appended without a question, reported a lost answer as a traceback, and could not say who won; there was no `status`; a node with wrong settings ended with a traceback. Ruled out: deciding by the offset of the append (its answer may be lost, and the record may have been appended twice); a second append under a new id (both could take effect one after the other). The demonstration passes `--yes`. Conclusion: 120 random races of 2 to 4 publishers over a log that drops, delays and loses answers never gave two accepted publications or an untrue report.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -98,7 +98,14 @@
 
 def publish(text: Path, log_address: str) -> None:
     """Publishes an operators' text with the product's command."""
-    command = ["rhubarbpaddle", "publish", str(text), "--log", log_address]
+    command = [
+        "rhubarbpaddle",
+        "publish",
+        str(text),
+        "--log",
+        log_address,
+        "--yes",
+    ]
     subprocess.run([sys.executable, "-m", *command], check=True)
 
 
--- /dev/null
+++ b/features/cli_commands.feature
@@ -0,0 +1,51 @@
+Feature: The commands tell a tired operator what happened
+
+  Scenario: Check names each problem and exits with 3
+    Given the file "text.json" with an unknown key
+    When the command "check text.json" runs
+    Then it exits with 3 and says "line 2, column 43: unknown key "slotz" in service "lanes"; did you mean "slots"?"
+
+  Scenario: A node that cannot start says why in one line and exits with 64
+    Given the file "node.json" with the text "{}"
+    When the command "node node.json" runs
+    Then it exits with 64 and says "node.json: line 1, column 1: missing in the settings: "cluster", "secret""
+    And it wrote one line
+
+  Scenario: A wrong use exits with 2
+    When the command "publish" runs
+    Then it exits with 2 and says "requires an argument"
+    When the command "status" runs
+    Then it exits with 2 and says "give --node IP:PORT"
+
+  Scenario: The version
+    When the command "--version" runs
+    Then it exits with 0 and says "0.1.0"
+
+  Scenario: Without a log nothing is published
+    Given the file "text.json" with all zones in service
+    When the command "publish text.json --yes --patience 0.2 --log 127.0.0.1:1" runs
+    Then it exits with 5 and says "Nothing was published"
+
+  Scenario: A zone goes out of service on running nodes and status shows it
+    Given a running log and 3 running nodes
+    And the file "text.json" with all zones in service
+    And the file "out.json" with zone "b" out of service
+    When the command "publish text.json --log LOG" runs
+    Then it exits with 2 and says "Use --yes"
+    When the command "publish text.json --log LOG --node NODE --yes --wait 5" runs
+    Then it exits with 0 and says "accepted as version 1 at offset 0"
+    When the command "publish text.json --log LOG" runs
+    Then it exits with 0 and says "text.json is in force already as version 1"
+    When the command "publish out.json --log LOG --yes --base 7" runs
+    Then it exits with 4 and says "Version 1 is in force"
+    When the command "publish out.json --log LOG --node NODE --yes --wait 5" runs
+    Then it exits with 0 and says "- takes availability zone b out of service"
+    And it says "3 nodes run version 2"
+    When the command "status --node NODE --log LOG" runs
+    Then it exits with 0 and says "3 of 3 nodes run version 2"
+    And it says "node-b"
+    When the command "status --node NODE --json" runs
+    Then it prints JSON with 3 nodes at version 2
+    When node "b" is ended
+    And the command "status --node NODE" runs
+    Then it exits with 7 and says "NOT REACHED: node-b"
--- a/features/configuration_text.feature
+++ b/features/configuration_text.feature
@@ -55,7 +55,7 @@
     Examples:
       | old              | new              | problem |
       | "caller_address" | "callr_address"  | unknown key "callr_address" in the settings; did you mean "caller_address"? |
-      | "caller_address" | "callr_address"  | the settings has no "caller_address" |
+      | "caller_address" | "callr_address"  | missing in the settings: "caller_address"; add |
       | 127.0.0.1:4100   | localhost:4100   | "caller_address" of the settings is 'localhost:4100'; write IP:PORT |
       | 127.0.0.1:4100   | 127.0.0.1:0      | with a port from 1 to 65535 |
       | "info"           | "inof"           | "log_level" of the settings is 'inof'; did you mean "info"? |
--- /dev/null
+++ b/features/steps/cli_commands_steps.py
@@ -0,0 +1,134 @@
+import contextlib
+import io
+import json
+import os
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from behave import given, then, when
+from behave.runner import Context
+
+from demo.deployment import reserve_ports
+from demo.process_group import ProcessGroup, wait_for_http
+from rhubarbpaddle.cli.main import main
+
+_ZONES = ("a", "b", "c")
+
+
+def get_folder(context: Context) -> Path:
+    if not hasattr(context, "folder"):
+        folder = tempfile.TemporaryDirectory(prefix="rhubarbpaddle-")
+        context.add_cleanup(folder.cleanup)
+        context.folder = Path(folder.name)
+        context.names = {}
+    return context.folder
+
+
+@given('the file "{name}" with the text "{text}"')
+def step_file(context: Context, name: str, text: str) -> None:
+    (get_folder(context) / name).write_text(text)
+
+
+@given('the file "{name}" with an unknown key')
+def step_unknown_key(context: Context, name: str) -> None:
+    text = (
+        '{ "availability_zones": { "a": {} },\n'
+        '  "services": { "lanes": { /* limits */   "slotz": 6 } } }'
+    )
+    step_file(context, name, text)
+
+
+@given('the file "{name}" with all zones in service')
+def step_all_zones(context: Context, name: str) -> None:
+    write_text(context, name, "")
+
+
+@given('the file "{name}" with zone "{zone}" out of service')
+def step_zone_out(context: Context, name: str, zone: str) -> None:
+    write_text(context, name, zone)
+
+
+def write_text(context: Context, name: str, withdrawn: str) -> None:
+    zones = {zone: {"in_service": zone != withdrawn} for zone in _ZONES}
+    document = {"services": {"lanes": {}}, "availability_zones": zones}
+    step_file(context, name, json.dumps(document, indent=2))
+
+
+@given("a running log and 3 running nodes")
+def step_running(context: Context) -> None:
+    folder = get_folder(context)
+    ports = reserve_ports(1 + 3 * len(_ZONES))
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    context.group = ProcessGroup(folder)
+    context.add_cleanup(context.group.stop_all)
+    log = addresses.pop()
+    context.group.start("log", "standins", "log", log)
+    for zone in _ZONES:
+        settings = {
+            "cluster": "test",
+            "secret": "secret",
+            "node_id": f"node-{zone}",
+            "host": f"host-{zone}",
+            "availability_zone": zone,
+            "caller_address": addresses.pop(),
+            "peer_address": addresses.pop(),
+            "admin_address": addresses.pop(),
+            "log_address": log,
+        }
+        step_file(context, f"{zone}.json", json.dumps(settings))
+        path = str(folder / f"{zone}.json")
+        context.group.start(zone, "rhubarbpaddle", "node", path)
+        node = settings["admin_address"]
+        wait_for_http(f"http://{node}/healthz", 20)
+    context.names = {"LOG": log, "NODE": node}
+
+
+@when('node "{zone}" is ended')
+def step_end(context: Context, zone: str) -> None:
+    context.group.stop(zone)
+
+
+@when('the command "{command}" runs')
+def step_run(context: Context, command: str) -> None:
+    folder = get_folder(context)
+    arguments = [context.names.get(word, word) for word in command.split()]
+    output, errors = io.StringIO(), io.StringIO()
+    context.exit_code = 0
+    environment = {**os.environ, "HOME": str(folder), "COLUMNS": "200"}
+    with (
+        contextlib.chdir(folder),
+        contextlib.redirect_stdout(output),
+        contextlib.redirect_stderr(errors),
+        mock.patch.dict(os.environ, environment),
+        mock.patch("sys.stdin", io.StringIO()),
+    ):
+        try:
+            main(arguments)
+        except SystemExit as exc:
+            context.exit_code = exc.code or 0
+    context.output = output.getvalue()
+    context.said = context.output + errors.getvalue()
+
+
+@then('it exits with {code:d} and says "{said}"')
+def step_exits(context: Context, code: int, said: str) -> None:
+    assert context.exit_code == code, (context.exit_code, context.said)
+    step_says(context, said)
+
+
+@then('it says "{said}"')
+def step_says(context: Context, said: str) -> None:
+    assert said in context.said, context.said
+
+
+@then("it wrote one line")
+def step_one_line(context: Context) -> None:
+    assert context.said.count("\n") == 1, context.said
+
+
+@then("it prints JSON with {count:d} nodes at version {version:d}")
+def step_json(context: Context, count: int, version: int) -> None:
+    document = json.loads(context.output)
+    versions = [node["version"] for node in document["nodes"].values()]
+    assert versions == [version] * count, document
--- /dev/null
+++ b/features/steps/cli_publish_steps.py
@@ -0,0 +1,214 @@
+import json
+import random
+from datetime import timedelta
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from features.support.history_machine import make_text
+from features.support.host_network import HostNetwork
+from features.support.memory_fabric import MemoryFabric
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.cli.publish_result import PublishOutcome, PublishResult
+from rhubarbpaddle.cli.publisher import Publisher
+from rhubarbpaddle.configuration import ConfigurationHistory, parse_record
+from rhubarbpaddle.exceptions import LogUnavailableError
+from rhubarbpaddle.platform import HttpLogClient
+from standins.http_server import (
+    Handler,
+    StandinRequest,
+    StandinResponse,
+    serve_connection,
+)
+from standins.log_server import LogServer
+
+_PATIENCE = timedelta(seconds=10)
+
+
+async def start_log(nursery: trio.Nursery, handler: Handler) -> MemoryFabric:
+    fabric = MemoryFabric()
+
+    async def handle(stream: trio.abc.Stream) -> None:
+        await serve_connection(stream, handler)
+
+    await nursery.start(HostNetwork(fabric, "log").serve, "log:1", handle)
+    return fabric
+
+
+def make_publisher(fabric: MemoryFabric, name: str) -> Publisher:
+    log = HttpLogClient(HostNetwork(fabric, name), "log:1")
+    return Publisher(log, VirtualClock(), random.Random(name), _PATIENCE)
+
+
+def replay(log: LogServer) -> ConfigurationHistory:
+    history = ConfigurationHistory()
+    for offset, payload in enumerate(log.streams["configuration"].records):
+        history.apply(offset, parse_record(payload))
+    return history
+
+
+@given("a log that loses the next {count:d} answers to appends")
+def step_loses(context: Context, count: int) -> None:
+    context.log = LogServer()
+    context.log.lost_answers = count
+    context.handler = context.log.handle
+
+
+@given("a log that refuses connections")
+def step_refuses(context: Context) -> None:
+    context.log = LogServer()
+    context.handler = None
+
+
+@given("a log that loses the next 1 answers to appends and then fails")
+def step_fails(context: Context) -> None:
+    context.log = LogServer()
+    context.log.lost_answers = 1
+
+    async def handle(request: StandinRequest) -> StandinResponse:
+        response = await context.log.handle(request)
+        if request.method == "POST":
+            context.log.available = False
+        return response
+
+    context.handler = handle
+
+
+@given("a log with a publication of another operator on base 0")
+def step_other(context: Context) -> None:
+    context.log = LogServer()
+
+    async def handle(request: StandinRequest) -> StandinResponse:
+        if request.method == "POST":
+            document = json.loads(request.body)
+            document |= {"id": "other-id", "publisher": "other"}
+            context.log.streams["configuration"].append(
+                json.dumps(document).encode()
+            )
+        return await context.log.handle(request)
+
+    context.handler = handle
+
+
+@when("an operator publishes a text")
+def step_publish(context: Context) -> None:
+    async def run() -> PublishResult | LogUnavailableError:
+        async with trio.open_nursery() as nursery:
+            fabric = MemoryFabric()
+            if context.handler is not None:
+                fabric = await start_log(nursery, context.handler)
+            publisher = make_publisher(fabric, "operator")
+            try:
+                await publisher.read()
+                return await publisher.publish(make_text(1), 0, "me")
+            except LogUnavailableError as exc:
+                return exc
+            finally:
+                nursery.cancel_scope.cancel()
+
+    context.result = trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then('the publication is "{outcome}"')
+def step_outcome(context: Context, outcome: str) -> None:
+    assert context.result.outcome.value == outcome, context.result
+
+
+@then('the publication loses to that of "{publisher}"')
+def step_lost(context: Context, publisher: str) -> None:
+    step_outcome(context, "lost")
+    winner = context.result.winner
+    assert (winner.publisher, winner.id) == (publisher, "other-id")
+    assert (winner.version, winner.offset) == (1, 0)
+
+
+@then("the text is in force as version {version:d}")
+def step_version(context: Context, version: int) -> None:
+    history = replay(context.log)
+    assert history.version == version
+    assert history.accepted.text == make_text(1)
+
+
+@then("nothing was published because the log does not answer")
+def step_nothing(context: Context) -> None:
+    assert isinstance(context.result, LogUnavailableError)
+    assert not context.log.streams["configuration"].records
+
+
+@then("publishers that race over a faulty log report what replay shows")
+def step_race(context: Context) -> None:
+    faults = st.lists(
+        st.sampled_from(["", "", "", "drop", "lose", "slow", "outage"]),
+        max_size=12,
+    )
+
+    @settings(max_examples=120)
+    @for_any(faults, st.integers(2, 4))
+    def check(plan: list[str], count: int) -> None:
+        log = LogServer()
+        results = trio.run(
+            race, log, plan, count, clock=MockClock(autojump_threshold=0)
+        )
+        history = replay(log)
+        accepted = [
+            result
+            for result in results
+            if result and result.outcome is PublishOutcome.ACCEPTED
+        ]
+        assert history.version <= 1
+        assert len(accepted) <= 1
+        for result in results:
+            if result is None:
+                continue
+            wins = bool(history.origin and history.origin.id == result.id)
+            if result.outcome is PublishOutcome.ACCEPTED:
+                assert wins
+            elif result.outcome is PublishOutcome.LOST:
+                assert not wins
+        if not plan:
+            assert len(accepted) == 1
+
+    check()
+
+
+async def race(
+    log: LogServer, plan: list[str], count: int
+) -> list[PublishResult | None]:
+    """Returns each publisher's result, or None if nothing was appended."""
+    steps = iter(plan)
+    results: list[PublishResult | None] = []
+
+    async def handle(request: StandinRequest) -> StandinResponse:
+        fault = next(steps, "")
+        if fault == "drop":
+            return StandinResponse(0, b"")
+        if fault == "outage":
+            return StandinResponse(503, b"{}")
+        response = await log.handle(request)
+        if fault == "slow":
+            await trio.sleep(5)
+        return StandinResponse(0, b"") if fault == "lose" else response
+
+    async def publish(fabric: MemoryFabric, number: int) -> None:
+        publisher = make_publisher(fabric, f"operator-{number}")
+        result = None
+        try:
+            await publisher.read()
+            if not publisher.history.version:
+                result = await publisher.publish(make_text(number), 0, "me")
+        except LogUnavailableError:
+            result = None
+        results.append(result)
+
+    async with trio.open_nursery() as nursery:
+        fabric = await start_log(nursery, handle)
+        async with trio.open_nursery() as publishers:
+            for number in range(count):
+                publishers.start_soon(publish, fabric, number)
+        nursery.cancel_scope.cancel()
+    return results
--- a/src/rhubarbpaddle/cli/app.py
+++ b/src/rhubarbpaddle/cli/app.py
@@ -1,22 +1,30 @@
 """The commands for operators."""
 
 import sys
+from datetime import timedelta
 from pathlib import Path
+from typing import Annotated
 
-import cyclopts
+from cyclopts import App, Parameter
 
 from rhubarbpaddle import __version__
+from rhubarbpaddle.cli.client_settings import ClientSettings
 from rhubarbpaddle.cli.exit_code import ExitCode
-from rhubarbpaddle.cli.publish import publish_text
-from rhubarbpaddle.configuration import parse_configuration
-from rhubarbpaddle.exceptions import ConfigurationError
+from rhubarbpaddle.cli.publish import PublishOptions, publish_text
+from rhubarbpaddle.cli.status import show_status
+from rhubarbpaddle.cli.text_file import load_text_file
 
-app = cyclopts.App(name="rhubarbpaddle", version=__version__)
+app = App(
+    name="rhubarbpaddle",
+    version=__version__,
+    help="Load balancer without a front tier.",
+)
+app.register_install_completion_command()
 
 
 @app.command
 def node(settings: Path) -> None:
-    """Run the daemon with these settings."""
+    """Run a node with these settings."""
     from rhubarbpaddle.cli.node import run_node
 
     sys.exit(run_node(str(settings)))
@@ -24,17 +32,80 @@
 
 @app.command
 def check(text: Path) -> None:
-    """Check an operators' text and say what is wrong with it."""
-    try:
-        parse_configuration(text.read_text())
-    except ConfigurationError as exc:
-        for problem in exc.problems:
-            print(f"{text}: {problem}", file=sys.stderr)
-        sys.exit(ExitCode.INVALID_TEXT)
+    """Check an operators' text and say what is wrong with it.
+
+    Exit codes: 0 valid, 3 invalid.
+    """
+    load_text_file(text)
     print(f"{text}: valid")
 
 
 @app.command
-def publish(text: Path, *, log: str) -> None:
-    """Publish an operators' text on the platform's log."""
-    sys.exit(publish_text(text, log))
+def publish(
+    text: Path,
+    *,
+    log: str | None = None,
+    node: str | None = None,
+    base: int | None = None,
+    yes: Annotated[bool, Parameter(negative="")] = False,
+    wait: float | None = None,
+    patience: float = 20.0,
+    settings: Path | None = None,
+) -> None:
+    """Show what an operators' text changes, ask, and publish it.
+
+    Exit codes: 0 accepted or in force already, 1 failed or not confirmed,
+    2 wrong usage, 3 invalid text, 4 another publication was first, 5 the log
+    does not answer and nothing was published, 6 not known, 7 some node does
+    not run it after --wait.
+
+    Args:
+        text: The file with the operators' text.
+        log: IP:PORT of the platform's log.
+        node: IP:PORT of the admin address of any node, for --wait.
+        base: Publish only if this version is in force.
+        yes: Publish without a question.
+        wait: Wait so many seconds until all nodes that answer run it.
+        patience: Try so many seconds while the log does not answer.
+        settings: A file with log_address and node_address.
+    """
+    client = ClientSettings.from_file(settings).override(log, node)
+    _require(client.log_address, "--log", "log_address")
+    if wait is not None:
+        _require(client.node_address, "--node", "node_address")
+    options = PublishOptions(base, yes, wait, timedelta(seconds=patience))
+    sys.exit(publish_text(text, client, options))
+
+
+@app.command
+def status(
+    *,
+    node: str | None = None,
+    log: str | None = None,
+    json: Annotated[bool, Parameter(negative="")] = False,
+    settings: Path | None = None,
+) -> None:
+    """Show what each node runs and what its upstream does.
+
+    Exit codes: 0 all nodes run the newest text, 1 the node does not answer,
+    7 a node runs another text or was not reached.
+
+    Args:
+        node: IP:PORT of the admin address of any node.
+        log: IP:PORT of the platform's log, to compare with it as well.
+        json: Print JSON.
+        settings: A file with log_address and node_address.
+    """
+    client = ClientSettings.from_file(settings).override(log, node)
+    _require(client.node_address, "--node", "node_address")
+    sys.exit(show_status(client, as_json=json))
+
+
+def _require(address: str, option: str, key: str) -> None:
+    if not address:
+        print(
+            f'rhubarbpaddle: give {option} IP:PORT, or "{key}" in a client '
+            "settings file (--settings FILE)",
+            file=sys.stderr,
+        )
+        sys.exit(ExitCode.USAGE)
--- /dev/null
+++ b/src/rhubarbpaddle/cli/client_settings.py
@@ -0,0 +1,83 @@
+"""What an operator's commands have to know."""
+
+import os
+from pathlib import Path
+from typing import NamedTuple, Self
+
+from rhubarbpaddle.configuration.findings import Findings
+from rhubarbpaddle.configuration.section import Section
+from rhubarbpaddle.configuration.text_scanner import TextScanner
+from rhubarbpaddle.exceptions import SettingsError
+from rhubarbpaddle.node.settings import check_address
+
+_STEP = "load_client_settings"
+ENVIRONMENT_VARIABLE = "RHUBARBPADDLE_CLIENT"
+DEFAULT_PATH = Path("~/.config/rhubarbpaddle/client.json")
+
+
+class ClientSettings(NamedTuple):
+    """Where the operators' commands find the system.
+
+    Attributes:
+        log_address: `IP:PORT` of the platform's log, or the empty string.
+        node_address: `IP:PORT` of the admin address of any node, or the empty
+            string.
+    """
+
+    log_address: str = ""
+    node_address: str = ""
+
+    @classmethod
+    def from_config(cls, text: str, name: str = "settings") -> Self:
+        """Makes settings from a text of JSON with comments.
+
+        Raises:
+            SettingsError: A key is unknown or has a wrong value.
+        """
+        findings = Findings(text)
+        value = TextScanner(text, findings).scan()
+        settings = cls()
+        if value is not None:
+            section = Section(value, "the settings", findings)
+            settings = cls(
+                section.read_string("log_address", "", check_address),
+                section.read_string("node_address", "", check_address),
+            )
+            section.finish()
+        if findings.problems:
+            detail = "; ".join(findings.list_problems())
+            raise SettingsError(detail, step=_STEP, peer=name)
+        return settings
+
+    @classmethod
+    def from_file(cls, path: Path | None) -> Self:
+        """Loads the file, or that of the environment, or the default one.
+
+        Raises:
+            SettingsError: The file can't be read or is invalid.
+        """
+        named = path or os.environ.get(ENVIRONMENT_VARIABLE)
+        chosen = Path(named or DEFAULT_PATH).expanduser()
+        if named is None and not chosen.exists():
+            return cls()
+        try:
+            text = chosen.read_text(encoding="utf-8")
+        except (OSError, ValueError) as exc:
+            raise SettingsError(str(exc), step=_STEP, peer=str(chosen)) from exc
+        return cls.from_config(text, str(chosen))
+
+    def override(self, log: str | None, node: str | None) -> Self:
+        """Returns these settings with the options of a command.
+
+        Raises:
+            SettingsError: An address is not `IP:PORT`.
+        """
+        for option, address in (("--log", log), ("--node", node)):
+            if address and (remedy := check_address(address)):
+                raise SettingsError(
+                    f"{option} {address}: {remedy}", step=_STEP, peer=option
+                )
+        return self._replace(
+            log_address=log or self.log_address,
+            node_address=node or self.node_address,
+        )
--- /dev/null
+++ b/src/rhubarbpaddle/cli/configuration_difference.py
@@ -0,0 +1,94 @@
+"""What a new operators' text changes."""
+
+import difflib
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple, Self
+
+from rhubarbpaddle.configuration import (
+    AcceptedConfiguration,
+    Configuration,
+    Service,
+)
+
+_EMPTY = Configuration({}, {}, {})
+
+
+class ConfigurationDifference(NamedTuple):
+    """The difference between the text in force and a new one.
+
+    Attributes:
+        lines: A unified diff of the texts.
+        summary: A line for each change of meaning, the gravest first.
+    """
+
+    lines: tuple[str, ...]
+    summary: tuple[str, ...]
+
+    @classmethod
+    def between(
+        cls,
+        accepted: AcceptedConfiguration | None,
+        text: str,
+        configuration: Configuration,
+    ) -> Self:
+        """Compares a new text with the one in force, if there is one."""
+        lines = difflib.unified_diff(
+            accepted.text.splitlines() if accepted else [],
+            text.splitlines(),
+            f"version {accepted.version if accepted else 0}",
+            "new",
+            lineterm="",
+        )
+        before = accepted.configuration if accepted else _EMPTY
+        summary = (
+            *_compare_zones(before, configuration),
+            *_compare("service", before.services, configuration.services),
+            *_compare("tenant", before.tenants, configuration.tenants),
+        )
+        return cls(tuple(lines), summary or ("changes no meaning",))
+
+
+def _compare_zones(
+    before: Configuration, after: Configuration
+) -> Iterator[str]:
+    old, new = before.availability_zones, after.availability_zones
+    for name in sorted({*old, *new}):
+        zone = f"availability zone {name}"
+        was, will = before.is_in_service(name), after.is_in_service(name)
+        if name not in new:
+            yield f"removes {zone}; its nodes get no new work"
+        elif name not in old:
+            yield f"adds {zone}{'' if will else ', out of service'}"
+        elif was and not will:
+            yield f"takes {zone} out of service"
+        elif will and not was:
+            yield f"puts {zone} back into service"
+        if name in old and name in new and old[name].region != new[name].region:
+            yield f"moves {zone} to region {new[name].region}"
+
+
+def _compare(
+    noun: str, old: Mapping[str, Any], new: Mapping[str, Any]
+) -> Iterator[str]:
+    for name in sorted(old.keys() - new.keys()):
+        yield f"removes {noun} {name}"
+    for name in sorted(new.keys() - old.keys()):
+        yield f"adds {noun} {name}"
+    for name in sorted(old.keys() & new.keys()):
+        for field, was in old[name]._asdict().items():
+            will = getattr(new[name], field)
+            if was != will:
+                yield (
+                    f"changes {field} of {noun} {name} "
+                    f"from {_show(was)} to {_show(will)}"
+                )
+        if isinstance(new[name], Service) and (
+            old[name].key_required and not new[name].key_required
+        ):
+            yield f"lets requests of {name} without a key run twice"
+
+
+def _show(value: object) -> str:
+    if isinstance(value, frozenset | tuple):
+        return ", ".join(sorted(map(str, value))) or "(none)"
+    return str(value)
--- /dev/null
+++ b/src/rhubarbpaddle/cli/fleet_client.py
@@ -0,0 +1,83 @@
+"""Asks nodes for their status."""
+
+import json
+
+import h11
+import trio
+
+from rhubarbpaddle.cli.fleet_report import FleetReport
+from rhubarbpaddle.cli.node_report import NodeReport
+from rhubarbpaddle.exceptions import ProtocolError, RhubarbpaddleError
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.network import Network
+
+_NODE_SECONDS = 2.0
+_PARALLEL = 64
+
+
+class FleetClient:
+    """Asks one node for the members, then all of them in parallel."""
+
+    def __init__(self, network: Network) -> None:
+        self._network = network
+
+    async def ask_all(self, address: str) -> FleetReport:
+        """Asks all members that a node knows.
+
+        Args:
+            address: The admin address of any node.
+
+        Returns:
+            What they answered. 64 nodes are asked at a time and each gets 2 s,
+            so 800 nodes that are all silent take 26 s.
+
+        Raises:
+            RhubarbpaddleError: The node did not answer.
+        """
+        first = await self._ask(address)
+        reports: dict[str, NodeReport] = {}
+        unreached: dict[str, str] = {}
+        limiter = trio.CapacityLimiter(_PARALLEL)
+
+        async def ask(name: str, member_address: str) -> None:
+            async with limiter:
+                try:
+                    reports[name] = await self._ask(member_address)
+                except RhubarbpaddleError as exc:
+                    unreached[name] = f"{member_address}: {exc.detail}"
+
+        async with trio.open_nursery() as nursery:
+            for name, member_address in first.members.items():
+                nursery.start_soon(ask, name, member_address)
+        return FleetReport(reports, unreached)
+
+    async def _ask(self, address: str) -> NodeReport:
+        with trio.move_on_after(_NODE_SECONDS):
+            try:
+                return await self._get_status(address)
+            except (OSError, ValueError, TypeError) as exc:
+                raise ProtocolError(
+                    str(exc) or type(exc).__name__, step="status", peer=address
+                ) from exc
+        raise ProtocolError(
+            f"no answer within {_NODE_SECONDS:g} s", step="status", peer=address
+        )
+
+    async def _get_status(self, address: str) -> NodeReport:
+        stream = await self._network.connect(address)
+        conn = ClientConnection(stream, address)
+        try:
+            head = h11.Request(
+                method="GET", target="/status", headers=[("host", address)]
+            )
+            await conn.send_request(head, BytesBody(b""))
+            response, body = await conn.receive_response()
+            content = bytearray()
+            while part := await body.receive():
+                content += part
+        finally:
+            await conn.aclose()
+        if response.status_code != 200:
+            raise ValueError(f"the node answered {response.status_code}")
+        return NodeReport.from_config(dict(json.loads(bytes(content))))
--- /dev/null
+++ b/src/rhubarbpaddle/cli/fleet_report.py
@@ -0,0 +1,59 @@
+"""What all nodes answered to `status`."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from rhubarbpaddle.cli.node_report import NodeReport
+
+_TITLES = [
+    "NODE", "ZONE", "SERVICE", "VERSION", "DIGEST", "AGE", "UPSTREAM", "STATE",
+    "RUNNING/LIMIT", "QUEUED", "REMARKS",
+]  # fmt: skip
+
+
+class FleetReport(NamedTuple):
+    """The nodes that answered and those that did not.
+
+    Attributes:
+        reports: The answers by node id.
+        unreached: Why a node gave no answer, by node id.
+    """
+
+    reports: Mapping[str, NodeReport]
+    unreached: Mapping[str, str]
+
+    def find_newest(self) -> tuple[int, str]:
+        """Returns the highest version that a node runs, and its digest."""
+        return max(
+            ((r.version, r.digest) for r in self.reports.values()),
+            default=(0, ""),
+        )
+
+    def list_older(self, version: int) -> list[str]:
+        """Returns the nodes that run an older version than this."""
+        return sorted(
+            name
+            for name, report in self.reports.items()
+            if report.version < version
+        )
+
+    def list_behind(self, version: int, digest: str) -> list[str]:
+        """Returns the nodes that run another text than this newest one."""
+        return sorted(
+            name
+            for name, report in self.reports.items()
+            if (report.version, report.digest) != (version, digest)
+        )
+
+    def format_table(self) -> list[str]:
+        """Returns a line for each node that answered, under a title."""
+        rows = [_TITLES]
+        rows += [r.list_cells() for _, r in sorted(self.reports.items())]
+        widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+        return [
+            "  ".join(
+                cell.ljust(width)
+                for cell, width in zip(row, widths, strict=True)
+            ).rstrip()
+            for row in rows
+        ]
--- a/src/rhubarbpaddle/cli/main.py
+++ b/src/rhubarbpaddle/cli/main.py
@@ -10,16 +10,23 @@
 def main(argv: Sequence[str] | None = None) -> None:
     """Runs a command and exits with its code."""
     tokens = list(sys.argv[1:] if argv is None else argv)
-    # The daemon does without the command line's libraries, which would cost
-    # a third of its memory.
+    # A node does without the command line's libraries, which would cost a
+    # third of its memory.
     if len(tokens) == 2 and tokens[0] == "node" and tokens[1][:1] != "-":
         from rhubarbpaddle.cli.node import run_node
 
-        try:
-            sys.exit(run_node(tokens[1]))
-        except SettingsError as exc:
-            print(f"rhubarbpaddle: {exc}", file=sys.stderr)
-            sys.exit(ExitCode.INVALID_SETTINGS)
+        sys.exit(run_node(tokens[1]))
+    from cyclopts import CycloptsError
+
     from rhubarbpaddle.cli.app import app
 
-    app(tokens)
+    try:
+        app(tokens, exit_on_error=False)
+    except CycloptsError:
+        sys.exit(ExitCode.USAGE)
+    except SettingsError as exc:
+        print(f"rhubarbpaddle: {exc.peer}: {exc.detail}", file=sys.stderr)
+        sys.exit(ExitCode.INVALID_SETTINGS)
+    except KeyboardInterrupt:
+        print("rhubarbpaddle: interrupted", file=sys.stderr)
+        sys.exit(ExitCode.FAILURE)
--- a/src/rhubarbpaddle/cli/publish.py
+++ b/src/rhubarbpaddle/cli/publish.py
@@ -1,60 +1,209 @@
 """The `publish` command."""
 
 import getpass
-import json
-import uuid
+import os
+import random
+import socket
+import sys
 from datetime import timedelta
 from pathlib import Path
+from typing import NamedTuple
 
 import trio
 
+from rhubarbpaddle.cli.client_settings import ClientSettings
+from rhubarbpaddle.cli.configuration_difference import ConfigurationDifference
 from rhubarbpaddle.cli.exit_code import ExitCode
-from rhubarbpaddle.configuration import (
-    ConfigurationHistory,
-    Publication,
-    parse_configuration,
-)
+from rhubarbpaddle.cli.fleet_client import FleetClient
+from rhubarbpaddle.cli.fleet_report import FleetReport
+from rhubarbpaddle.cli.publish_result import PublishOutcome, PublishResult
+from rhubarbpaddle.cli.publisher import Publisher
+from rhubarbpaddle.cli.text_file import TextFile, load_text_file
+from rhubarbpaddle.clock import SystemClock
+from rhubarbpaddle.configuration import AcceptedPublication
+from rhubarbpaddle.exceptions import LogUnavailableError, RhubarbpaddleError
 from rhubarbpaddle.network import TcpNetwork
-from rhubarbpaddle.platform import HttpLogClient, LogClient
+from rhubarbpaddle.platform import HttpLogClient
 
-_STREAM = "configuration"
-_BATCH_RECORDS = 100
+_POLL_SECONDS = 0.25
 
 
-def publish_text(path: Path, log_address: str) -> ExitCode:
+class PublishOptions(NamedTuple):
+    """The options of the command.
+
+    Attributes:
+        base: The version that must be in force, or None for the present one.
+        yes: Whether to publish without a question.
+        wait_seconds: How long to wait until the nodes run it, or None.
+        patience: How long to try while the log does not answer.
+    """
+
+    base: int | None
+    yes: bool
+    wait_seconds: float | None
+    patience: timedelta
+
+
+def publish_text(
+    path: Path, settings: ClientSettings, options: PublishOptions
+) -> ExitCode:
     """Publishes a text and says whether it was accepted."""
-    text = path.read_text()
-    parse_configuration(text)
-    return trio.run(_publish, text, log_address)
-
-
-async def _publish(text: str, log_address: str) -> ExitCode:
-    log = HttpLogClient(TcpNetwork(), log_address)
-    history = ConfigurationHistory()
-    await _replay(log, history)
-    publication = Publication(
-        kind="publication",
-        id=uuid.uuid4().hex,
-        base=history.accepted.version if history.accepted else 0,
-        text=text,
-        publisher=getpass.getuser(),
+    file = load_text_file(path)
+    log = HttpLogClient(TcpNetwork(), settings.log_address)
+    publisher = Publisher(log, SystemClock(), random.Random(), options.patience)
+    try:
+        trio.run(publisher.read)
+        stop = _prepare(path, file, publisher, options)
+        if stop is ExitCode.SUCCESS:
+            return _wait(settings, options, publisher.history.version)
+        if stop is not None:
+            return stop
+        base = publisher.history.version
+        result = trio.run(publisher.publish, file.text, base, _get_publisher())
+    except LogUnavailableError as exc:
+        print(
+            f"The log at {settings.log_address} does not answer "
+            f"({exc.detail}). Nothing was published. Try again later.",
+            file=sys.stderr,
+        )
+        return ExitCode.LOG_UNREACHABLE
+    code = _report(path, result)
+    if code is ExitCode.SUCCESS:
+        return _wait(settings, options, base + 1)
+    return code
+
+
+def _wait(
+    settings: ClientSettings, options: PublishOptions, version: int
+) -> ExitCode:
+    if options.wait_seconds is None:
+        return ExitCode.SUCCESS
+    return trio.run(
+        _wait_for_nodes, settings.node_address, version, options.wait_seconds
     )
-    offset = await log.append(_STREAM, json.dumps(publication).encode())
-    await _replay(log, history)
+
+
+def _prepare(
+    path: Path, file: TextFile, publisher: Publisher, options: PublishOptions
+) -> ExitCode | None:
+    """Shows the difference and asks; returns a code if there is no more."""
+    history = publisher.history
     accepted = history.accepted
-    if accepted is None or accepted.as_of != offset:
-        print("another publication was accepted first")
+    if history.gap:
+        print(
+            "The log no longer holds what is in force, and holds no "
+            "checkpoint of it. Nothing was published. Nodes that are up "
+            "write a checkpoint; try again in a minute.",
+            file=sys.stderr,
+        )
+        return ExitCode.FAILURE
+    if options.base is not None and options.base != history.version:
+        print(
+            f"Version {history.version} is in force"
+            f"{_describe(history.origin)}, not {options.base}. Nothing was "
+            "published. Look at the difference, then publish on that base.",
+            file=sys.stderr,
+        )
         return ExitCode.LOST_RACE
-    print(f"accepted as version {accepted.version} at offset {offset}")
-    return ExitCode.SUCCESS
+    if accepted is not None and accepted.text == file.text:
+        print(
+            f"{path} is in force already as version {accepted.version}"
+            f"{_describe(history.origin)}. Nothing was published."
+        )
+        return ExitCode.SUCCESS
+    difference = ConfigurationDifference.between(
+        accepted, file.text, file.checked.configuration
+    )
+    print("\n".join(difference.lines))
+    print(f"\nThis publication, on version {history.version},")
+    print("\n".join(f"- {line}" for line in difference.summary))
+    if options.yes:
+        return None
+    if not sys.stdin.isatty():
+        print(
+            "Nothing was published: there is no terminal to ask on. Use --yes "
+            "to publish without a question.",
+            file=sys.stderr,
+        )
+        return ExitCode.USAGE
+    if input("Publish? [y/N] ").strip().lower() not in ("y", "yes"):
+        print("Nothing was published.")
+        return ExitCode.FAILURE
+    return None
+
+
+def _report(path: Path, result: PublishResult) -> ExitCode:
+    winner = result.winner
+    if result.outcome is PublishOutcome.ACCEPTED:
+        assert winner is not None
+        print(
+            f"accepted as version {winner.version} at offset {winner.offset} "
+            f"(id {winner.id})"
+        )
+        return ExitCode.SUCCESS
+    if result.outcome is PublishOutcome.LOST:
+        version = f" as version {winner.version}" if winner else ""
+        print(
+            f"Another publication was accepted first{version}"
+            f"{_describe(winner)}. Yours (id {result.id}) has no effect. "
+            "Look at the difference and publish again.",
+            file=sys.stderr,
+        )
+        return ExitCode.LOST_RACE
+    print(
+        f"The log stopped answering; whether publication {result.id} was "
+        f"accepted is not known. Run the same command again: it says so if "
+        f"{path} is in force, and publishes it only if it is not.",
+        file=sys.stderr,
+    )
+    return ExitCode.PUBLICATION_UNKNOWN
 
 
-async def _replay(log: LogClient, history: ConfigurationHistory) -> None:
-    while True:
-        batch = await log.read(
-            _STREAM, history.next_offset, _BATCH_RECORDS, timedelta()
+async def _wait_for_nodes(
+    address: str, version: int, seconds: float
+) -> ExitCode:
+    client = FleetClient(TcpNetwork())
+    started = trio.current_time()
+    fleet: FleetReport | None = None
+    reason = "no answer in time"
+    with trio.move_on_after(seconds):
+        while True:
+            try:
+                fleet = await client.ask_all(address)
+            except RhubarbpaddleError as exc:
+                reason = exc.detail
+            if fleet and not fleet.list_older(version):
+                break
+            await trio.sleep(_POLL_SECONDS)
+    if fleet is None:
+        print(f"node {address} does not answer: {reason}", file=sys.stderr)
+        return ExitCode.NOT_IN_FORCE
+    for name, why in sorted(fleet.unreached.items()):
+        print(f"NOT REACHED: {name} at {why}", file=sys.stderr)
+    behind = fleet.list_older(version)
+    elapsed = trio.current_time() - started
+    current = len(fleet.reports) - len(behind)
+    print(f"{current} nodes run version {version} after {elapsed:.1f} s")
+    for name in behind:
+        print(
+            f"BEHIND: {name} runs version {fleet.reports[name].version}",
+            file=sys.stderr,
         )
-        for record in batch.records:
-            history.apply(record.offset, json.loads(record.payload))
-        if history.next_offset >= batch.end_offset:
-            return
+    return ExitCode.NOT_IN_FORCE if behind else ExitCode.SUCCESS
+
+
+def _describe(publication: AcceptedPublication | None) -> str:
+    if publication is None:
+        return ""
+    return (
+        f" (by {publication.publisher}, id {publication.id}, "
+        f"offset {publication.offset})"
+    )
+
+
+def _get_publisher() -> str:
+    try:
+        user = getpass.getuser()
+    except (KeyError, OSError):
+        user = str(os.getuid())
+    return f"{user}@{socket.gethostname()}"
--- /dev/null
+++ b/src/rhubarbpaddle/cli/publisher.py
@@ -0,0 +1,131 @@
+"""Publishes on the platform's log and learns what became of it."""
+
+import json
+import random
+import uuid
+from datetime import timedelta
+
+from rhubarbpaddle.cli.publish_result import PublishOutcome, PublishResult
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration import (
+    AcceptedPublication,
+    ConfigurationHistory,
+    Publication,
+)
+from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
+from rhubarbpaddle.node.backoff import Backoff
+from rhubarbpaddle.node.configuration_reader import STREAM, ConfigurationReader
+from rhubarbpaddle.platform import LogClient
+
+
+class Publisher:
+    """Compares and publishes; retries within its patience.
+
+    Attributes:
+        history: What the log has accepted, as far as it was read.
+    """
+
+    def __init__(
+        self,
+        log: LogClient,
+        clock: Clock,
+        rng: random.Random,
+        patience: timedelta,
+    ) -> None:
+        self.history = ConfigurationHistory()
+        self._log = log
+        self._clock = clock
+        self._rng = rng
+        self._patience = patience.total_seconds()
+        self._accepted: dict[int, AcceptedPublication] = {}
+        self._reader = ConfigurationReader(log, self.history, self._note)
+
+    async def read(self) -> None:
+        """Reads what is in force into the history.
+
+        Raises:
+            LogUnavailableError: The log did not answer in time.
+        """
+        backoff = Backoff(self._rng)
+        deadline = self._clock.monotonic() + self._patience
+        while True:
+            try:
+                if not self.history.version:
+                    await self._reader.find_start()
+                await self._reader.catch_up()
+                return
+            except LogUnavailableError:
+                if self._clock.monotonic() >= deadline:
+                    raise
+            await self._clock.sleep(backoff.next_delay())
+
+    async def publish(
+        self, text: str, base: int, publisher: str
+    ) -> PublishResult:
+        """Publishes a text on a base that was read before.
+
+        An append without an answer is repeated with the same id and base only
+        after the log was read to its end without finding it. Should both take
+        effect, the base of the second one is out of date.
+
+        Raises:
+            LogUnavailableError: Nothing was appended.
+        """
+        publication = Publication(
+            kind="publication",
+            id=uuid.uuid4().hex,
+            base=base,
+            text=text,
+            publisher=publisher,
+        )
+        payload = json.dumps(publication).encode()
+        backoff = Backoff(self._rng)
+        deadline = self._clock.monotonic() + self._patience
+        may_be_appended = False
+        offset: int | None = None
+        while True:
+            try:
+                if offset is None and self.history.version == base:
+                    offset = await self._log.append(STREAM, payload)
+                    may_be_appended = True
+                await self._reader.catch_up()
+            except AppendUnknownError:
+                may_be_appended = True
+                await self._try_catch_up()
+            except LogUnavailableError:
+                if self._clock.monotonic() >= deadline and not may_be_appended:
+                    raise
+            if self.history.version != base:
+                return self._decide(publication)
+            if offset is not None and self.history.next_offset > offset:
+                return PublishResult(
+                    PublishOutcome.LOST, publication["id"], None
+                )
+            if self._clock.monotonic() >= deadline:
+                return PublishResult(
+                    PublishOutcome.UNKNOWN, publication["id"], None
+                )
+            await self._clock.sleep(backoff.next_delay())
+
+    async def _try_catch_up(self) -> None:
+        try:
+            await self._reader.catch_up()
+        except LogUnavailableError:
+            # The loop asks again until its deadline.
+            return
+
+    def _decide(self, publication: Publication) -> PublishResult:
+        winner = self._accepted.get(publication["base"] + 1)
+        if winner is None:
+            # A checkpoint was read instead of the publications themselves.
+            outcome = PublishOutcome.UNKNOWN
+        elif winner.id == publication["id"]:
+            outcome = PublishOutcome.ACCEPTED
+        else:
+            outcome = PublishOutcome.LOST
+        return PublishResult(outcome, publication["id"], winner)
+
+    def _note(self) -> None:
+        origin = self.history.origin
+        if origin is not None:
+            self._accepted[origin.version] = origin
--- /dev/null
+++ b/src/rhubarbpaddle/cli/status.py
@@ -0,0 +1,92 @@
+"""The `status` command."""
+
+import json
+import random
+import sys
+from datetime import timedelta
+
+import trio
+
+from rhubarbpaddle.cli.client_settings import ClientSettings
+from rhubarbpaddle.cli.exit_code import ExitCode
+from rhubarbpaddle.cli.fleet_client import FleetClient
+from rhubarbpaddle.cli.fleet_report import FleetReport
+from rhubarbpaddle.cli.publisher import Publisher
+from rhubarbpaddle.clock import SystemClock
+from rhubarbpaddle.exceptions import LogUnavailableError, RhubarbpaddleError
+from rhubarbpaddle.network import TcpNetwork
+from rhubarbpaddle.platform import HttpLogClient
+
+_LOG_PATIENCE = timedelta(seconds=3)
+
+
+def show_status(settings: ClientSettings, *, as_json: bool) -> ExitCode:
+    """Prints what all nodes run and returns 7 if one is behind or silent."""
+    network = TcpNetwork()
+    client = FleetClient(network)
+    try:
+        fleet = trio.run(client.ask_all, settings.node_address)
+    except RhubarbpaddleError as exc:
+        print(
+            f"node {settings.node_address} does not answer: {exc.detail}; "
+            "try --node with another node's admin address",
+            file=sys.stderr,
+        )
+        return ExitCode.FAILURE
+    newest = fleet.find_newest()
+    if settings.log_address:
+        log = HttpLogClient(network, settings.log_address)
+        newest = max(newest, _read_log(log))
+    version, digest = newest
+    behind = fleet.list_behind(version, digest)
+    if as_json:
+        _print_json(fleet, version, digest, behind)
+    else:
+        _print_table(fleet, version, digest, behind)
+    if behind or fleet.unreached or not version:
+        return ExitCode.NOT_IN_FORCE
+    return ExitCode.SUCCESS
+
+
+def _read_log(log: HttpLogClient) -> tuple[int, str]:
+    publisher = Publisher(log, SystemClock(), random.Random(), _LOG_PATIENCE)
+    try:
+        trio.run(publisher.read)
+    except LogUnavailableError as exc:
+        print(
+            f"the log does not answer ({exc.detail}); the nodes are compared "
+            "with each other only",
+            file=sys.stderr,
+        )
+    accepted = publisher.history.accepted
+    return (accepted.version, accepted.digest) if accepted else (0, "")
+
+
+def _print_json(
+    fleet: FleetReport, version: int, digest: str, behind: list[str]
+) -> None:
+    document = {
+        "version": version,
+        "digest": digest,
+        "behind": behind,
+        "unreached": dict(fleet.unreached),
+        "nodes": {k: v.document for k, v in sorted(fleet.reports.items())},
+    }
+    print(json.dumps(document, indent=2))
+
+
+def _print_table(
+    fleet: FleetReport, version: int, digest: str, behind: list[str]
+) -> None:
+    print("\n".join(fleet.format_table()))
+    print()
+    if not version:
+        print("No configuration is in force. Publish one.")
+        return
+    total = len(fleet.reports) + len(fleet.unreached)
+    current = len(fleet.reports) - len(behind)
+    print(f"{current} of {total} nodes run version {version} ({digest[:8]}).")
+    for name in behind:
+        print(f"BEHIND: {name} runs version {fleet.reports[name].version}")
+    for name, reason in sorted(fleet.unreached.items()):
+        print(f"NOT REACHED: {name} at {reason}")
--- /dev/null
+++ b/src/rhubarbpaddle/cli/text_file.py
@@ -0,0 +1,39 @@
+"""Reads and checks the operators' text from a file."""
+
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+from rhubarbpaddle.cli.exit_code import ExitCode
+from rhubarbpaddle.configuration import CheckedText, check_text
+from rhubarbpaddle.exceptions import ConfigurationError
+
+
+class TextFile(NamedTuple):
+    """A valid operators' text from a file."""
+
+    text: str
+    checked: CheckedText
+
+
+def load_text_file(path: Path) -> TextFile:
+    """Reads a text, prints its warnings, or exits with its problems."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as exc:
+        print(f"{path}: {exc.strerror}", file=sys.stderr)
+        sys.exit(ExitCode.FAILURE)
+    except ValueError as exc:
+        print(f"{path}: not UTF-8 text: {exc}", file=sys.stderr)
+        sys.exit(ExitCode.INVALID_TEXT)
+    try:
+        checked = check_text(text)
+    except ConfigurationError as exc:
+        for problem in exc.problems:
+            print(f"{path}: {problem}", file=sys.stderr)
+        count = len(exc.problems)
+        print(f"{path}: invalid, {count} problem(s)", file=sys.stderr)
+        sys.exit(ExitCode.INVALID_TEXT)
+    for warning in checked.warnings:
+        print(f"{path}: warning: {warning}", file=sys.stderr)
+    return TextFile(text, checked)
--- a/src/rhubarbpaddle/configuration/section.py
+++ b/src/rhubarbpaddle/configuration/section.py
@@ -65,14 +65,14 @@
             yield name, Section(member.value, title, self.findings)
 
     def require(self, *names: str) -> None:
-        """Reports keys that are missing."""
-        for name in names:
-            if name not in self._members:
-                self.findings.add_problem(
-                    self.offset,
-                    f'{self.title} has no "{name}"',
-                    f'add the key "{name}"',
-                )
+        """Reports all keys that are missing as one problem."""
+        missing = [f'"{n}"' for n in names if n not in self._members]
+        if missing:
+            self.findings.add_problem(
+                self.offset,
+                f"missing in {self.title}: {', '.join(missing)}",
+                "add what is missing",
+            )
 
     def read_bool(self, name: str, default: bool) -> bool:
         """Reads `true` or `false`."""
