--- a/features/configuration_history.feature
+++ b/features/configuration_history.feature
@@ -28,6 +28,19 @@
     Then the reader is unverified at version 110
     And the reader has version 120 without a gap after it read to the end
 
+  Scenario: A wrong checkpoint with a lower version reverts nothing
+    Given a log with 120 publications and a checkpoint after 100 of them
+    When a reader follows the log up to offset 20
+    And the first 110 records expire
+    And a checkpoint of version 5 as of offset 115 is appended
+    Then the reader keeps version 20 and reports a gap after it read to the end
+
+  Scenario: A peer that contradicts the log is not believed
+    Given a log with 120 publications and a checkpoint after 100 of them
+    When a new reader follows the log
+    Then the reader does not adopt version 500 as of offset 3 from a peer
+    And the reader has version 120 without a gap
+
   Scenario: A malformed record is ignored
     Given a log with 3 publications and a checkpoint after 2 of them
     When malformed records are appended
--- a/features/steps/configuration_history_steps.py
+++ b/features/steps/configuration_history_steps.py
@@ -117,6 +117,35 @@
     assert context.history.version == version
 
 
+@when("a checkpoint of version {version:d} as of offset {as_of:d} is appended")
+def step_wrong_checkpoint(context: Context, version: int, as_of: int) -> None:
+    document = {
+        "kind": "checkpoint",
+        "version": version,
+        "text": make_text(version),
+        "as_of": as_of,
+    }
+    context.stream.append(json.dumps(document).encode())
+
+
+@then(
+    "the reader keeps version {version:d} and reports a gap after it read to "
+    "the end"
+)
+def step_keeps_after(context: Context, version: int) -> None:
+    read_to_end(context, find_start=False)
+    step_keeps(context, version)
+
+
+@then(
+    "the reader does not adopt version {version:d} as of offset {as_of:d} "
+    "from a peer"
+)
+def step_refuses_peer(context: Context, version: int, as_of: int) -> None:
+    accepted = AcceptedConfiguration.from_text(version, make_text(1), as_of)
+    assert not context.history.adopt(accepted)
+
+
 @then("the reader has version {version:d} without a gap")
 def step_version(context: Context, version: int) -> None:
     assert context.history.version == version, context.history.version
--- a/features/steps/configuration_text_steps.py
+++ b/features/steps/configuration_text_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from rhubarbpaddle.cli.client_settings import ClientSettings
 from rhubarbpaddle.configuration import check_text
 from rhubarbpaddle.exceptions import ConfigurationError, SettingsError
 from rhubarbpaddle.node import NodeSettings
@@ -116,6 +117,16 @@
         raise AssertionError("the settings were taken")
 
 
-@then('the example "{path}" is valid')
+@then('the operators\' text "{path}" is valid without a warning')
 def step_example(context: Context, path: str) -> None:
-    check_text(Path(path).read_text(encoding="utf-8"))
+    assert not check_text(Path(path).read_text(encoding="utf-8")).warnings
+
+
+@then('the settings "{path}" are valid for a node')
+def step_node_example(context: Context, path: str) -> None:
+    NodeSettings.from_file(Path(path))
+
+
+@then('the settings "{path}" are valid for a client')
+def step_client_example(context: Context, path: str) -> None:
+    assert ClientSettings.from_file(Path(path)).log_address
--- a/features/support/history_machine.py
+++ b/features/support/history_machine.py
@@ -105,6 +105,17 @@
                 return
             reader.apply(reader.next_offset, self.records[reader.next_offset])
 
+    @rule(index=st.integers(0, 1))
+    def read_to_end(self, index: int) -> None:
+        """A checkpoint that is taken again and again would never end this."""
+        reader = self.readers[index]
+        for _ in range(3 * len(self.records) + 1):
+            reader.observe(self.first_offset, len(self.records))
+            if not reader.lag:
+                return
+            reader.apply(reader.next_offset, self.records[reader.next_offset])
+        raise AssertionError("the reader does not reach the end")
+
     @rule(index=st.integers(0, 1))
     def restart(self, index: int) -> None:
         self.readers[index] = ConfigurationHistory()
--- a/src/rhubarbpaddle/configuration/section.py
+++ b/src/rhubarbpaddle/configuration/section.py
@@ -1,6 +1,5 @@
 """Reads the keys of one object of a text."""
 
-import difflib
 import re
 from collections.abc import Callable, Collection, Iterator
 from datetime import timedelta
@@ -210,6 +209,9 @@
 
 def suggest(name: str, known: Collection[str]) -> str:
     """Returns the remedy for a name that is not one of the known ones."""
+    # Costs 0.2 MB, which a node with valid settings can save.
+    import difflib
+
     nearest = difflib.get_close_matches(name, known, n=1)
     if nearest:
         return f'did you mean "{nearest[0]}"?'
