Recover after the log has forgotten everything; yield between records

Cause: if all nodes were down for longer than the log's retention, no command could put a text in force again; a replay of 50 records blocked the node for about 0.35 s, since each text is checked; a checkpoint of the version in force with another text was taken note of. Ruled out: a publication with base 0 in that case (nodes that still have state would ignore it, those without would take it: they would disagree).

--- a/features/cli_publish.feature
+++ b/features/cli_publish.feature
@@ -23,3 +23,9 @@
     Given a log with a publication of another operator on base 0
     When an operator publishes a text
     Then the publication loses to that of "other"
+
+  Scenario: The system recovers after the log has forgotten everything
+    Given a log whose records have all expired
+    When an operator recovers a text as version 9 although an answer is lost
+    Then a new reader starts at version 9
+    And the next publication is accepted as version 10
--- a/features/steps/cli_publish_steps.py
+++ b/features/steps/cli_publish_steps.py
@@ -212,3 +212,45 @@
                 publishers.start_soon(publish, fabric, number)
         nursery.cancel_scope.cancel()
     return results
+
+
+@given("a log whose records have all expired")
+def step_expired(context: Context) -> None:
+    context.log = LogServer()
+    stream = context.log.streams["configuration"]
+    for _ in range(5):
+        stream.append(b"{}")
+    stream.expire(5)
+
+
+@when(
+    "an operator recovers a text as version {version:d} although an answer is "
+    "lost"
+)
+def step_recover(context: Context, version: int) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            fabric = await start_log(nursery, context.log.handle)
+            publisher = make_publisher(fabric, "operator")
+            await publisher.read()
+            assert publisher.history.gap
+            context.log.lost_answers = 1
+            assert await publisher.recover(make_text(1), version)
+            reader = make_publisher(fabric, "reader")
+            await reader.read()
+            context.version = reader.history.version
+            context.result = await reader.publish(make_text(2), version, "me")
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("a new reader starts at version {version:d}")
+def step_starts(context: Context, version: int) -> None:
+    assert context.version == version, context.version
+
+
+@then("the next publication is accepted as version {version:d}")
+def step_next(context: Context, version: int) -> None:
+    assert context.result.outcome is PublishOutcome.ACCEPTED
+    assert context.result.winner.version == version
--- a/src/rhubarbpaddle/cli/app.py
+++ b/src/rhubarbpaddle/cli/app.py
@@ -48,6 +48,7 @@
     node: str | None = None,
     base: int | None = None,
     yes: Annotated[bool, Parameter(negative="")] = False,
+    recover: int | None = None,
     wait: float | None = None,
     patience: float = 20.0,
     settings: Path | None = None,
@@ -65,15 +66,22 @@
         node: IP:PORT of the admin address of any node, for --wait.
         base: Publish only if this version is in force.
         yes: Publish without a question.
+        recover: Put the text in force as this version after all nodes were
+            down until the log had forgotten everything.
         wait: Wait so many seconds until all nodes that answer run it.
         patience: Try so many seconds while the log does not answer.
         settings: A file with log_address and node_address.
     """
     client = ClientSettings.from_file(settings).override(log, node)
     _require(client.log_address, "--log", "log_address")
+    if recover is not None and recover < 1:
+        print("rhubarbpaddle: --recover needs 1 or more", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
     if wait is not None:
         _require(client.node_address, "--node", "node_address")
-    options = PublishOptions(base, yes, wait, timedelta(seconds=patience))
+    options = PublishOptions(
+        base, yes, recover, wait, timedelta(seconds=patience)
+    )
     sys.exit(publish_text(text, client, options))
 
 
--- a/src/rhubarbpaddle/cli/publish.py
+++ b/src/rhubarbpaddle/cli/publish.py
@@ -34,12 +34,15 @@
     Attributes:
         base: The version that must be in force, or None for the present one.
         yes: Whether to publish without a question.
+        recover: The version to put in force after the log has lost all that
+            was accepted, or None.
         wait_seconds: How long to wait until the nodes run it, or None.
         patience: How long to try while the log does not answer.
     """
 
     base: int | None
     yes: bool
+    recover: int | None
     wait_seconds: float | None
     patience: timedelta
 
@@ -58,6 +61,8 @@
             return _wait(settings, options, publisher.history.version)
         if stop is not None:
             return stop
+        if publisher.history.gap and options.recover is not None:
+            return _recover(settings, options, publisher, file.text)
         base = publisher.history.version
         result = trio.run(publisher.publish, file.text, base, _get_publisher())
     except LogUnavailableError as exc:
@@ -73,6 +78,21 @@
     return code
 
 
+def _recover(
+    settings: ClientSettings,
+    options: PublishOptions,
+    publisher: Publisher,
+    text: str,
+) -> ExitCode:
+    assert options.recover is not None
+    if not trio.run(publisher.recover, text, options.recover):
+        print("Another text came into force meanwhile.", file=sys.stderr)
+        return ExitCode.LOST_RACE
+    version = publisher.history.version
+    print(f"recovered as version {version}")
+    return _wait(settings, options, version)
+
+
 def _wait(
     settings: ClientSettings, options: PublishOptions, version: int
 ) -> ExitCode:
@@ -89,11 +109,19 @@
     """Shows the difference and asks; returns a code if there is no more."""
     history = publisher.history
     accepted = history.accepted
-    if history.gap:
+    if options.recover is not None and not history.gap:
+        print(
+            f"The log holds what is in force (version {history.version}), so "
+            "there is nothing to recover. Publish without --recover.",
+            file=sys.stderr,
+        )
+        return ExitCode.USAGE
+    if history.gap and options.recover is None:
         print(
             "The log no longer holds what is in force, and holds no "
             "checkpoint of it. Nothing was published. Nodes that are up "
-            "write a checkpoint; try again in a minute.",
+            "write a checkpoint; try again in a minute. If all nodes were "
+            "down, publish with --recover and a version above the last one.",
             file=sys.stderr,
         )
         return ExitCode.FAILURE
--- a/src/rhubarbpaddle/cli/publisher.py
+++ b/src/rhubarbpaddle/cli/publisher.py
@@ -9,6 +9,7 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import (
     AcceptedPublication,
+    Checkpoint,
     ConfigurationHistory,
     Publication,
 )
@@ -107,6 +108,42 @@
                 )
             await self._clock.sleep(backoff.next_delay())
 
+    async def recover(self, text: str, version: int) -> bool:
+        """Writes a checkpoint after the log has lost all that was accepted.
+
+        A second append of the checkpoint does no harm, so an append without
+        an answer is repeated.
+
+        Returns:
+            Whether the text is in force.
+
+        Raises:
+            LogUnavailableError: The log did not answer in time.
+        """
+        checkpoint = Checkpoint(
+            kind="checkpoint",
+            version=version,
+            text=text,
+            as_of=self.history.end_offset - 1,
+            written_ms=int(self._clock.now().timestamp() * 1000),
+        )
+        payload = json.dumps(checkpoint).encode()
+        deadline = self._clock.monotonic() + self._patience
+        backoff = Backoff(self._rng)
+        while True:
+            try:
+                await self._log.append(STREAM, payload)
+                await self._reader.catch_up()
+            except (AppendUnknownError, LogUnavailableError) as exc:
+                if self._clock.monotonic() >= deadline:
+                    raise LogUnavailableError(
+                        exc.detail, step="recover", peer=exc.peer
+                    ) from exc
+                await self._clock.sleep(backoff.next_delay())
+                continue
+            accepted = self.history.accepted
+            return accepted is not None and accepted.text == text
+
     async def _try_catch_up(self) -> None:
         try:
             await self._reader.catch_up()
--- a/src/rhubarbpaddle/configuration/history.py
+++ b/src/rhubarbpaddle/configuration/history.py
@@ -189,11 +189,18 @@
         elif self.gap:
             if not self.restore(offset, record):
                 self.remark = self.remark or "checkpoint is too old"
-        elif record["version"] > self.version:
+        elif self._contradicts(record):
             self.remark = "checkpoint disagrees with replay"
         else:
             self._note_checkpoint(record)
 
+    def _contradicts(self, record: Checkpoint) -> bool:
+        accepted = self.accepted
+        if accepted is None or record["version"] > accepted.version:
+            return True
+        is_same = record["version"] == accepted.version
+        return is_same and record["text"] != accepted.text
+
     def _note_checkpoint(self, record: Checkpoint) -> None:
         if self.checkpoint and self.checkpoint.as_of >= record["as_of"]:
             return
--- a/src/rhubarbpaddle/configuration/text_scanner.py
+++ b/src/rhubarbpaddle/configuration/text_scanner.py
@@ -38,8 +38,7 @@
         """
         try:
             value = self._scan_value(0)
-            self._skip_blank()
-            if self._at < len(self._text):
+            if self._skip_blank():
                 raise self._fail(
                     "text after the end of the document",
                     "remove it, or check for a closing brace too many",
@@ -49,14 +48,14 @@
         return value
 
     def _scan_value(self, depth: int) -> TextValue:
-        self._skip_blank()
+        following = self._skip_blank()
         start = self._at
         if depth > _MAX_DEPTH:
             raise self._fail(
                 f"nested more than {_MAX_DEPTH} levels deep",
                 "close a brace or bracket earlier",
             )
-        match self._peek():
+        match following:
             case "{":
                 return TextValue(start, self._scan_object(depth))
             case "[":
@@ -82,8 +81,7 @@
                     'write the key in double quotes, such as "slots"',
                 )
             key = self._scan_string()
-            self._skip_blank()
-            if self._peek() != ":":
+            if self._skip_blank() != ":":
                 raise self._fail(
                     f'{self._describe()} after the key "{key}"',
                     "write a colon between key and value",
@@ -109,27 +107,26 @@
 
     def _take_end(self, end: str, start: int, has_elements: bool) -> bool:
         """Moves over a comma or the end; returns whether it was the end."""
-        self._skip_blank()
-        if self._peek() == "":
+        following = self._skip_blank()
+        if following == "":
             opened = self._text[start]
             self._at = start
             raise self._fail(
                 f'"{opened}" is never closed', f'add the missing "{end}"'
             )
-        if self._peek() == end:
+        if following == end:
             self._at += 1
             return True
         if not has_elements:
             return False
-        if self._peek() != ",":
+        if following != ",":
             raise self._fail(
                 f"{self._describe()} after a value",
                 f'write a comma, or "{end}" to close',
             )
         comma = self._at
         self._at += 1
-        self._skip_blank()
-        if self._peek() == end:
+        if self._skip_blank() == end:
             self._at = comma
             raise self._fail(f'a comma before "{end}"', "remove the comma")
         return False
@@ -179,12 +176,15 @@
         self._at += len(word)
         return value
 
-    def _skip_blank(self) -> None:
+    def _skip_blank(self) -> str:
+        """Moves to the next character that matters and returns it."""
         match = _BLANK.match(self._text, self._at)
         assert match is not None
         self._at = match.end()
-        if self._text.startswith("/*", self._at):
+        following = self._peek()
+        if following == "/" and self._text.startswith("/*", self._at):
             raise self._fail("a comment that is never closed", "add */")
+        return following
 
     def _peek(self) -> str:
         return self._text[self._at : self._at + 1]
--- a/src/rhubarbpaddle/node/configuration_reader.py
+++ b/src/rhubarbpaddle/node/configuration_reader.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import trio
+
 from rhubarbpaddle.configuration import (
     Checkpoint,
     ConfigurationHistory,
@@ -47,7 +49,15 @@
             # A peer's configuration was adopted during the read.
             return
         self._history.observe(batch.first_offset, batch.end_offset)
+        expected = self._history.next_offset
         for record in batch.records:
+            # The check of a text takes several milliseconds; requests are
+            # served between two of them.
+            await trio.lowlevel.checkpoint()
+            if self._history.next_offset != expected:
+                # A checkpoint or a peer's configuration was taken.
+                return
+            expected = record.offset + 1
             changed = self._history.apply(
                 record.offset, _parse(record.offset, record.payload)
             )
@@ -59,8 +69,6 @@
                 )
             if changed:
                 self._on_change()
-            if self._history.next_offset != record.offset + 1:
-                return
 
     async def catch_up(self) -> None:
         """Reads up to the end that the log has at the last read.
