Test the question of publish; share the log in memory between steps

Cause: the question that `publish` asks was not tested; the steps repeated how the log's stand-in is run; a claim window beyond half of the log's retention, which the design page forbids, passed without notice. Ruled out: a check of the claim window in `check` (the text does not state the retention; it is in the nodes' settings). Change: steps that answer no and yes at a terminal; `run_with_log`; the command steps use the demonstration's settings; a warning in the node's log.

--- a/features/cli_commands.feature
+++ b/features/cli_commands.feature
@@ -29,23 +29,25 @@
   Scenario: A zone goes out of service on running nodes and status shows it
     Given a running log and 3 running nodes
     And the file "text.json" with all zones in service
-    And the file "out.json" with zone "b" out of service
+    And the file "out.json" with zone "costa-b" out of service
     When the command "publish text.json --log LOG" runs
     Then it exits with 2 and says "Use --yes"
-    When the command "publish text.json --log LOG --node NODE --yes --wait 5" runs
+    When the operator answers "n" to the command "publish text.json --log LOG"
+    Then it exits with 1 and says "Nothing was published."
+    When the operator answers "y" to the command "publish text.json --log LOG --node NODE --wait 5"
     Then it exits with 0 and says "accepted as version 1 at offset 0"
     When the command "publish text.json --log LOG" runs
     Then it exits with 0 and says "text.json is in force already as version 1"
     When the command "publish out.json --log LOG --yes --base 7" runs
     Then it exits with 4 and says "Version 1 is in force"
     When the command "publish out.json --log LOG --node NODE --yes --wait 5" runs
-    Then it exits with 0 and says "- takes availability zone b out of service"
+    Then it exits with 0 and says "- takes availability zone costa-b out of service"
     And it says "3 nodes run version 2"
     When the command "status --node NODE --log LOG" runs
     Then it exits with 0 and says "3 of 3 nodes run version 2"
-    And it says "node-b"
+    And it says "lanes-costa-b"
     When the command "status --node NODE --json" runs
     Then it prints JSON with 3 nodes at version 2
-    When node "b" is ended
+    When node "lanes-costa-b" is ended
     And the command "status --node NODE" runs
-    Then it exits with 7 and says "NOT REACHED: node-b"
+    Then it exits with 7 and says "NOT REACHED: lanes-costa-b"
--- a/features/steps/cli_commands_steps.py
+++ b/features/steps/cli_commands_steps.py
@@ -9,12 +9,15 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from demo.deployment import reserve_ports
+from demo.deployment import (
+    make_nodes,
+    reserve_ports,
+    write_settings,
+    write_text,
+)
 from demo.process_group import ProcessGroup, wait_for_http
 from rhubarbpaddle.cli.main import main
 
-_ZONES = ("a", "b", "c")
-
 
 def get_folder(context: Context) -> Path:
     if not hasattr(context, "folder"):
@@ -41,56 +44,49 @@
 
 @given('the file "{name}" with all zones in service')
 def step_all_zones(context: Context, name: str) -> None:
-    write_text(context, name, "")
+    write_text(get_folder(context), None).rename(context.folder / name)
 
 
 @given('the file "{name}" with zone "{zone}" out of service')
 def step_zone_out(context: Context, name: str, zone: str) -> None:
-    write_text(context, name, zone)
-
-
-def write_text(context: Context, name: str, withdrawn: str) -> None:
-    zones = {zone: {"in_service": zone != withdrawn} for zone in _ZONES}
-    document = {"services": {"lanes": {}}, "availability_zones": zones}
-    step_file(context, name, json.dumps(document, indent=2))
+    write_text(get_folder(context), zone).rename(context.folder / name)
 
 
 @given("a running log and 3 running nodes")
 def step_running(context: Context) -> None:
     folder = get_folder(context)
-    ports = reserve_ports(1 + 3 * len(_ZONES))
-    addresses = [f"127.0.0.1:{port}" for port in ports]
+    log = f"127.0.0.1:{reserve_ports(1)[0]}"
     context.group = ProcessGroup(folder)
     context.add_cleanup(context.group.stop_all)
-    log = addresses.pop()
     context.group.start("log", "standins", "log", log)
-    for zone in _ZONES:
-        settings = {
-            "cluster": "test",
-            "secret": "secret",
-            "node_id": f"node-{zone}",
-            "host": f"host-{zone}",
-            "availability_zone": zone,
-            "caller_address": addresses.pop(),
-            "peer_address": addresses.pop(),
-            "admin_address": addresses.pop(),
-            "log_address": log,
-        }
-        step_file(context, f"{zone}.json", json.dumps(settings))
-        path = str(folder / f"{zone}.json")
-        context.group.start(zone, "rhubarbpaddle", "node", path)
-        node = settings["admin_address"]
-        wait_for_http(f"http://{node}/healthz", 20)
-    context.names = {"LOG": log, "NODE": node}
-
-
-@when('node "{zone}" is ended')
-def step_end(context: Context, zone: str) -> None:
-    context.group.stop(zone)
+    for node in make_nodes()[:3]:
+        path = str(write_settings(node, log, folder))
+        context.group.start(node.name, "rhubarbpaddle", "node", path)
+        wait_for_http(f"http://{node.admin_address}/healthz", 20)
+    context.names = {"LOG": log, "NODE": node.admin_address}
+
+
+@when('node "{name}" is ended')
+def step_end(context: Context, name: str) -> None:
+    context.group.stop(name)
+
+
+class Terminal(io.StringIO):
+    def isatty(self) -> bool:
+        return True
+
+
+@when('the operator answers "{answer}" to the command "{command}"')
+def step_answer(context: Context, answer: str, command: str) -> None:
+    run_command(context, command, Terminal(f"{answer}\n"))
 
 
 @when('the command "{command}" runs')
 def step_run(context: Context, command: str) -> None:
+    run_command(context, command, io.StringIO())
+
+
+def run_command(context: Context, command: str, stdin: io.StringIO) -> None:
     folder = get_folder(context)
     arguments = [context.names.get(word, word) for word in command.split()]
     output, errors = io.StringIO(), io.StringIO()
@@ -101,7 +97,7 @@
         contextlib.redirect_stdout(output),
         contextlib.redirect_stderr(errors),
         mock.patch.dict(os.environ, environment),
-        mock.patch("sys.stdin", io.StringIO()),
+        mock.patch("sys.stdin", stdin),
     ):
         try:
             main(arguments)
--- a/features/steps/cli_publish_steps.py
+++ b/features/steps/cli_publish_steps.py
@@ -1,3 +1,4 @@
+import contextlib
 import json
 import random
 from datetime import timedelta
@@ -8,40 +9,22 @@
 from hypothesis import given as for_any
 from hypothesis import settings
 from hypothesis import strategies as st
-from trio.testing import MockClock
 
 from features.support.history_machine import make_text
-from features.support.host_network import HostNetwork
-from features.support.memory_fabric import MemoryFabric
+from features.support.log_run import run_with_log
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.cli.publish_result import PublishOutcome, PublishResult
 from rhubarbpaddle.cli.publisher import Publisher
 from rhubarbpaddle.configuration import ConfigurationHistory, parse_record
 from rhubarbpaddle.exceptions import LogUnavailableError
 from rhubarbpaddle.platform import HttpLogClient
-from standins.http_server import (
-    Handler,
-    StandinRequest,
-    StandinResponse,
-    serve_connection,
-)
+from standins.http_server import StandinRequest, StandinResponse
 from standins.log_server import LogServer
 
 _PATIENCE = timedelta(seconds=10)
 
 
-async def start_log(nursery: trio.Nursery, handler: Handler) -> MemoryFabric:
-    fabric = MemoryFabric()
-
-    async def handle(stream: trio.abc.Stream) -> None:
-        await serve_connection(stream, handler)
-
-    await nursery.start(HostNetwork(fabric, "log").serve, "log:1", handle)
-    return fabric
-
-
-def make_publisher(fabric: MemoryFabric, name: str) -> Publisher:
-    log = HttpLogClient(HostNetwork(fabric, name), "log:1")
+def make_publisher(log: HttpLogClient, name: str) -> Publisher:
     return Publisher(log, VirtualClock(), random.Random(name), _PATIENCE)
 
 
@@ -97,21 +80,15 @@
 
 @when("an operator publishes a text")
 def step_publish(context: Context) -> None:
-    async def run() -> PublishResult | LogUnavailableError:
-        async with trio.open_nursery() as nursery:
-            fabric = MemoryFabric()
-            if context.handler is not None:
-                fabric = await start_log(nursery, context.handler)
-            publisher = make_publisher(fabric, "operator")
-            try:
-                await publisher.read()
-                return await publisher.publish(make_text(1), 0, "me")
-            except LogUnavailableError as exc:
-                return exc
-            finally:
-                nursery.cancel_scope.cancel()
-
-    context.result = trio.run(run, clock=MockClock(autojump_threshold=0))
+    async def run(log: HttpLogClient) -> PublishResult | LogUnavailableError:
+        publisher = make_publisher(log, "operator")
+        try:
+            await publisher.read()
+            return await publisher.publish(make_text(1), 0, "me")
+        except LogUnavailableError as exc:
+            return exc
+
+    context.result = run_with_log(context.handler, run)
 
 
 @then('the publication is "{outcome}"')
@@ -151,20 +128,16 @@
     @for_any(faults, st.integers(2, 4))
     def check(plan: list[str], count: int) -> None:
         log = LogServer()
-        results = trio.run(
-            race, log, plan, count, clock=MockClock(autojump_threshold=0)
-        )
+        results = race(log, plan, count)
         history = replay(log)
         accepted = [
             result
             for result in results
-            if result and result.outcome is PublishOutcome.ACCEPTED
+            if result.outcome is PublishOutcome.ACCEPTED
         ]
         assert history.version <= 1
         assert len(accepted) <= 1
         for result in results:
-            if result is None:
-                continue
             wins = bool(history.origin and history.origin.id == result.id)
             if result.outcome is PublishOutcome.ACCEPTED:
                 assert wins
@@ -176,12 +149,10 @@
     check()
 
 
-async def race(
-    log: LogServer, plan: list[str], count: int
-) -> list[PublishResult | None]:
-    """Returns each publisher's result, or None if nothing was appended."""
+def race(log: LogServer, plan: list[str], count: int) -> list[PublishResult]:
+    """Returns the results of those whose record may have been appended."""
     steps = iter(plan)
-    results: list[PublishResult | None] = []
+    results: list[PublishResult] = []
 
     async def handle(request: StandinRequest) -> StandinResponse:
         fault = next(steps, "")
@@ -194,23 +165,20 @@
             await trio.sleep(5)
         return StandinResponse(0, b"") if fault == "lose" else response
 
-    async def publish(fabric: MemoryFabric, number: int) -> None:
-        publisher = make_publisher(fabric, f"operator-{number}")
-        result = None
-        try:
+    async def publish(client: HttpLogClient, number: int) -> None:
+        publisher = make_publisher(client, f"operator-{number}")
+        with contextlib.suppress(LogUnavailableError):
             await publisher.read()
             if not publisher.history.version:
-                result = await publisher.publish(make_text(number), 0, "me")
-        except LogUnavailableError:
-            result = None
-        results.append(result)
+                text = make_text(number)
+                results.append(await publisher.publish(text, 0, "me"))
 
-    async with trio.open_nursery() as nursery:
-        fabric = await start_log(nursery, handle)
+    async def run(client: HttpLogClient) -> None:
         async with trio.open_nursery() as publishers:
             for number in range(count):
-                publishers.start_soon(publish, fabric, number)
-        nursery.cancel_scope.cancel()
+                publishers.start_soon(publish, client, number)
+
+    run_with_log(handle, run)
     return results
 
 
@@ -228,21 +196,18 @@
     "lost"
 )
 def step_recover(context: Context, version: int) -> None:
-    async def run() -> None:
-        async with trio.open_nursery() as nursery:
-            fabric = await start_log(nursery, context.log.handle)
-            publisher = make_publisher(fabric, "operator")
-            await publisher.read()
-            assert publisher.history.gap
-            context.log.lost_answers = 1
-            assert await publisher.recover(make_text(1), version)
-            reader = make_publisher(fabric, "reader")
-            await reader.read()
-            context.version = reader.history.version
-            context.result = await reader.publish(make_text(2), version, "me")
-            nursery.cancel_scope.cancel()
-
-    trio.run(run, clock=MockClock(autojump_threshold=0))
+    async def run(log: HttpLogClient) -> None:
+        publisher = make_publisher(log, "operator")
+        await publisher.read()
+        assert publisher.history.gap
+        context.log.lost_answers = 1
+        assert await publisher.recover(make_text(1), version)
+        reader = make_publisher(log, "reader")
+        await reader.read()
+        context.version = reader.history.version
+        context.result = await reader.publish(make_text(2), version, "me")
+
+    run_with_log(context.log.handle, run)
 
 
 @then("a new reader starts at version {version:d}")
--- a/features/steps/configuration_history_steps.py
+++ b/features/steps/configuration_history_steps.py
@@ -11,15 +11,17 @@
 
 from features.support.cluster import Cluster
 from features.support.history_machine import HistoryMachine, make_text
-from features.support.host_network import HostNetwork
-from features.support.memory_fabric import MemoryFabric
+from features.support.log_run import (
+    append_checkpoint,
+    append_publication,
+    run_with_log,
+)
 from rhubarbpaddle.configuration import (
     AcceptedConfiguration,
     ConfigurationHistory,
 )
 from rhubarbpaddle.node.configuration_reader import ConfigurationReader
 from rhubarbpaddle.platform import HttpLogClient
-from standins.http_server import serve_connection
 from standins.log_server import LogServer
 
 
@@ -37,26 +39,9 @@
     context.stream = context.log.streams["configuration"]
     context.history = ConfigurationHistory()
     for number in range(1, count + 1):
-        append_publication(context, number)
+        append_publication(context.stream, number)
         if number == after:
-            document = {
-                "kind": "checkpoint",
-                "version": number,
-                "text": make_text(number),
-                "as_of": number - 1,
-            }
-            context.stream.append(json.dumps(document).encode())
-
-
-def append_publication(context: Context, number: int) -> None:
-    document = {
-        "kind": "publication",
-        "id": str(number),
-        "base": number - 1,
-        "text": make_text(number),
-        "publisher": "test",
-    }
-    context.stream.append(json.dumps(document).encode())
+            append_checkpoint(context.stream, number, number - 1)
 
 
 @when("the first {count:d} records expire")
@@ -119,13 +104,7 @@
 
 @when("a checkpoint of version {version:d} as of offset {as_of:d} is appended")
 def step_wrong_checkpoint(context: Context, version: int, as_of: int) -> None:
-    document = {
-        "kind": "checkpoint",
-        "version": version,
-        "text": make_text(version),
-        "as_of": as_of,
-    }
-    context.stream.append(json.dumps(document).encode())
+    append_checkpoint(context.stream, version, as_of)
 
 
 @then(
@@ -168,24 +147,13 @@
 
 
 def read_to_end(context: Context, *, find_start: bool) -> None:
-    async def run() -> None:
-        async with trio.open_nursery() as nursery:
-            fabric = MemoryFabric()
-
-            async def handle(stream: trio.abc.Stream) -> None:
-                await serve_connection(stream, context.log.handle)
-
-            network = HostNetwork(fabric, "log")
-            await nursery.start(network.serve, "log:1", handle)
-            reader = ConfigurationReader(
-                HttpLogClient(network, "log:1"), context.history, lambda: None
-            )
-            if find_start:
-                await reader.find_start()
-            await reader.catch_up()
-            nursery.cancel_scope.cancel()
+    async def read(log: HttpLogClient) -> None:
+        reader = ConfigurationReader(log, context.history, lambda: None)
+        if find_start:
+            await reader.find_start()
+        await reader.catch_up()
 
-    trio.run(run, clock=MockClock(autojump_threshold=0))
+    run_with_log(context.log.handle, read)
 
 
 @given("{count:d} nodes with a checkpoint interval of {seconds:d} seconds")
@@ -218,19 +186,11 @@
     async def run(cluster: Cluster) -> None:
         first, second = (cluster.nodes[f"node-{i}"] for i in range(2))
         cluster.log.available = False
-        accepted = AcceptedConfiguration.from_text(1, make_text(0), 0)
+        accepted = AcceptedConfiguration.from_text(1, make_text(1), 0)
         await trio.sleep(1)
         assert second.configuration.adopt(accepted)
         context.during = second.configuration.get_state()
-        stream = cluster.log.streams["configuration"]
-        document = {
-            "kind": "publication",
-            "id": "p",
-            "base": 0,
-            "text": make_text(0),
-            "publisher": "test",
-        }
-        stream.append(json.dumps(document).encode())
+        append_publication(cluster.log.streams["configuration"], 1)
         await trio.sleep(seconds)
         cluster.log.available = True
         await trio.sleep(5)
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -33,6 +33,7 @@
         self,
         node_id: str,
         checkpoint_interval: timedelta,
+        log_retention: timedelta,
         log: LogClient,
         clock: Clock,
         rng: random.Random,
@@ -40,6 +41,7 @@
         on_change: Callable[[AcceptedConfiguration], None],
     ) -> None:
         self.history = ConfigurationHistory()
+        self._log_retention = log_retention
         self._clock = clock
         self._on_change = on_change
         self._backoff = Backoff(rng)
@@ -74,6 +76,7 @@
         return cls(
             settings.node_id,
             settings.checkpoint_interval,
+            settings.log_retention,
             log,
             clock,
             rng,
@@ -157,4 +160,16 @@
             offset=accepted.as_of,
             unverified=self.history.unverified,
         )
+        self._warn_of_claim_windows(accepted)
         self._on_change(accepted)
+
+    def _warn_of_claim_windows(self, accepted: AcceptedConfiguration) -> None:
+        """Only a node knows the retention, so `check` can't warn of this."""
+        for service in accepted.configuration.services.values():
+            if service.claim_window > self._log_retention / 2:
+                _log.warn(
+                    "claim_window_too_long",
+                    service=service.name,
+                    claim_window=service.claim_window,
+                    log_retention=self._log_retention,
+                )
