--- /dev/null
+++ b/features/steps/cli_publish_steps.py
@@ -0,0 +1,221 @@
+import contextlib
+import json
+import random
+from datetime import timedelta
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.support.history_machine import make_text
+from features.support.log_run import run_with_log
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.cli.publish_result import PublishOutcome, PublishResult
+from rhubarbpaddle.cli.publisher import Publisher
+from rhubarbpaddle.configuration import ConfigurationHistory, parse_record
+from rhubarbpaddle.exceptions import LogUnavailableError
+from rhubarbpaddle.platform import HttpLogClient
+from standins.http_server import StandinRequest, StandinResponse
+from standins.log_server import LogServer
+
+_PATIENCE = timedelta(seconds=10)
+
+
+def make_publisher(log: HttpLogClient, name: str) -> Publisher:
+    return Publisher(log, VirtualClock(), random.Random(name), _PATIENCE)
+
+
+def replay(log: LogServer) -> ConfigurationHistory:
+    history = ConfigurationHistory()
+    for offset, payload in enumerate(log.streams["configuration"].records):
+        history.apply(offset, parse_record(payload))
+    return history
+
+
+@given("a log that loses the next {count:d} answers to appends")
+def step_loses(context: Context, count: int) -> None:
+    context.log = LogServer()
+    context.log.lost_answers = count
+    context.handler = context.log.handle
+
+
+@given("a log that refuses connections")
+def step_refuses(context: Context) -> None:
+    context.log = LogServer()
+    context.handler = None
+
+
+@given("a log that loses the next 1 answers to appends and then fails")
+def step_fails(context: Context) -> None:
+    context.log = LogServer()
+    context.log.lost_answers = 1
+
+    async def handle(request: StandinRequest) -> StandinResponse:
+        response = await context.log.handle(request)
+        if request.method == "POST":
+            context.log.available = False
+        return response
+
+    context.handler = handle
+
+
+@given("a log with a publication of another operator on base 0")
+def step_other(context: Context) -> None:
+    context.log = LogServer()
+
+    async def handle(request: StandinRequest) -> StandinResponse:
+        if request.method == "POST":
+            document = json.loads(request.body)
+            document |= {"id": "other-id", "publisher": "other"}
+            context.log.streams["configuration"].append(
+                json.dumps(document).encode()
+            )
+        return await context.log.handle(request)
+
+    context.handler = handle
+
+
+@when("an operator publishes a text")
+def step_publish(context: Context) -> None:
+    async def run(log: HttpLogClient) -> PublishResult | LogUnavailableError:
+        publisher = make_publisher(log, "operator")
+        try:
+            await publisher.read()
+            return await publisher.publish(make_text(1), 0, "me")
+        except LogUnavailableError as exc:
+            return exc
+
+    context.result = run_with_log(context.handler, run)
+
+
+@then('the publication is "{outcome}"')
+def step_outcome(context: Context, outcome: str) -> None:
+    assert context.result.outcome.value == outcome, context.result
+
+
+@then('the publication loses to that of "{publisher}"')
+def step_lost(context: Context, publisher: str) -> None:
+    step_outcome(context, "lost")
+    winner = context.result.winner
+    assert (winner.publisher, winner.id) == (publisher, "other-id")
+    assert (winner.version, winner.offset) == (1, 0)
+
+
+@then("the text is in force as version {version:d}")
+def step_version(context: Context, version: int) -> None:
+    history = replay(context.log)
+    assert history.version == version
+    assert history.accepted.text == make_text(1)
+
+
+@then("nothing was published because the log does not answer")
+def step_nothing(context: Context) -> None:
+    assert isinstance(context.result, LogUnavailableError)
+    assert not context.log.streams["configuration"].records
+
+
+@then("publishers that race over a faulty log report what replay shows")
+def step_race(context: Context) -> None:
+    faults = st.lists(
+        st.sampled_from(["", "", "", "drop", "lose", "slow", "outage"]),
+        max_size=12,
+    )
+
+    @settings(max_examples=120)
+    @for_any(faults, st.integers(2, 4))
+    def check(plan: list[str], count: int) -> None:
+        log = LogServer()
+        results = race(log, plan, count)
+        history = replay(log)
+        accepted = [
+            result
+            for result in results
+            if result.outcome is PublishOutcome.ACCEPTED
+        ]
+        assert history.version <= 1
+        assert len(accepted) <= 1
+        for result in results:
+            wins = bool(history.origin and history.origin.id == result.id)
+            if result.outcome is PublishOutcome.ACCEPTED:
+                assert wins
+            elif result.outcome is PublishOutcome.LOST:
+                assert not wins
+        if not plan:
+            assert len(accepted) == 1
+
+    check()
+
+
+def race(log: LogServer, plan: list[str], count: int) -> list[PublishResult]:
+    """Returns the results of those whose record may have been appended."""
+    steps = iter(plan)
+    results: list[PublishResult] = []
+
+    async def handle(request: StandinRequest) -> StandinResponse:
+        fault = next(steps, "")
+        if fault == "drop":
+            return StandinResponse(0, b"")
+        if fault == "outage":
+            return StandinResponse(503, b"{}")
+        response = await log.handle(request)
+        if fault == "slow":
+            await trio.sleep(5)
+        return StandinResponse(0, b"") if fault == "lose" else response
+
+    async def publish(client: HttpLogClient, number: int) -> None:
+        publisher = make_publisher(client, f"operator-{number}")
+        with contextlib.suppress(LogUnavailableError):
+            await publisher.read()
+            if not publisher.history.version:
+                text = make_text(number)
+                results.append(await publisher.publish(text, 0, "me"))
+
+    async def run(client: HttpLogClient) -> None:
+        async with trio.open_nursery() as publishers:
+            for number in range(count):
+                publishers.start_soon(publish, client, number)
+
+    run_with_log(handle, run)
+    return results
+
+
+@given("a log whose records have all expired")
+def step_expired(context: Context) -> None:
+    context.log = LogServer()
+    stream = context.log.streams["configuration"]
+    for _ in range(5):
+        stream.append(b"{}")
+    stream.expire(5)
+
+
+@when(
+    "an operator recovers a text as version {version:d} although an answer is "
+    "lost"
+)
+def step_recover(context: Context, version: int) -> None:
+    async def run(log: HttpLogClient) -> None:
+        publisher = make_publisher(log, "operator")
+        await publisher.read()
+        assert publisher.history.gap
+        context.log.lost_answers = 1
+        assert await publisher.recover(make_text(1), version)
+        reader = make_publisher(log, "reader")
+        await reader.read()
+        context.version = reader.history.version
+        context.result = await reader.publish(make_text(2), version, "me")
+
+    run_with_log(context.log.handle, run)
+
+
+@then("a new reader starts at version {version:d}")
+def step_starts(context: Context, version: int) -> None:
+    assert context.version == version, context.version
+
+
+@then("the next publication is accepted as version {version:d}")
+def step_next(context: Context, version: int) -> None:
+    assert context.result.outcome is PublishOutcome.ACCEPTED
+    assert context.result.winner.version == version
