Reuse connections to the log and tell refused from unknown appends

Cause: each append and read opened a connection of its own, and every status other than 200 after an append counted as an unknown append. Ruled out: retrying an append in the client, because only a reader of the stream can tell whether the first one took effect. Change: HttpLogClient keeps connections whose exchange was read to its end, gives up 2 s after the wait that was asked for, and treats only 400, 404, 413, 429 and 503 as refusals. The stand-in log gets retention, silence, latency, an append limit and POST /control. Conclusion: a dead or silent connection costs at most 2 s beyond the wait.

--- /dev/null
+++ b/features/steps/log_client_steps.py
@@ -0,0 +1,172 @@
+from collections.abc import Awaitable, Callable
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.log_probe import LogProbe
+from rhubarbpaddle.exceptions import RhubarbpaddleError
+
+Work = Callable[[], Awaitable[None]]
+
+
+def run_work(context: Context, check: Work) -> None:
+    # The steps before the last one only collect work, because all of it runs
+    # in one event loop; each `then` runs it anew.
+    probe = context.probe = LogProbe()
+
+    async def run() -> None:
+        context.error, context.elapsed = None, 0.0
+        for work in context.prepared:
+            await work()
+        started = trio.current_time()
+        try:
+            await context.work()
+        except RhubarbpaddleError as exc:
+            context.error = exc
+        context.elapsed = trio.current_time() - started
+        await check()
+
+    probe.run(run)
+
+
+@given("a log")
+def step_log(context: Context) -> None:
+    context.prepared = []
+
+
+@given("the log is set to {document}")
+def step_control(context: Context, document: str) -> None:
+    context.prepared.append(lambda: context.probe.control(document))
+
+
+@given("a connection to the log that went silent after use")
+def step_silent(context: Context) -> None:
+    async def work() -> None:
+        await context.probe.append()
+        context.probe.fabric.silence("node", "log")
+
+    context.prepared.append(work)
+
+
+@given("2 idle connections to the log, of which one breaks when it is used")
+def step_breaking(context: Context) -> None:
+    async def work() -> None:
+        probe = context.probe
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(probe.read, 1.0)
+            nursery.start_soon(probe.read, 1.0)
+        assert probe.opened == 2
+        probe.break_next = True
+
+    context.prepared.append(work)
+
+
+@when("{count:d} records are appended one after another")
+def step_append_many(context: Context, count: int) -> None:
+    async def work() -> None:
+        for _ in range(count):
+            await context.probe.append()
+
+    context.work = work
+
+
+@when("a record is appended")
+def step_append(context: Context) -> None:
+    async def work() -> None:
+        await context.probe.append()
+
+    context.work = work
+
+
+@when("the log is read with a wait of {seconds:d} s")
+def step_read(context: Context, seconds: int) -> None:
+    async def work() -> None:
+        await context.probe.read(seconds, context.probe.stream.end_offset)
+
+    context.work = work
+
+
+@when("a read is cancelled and a record is appended")
+def step_cancelled_read(context: Context) -> None:
+    async def work() -> None:
+        with trio.move_on_after(1.0):
+            await context.probe.read(5.0)
+        await context.probe.append()
+
+    context.work = work
+
+
+@then("the log has {count:d} record")
+@then("the log has {count:d} records")
+def step_records(context: Context, count: int) -> None:
+    async def check() -> None:
+        assert len(context.probe.stream.records) == count
+
+    run_work(context, check)
+
+
+@then("the log has 1 record after {seconds:d} s")
+def step_late_record(context: Context, seconds: int) -> None:
+    async def check() -> None:
+        assert not context.probe.stream.records
+        await trio.sleep(seconds)
+        assert len(context.probe.stream.records) == 1
+
+    run_work(context, check)
+
+
+@then("{count:d} connection was opened to the log")
+@then("{count:d} connections were opened to the log")
+def step_opened(context: Context, count: int) -> None:
+    assert context.probe.opened == count, context.probe.opened
+
+
+@then('the append fails with "{code}" within {seconds:g} s')
+@then('the read fails with "{code}" within {seconds:g} s')
+def step_fails(context: Context, code: str, seconds: float) -> None:
+    async def check() -> None:
+        assert context.error is not None
+        assert context.error.code == code, context.error
+        assert context.elapsed <= seconds, context.elapsed
+
+    run_work(context, check)
+
+
+@then("the read succeeds")
+def step_read_succeeds(context: Context) -> None:
+    async def check() -> None:
+        assert context.error is None, context.error
+
+    run_work(context, check)
+
+
+@then("the next append succeeds")
+def step_next_append(context: Context) -> None:
+    async def check() -> None:
+        assert context.error is not None
+        await context.probe.append()
+
+    run_work(context, check)
+
+
+@then("a read from the start gives offsets {first:d} to {last:d}")
+def step_offsets(context: Context, first: int, last: int) -> None:
+    async def check() -> None:
+        batch = await context.probe.read(0.0)
+        assert batch.first_offset == first
+        offsets = [record.offset for record in batch.records]
+        assert offsets == list(range(first, last + 1)), offsets
+
+    run_work(context, check)
+
+
+@then("a read from the start gives no record after {seconds:d} s")
+def step_expired(context: Context, seconds: int) -> None:
+    async def check() -> None:
+        await trio.sleep(seconds)
+        batch = await context.probe.read(0.0)
+        assert batch.first_offset == batch.end_offset == 5
+        assert not batch.records
+
+    run_work(context, check)
--- a/src/rhubarbpaddle/platform/http_log_client.py
+++ b/src/rhubarbpaddle/platform/http_log_client.py
@@ -18,73 +18,123 @@
 from rhubarbpaddle.platform.batch import Batch
 from rhubarbpaddle.platform.record import Record
 
-_GRACE_SECONDS = 2.0
-_APPEND_SECONDS = 3.0
+# How long the log may be silent beyond the wait that a read asks for.
+SILENCE_SECONDS = 2.0
+_MAX_IDLE = 32
+# The log refuses with these before it appends. After any other failure, for
+# example a 500 or 504 of something in between, the append may take effect.
+_REFUSALS = frozenset({400, 404, 413, 429, 503})
 
 
 class HttpLogClient:
-    """Speaks `POST /streams/NAME` and `GET /streams/NAME` with the log."""
+    """Speaks `POST /streams/NAME` and `GET /streams/NAME` with the log.
+
+    A connection carries one exchange at a time and is used again only after
+    the answer was read to its end.
+    """
 
     def __init__(self, network: Network, address: str) -> None:
         self._network = network
         self._address = address
+        self._idle: list[ClientConnection] = []
 
     async def append(self, stream: str, payload: bytes) -> int:
-        """Appends a record."""
-        sent = False
-        with trio.move_on_after(_APPEND_SECONDS):
-            conn = await self._connect("append")
-            try:
-                sent = True
-                answer = await self._request(
+        """Appends a record.
+
+        Returns:
+            The record's offset.
+
+        Raises:
+            LogUnavailableError: Nothing was appended.
+            AppendUnknownError: The record may have been appended.
+        """
+        conn = await self._acquire("append")
+        try:
+            with trio.fail_after(SILENCE_SECONDS):
+                status, answer = await self._exchange(
                     conn, "POST", f"/streams/{stream}", payload
                 )
-                offset: int = json.loads(answer)["offset"]
-                return offset
-            except (RhubarbpaddleError, ValueError, KeyError) as exc:
-                raise AppendUnknownError(
-                    str(exc), step="append", peer=self._address
-                ) from exc
-            finally:
-                await conn.aclose()
-        error = AppendUnknownError if sent else LogUnavailableError
-        raise error("no answer in time", step="append", peer=self._address)
+            if status == 200:
+                return int(json.loads(answer)["offset"])
+        except trio.TooSlowError as exc:
+            await self._purge()
+            raise self._make_unknown("no answer in time") from exc
+        except (RhubarbpaddleError, ValueError, KeyError) as exc:
+            raise self._make_unknown(str(exc)) from exc
+        finally:
+            await self._release(conn)
+        if status in _REFUSALS:
+            raise self._make_unavailable(f"status {status}", "append")
+        raise self._make_unknown(f"status {status}")
 
     async def read(
         self, stream: str, start: int, limit: int, wait: timedelta
     ) -> Batch:
-        """Reads records."""
+        """Reads records; returns within `wait` and 2 s or fails.
+
+        Raises:
+            LogUnavailableError: The log did not answer.
+        """
         wait_ms = wait // timedelta(milliseconds=1)
         target = (
             f"/streams/{stream}?from={start}&limit={limit}&wait_ms={wait_ms}"
         )
-        with trio.move_on_after(wait.total_seconds() + _GRACE_SECONDS):
-            conn = await self._connect("read")
+        with trio.move_on_after(wait.total_seconds() + SILENCE_SECONDS):
             try:
-                answer = await self._request(conn, "GET", target, b"")
+                return await self._read_once(target)
+            except LogUnavailableError:
+                # Connections break when the log restarts, so the others that
+                # are idle are most likely dead too.
+                if not self._idle:
+                    raise
+                await self._purge()
+                return await self._read_once(target)
+        await self._purge()
+        raise self._make_unavailable("no answer in time", "read")
+
+    async def aclose(self) -> None:
+        """Closes all idle connections."""
+        await self._purge()
+
+    async def _read_once(self, target: str) -> Batch:
+        conn = await self._acquire("read")
+        try:
+            status, answer = await self._exchange(conn, "GET", target, b"")
+            if status == 200:
                 return _parse_batch(json.loads(answer))
-            except (RhubarbpaddleError, ValueError, KeyError) as exc:
-                raise LogUnavailableError(
-                    str(exc), step="read", peer=self._address
-                ) from exc
-            finally:
-                await conn.aclose()
-        raise LogUnavailableError(
-            "no answer in time", step="read", peer=self._address
-        )
+        except (RhubarbpaddleError, ValueError, KeyError) as exc:
+            raise self._make_unavailable(str(exc), "read") from exc
+        finally:
+            await self._release(conn)
+        raise self._make_unavailable(f"status {status}", "read")
 
-    async def _connect(self, step: str) -> ClientConnection:
+    async def _acquire(self, step: str) -> ClientConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if not self._network.has_input(conn.stream):
+                return conn
+            await conn.aclose()
         try:
-            stream = await self._network.connect(self._address)
-        except OSError as exc:
-            raise LogUnavailableError(
-                str(exc), step=step, peer=self._address
-            ) from exc
+            with trio.fail_after(SILENCE_SECONDS):
+                stream = await self._network.connect(self._address)
+        except (OSError, trio.TooSlowError) as exc:
+            raise self._make_unavailable(f"no connection: {exc}", step) from exc
         return ClientConnection(stream, self._address)
 
-    async def _request(
+    async def _release(self, conn: ClientConnection) -> None:
+        if conn.is_reusable() and len(self._idle) < _MAX_IDLE:
+            conn.h11.start_next_cycle()
+            self._idle.append(conn)
+        else:
+            await conn.aclose()
+
+    async def _purge(self) -> None:
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def _exchange(
         self, conn: ClientConnection, method: str, target: str, payload: bytes
-    ) -> bytes:
+    ) -> tuple[int, bytes]:
         head = h11.Request(
             method=method,
             target=target,
@@ -98,13 +148,13 @@
         content = bytearray()
         while part := await body.receive():
             content += part
-        if response.status_code != 200:
-            raise LogUnavailableError(
-                f"the log answered {response.status_code}",
-                step=method.lower(),
-                peer=self._address,
-            )
-        return bytes(content)
+        return response.status_code, bytes(content)
+
+    def _make_unavailable(self, detail: str, step: str) -> LogUnavailableError:
+        return LogUnavailableError(detail, step=step, peer=self._address)
+
+    def _make_unknown(self, detail: str) -> AppendUnknownError:
+        return AppendUnknownError(detail, step="append", peer=self._address)
 
 
 def _parse_batch(document: dict[str, object]) -> Batch:
--- a/standins/log_server.py
+++ b/standins/log_server.py
@@ -8,71 +8,106 @@
 import trio
 
 from standins.http_server import StandinRequest, StandinResponse
+from standins.log_stream import LogStream
 
 _MAX_RECORDS = 1_000
-
-
-class LogStream:
-    """The records of one stream."""
-
-    def __init__(self) -> None:
-        self.first_offset = 0
-        self.records: list[bytes] = []
-        self.grown = trio.Event()
-
-    @property
-    def end_offset(self) -> int:
-        """The offset that the next append will get."""
-        return self.first_offset + len(self.records)
-
-    def append(self, payload: bytes) -> int:
-        """Appends a record and returns its offset."""
-        self.records.append(payload)
-        self.grown.set()
-        self.grown = trio.Event()
-        return self.end_offset - 1
-
-    def expire(self, before: int) -> None:
-        """Drops all records before an offset."""
-        count = max(0, min(before - self.first_offset, len(self.records)))
-        del self.records[:count]
-        self.first_offset += count
+_SETTINGS = (
+    "available",
+    "silent",
+    "lost_answers",
+    "latency_seconds",
+    "append_limit",
+    "retained_records",
+    "retained_seconds",
+)
 
 
 class LogServer:
     """Answers appends and reads.
 
+    `POST /control` with a JSON object sets any of the attributes below except
+    `streams` and `appends`; `GET /control` returns them.
+
     Attributes:
         streams: All streams by name.
-        available: False while the log refuses to answer.
+        appends: How many appends took effect.
+        available: False while the log refuses with 503; nothing is appended.
+        silent: True while the log takes requests and never answers them;
+            nothing is appended.
         lost_answers: How many of the next appends take effect unanswered.
+        latency_seconds: How long an append takes to take effect.
+        append_limit: Appends that are accepted in a second, in all streams;
+            more are refused with 429. 0 stands for no limit.
+        retained_records: Records that a stream keeps; 0 stands for all.
+        retained_seconds: Seconds that a record is kept; 0 stands for ever.
     """
 
     def __init__(self) -> None:
         self.streams: defaultdict[str, LogStream] = defaultdict(LogStream)
+        self.appends = 0
         self.available = True
+        self.silent = False
         self.lost_answers = 0
+        self.latency_seconds = 0.0
+        self.append_limit = 0
+        self.retained_records = 0
+        self.retained_seconds = 0.0
+        self._second = 0
+        self._in_second = 0
 
     async def handle(self, request: StandinRequest) -> StandinResponse:
         """Answers one request."""
         url = urlsplit(request.target)
+        if url.path == "/control":
+            return self._control(request)
         prefix, _, name = url.path.rpartition("/")
+        if self.silent:
+            await trio.sleep_forever()
         if not self.available:
             return StandinResponse(503, b"{}")
         if prefix != "/streams":
             return StandinResponse(404, b"{}")
         stream = self.streams[name]
         if request.method == "POST":
-            offset = stream.append(request.body)
-            if self.lost_answers:
-                self.lost_answers -= 1
-                return StandinResponse(0, b"")
-            return _to_response({"offset": offset})
+            return await self._append(stream, request.body)
+        stream.retain(self.retained_records, self.retained_seconds)
         query = {
             key: int(values[0]) for key, values in parse_qs(url.query).items()
         }
         return await self._read(stream, query)
 
+    def _control(self, request: StandinRequest) -> StandinResponse:
+        if request.method == "POST":
+            document = json.loads(request.body)
+            if not set(document) <= set(_SETTINGS):
+                return StandinResponse(400, b"{}")
+            for name, value in document.items():
+                setattr(self, name, value)
+        settings = {name: getattr(self, name) for name in _SETTINGS}
+        return _to_response({"appends": self.appends, **settings})
+
+    async def _append(
+        self, stream: LogStream, payload: bytes
+    ) -> StandinResponse:
+        if not self._is_within_limit():
+            return StandinResponse(429, b"{}")
+        if self.latency_seconds:
+            await trio.sleep(self.latency_seconds)
+        self.appends += 1
+        offset = stream.append(payload)
+        stream.retain(self.retained_records, self.retained_seconds)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return StandinResponse(0, b"")
+        return _to_response({"offset": offset})
+
+    def _is_within_limit(self) -> bool:
+        second = int(trio.current_time())
+        if second != self._second:
+            self._second, self._in_second = second, 0
+        self._in_second += 1
+        return not self.append_limit or self._in_second <= self.append_limit
+
     async def _read(
         self, stream: LogStream, query: dict[str, int]
     ) -> StandinResponse:
