--- /dev/null
+++ b/src/rhubarbpaddle/execution/claim_partition.py
@@ -0,0 +1,56 @@
+"""Which node owns which partition of the claims."""
+
+import hashlib
+from collections.abc import Iterable
+from heapq import nlargest
+
+from rhubarbpaddle.membership import Member, MemberStatus, MemberTable
+
+PARTITIONS = 16
+# The owner and those that stand in when it does not answer.
+CANDIDATES = 3
+
+
+class ClaimPartitions:
+    """Ranks the alive members for each partition by rendezvous hashing."""
+
+    def __init__(self, table: MemberTable) -> None:
+        self._table = table
+        self._alive: dict[str, bool] = {}
+        self._ranked: list[tuple[str, ...]] = []
+        table.add_listener(self._note_change)
+
+    def get_owners(self, partition: int) -> tuple[Member, ...]:
+        """Returns the owner and those that follow it, at most 3 members."""
+        if not self._ranked:
+            alive = [m.node_id for m in self._table if _is_alive(m)]
+            self._ranked = [rank(p, alive) for p in range(PARTITIONS)]
+        found = [self._table.get(name) for name in self._ranked[partition]]
+        return tuple(member for member in found if member is not None)
+
+    def _note_change(self, member: Member) -> None:
+        # Most changes concern an upstream's state, and ranking all members
+        # for all partitions takes 10 ms with 800 members.
+        alive = _is_alive(member)
+        if self._alive.get(member.node_id) != alive:
+            self._alive[member.node_id] = alive
+            self._ranked = []
+
+
+def get_partition(key: bytes) -> int:
+    """Returns the partition of a scoped key's digest."""
+    return int.from_bytes(key[:4], "big") % PARTITIONS
+
+
+def rank(partition: int, node_ids: Iterable[str]) -> tuple[str, ...]:
+    """Returns the first nodes for a partition by rendezvous hashing."""
+
+    def weigh(node_id: str) -> bytes:
+        pair = f"{partition}\0{node_id}".encode()
+        return hashlib.blake2b(pair, digest_size=8).digest()
+
+    return tuple(nlargest(CANDIDATES, node_ids, key=weigh))
+
+
+def _is_alive(member: Member) -> bool:
+    return member.status is MemberStatus.ALIVE
--- /dev/null
+++ b/src/rhubarbpaddle/execution/claim_reporter.py
@@ -0,0 +1,76 @@
+"""Records the ends of claims without delaying their responses."""
+
+import random
+from datetime import timedelta
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution.claim_outcome import ClaimOutcome
+from rhubarbpaddle.execution.claim_release import ClaimRelease
+from rhubarbpaddle.execution.claim_store import ClaimStore
+
+Report = ClaimOutcome | ClaimRelease
+
+_MAX_REPORTS = 1_024
+_MIN_DELAY_SECONDS = 0.05
+_MAX_DELAY_SECONDS = 2.0
+# A report that is lost leaves its claim `unknown`, which is safe.
+_GIVE_UP_SECONDS = 60.0
+
+
+class ClaimReporter:
+    """Sends reports to the claim store, one task for each pending report.
+
+    The tasks let reports of the same moment share one append.
+    """
+
+    def __init__(
+        self, store: ClaimStore, clock: Clock, rng: random.Random
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._pending = 0
+        self._sender, self._receiver = trio.open_memory_channel[
+            tuple[Report, trio.Event]
+        ](_MAX_REPORTS)
+
+    def put(self, record: Report) -> trio.Event:
+        """Queues a report; drops it if 1,024 are waiting.
+
+        Returns:
+            An event that is set once the report was recorded or given up.
+        """
+        done = trio.Event()
+        try:
+            self._sender.send_nowait((record, done))
+        except trio.WouldBlock:
+            done.set()
+        return done
+
+    async def run(self) -> None:
+        """Sends reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            async for record, done in self._receiver:
+                while self._pending >= _MAX_REPORTS:
+                    await self._clock.sleep(timedelta(milliseconds=10))
+                self._pending += 1
+                nursery.start_soon(self._send, record, done)
+
+    async def _send(self, record: Report, done: trio.Event) -> None:
+        delay = _MIN_DELAY_SECONDS
+        give_up = self._clock.monotonic() + _GIVE_UP_SECONDS
+        try:
+            while self._clock.monotonic() < give_up:
+                try:
+                    await self._store.report(record)
+                    return
+                except RefusedError:
+                    jittered = delay * self._rng.uniform(0.5, 1.0)
+                    await self._clock.sleep(timedelta(seconds=jittered))
+                    delay = min(delay * 2, _MAX_DELAY_SECONDS)
+        finally:
+            self._pending -= 1
+            done.set()
