Add claim messages, a claims server and a claims client

Cause: a gateway has to reach the owner of a key's partition. Ruled out: several claims in flight on one connection, because an answer then needs matching; a connection carries one claim at a time as for exchanges. Change: messages for claim, report and their answers; ClaimsServer serves purpose `claims`; ClaimsClient pools connections to one owner. Conclusion: an exchange that is lost after it was sent is `owner_lost` with outcome unknown, a connection that can't be opened is not-run.

--- a/src/rhubarbpaddle/peer/__init__.py
+++ b/src/rhubarbpaddle/peer/__init__.py
@@ -1,5 +1,7 @@
 """Messages between nodes and the connections that carry them."""
 
+from rhubarbpaddle.peer.claims_client import ClaimsClient
+from rhubarbpaddle.peer.claims_server import ClaimsServer
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.exchange_server import ExchangeServer
 from rhubarbpaddle.peer.identity import PeerIdentity
@@ -8,6 +10,8 @@
 from rhubarbpaddle.peer.remote_dispatcher import RemoteDispatcher
 
 __all__ = [
+    "ClaimsClient",
+    "ClaimsServer",
     "ExchangeServer",
     "PeerConnection",
     "PeerIdentity",
--- /dev/null
+++ b/src/rhubarbpaddle/peer/claims_client.py
@@ -0,0 +1,131 @@
+"""The gateway's side of claims connections."""
+
+from datetime import timedelta
+
+from rhubarbpaddle.exceptions import (
+    ProtocolError,
+    RefusedError,
+    RhubarbpaddleError,
+)
+from rhubarbpaddle.execution.claim_held import ClaimHeld
+from rhubarbpaddle.execution.claim_outcome import ClaimOutcome
+from rhubarbpaddle.execution.claim_record import ClaimRecord
+from rhubarbpaddle.execution.claim_release import ClaimRelease
+from rhubarbpaddle.network import Network
+from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.messages import (
+    ClaimGranted,
+    ClaimHeldAnswer,
+    ClaimRefused,
+    ClaimRequest,
+    Message,
+    OutcomeReport,
+    ReleaseReport,
+    ReportRecorded,
+)
+
+# An owner answers within the log client's 3 s for an append, its read and
+# the owner's 5 s of pursuit of an append whose answer was lost.
+_ANSWER_SECONDS = 10.0
+_MAX_IDLE = 32
+
+
+class ClaimsClient:
+    """Asks one other node; a connection carries one claim at a time."""
+
+    def __init__(
+        self, network: Network, connector: PeerConnector, address: str
+    ) -> None:
+        self._network = network
+        self._connector = connector
+        self._address = address
+        self._idle: list[PeerConnection] = []
+
+    async def claim(self, record: ClaimRecord) -> ClaimHeld | None:
+        """Claims a key; see `ClaimStore`."""
+        answer = await self._ask(ClaimRequest(record), record.claim_id)
+        match answer:
+            case ClaimGranted():
+                return None
+            case ClaimHeldAnswer(held=held):
+                return held
+        raise self._lose(f"unexpected {type(answer).__name__}")
+
+    async def report(self, record: ClaimOutcome | ClaimRelease) -> None:
+        """Records the end of a claim; see `ClaimStore`."""
+        message: Message = (
+            OutcomeReport(record)
+            if isinstance(record, ClaimOutcome)
+            else ReleaseReport(record)
+        )
+        answer = await self._ask(message, record.claim_id)
+        if not isinstance(answer, ReportRecorded):
+            raise self._lose(f"unexpected {type(answer).__name__}")
+
+    async def _ask(self, message: Message, claim_id: bytes) -> Message:
+        conn = await self._acquire()
+        try:
+            await conn.send(message)
+            answer = await conn.receive_within(_ANSWER_SECONDS)
+            if getattr(answer, "claim_id", None) != claim_id:
+                raise ProtocolError(
+                    "the answer belongs to another claim",
+                    step="claim",
+                    peer=self._address,
+                )
+        except RhubarbpaddleError as exc:
+            await conn.aclose()
+            await self._purge()
+            raise self._lose(str(exc)) from exc
+        except BaseException:
+            await conn.aclose()
+            raise
+        await self._release(conn)
+        if isinstance(answer, ClaimRefused):
+            raise RefusedError(
+                answer.code,
+                answer.detail,
+                step="claim",
+                peer=self._address,
+                status=answer.status,
+                outcome=answer.outcome,
+                retry_after=timedelta(milliseconds=answer.retry_after_ms),
+            )
+        return answer
+
+    async def _acquire(self) -> PeerConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if not self._network.has_input(conn.stream):
+                return conn
+            await conn.aclose()
+        try:
+            return await self._connector.connect(self._address, "claims")
+        except (OSError, RhubarbpaddleError) as exc:
+            raise RefusedError(
+                "owner_unreachable",
+                f"no connection to the owner of the key's partition: {exc}",
+                step="claim",
+                peer=self._address,
+            ) from exc
+
+    async def _release(self, conn: PeerConnection) -> None:
+        if len(self._idle) < _MAX_IDLE:
+            self._idle.append(conn)
+        else:
+            await conn.aclose()
+
+    async def _purge(self) -> None:
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    def _lose(self, detail: str) -> RefusedError:
+        return RefusedError(
+            "owner_lost",
+            f"the owner of the key's partition was lost: {detail}",
+            step="claim",
+            peer=self._address,
+            outcome=Outcome.UNKNOWN,
+        )
--- a/src/rhubarbpaddle/peer/messages/__init__.py
+++ b/src/rhubarbpaddle/peer/messages/__init__.py
@@ -5,10 +5,17 @@
 from rhubarbpaddle.peer.messages.body_part import BodyPart
 from rhubarbpaddle.peer.messages.call import Call
 from rhubarbpaddle.peer.messages.challenge import Challenge
+from rhubarbpaddle.peer.messages.claim_granted import ClaimGranted
+from rhubarbpaddle.peer.messages.claim_held import ClaimHeldAnswer
+from rhubarbpaddle.peer.messages.claim_refused import ClaimRefused
+from rhubarbpaddle.peer.messages.claim_request import ClaimRequest
 from rhubarbpaddle.peer.messages.hello import Hello
 from rhubarbpaddle.peer.messages.keep_alive import KeepAlive
+from rhubarbpaddle.peer.messages.outcome_report import OutcomeReport
 from rhubarbpaddle.peer.messages.refusal import Refusal
 from rhubarbpaddle.peer.messages.reject import Reject
+from rhubarbpaddle.peer.messages.release_report import ReleaseReport
+from rhubarbpaddle.peer.messages.report_recorded import ReportRecorded
 from rhubarbpaddle.peer.messages.response_head import ResponseHead
 from rhubarbpaddle.peer.messages.welcome import Welcome
 
@@ -18,10 +25,17 @@
     | BodyPart
     | Call
     | Challenge
+    | ClaimGranted
+    | ClaimHeldAnswer
+    | ClaimRefused
+    | ClaimRequest
     | Hello
     | KeepAlive
+    | OutcomeReport
     | Refusal
     | Reject
+    | ReleaseReport
+    | ReportRecorded
     | ResponseHead
     | Welcome
 )
@@ -32,11 +46,18 @@
     "BodyPart",
     "Call",
     "Challenge",
+    "ClaimGranted",
+    "ClaimHeldAnswer",
+    "ClaimRefused",
+    "ClaimRequest",
     "Hello",
     "KeepAlive",
     "Message",
+    "OutcomeReport",
     "Refusal",
     "Reject",
+    "ReleaseReport",
+    "ReportRecorded",
     "ResponseHead",
     "Welcome",
 ]
