--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -10,7 +10,7 @@
 from rhubarbpaddle.configuration import AcceptedConfiguration
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
-from rhubarbpaddle.execution.gateway import Gateway
+from rhubarbpaddle.execution.request_handler import RequestHandler
 from rhubarbpaddle.http.caller_head import CallerHead
 from rhubarbpaddle.http.event_body import EventBody
 from rhubarbpaddle.http.headers import VIA
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        gateway: Gateway,
+        gateway: RequestHandler,
         clock: Clock,
         metrics: Metrics,
         get_accepted: Callable[[], AcceptedConfiguration | None],
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -118,14 +118,6 @@
             self._announce()
         return changed
 
-    def adopt(self, accepted: AcceptedConfiguration) -> bool:
-        """Takes a configuration from a peer if it is newer."""
-        if accepted.version <= self.get_version():
-            return False
-        self.history.accepted = accepted
-        self._announce()
-        return True
-
     async def run(self) -> None:
         """Reads the stream for as long as the node runs."""
         async with trio.open_nursery() as nursery:
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -9,6 +9,9 @@
 
 from rhubarbpaddle.clock import Clock, SystemClock
 from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.execution.claim_partition import ClaimPartitions
+from rhubarbpaddle.execution.claim_reporter import ClaimReporter
+from rhubarbpaddle.execution.claiming_gateway import ClaimingGateway
 from rhubarbpaddle.execution.gateway import Gateway
 from rhubarbpaddle.execution.sidecar import Sidecar
 from rhubarbpaddle.http import CallerHandler
@@ -20,6 +23,9 @@
 )
 from rhubarbpaddle.network import Network, TcpNetwork
 from rhubarbpaddle.node.admin_handler import AdminHandler
+from rhubarbpaddle.node.claim_owner import ClaimOwner
+from rhubarbpaddle.node.claim_router import ClaimRouter
+from rhubarbpaddle.node.claims_clients import ClaimsClients
 from rhubarbpaddle.node.configuration_follower import ConfigurationFollower
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
 from rhubarbpaddle.node.seed_stream import SeedRecord, SeedStream
@@ -27,6 +33,7 @@
 from rhubarbpaddle.node.status import NodeStatus
 from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
 from rhubarbpaddle.peer import (
+    ClaimsServer,
     ExchangeServer,
     Overlay,
     PeerIdentity,
@@ -111,6 +118,20 @@
             clock,
             self.configuration.get_accepted,
         )
+        partitions = ClaimPartitions(self.table)
+        self.claims = ClaimOwner(settings.node_id, partitions, log, clock, rng)
+        clients = ClaimsClients(network, connector)
+        store = ClaimRouter(
+            settings.node_id, partitions, self.claims, clients.get
+        )
+        self._reporter = ClaimReporter(store, clock, rng)
+        claiming = ClaimingGateway(
+            gateway,
+            store,
+            self._reporter,
+            clock,
+            self.configuration.get_accepted,
+        )
         metrics = Metrics()
         self._watch = StreamWatch(network, clock)
         self._registry = UpstreamRegistry(
@@ -121,7 +142,7 @@
             settings.announcement_lease,
         )
         self._callers = CallerHandler(
-            gateway,
+            claiming,
             clock,
             metrics,
             self.configuration.get_accepted,
@@ -132,6 +153,7 @@
             identity,
             {
                 "exchange": ExchangeServer(self.sidecar, clock, self._watch),
+                "claims": ClaimsServer(self.claims),
                 "control": self.overlay,
             },
         )
@@ -163,6 +185,8 @@
             )
             for address, handler in listeners:
                 await nursery.start(self._network.serve, address, handler)
+            nursery.start_soon(self.claims.run)
+            nursery.start_soon(self._reporter.run)
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self._seeds.run)
             nursery.start_soon(self.overlay.run)
