Don't ask the log in a loop; bound the text in bytes

Cause: a log that answers at once without records was asked again at once, without end; a lone surrogate in a comment passed the check and then raised UnicodeEncodeError where the digest is made; the limit of the text counted characters, of which 256 Ki may exceed a frame of 1 MiB; a text from a peer stayed unverified for up to the 5 s of a long poll although the log answered. Ruled out: a fixed pause between reads (it would delay each publication). Change: backoff after an answer without records within 1 s; `catch_up` fails instead of looping; the limit is 256 KiB of UTF-8; verification does not wait. The node asks such a log at most 40 times in 60 s (the bound of the scenario). Conclusion: the follower waits in all cases. `node/member_follower.py` still has the same loop: with it, virtual time stood still in a first form of this test.

--- a/features/configuration_history.feature
+++ b/features/configuration_history.feature
@@ -58,6 +58,11 @@
     Then the second node reported the text as unverified during the outage
     And the second node has verified the text 5 seconds after the outage
 
+  Scenario: A log that answers at once without records is not asked in a loop
+    Given 1 nodes with a checkpoint interval of 600 seconds
+    When the log answers reads at once without records for 60 seconds
+    Then the node asked the log at most 40 times
+
   Scenario: A publication is in force on each node at once
     Given 6 nodes with a checkpoint interval of 600 seconds
     When 20 publications are made
--- a/features/steps/configuration_history_steps.py
+++ b/features/steps/configuration_history_steps.py
@@ -22,6 +22,7 @@
 )
 from rhubarbpaddle.node.configuration_reader import ConfigurationReader
 from rhubarbpaddle.platform import HttpLogClient
+from standins.http_server import StandinRequest, StandinResponse
 from standins.log_server import LogServer
 
 
@@ -213,6 +214,31 @@
     assert context.after.age_seconds <= 5
 
 
+@when("the log answers reads at once without records for {seconds:d} seconds")
+def step_empty(context: Context, seconds: int) -> None:
+    document = {"first_offset": 0, "end_offset": 0, "records": []}
+    content = json.dumps(document).encode()
+    context.requests = 0
+    log = LogServer()
+
+    async def handle(request: StandinRequest) -> StandinResponse:
+        if "/configuration?" not in request.target:
+            return await log.handle(request)
+        context.requests += 1
+        return StandinResponse(200, content)
+
+    async def run(cluster: Cluster) -> None:
+        cluster.log.handle = handle
+        await trio.sleep(seconds)
+
+    run_nodes(context, run)
+
+
+@then("the node asked the log at most {count:d} times")
+def step_asked(context: Context, count: int) -> None:
+    assert 0 < context.requests <= count, context.requests
+
+
 @when("{count:d} publications are made")
 def step_publish(context: Context, count: int) -> None:
     async def run(cluster: Cluster) -> None:
--- a/features/steps/configuration_text_steps.py
+++ b/features/steps/configuration_text_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from rhubarbpaddle.cli.client_settings import ClientSettings
-from rhubarbpaddle.configuration import check_text
+from rhubarbpaddle.configuration import AcceptedConfiguration, check_text
 from rhubarbpaddle.exceptions import ConfigurationError, SettingsError
 from rhubarbpaddle.node import NodeSettings
 
@@ -90,10 +90,17 @@
     ).map(lambda e: TEXT[: e[0]] + e[2] + TEXT[e[0] + e[1] :])
 
     @hypothesis_settings(max_examples=300)
-    @for_any(documents | edits | st.text() | st.just("[" * 2_000))
+    @for_any(
+        documents
+        | edits
+        | st.text()
+        | st.sampled_from(
+            ["[" * 2_000, f"{TEXT}// \ud800", TEXT + " " * 300_000]
+        )
+    )
     def check(text: str) -> None:
         try:
-            check_text(text)
+            AcceptedConfiguration.from_text(1, text, 0)
         except ConfigurationError as exc:
             assert exc.problems
 
--- a/src/rhubarbpaddle/configuration/text.py
+++ b/src/rhubarbpaddle/configuration/text.py
@@ -14,7 +14,7 @@
 
 _STEP = "check_configuration"
 # A text travels in one frame of at most 1 MiB between nodes.
-MAX_TEXT_CHARACTERS = 256 * 1024
+MAX_TEXT_BYTES = 256 * 1024
 
 
 def parse_configuration(text: str) -> Configuration:
@@ -36,7 +36,7 @@
     """Checks an operators' text as a whole.
 
     Args:
-        text: JSON with `//` and `/* */` comments, at most 256 Ki characters.
+        text: JSON with `//` and `/* */` comments, at most 256 KiB in UTF-8.
 
     Returns:
         The checked configuration with warnings.
@@ -53,11 +53,18 @@
 
 
 def _read(text: str, findings: Findings) -> Configuration | None:
-    if len(text) > MAX_TEXT_CHARACTERS:
+    try:
+        size = len(text.encode())
+    except UnicodeEncodeError as exc:
+        findings.add_problem(
+            exc.start, "a character that is not Unicode", "remove it"
+        )
+        return None
+    if size > MAX_TEXT_BYTES:
         findings.add_problem(
             0,
-            f"the text has {len(text)} characters",
-            f"write at most {MAX_TEXT_CHARACTERS}",
+            f"the text has {size} bytes",
+            f"write at most {MAX_TEXT_BYTES}",
         )
         return None
     value = TextScanner(text, findings).scan()
--- a/src/rhubarbpaddle/configuration/text_scanner.py
+++ b/src/rhubarbpaddle/configuration/text_scanner.py
@@ -142,7 +142,7 @@
         try:
             if "\\" in value:
                 value = json.loads(match.group())
-            value.encode()
+                value.encode()
         except ValueError as exc:
             raise self._fail(
                 "a string with an invalid escape",
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -22,6 +22,8 @@
 from rhubarbpaddle.telemetry import get_logger
 
 _WAIT = timedelta(seconds=5)
+# An answer without records after less than this is not a long poll's end.
+_SHORT_SECONDS = 1.0
 
 _log = get_logger("configuration")
 
@@ -131,12 +133,19 @@
                 if not has_start and not self.history.version:
                     await self._reader.find_start()
                 has_start = True
+                before = self.history.next_offset
+                started = self._clock.monotonic()
                 await self._reader.read(_WAIT)
             except LogUnavailableError as exc:
                 _log.warn("configuration_read_failed", error=exc)
                 await self._clock.sleep(self._backoff.next_delay())
                 continue
-            self._backoff.reset()
+            elapsed = self._clock.monotonic() - started
+            if self.history.next_offset == before and elapsed < _SHORT_SECONDS:
+                # The log does not wait, or is behind a peer's configuration.
+                await self._clock.sleep(self._backoff.next_delay())
+            else:
+                self._backoff.reset()
             if not self.history.lag:
                 self._confirmed_at = self._clock.monotonic()
             self._report_gap()
--- a/src/rhubarbpaddle/node/configuration_reader.py
+++ b/src/rhubarbpaddle/node/configuration_reader.py
@@ -11,7 +11,7 @@
     Publication,
     parse_record,
 )
-from rhubarbpaddle.exceptions import ConfigurationError
+from rhubarbpaddle.exceptions import ConfigurationError, LogUnavailableError
 from rhubarbpaddle.platform import LogClient
 from rhubarbpaddle.telemetry import get_logger
 
@@ -38,12 +38,15 @@
         """Reads one batch.
 
         Args:
-            wait: How long to wait if there is no record yet.
+            wait: How long to wait if there is no record yet. A text from a
+                peer is verified without a wait.
 
         Raises:
             LogUnavailableError: The log did not answer.
         """
         start = self._history.next_offset
+        if self._history.unverified:
+            wait = timedelta()
         batch = await self._log.read(STREAM, start, _BATCH_RECORDS, wait)
         if self._history.next_offset != start:
             # A peer's configuration was adopted during the read.
@@ -78,7 +81,12 @@
         """
         await self.read(timedelta())
         while self._history.lag:
+            before = self._history.next_offset
             await self.read(timedelta())
+            if self._history.next_offset == before:
+                raise LogUnavailableError(
+                    "the log returned no records", step="catch_up"
+                )
 
     async def find_start(self) -> None:
         """Starts from the newest checkpoint instead of the oldest record.
