Send and receive over TCP by a shorter path

Cause: in the profile trio's socket layer takes about a quarter of a request: several context managers for each call, and a scheduling round after each send. Ruled out: a subclass of `SocketStream`, which is final. Change: `TcpStream` tries the operating system's write and read first and leaves the waiting to trio.

--- a/features/steps/http_exchange_steps.py
+++ b/features/steps/http_exchange_steps.py
@@ -21,6 +21,7 @@
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.messages import BodyPart, KeepAlive
 from rhubarbpaddle.stream_watch import StreamWatch
+from rhubarbpaddle.tcp_stream import TcpStream
 
 
 @then("a message that arrives in two pieces around a cancelled wait is read")
@@ -148,8 +149,8 @@
     network = TcpNetwork()
     watch = StreamWatch(network, SystemClock())
 
-    async def handle(stream: trio.SocketStream) -> None:
-        conn = ServerConnection(stream, "-")
+    async def handle(accepted: trio.SocketStream) -> None:
+        conn = ServerConnection(TcpStream(accepted), "-")
         received = await conn.receive_request()
         assert received is not None
         target = received[0].target.decode()
--- a/src/rhubarbpaddle/network.py
+++ b/src/rhubarbpaddle/network.py
@@ -12,6 +12,7 @@
 
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.remote_state import RemoteState
+from rhubarbpaddle.tcp_stream import TcpStream
 
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
@@ -88,7 +89,7 @@
         except BaseException:
             sock.close()
             raise
-        stream = trio.SocketStream(sock)
+        stream = TcpStream(trio.SocketStream(sock))
         _set_options(stream)
         return stream
 
@@ -105,7 +106,8 @@
             port, host=host, backlog=_BACKLOG
         )
 
-        async def handle(stream: trio.SocketStream) -> None:
+        async def handle(accepted: trio.SocketStream) -> None:
+            stream = TcpStream(accepted)
             _set_options(stream)
             await handler(stream)
 
@@ -127,7 +129,7 @@
 
     def get_remote_address(self, stream: trio.abc.Stream) -> str:
         """Returns the far side's IP number, or `unknown`."""
-        assert isinstance(stream, trio.SocketStream)
+        assert isinstance(stream, TcpStream)
         try:
             return str(stream.socket.getpeername()[0])
         except OSError:
@@ -135,7 +137,7 @@
 
     def try_send(self, stream: trio.abc.Stream, data: bytes) -> bool:
         """Sends a few bytes at once, or none if the stream takes none now."""
-        assert isinstance(stream, trio.SocketStream)
+        assert isinstance(stream, TcpStream)
         descriptor = stream.socket.fileno()
         if descriptor < 0:
             return False
@@ -149,8 +151,8 @@
 
     def reset_on_close(self, stream: trio.abc.Stream) -> None:
         """Makes a later close reach the far side as an error, not an end."""
-        assert isinstance(stream, trio.SocketStream)
-        stream.setsockopt(
+        assert isinstance(stream, TcpStream)
+        stream.socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
         )
 
@@ -169,16 +171,16 @@
     return host.strip("[]"), int(port)
 
 
-def _set_options(stream: trio.SocketStream) -> None:
-    stream.setsockopt(
+def _set_options(stream: TcpStream) -> None:
+    stream.socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
     )
     for level, option, value in _KEEP_ALIVE:
-        stream.setsockopt(level, option, value)
+        stream.socket.setsockopt(level, option, value)
 
 
 def _poll(stream: trio.abc.Stream, events: int) -> int:
-    assert isinstance(stream, trio.SocketStream)
+    assert isinstance(stream, TcpStream)
     descriptor = stream.socket.fileno()
     if descriptor < 0:
         return select.POLLNVAL
--- /dev/null
+++ b/src/rhubarbpaddle/tcp_stream.py
@@ -0,0 +1,88 @@
+"""A TCP stream with a short path for small data."""
+
+import os
+
+import trio
+
+_DEFAULT_RECEIVE_BYTES = 1 << 16
+
+
+class TcpStream(trio.abc.HalfCloseableStream):
+    """Tries the operating system's calls before trio's.
+
+    `SocketStream.send_all` lets all other tasks run before it returns. The
+    data path waits for an answer right after nearly each send, so that only
+    costs time. A loop over `send_all` still lets others run, because the
+    reads that feed it do.
+
+    Attributes:
+        socket: The trio socket.
+    """
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.socket = stream.socket
+        self._stream = stream
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Sends all bytes.
+
+        Raises:
+            trio.BrokenResourceError: The connection is gone.
+            trio.ClosedResourceError: This side has closed it.
+        """
+        descriptor = self.socket.fileno()
+        if descriptor < 0 or self.socket.did_shutdown_SHUT_WR or not data:
+            await self._stream.send_all(data)
+            return
+        await trio.lowlevel.checkpoint_if_cancelled()
+        try:
+            sent = os.write(descriptor, data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as exc:
+            raise trio.BrokenResourceError from exc
+        if sent < len(data):
+            await self._stream.send_all(memoryview(data)[sent:])
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Returns the next bytes, or none at the end of the stream.
+
+        Raises:
+            trio.BrokenResourceError: The connection is gone.
+            trio.ClosedResourceError: This side has closed it.
+        """
+        descriptor = self.socket.fileno()
+        if descriptor < 0:
+            raise trio.ClosedResourceError
+        limit = max_bytes or _DEFAULT_RECEIVE_BYTES
+        await trio.lowlevel.checkpoint_if_cancelled()
+        try:
+            data = os.read(descriptor, limit)
+        except BlockingIOError:
+            pass
+        except OSError as exc:
+            raise trio.BrokenResourceError from exc
+        else:
+            await trio.lowlevel.cancel_shielded_checkpoint()
+            return data
+        while True:
+            # Raises ClosedResourceError if another task closes the stream.
+            await trio.lowlevel.wait_readable(descriptor)
+            try:
+                return os.read(descriptor, limit)
+            except BlockingIOError:
+                continue
+            except OSError as exc:
+                raise trio.BrokenResourceError from exc
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Waits until `send_all` might not wait."""
+        await self._stream.wait_send_all_might_not_block()
+
+    async def send_eof(self) -> None:
+        """Ends the sending direction."""
+        await self._stream.send_eof()
+
+    async def aclose(self) -> None:
+        """Closes the stream."""
+        await self._stream.aclose()
