--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -1,6 +1,5 @@
 """One node: its parts and its tasks."""
 
-import gc
 import random
 import signal
 from typing import Self
@@ -137,10 +136,6 @@
             nursery.start_soon(self._watch.run)
             nursery.start_soon(self._registry.run)
             self.table.update_own()
-            # The modules' objects live for ever; without this each full
-            # collection looks at all of them and pauses the node for 15 ms.
-            gc.collect()
-            gc.freeze()
             _log.info("node_started", node=self.settings.node_id)
             task_status.started()
 
