Refuse ambiguous lines after the last chunk and test draining

Cause: h11 reads the lines after the last chunk as it reads a head, bare line feeds and folded lines included. Draining had no test. Ruled out: a parser for chunks of our own; the bytes that h11 takes for the end of the body are checked instead. Change: the check above; an empty body is sent without an empty `Data` event; `Node.drain_callers` for the graceful shutdown.

--- a/features/http_callers.feature
+++ b/features/http_callers.feature
@@ -49,6 +49,12 @@
     When 8200 callers wait for their next request
     Then the 8 that have waited longest are closed
 
+  # Guards against a shutdown that interrupts a request or waits for idle
+  # callers.
+  Scenario: A node drains
+    When a node drains while one caller waits for an answer and one is idle
+    Then the idle connection ends at once, the other after its answer
+
   # Guards against headers of one connection that reach the next.
   Scenario Outline: Headers on the way to the upstream through node <node>
     When a caller sends hop-by-hop, forwarding and control headers to node "<node>"
--- a/features/http_heads.feature
+++ b/features/http_heads.feature
@@ -35,6 +35,16 @@
       | 4^                     |
       | fffffffffffffffffffff4 |
 
+  Scenario Outline: A caller ends its chunks with <end>
+    When a caller ends its chunks with "<end>"
+    Then no upstream gets a whole body
+
+    Examples:
+      | end        |
+      | 0~^        |
+      | 0~X: y^~   |
+      | 0~X: y~ z~~ |
+
   # Guards against memory that a caller fills with a head without an end.
   Scenario: A caller sends a head without an end
     When a caller sends a head of 70000 bytes without an end
--- a/features/steps/http_callers_steps.py
+++ b/features/steps/http_callers_steps.py
@@ -155,6 +155,30 @@
     assert context.closed == list(range(count)), context.closed
 
 
+@when("a node drains while one caller waits for an answer and one is idle")
+def step_drain(context: Context) -> None:
+    async def script(world: HttpWorld) -> None:
+        idle, busy = await world.connect(), await world.connect()
+        await busy.send(make_request("GET", "/slow/3"))
+        await trio.sleep(1)
+        world.cluster.nodes["b1"].drain_callers()
+        started = trio.current_time()
+        context.idle = await idle.receive()
+        context.idle_seconds = trio.current_time() - started
+        context.busy = await busy.receive()
+        context.next = await busy.receive()
+
+    run_http_world(script)
+
+
+@then("the idle connection ends at once, the other after its answer")
+def step_drained(context: Context) -> None:
+    assert context.idle is None and context.idle_seconds < 0.1
+    assert context.busy.status == 200 and context.busy.complete
+    assert context.busy.headers["connection"] == "close"
+    assert context.next is None
+
+
 @when(
     'a caller sends hop-by-hop, forwarding and control headers to node "{node}"'
 )
--- a/features/steps/http_heads_steps.py
+++ b/features/steps/http_heads_steps.py
@@ -40,6 +40,13 @@
     _send(context, head + chunk + b"\r\nabcd\r\n0\r\n\r\n")
 
 
+@when('a caller ends its chunks with "{end}"')
+def step_send_end(context: Context, end: str) -> None:
+    head = make_request("POST", "/echo", Transfer_Encoding="chunked")
+    tail = end.replace("~", "\r\n").replace("^", "\n").encode()
+    _send(context, head + b"4\r\nabcd\r\n" + tail)
+
+
 @then("it is refused with status {status:d} and no upstream sees it")
 def step_refused(context: Context, status: int) -> None:
     assert context.answer is not None
--- a/features/support/raw_caller.py
+++ b/features/support/raw_caller.py
@@ -34,6 +34,10 @@
 
     async def receive(self) -> RawAnswer | None:
         """Returns the next answer, or None if the connection ended."""
+        if self._h11.our_state is h11.MUST_CLOSE:
+            data = await self.stream.receive_some()
+            assert not data, data
+            return None
         if self._h11.our_state is h11.DONE:
             self._h11.start_next_cycle()
         self._h11.send(h11.Request(method="GET", target="/", headers=_HOST))
--- a/src/rhubarbpaddle/http/client_connection.py
+++ b/src/rhubarbpaddle/http/client_connection.py
@@ -24,9 +24,11 @@
             TruncatedError: The connection is gone, or the body ended early.
         """
         if isinstance(body, BytesBody):
-            await self.send(
-                head, h11.Data(data=body.content), h11.EndOfMessage()
-            )
+            if body.content:
+                data = h11.Data(data=body.content)
+                await self.send(head, data, h11.EndOfMessage())
+            else:
+                await self.send(head, h11.EndOfMessage())
             return
         await self.send(head)
         part = b"-"
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -50,6 +50,7 @@
         self._receiving_head = False
         self._answering = False
         self._takes_interim = False
+        self._chunked = False
         self._checks = 0
 
     def raise_if_slow(self) -> None:
@@ -78,11 +79,31 @@
             return None
         check_head(event)
         self._takes_interim = event.http_version != b"1.0"
+        self._chunked = _is_chunked(event)
         length = get_length(event.headers)
-        if length is None and not _is_chunked(event):
+        if length is None and not self._chunked:
             length = 0
         return event, EventBody(self._next_body_event, length, self.peer)
 
+    def parse_event(self) -> object:
+        """Returns the next event that has arrived, or `h11.NEED_DATA`.
+
+        h11 also accepts bare line feeds after the last chunk; they are
+        refused for the same reason as in a head.
+
+        Raises:
+            ProtocolError: The caller does not speak HTTP/1.1.
+            RefusedError: The lines after the last chunk are ambiguous.
+        """
+        if not self._chunked:
+            return super().parse_event()
+        before, _ = self.h11.trailing_data
+        event = super().parse_event()
+        if isinstance(event, h11.EndOfMessage):
+            after, _ = self.h11.trailing_data
+            check_raw_head(before[: len(before) - len(after)])
+        return event
+
     async def send_response(
         self, method: bytes, status: int, headers: Headers, body: Body
     ) -> None:
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -151,6 +151,10 @@
                     break
             nursery.cancel_scope.cancel()
 
+    def drain_callers(self) -> None:
+        """Ends idle callers' connections, the others after their answer."""
+        self._callers.drain()
+
     def get_status(self) -> NodeStatus:
         """Returns what operators see of this node."""
         accepted = self.configuration.get_accepted()
