Keep a fault in one call from ending the node

Cause: an exception of another kind than the project's own would leave the task of an exchange connection and end all tasks of the node. Ruled out: catching it in the listener, which is shared by other purposes. Change: it is logged and ends the connection, so the gateway reports `unknown`. Conclusion: done.

--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -75,6 +75,13 @@
             conn.broken = True
             _log.warn("call_failed", request_id=call.request_id, error=exc)
             return
+        except Exception as exc:
+            # A fault in one call must not end the node.
+            conn.broken = True
+            _log.error(
+                "call_failed", request_id=call.request_id, reason=repr(exc)
+            )
+            return
         if isinstance(body, CallBody) and not body.is_settled():
             # Parts of this call's body may still arrive.
             conn.broken = True
