Route by own requests, decayed reports, latency and distance

Cause: the node used the own requests in flight only. That ignores other gateways' load, distance, cold limits, stragglers and fail-fast instances, and it walked the whole member table for each request. Ruled out: decaying old reports to zero (an old report would make an instance look idle and draw a herd); the age of requests in flight as evidence of a straggler (long uploads and downloads look the same). Change: AdaptiveRouter behind the Router protocol, used by the node. A service index follows the member table; a subset of at most 24 instances is cached per service. Reports decay to the mean of the service. InstanceHealth ejects slow and failing instances and tries them again; ZoneRamp raises the weight of a zone that returns; ZoneRoundTrips learns distances from refusals and answers. LeastLoadedRouter stays as a baseline.

--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -30,7 +30,7 @@
 )
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.platform import HttpLogClient, LogClient
-from rhubarbpaddle.routing import LeastLoadedRouter
+from rhubarbpaddle.routing import AdaptiveRouter
 from rhubarbpaddle.telemetry import Metrics, get_logger
 
 _log = get_logger("node")
@@ -76,7 +76,7 @@
         pool = PeerPool(network, PeerConnector(network, identity))
         remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
         gateway = Gateway(
-            LeastLoadedRouter(self.table, rng),
+            AdaptiveRouter(self.table, rng, clock),
             NodeDispatcher(settings.node_id, self.sidecar, remote),
             clock,
             self.configuration.get_accepted,
--- a/src/rhubarbpaddle/routing/__init__.py
+++ b/src/rhubarbpaddle/routing/__init__.py
@@ -1,7 +1,8 @@
 """Which instance gets a request."""
 
+from rhubarbpaddle.routing.adaptive_router import AdaptiveRouter
 from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.least_loaded_router import LeastLoadedRouter
 from rhubarbpaddle.routing.router import Router
 
-__all__ = ["Candidate", "LeastLoadedRouter", "Router"]
+__all__ = ["AdaptiveRouter", "Candidate", "LeastLoadedRouter", "Router"]
--- /dev/null
+++ b/src/rhubarbpaddle/routing/adaptive_router.py
@@ -0,0 +1,226 @@
+"""Routing by own requests, reports, latencies and distance."""
+
+import random
+from collections.abc import Collection
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.measuring import LoadReport
+from rhubarbpaddle.membership import Member, MemberTable
+from rhubarbpaddle.routing.candidate import Candidate
+from rhubarbpaddle.routing.instance_load import InstanceLoad
+from rhubarbpaddle.routing.rendezvous import get_weight
+from rhubarbpaddle.routing.service_index import ServiceIndex
+from rhubarbpaddle.routing.service_state import ServiceState
+from rhubarbpaddle.routing.zone_ramp import ZoneRamp
+
+# Bounds the connections and the state of a gateway whatever the fleet's size.
+SUBSET_SIZE = 24
+_SCORE_ALL = 8
+_DEFAULT_LATENCY = 0.005
+# Refusals after which an instance is avoided at once, and for how long. The
+# member table shows the change within about this time.
+_AVOIDED_CODES = frozenset(
+    {
+        "instance_gone",
+        "peer_lost",
+        "peer_unreachable",
+        "upstream_leaving",
+        "upstream_unreachable",
+        "zone_out_of_service",
+    }
+)
+_AVOID_SECONDS = 1.0
+_FULL = "no_free_slot"
+
+
+class AdaptiveRouter:
+    """Chooses the instance that will probably answer first."""
+
+    def __init__(
+        self, table: MemberTable, rng: random.Random, clock: Clock
+    ) -> None:
+        self._table = table
+        self._index = ServiceIndex(table)
+        self._rng = rng
+        self._clock = clock
+        self._ramp = ZoneRamp()
+        self._services: dict[str, ServiceState] = {}
+        self._loads: dict[str, InstanceLoad] = {}
+        self._weights: dict[str, int] = {}
+
+    def choose(
+        self, cfg: Configuration, service: str, tried: Collection[str]
+    ) -> Candidate | None:
+        """Returns the instance for the next try."""
+        now = self._clock.monotonic()
+        state = self._get_state(cfg, service, now)
+        available = [
+            load for load in state.pool if load.candidate.node_id not in tried
+        ]
+        # An instance that is avoided is better than no instance.
+        usable = [
+            load
+            for load in available
+            if load.health.may_take_work(load.in_flight, now)
+        ] or available
+        if not usable:
+            return None
+        if len(usable) > _SCORE_ALL:
+            usable = self._sample(usable, now)
+        latency = state.get_median(now) or _DEFAULT_LATENCY
+        best = min(
+            usable,
+            key=lambda load: (
+                self._score(state, load, latency, now),
+                self._rng.random(),
+            ),
+        )
+        return best.candidate
+
+    def has_other(
+        self, cfg: Configuration, service: str, tried: Collection[str]
+    ) -> bool:
+        """Returns whether `choose` would return a candidate."""
+        now = self._clock.monotonic()
+        return any(
+            load.candidate.node_id not in tried
+            for load in self._get_state(cfg, service, now).pool
+        )
+
+    def started(self, candidate: Candidate) -> None:
+        """Notes that a request was sent to the candidate."""
+        load = self._get_load(candidate)
+        if load is not None:
+            load.in_flight += 1
+
+    def finished(
+        self,
+        candidate: Candidate,
+        latency: float | None,
+        succeeded: bool,
+        report: LoadReport | None,
+        code: str = "",
+    ) -> None:
+        """Notes the end of a request."""
+        load = self._get_load(candidate)
+        if load is None:
+            return
+        now = self._clock.monotonic()
+        state = self._services[candidate.service]
+        if report is not None:
+            load.observe_report(report, now)
+            state.observe_others(load.others / max(1, report.limit))
+        load.in_flight -= 1
+        if code in _AVOIDED_CODES:
+            load.health.avoid(_AVOID_SECONDS, now)
+        elif latency is not None:
+            self._observe(state, load, latency, succeeded, code)
+
+    def _observe(
+        self,
+        state: ServiceState,
+        load: InstanceLoad,
+        latency: float,
+        succeeded: bool,
+        code: str,
+    ) -> None:
+        now = self._clock.monotonic()
+        zone = load.candidate.availability_zone
+        if code == _FULL:
+            state.round_trips.observe_refusal(zone, latency, now)
+            return
+        if succeeded:
+            state.round_trips.observe_answer(zone, latency, now)
+        without_trip = max(0.0, latency - state.round_trips.get(zone))
+        load.health.observe_answer(
+            without_trip, succeeded, state.get_median(now), now
+        )
+
+    def _get_load(self, candidate: Candidate) -> InstanceLoad | None:
+        load = self._loads.get(candidate.node_id)
+        if load is None or not _is_same(load.candidate, candidate):
+            return None
+        return load
+
+    def _score(
+        self,
+        state: ServiceState,
+        load: InstanceLoad,
+        latency: float,
+        now: float,
+    ) -> float:
+        """Returns the expected cost in units of the median latency."""
+        zone = load.candidate.availability_zone
+        in_flight = load.estimate(state.mean_others, latency, now)
+        limit = load.get_limit(now) * self._ramp.get_weight(zone, now)
+        slowness = load.health.get_slowness(latency)
+        trip = state.round_trips.get(zone) / latency
+        return (in_flight + 1) / limit * slowness + trip
+
+    def _sample(
+        self, usable: list[InstanceLoad], now: float
+    ) -> list[InstanceLoad]:
+        weights = [load.get_limit(now) for load in usable]
+        return self._rng.choices(usable, weights, k=2)
+
+    def _get_state(
+        self, cfg: Configuration, service: str, now: float
+    ) -> ServiceState:
+        self._ramp.observe(cfg, now)
+        state = self._services.get(service)
+        if state is None:
+            state = ServiceState(self._table.own.availability_zone)
+            self._services[service] = state
+        key = (cfg.availability_zones, self._index.get_version(service))
+        if (
+            state.pool_key is None
+            or state.pool_key[0] is not key[0]
+            or state.pool_key[1] != key[1]
+        ):
+            state.pool_key = key
+            state.pool = self._make_pool(cfg, service)
+        return state
+
+    def _make_pool(
+        self, cfg: Configuration, service: str
+    ) -> list[InstanceLoad]:
+        own_zone = self._table.own.availability_zone
+        members = [
+            member
+            for member in self._index.get_members(service)
+            if cfg.is_in_service(member.availability_zone)
+        ]
+        members.sort(
+            key=lambda member: (
+                member.availability_zone != own_zone,
+                -self._get_weight(member.node_id),
+            )
+        )
+        return [self._to_load(member) for member in members[:SUBSET_SIZE]]
+
+    def _get_weight(self, node_id: str) -> int:
+        weight = self._weights.get(node_id)
+        if weight is None:
+            weight = get_weight(self._table.own.node_id, node_id)
+            self._weights[node_id] = weight
+        return weight
+
+    def _to_load(self, member: Member) -> InstanceLoad:
+        assert member.upstream is not None
+        candidate = Candidate.from_member(member)
+        load = self._loads.get(member.node_id)
+        if load is None or not _is_same(load.candidate, candidate):
+            load = InstanceLoad(candidate, member.upstream)
+            self._loads[member.node_id] = load
+        else:
+            load.update(candidate, member.upstream)
+        return load
+
+
+def _is_same(one: Candidate, other: Candidate) -> bool:
+    return (one.service, one.instance, one.incarnation) == (
+        other.service,
+        other.instance,
+        other.incarnation,
+    )
--- a/src/rhubarbpaddle/routing/candidate.py
+++ b/src/rhubarbpaddle/routing/candidate.py
@@ -1,6 +1,8 @@
 """An instance that may get a request."""
 
-from typing import NamedTuple
+from typing import NamedTuple, Self
+
+from rhubarbpaddle.membership import Member
 
 
 class Candidate(NamedTuple):
@@ -21,3 +23,16 @@
     service: str
     instance: str
     incarnation: int
+
+    @classmethod
+    def from_member(cls, member: Member) -> Self:
+        """Makes the candidate of a member that has an upstream."""
+        assert member.upstream is not None
+        return cls(
+            node_id=member.node_id,
+            peer_address=member.peer_address,
+            availability_zone=member.availability_zone,
+            service=member.upstream.service,
+            instance=member.upstream.instance,
+            incarnation=member.upstream.incarnation,
+        )
--- /dev/null
+++ b/src/rhubarbpaddle/routing/instance_load.py
@@ -0,0 +1,70 @@
+"""The load of one instance, as one gateway estimates it."""
+
+import math
+
+from rhubarbpaddle.measuring import LoadReport
+from rhubarbpaddle.membership import UpstreamState, UpstreamSummary
+from rhubarbpaddle.routing.candidate import Candidate
+from rhubarbpaddle.routing.instance_health import InstanceHealth
+
+# A limit that was reported longer ago than this gives way to the slots that
+# the member's entry states.
+_LIMIT_SECONDS = 5.0
+
+
+class InstanceLoad:
+    """Own requests in flight and the last report of an instance.
+
+    Attributes:
+        candidate: The instance.
+        health: Whether it answers as others do.
+        in_flight: The node's own requests in flight, exactly.
+        others: Requests of other gateways at the last report.
+    """
+
+    def __init__(self, candidate: Candidate, upstream: UpstreamSummary) -> None:
+        self.candidate = candidate
+        self.health = InstanceHealth()
+        self.in_flight = 0
+        self.others = 0.0
+        self._upstream = upstream
+        self._limit = 0
+        self._reported = float("-inf")
+
+    def update(self, candidate: Candidate, upstream: UpstreamSummary) -> None:
+        """Takes a changed member entry of the same incarnation."""
+        self.candidate = candidate
+        self._upstream = upstream
+
+    def observe_report(self, report: LoadReport, now: float) -> None:
+        """Takes a report; called while its request counts as in flight."""
+        total = report.in_flight + report.queued
+        self.others = float(max(0, total - self.in_flight))
+        self._limit = report.limit
+        self._reported = now
+
+    def get_limit(self, now: float) -> int:
+        """Returns how many requests the instance may run at once."""
+        if self._limit and now - self._reported < _LIMIT_SECONDS:
+            return self._limit
+        if self._upstream.state is UpstreamState.COLD:
+            return 1
+        return self._upstream.slots
+
+    def estimate(self, mean: float, decay_seconds: float, now: float) -> float:
+        """Returns the estimated requests in flight.
+
+        The part of other gateways decays from the last report to the mean of
+        the service. An old report of a low load therefore attracts no more
+        requests than an average one.
+
+        Args:
+            mean: Mean of others' requests per unit of limit.
+            decay_seconds: Time constant of the decay.
+            now: Monotonic seconds.
+        """
+        usual = mean * self.get_limit(now)
+        if decay_seconds <= 0:
+            return self.in_flight + usual
+        weight = math.exp((self._reported - now) / decay_seconds)
+        return self.in_flight + usual + weight * (self.others - usual)
--- a/src/rhubarbpaddle/routing/least_loaded_router.py
+++ b/src/rhubarbpaddle/routing/least_loaded_router.py
@@ -28,7 +28,7 @@
     ) -> Candidate | None:
         """Returns the instance for the next try."""
         candidates = [
-            _to_candidate(member)
+            Candidate.from_member(member)
             for member in self._table
             if member.node_id not in tried
             and _may_take_work(cfg, member, service)
@@ -38,6 +38,12 @@
         self._rng.shuffle(candidates)
         return min(candidates, key=lambda c: self._in_flight[c.node_id])
 
+    def has_other(
+        self, cfg: Configuration, service: str, tried: Collection[str]
+    ) -> bool:
+        """Returns whether `choose` would return a candidate."""
+        return self.choose(cfg, service, tried) is not None
+
     def started(self, candidate: Candidate) -> None:
         """Notes that a request was sent to the candidate."""
         self._in_flight[candidate.node_id] += 1
@@ -45,9 +51,10 @@
     def finished(
         self,
         candidate: Candidate,
-        latency: float,
+        latency: float | None,
         succeeded: bool,
         report: LoadReport | None,
+        code: str = "",
     ) -> None:
         """Notes the end of a request."""
         self._in_flight[candidate.node_id] -= 1
@@ -62,15 +69,3 @@
         and member.status is MemberStatus.ALIVE
         and cfg.is_in_service(member.availability_zone)
     )
-
-
-def _to_candidate(member: Member) -> Candidate:
-    assert member.upstream is not None
-    return Candidate(
-        node_id=member.node_id,
-        peer_address=member.peer_address,
-        availability_zone=member.availability_zone,
-        service=member.upstream.service,
-        instance=member.upstream.instance,
-        incarnation=member.upstream.incarnation,
-    )
--- a/src/rhubarbpaddle/routing/router.py
+++ b/src/rhubarbpaddle/routing/router.py
@@ -26,6 +26,18 @@
         """
         ...
 
+    def has_other(
+        self, cfg: Configuration, service: str, tried: Collection[str]
+    ) -> bool:
+        """Returns whether `choose` would return a candidate.
+
+        Args:
+            cfg: The configuration in force.
+            service: The service that the request is for.
+            tried: Node ids that do not count.
+        """
+        ...
+
     def started(self, candidate: Candidate) -> None:
         """Notes that a request was sent to the candidate."""
         ...
@@ -33,16 +45,20 @@
     def finished(
         self,
         candidate: Candidate,
-        latency: float,
+        latency: float | None,
         succeeded: bool,
         report: LoadReport | None,
+        code: str = "",
     ) -> None:
         """Notes the end of a request.
 
         Args:
             candidate: The instance that the request was sent to.
-            latency: Seconds from the start to the response head.
+            latency: Seconds from the start to the response head. None if it
+                says nothing of the instance, as after a long upload or if
+                the caller gave the request up.
             succeeded: False for refusals, errors and 5xx answers.
             report: The load that came back with the answer, if one came.
+            code: The code of the refusal, or empty.
         """
         ...
--- /dev/null
+++ b/src/rhubarbpaddle/routing/service_index.py
@@ -0,0 +1,64 @@
+"""The members that can take work, by service."""
+
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    UpstreamState,
+)
+
+
+class ServiceIndex:
+    """Follows the member table, so that a request need not walk it."""
+
+    def __init__(self, table: MemberTable) -> None:
+        self._members: dict[str, dict[str, Member]] = {}
+        self._services: dict[str, str] = {}
+        self._versions: dict[str, int] = {}
+        for member in table:
+            self._update(member)
+        table.add_listener(self._update)
+
+    def get_members(self, service: str) -> list[Member]:
+        """Returns the members whose upstream takes work for the service."""
+        return list(self._members.get(service, {}).values())
+
+    def get_version(self, service: str) -> int:
+        """Returns a number that changes with the members of the service."""
+        return self._versions.get(service, 0)
+
+    def _update(self, member: Member) -> None:
+        node_id = member.node_id
+        previous = self._services.get(node_id)
+        service = _get_service(member)
+        if previous is not None and previous != service:
+            del self._services[node_id]
+            del self._members[previous][node_id]
+            self._versions[previous] += 1
+        if service is None:
+            return
+        members = self._members.setdefault(service, {})
+        held = members.get(node_id)
+        members[node_id] = member
+        self._services[node_id] = service
+        if held is None or not _routes_equally(held, member):
+            self._versions[service] = self.get_version(service) + 1
+
+
+def _get_service(member: Member) -> str | None:
+    upstream = member.upstream
+    if (
+        upstream is None
+        or member.status is not MemberStatus.ALIVE
+        or upstream.state not in (UpstreamState.COLD, UpstreamState.WARM)
+    ):
+        return None
+    return upstream.service
+
+
+def _routes_equally(one: Member, other: Member) -> bool:
+    return (one.availability_zone, one.peer_address, one.upstream) == (
+        other.availability_zone,
+        other.peer_address,
+        other.upstream,
+    )
--- /dev/null
+++ b/src/rhubarbpaddle/routing/service_state.py
@@ -0,0 +1,50 @@
+"""What a gateway knows of one service."""
+
+from collections.abc import Mapping
+from statistics import median
+
+from rhubarbpaddle.configuration import AvailabilityZone
+from rhubarbpaddle.routing.instance_load import InstanceLoad
+from rhubarbpaddle.routing.zone_round_trips import ZoneRoundTrips
+
+# The availability zones of the configuration and the index's version.
+PoolKey = tuple[Mapping[str, AvailabilityZone], int]
+
+_REFRESH_SECONDS = 0.005
+_OTHERS_WEIGHT = 0.05
+
+
+class ServiceState:
+    """The instances that a gateway uses for a service.
+
+    Attributes:
+        pool: The instances of the subset.
+        pool_key: What the pool was computed from.
+        round_trips: Round-trip times to the zones.
+        mean_others: Mean of others' requests per unit of limit.
+    """
+
+    def __init__(self, own_zone: str) -> None:
+        self.pool: list[InstanceLoad] = []
+        self.pool_key: PoolKey | None = None
+        self.round_trips = ZoneRoundTrips(own_zone)
+        self.mean_others = 0.0
+        self._median = 0.0
+        self._median_time = float("-inf")
+
+    def observe_others(self, share: float) -> None:
+        """Notes others' requests per unit of limit of one report."""
+        self.mean_others += _OTHERS_WEIGHT * (share - self.mean_others)
+
+    def get_median(self, now: float) -> float:
+        """Returns the median latency in seconds, or 0 if it is unknown."""
+        if now - self._median_time >= _REFRESH_SECONDS:
+            latencies = [
+                load.health.latency
+                for load in self.pool
+                if load.health.latency is not None
+            ]
+            if latencies:
+                self._median = median(latencies)
+            self._median_time = now
+        return self._median
--- /dev/null
+++ b/src/rhubarbpaddle/routing/zone_ramp.py
@@ -0,0 +1,47 @@
+"""The return of availability zones to service."""
+
+from rhubarbpaddle.configuration import Configuration
+
+# A zone that returns starts with a tenth of its weight and has its full
+# weight after this time, so that its caches and connections fill first.
+RAMP_SECONDS = 3.0
+_FIRST_WEIGHT = 0.1
+
+
+class ZoneRamp:
+    """Raises the weight of an availability zone after its return."""
+
+    def __init__(self) -> None:
+        self._cfg: Configuration | None = None
+        self._returned: dict[str, float] = {}
+
+    def observe(self, cfg: Configuration, now: float) -> None:
+        """Compares a configuration with the one before.
+
+        Args:
+            cfg: The configuration in force.
+            now: Monotonic seconds.
+        """
+        previous = self._cfg
+        if cfg is previous:
+            return
+        self._cfg = cfg
+        if previous is None:
+            return
+        for name, zone in cfg.availability_zones.items():
+            before = previous.availability_zones.get(name)
+            if before is None or not zone.in_service:
+                continue
+            if not before.in_service:
+                self._returned[name] = now
+
+    def get_weight(self, availability_zone: str, now: float) -> float:
+        """Returns the zone's weight, above 0 and at most 1."""
+        returned = self._returned.get(availability_zone)
+        if returned is None:
+            return 1.0
+        progress = (now - returned) / RAMP_SECONDS
+        if progress >= 1:
+            del self._returned[availability_zone]
+            return 1.0
+        return max(_FIRST_WEIGHT, progress)
