Bound retries and redirects, and keep the deadline at the gateway

Cause: the gateway tried every instance of a service for each refusal, retried without a budget, permitted queueing on the first try and waited without limit for an instance that never answers. After a try that may have run it could report the not-run of a later one. Ruled out: one budget of 10 % for failed answers and lost requests alike. A failure at the end of a chain is retried as a lost request there and as a failed answer at the first gateway; with 400 requests at depth 25 this gave 503 runs at the end. Each now has half of the budget. Spending redirects without a check on tries that may queue gave 1,600 tries for 400 requests. Change: RetryBudget, RetryPolicy; only the last try may queue; the outcome stays unknown once a try may have run; the deadline bounds each try.

--- /dev/null
+++ b/features/steps/retries_steps.py
@@ -0,0 +1,261 @@
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from features.steps.routing_steps import (
+    make_configuration,
+    make_router,
+    set_up,
+)
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.configuration import AcceptedConfiguration, Service
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+from rhubarbpaddle.execution.gateway import Gateway
+from rhubarbpaddle.execution.retry_budget import RetryBudget
+from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.routing import Candidate
+
+_SERVICE = "lanes"
+_TIMEOUT = 1.0
+_Behaviour = Callable[[Request, Candidate, int], Response]
+
+
+class FakeDispatcher:
+    """Answers each try as a function says and keeps the tries."""
+
+    def __init__(self, behave: _Behaviour, delay: float = 0.0) -> None:
+        self.tries: list[Request] = []
+        self._behave = behave
+        self._delay = delay
+
+    @asynccontextmanager
+    async def dispatch(
+        self, request: Request, body: Body, candidate: Candidate
+    ) -> AsyncIterator[Response]:
+        self.tries.append(request)
+        await trio.sleep(self._delay)
+        yield self._behave(request, candidate, len(self.tries))
+
+
+class ChainDispatcher:
+    """The instance calls the next service and passes its failure on."""
+
+    def __init__(self, below: Gateway) -> None:
+        self._below = below
+
+    @asynccontextmanager
+    async def dispatch(
+        self, request: Request, body: Body, candidate: Candidate
+    ) -> AsyncIterator[Response]:
+        call = request._replace(depth=request.depth + 1, may_queue=True)
+        try:
+            async with self._below.handle(call, body) as response:
+                yield response
+        except RefusedError as exc:
+            yield Response(exc.status, [], BytesBody(b""), None)
+
+
+def make_gateway(
+    context: Context,
+    dispatcher: FakeDispatcher | ChainDispatcher,
+) -> Gateway:
+    accepted = AcceptedConfiguration(1, "", "", 0, context.cfg)
+    return Gateway(
+        make_router(context), dispatcher, VirtualClock(), lambda: accepted
+    )
+
+
+def make_request(idempotent: bool = True, attempt: int = 1) -> Request:
+    return Request(
+        "r",
+        "t",
+        _SERVICE,
+        "GET",
+        "/",
+        [],
+        trio.current_time() + _TIMEOUT,
+        idempotent,
+        attempt=attempt,
+    )
+
+
+async def send(context: Context, gateway: Gateway, request: Request) -> None:
+    handled: AbstractAsyncContextManager[Response]
+    handled = gateway.handle(request, BytesBody(b"x"))
+    try:
+        async with handled as response:
+            context.statuses.append(response.status)
+            context.outcome = None
+    except RefusedError as exc:
+        context.statuses.append(exc.status)
+        context.outcome = exc.outcome
+
+
+def refuse(code: str, step: str, outcome: Outcome) -> RefusedError:
+    return RefusedError(
+        code, "refused", step=step, outcome=outcome, may_retry=True
+    )
+
+
+def lose(request: Request, candidate: Candidate, count: int) -> Response:
+    raise refuse("peer_lost", "exchange", Outcome.UNKNOWN)
+
+
+def prepare(
+    context: Context, count: int, behave: _Behaviour, delay: float = 0.0
+) -> None:
+    set_up(context, ["a"] * count)
+    context.dispatcher = FakeDispatcher(behave, delay)
+    context.make = lambda: make_gateway(context, context.dispatcher)
+
+
+@given("a chain of {depth:d} services whose last instances are lost")
+def step_chain(context: Context, depth: int) -> None:
+    prepare(context, 5, lose)
+
+    def make() -> Gateway:
+        gateway = make_gateway(context, context.dispatcher)
+        for _ in range(depth - 1):
+            gateway = make_gateway(context, ChainDispatcher(gateway))
+        return gateway
+
+    context.make = make
+
+
+@given('{count:d} instances that refuse with "{code}" at step "{step}"')
+def step_refuse(context: Context, count: int, code: str, step: str) -> None:
+    def behave(request: Request, candidate: Candidate, n: int) -> Response:
+        raise refuse(code, step, Outcome.NOT_RUN)
+
+    prepare(context, count, behave)
+
+
+@given("{count:d} instances that are lost")
+def step_lost(context: Context, count: int) -> None:
+    prepare(context, count, lose)
+
+
+@given("{count:d} instances that are lost first and then refuse")
+def step_lost_refuse(context: Context, count: int) -> None:
+    def behave(request: Request, candidate: Candidate, n: int) -> Response:
+        if n == 1:
+            return lose(request, candidate, n)
+        raise refuse("upstream_leaving", "admit", Outcome.NOT_RUN)
+
+    prepare(context, count, behave)
+
+
+@given("{count:d} instances of which one answers 503")
+def step_503(context: Context, count: int) -> None:
+    def behave(request: Request, candidate: Candidate, n: int) -> Response:
+        status = 503 if candidate.instance == "i0" else 200
+        return Response(status, [], BytesBody(b""), None)
+
+    prepare(context, count, behave)
+
+
+@given("{count:d} instances that refuse after the deadline")
+def step_late(context: Context, count: int) -> None:
+    def behave(request: Request, candidate: Candidate, n: int) -> Response:
+        raise refuse("no_free_slot", "admit", Outcome.NOT_RUN)
+
+    prepare(context, count, behave, delay=_TIMEOUT + 0.1)
+
+
+@given("{count:d} instances that never answer")
+def step_silent(context: Context, count: int) -> None:
+    prepare(context, count, lose, delay=1e9)
+
+
+@when("{count:d} requests are sent to them")
+@when("{count:d} idempotent requests are sent into the chain")
+def step_send(context: Context, count: int) -> None:
+    run_requests(context, count)
+
+
+@when("a non-idempotent request is sent to them")
+def step_send_unsafe(context: Context) -> None:
+    run_requests(context, 1, idempotent=False)
+
+
+@when("a request with attempt {attempt:d} is sent to them")
+def step_send_attempt(context: Context, attempt: int) -> None:
+    run_requests(context, 1, attempt=attempt)
+
+
+def run_requests(
+    context: Context, count: int, idempotent: bool = True, attempt: int = 1
+) -> None:
+    async def run() -> None:
+        gateway = context.make()
+        for _ in range(count):
+            before = len(context.dispatcher.tries)
+            await send(context, gateway, make_request(idempotent, attempt))
+            tries = len(context.dispatcher.tries) - before
+            context.most = max(context.most, tries)
+
+    context.count = count
+    context.most = 0
+    context.statuses = []
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("the last service ran at most {ratio:g} times the requests plus {n:d}")
+@then("all tries are at most {ratio:g} times the requests plus {n:d}")
+def step_bounded(context: Context, ratio: float, n: int) -> None:
+    tries = len(context.dispatcher.tries)
+    assert context.count <= tries <= ratio * context.count + n, tries
+
+
+@then("each request had at most {tries:d} tries")
+def step_most(context: Context, tries: int) -> None:
+    assert 1 < context.most <= tries, context.most
+
+
+@then('the tries permitted queueing as "{expected}"')
+def step_queueing(context: Context, expected: str) -> None:
+    found = [
+        "yes" if request.may_queue else "no"
+        for request in context.dispatcher.tries
+    ]
+    assert ", ".join(found) == expected, found
+
+
+@then('it had {tries:d} tries and its outcome is "{outcome}"')
+def step_outcome(context: Context, tries: int, outcome: str) -> None:
+    assert len(context.dispatcher.tries) == tries, context.dispatcher.tries
+    assert context.outcome == outcome, context.outcome
+
+
+@then("every request got status {status:d}")
+def step_status(context: Context, status: int) -> None:
+    assert Counter(context.statuses) == {status: context.count}
+
+
+@then("retries never exceed the ratio and the first tokens")
+def step_budget(context: Context) -> None:
+    cfg = make_configuration({})._replace(
+        services={_SERVICE: Service(_SERVICE, retry_ratio=0.25)}
+    )
+
+    @for_all(st.lists(st.booleans(), max_size=200))
+    def check(steps: list[bool]) -> None:
+        budget = RetryBudget()
+        calls = retries = 0
+        for is_call in steps:
+            if is_call:
+                calls += 1
+                budget.note_call(cfg, _SERVICE)
+            else:
+                retries += budget.try_spend(_SERVICE)
+            assert retries <= 0.25 * calls + 10
+
+    check()
--- a/src/rhubarbpaddle/execution/gateway.py
+++ b/src/rhubarbpaddle/execution/gateway.py
@@ -3,16 +3,23 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
+import trio
+
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.configuration import AcceptedConfiguration, Configuration
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.body import Body, BytesBody
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
+from rhubarbpaddle.execution.retry_policy import RetryPolicy
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.routing import Candidate, Router
 
+# The sidecar enforces the deadline and says truthfully whether the request
+# ran. The gateway waits this much longer for its answer.
+_DEADLINE_GRACE_SECONDS = 0.25
+
 
 class Gateway:
     """Chooses instances for a request until one answers."""
@@ -28,6 +35,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._get_accepted = get_accepted
+        self._retries = RetryPolicy()
 
     @asynccontextmanager
     async def handle(
@@ -53,27 +61,82 @@
             raise RefusedError(
                 "not_ready", "no configuration is in force", step="route"
             )
+        cfg = accepted.configuration
+        self._retries.note_call(cfg, request.service)
         tried: set[str] = set()
-        refusal: RefusedError | None = None
+        may_have_run = False
+        refusal = RefusedError(
+            "no_instance",
+            f"no instance of {request.service!r} takes work",
+            step="route",
+        )
         while True:
-            candidate = self._router.choose(
-                accepted.configuration, request.service, tried
-            )
+            if self._clock.monotonic() >= request.deadline:
+                raise _make_deadline_refusal(may_have_run)
+            candidate = self._router.choose(cfg, request.service, tried)
             if candidate is None:
-                raise refusal or RefusedError(
-                    "no_instance",
-                    f"no instance of {request.service!r} takes work",
-                    step="route",
-                )
+                raise refusal
+            tried.add(candidate.node_id)
+            sent = self._prepare(cfg, request, may_have_run, tried)
             try:
-                return await self._try_candidate(
-                    stack, request, body, candidate
+                response = await self._try_candidate(
+                    stack, sent, _rewind(body), candidate
                 )
             except RefusedError as exc:
-                if not self._may_retry(request, exc):
+                # An earlier try may have run, whatever the last one says.
+                if may_have_run:
+                    exc.outcome = Outcome.UNKNOWN
+                if not self._retries.try_spend(sent, exc, len(tried)):
                     raise
+                may_have_run = exc.outcome is Outcome.UNKNOWN
                 refusal = exc
-                tried.add(candidate.node_id)
+                continue
+            if not self._may_drop(cfg, sent, body, response, tried):
+                return response
+            await stack.aclose()
+            may_have_run = True
+            refusal = RefusedError(
+                "upstream_failed",
+                f"an instance answered {response.status}",
+                step="run_request",
+                peer=candidate.node_id,
+                status=response.status,
+                outcome=Outcome.UNKNOWN,
+            )
+
+    def _prepare(
+        self,
+        cfg: Configuration,
+        request: Request,
+        may_have_run: bool,
+        tried: set[str],
+    ) -> Request:
+        """Returns the request for a try; `tried` includes its instance."""
+        may_redirect = self._retries.may_redirect(
+            request, len(tried)
+        ) and self._router.has_other(cfg, request.service, tried)
+        return request._replace(
+            may_queue=not may_redirect,
+            attempt=request.attempt + may_have_run,
+        )
+
+    def _may_drop(
+        self,
+        cfg: Configuration,
+        request: Request,
+        body: Body,
+        response: Response,
+        tried: set[str],
+    ) -> bool:
+        return (
+            response.status >= 500
+            and isinstance(body, BytesBody)
+            and self._clock.monotonic() < request.deadline
+            and self._router.has_other(cfg, request.service, tried)
+            and self._retries.try_spend_answer(
+                request, response.status, len(tried)
+            )
+        )
 
     async def _try_candidate(
         self,
@@ -83,29 +146,57 @@
         candidate: Candidate,
     ) -> Response:
         started = self._clock.monotonic()
+        is_short = isinstance(body, BytesBody)
         self._router.started(candidate)
         try:
-            response = await stack.enter_async_context(
-                self._dispatcher.dispatch(request, body, candidate)
+            response = await self._dispatch(stack, request, body, candidate)
+        except RefusedError as exc:
+            self._router.finished(
+                candidate,
+                self._clock.monotonic() - started,
+                False,
+                exc.report,
+                exc.code,
             )
-        except BaseException as exc:
-            latency = self._clock.monotonic() - started
-            report = exc.report if isinstance(exc, RefusedError) else None
-            self._router.finished(candidate, latency, False, report)
+            raise
+        except BaseException:
+            self._router.finished(candidate, None, False, None)
             raise
         latency = self._clock.monotonic() - started
         stack.callback(
             self._router.finished,
             candidate,
-            latency,
+            latency if is_short else None,
             response.status < 500,
             response.report,
         )
         return response
 
-    def _may_retry(self, request: Request, exc: RefusedError) -> bool:
-        if self._clock.monotonic() >= request.deadline:
-            return False
-        if exc.outcome is Outcome.NOT_RUN:
-            return exc.may_retry
-        return request.idempotent and exc.may_retry
+    async def _dispatch(
+        self,
+        stack: AsyncExitStack,
+        request: Request,
+        body: Body,
+        candidate: Candidate,
+    ) -> Response:
+        deadline = request.deadline + _DEADLINE_GRACE_SECONDS
+        with trio.move_on_at(deadline):
+            return await stack.enter_async_context(
+                self._dispatcher.dispatch(request, body, candidate)
+            )
+        raise _make_deadline_refusal(may_have_run=True)
+
+
+def _rewind(body: Body) -> Body:
+    """Returns the body for another try."""
+    return BytesBody(body.content) if isinstance(body, BytesBody) else body
+
+
+def _make_deadline_refusal(may_have_run: bool) -> RefusedError:
+    return RefusedError(
+        "deadline_exceeded",
+        "the deadline passed without an answer",
+        step="route",
+        status=504,
+        outcome=Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN,
+    )
--- /dev/null
+++ b/src/rhubarbpaddle/execution/retry_policy.py
@@ -0,0 +1,98 @@
+"""Which failures of a try permit another one."""
+
+from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution.request import Request
+from rhubarbpaddle.execution.retry_budget import RetryBudget
+from rhubarbpaddle.outcome import Outcome
+
+# Bounds the tries of a request that refusals at no cost pass on.
+MAX_TRIES = 4
+# Refusals passed on for each call. A refusal costs a round trip and no time of
+# an upstream, so this is more than the ratio of retries.
+_REDIRECT_RATIO = 0.5
+# Steps at which a refusal has cost the upstream nothing.
+_FREE_STEPS = frozenset({"admit", "connect_peer", "connect_upstream"})
+# Answers that another instance may not give.
+_RETRIED_STATUS = frozenset({502, 503, 504})
+
+
+class RetryPolicy:
+    """Spends the budgets for retries and for redirects.
+
+    A redirect is another try after a refusal that cost the upstream nothing.
+    A retry is another try after work that may have been done.
+    """
+
+    def __init__(self) -> None:
+        # A failure at the end of a chain of calls can be retried twice: there
+        # as a lost request, and by the first caller as a failed answer. Each
+        # gets half of the budget, so that both together keep to it.
+        self._retries = RetryBudget(share=0.5)
+        self._answer_retries = RetryBudget(share=0.5)
+        self._redirects = RetryBudget(_REDIRECT_RATIO)
+
+    def note_call(self, cfg: Configuration, service: str) -> None:
+        """Notes a call before its first try."""
+        self._retries.note_call(cfg, service)
+        self._answer_retries.note_call(cfg, service)
+        self._redirects.note_call(cfg, service)
+
+    def may_redirect(self, request: Request, tries: int) -> bool:
+        """Returns whether a full instance may refuse instead of queueing.
+
+        Args:
+            request: The request.
+            tries: The number of the try that is about to be sent.
+        """
+        return tries < MAX_TRIES and self._redirects.has_tokens(request.service)
+
+    def try_spend(
+        self, request: Request, refusal: RefusedError, tries: int
+    ) -> bool:
+        """Returns whether a refused request may be tried again.
+
+        Args:
+            request: The request.
+            refusal: Why the last try failed.
+            tries: How many tries were sent.
+        """
+        if not refusal.may_retry or tries >= MAX_TRIES:
+            return False
+        if refusal.step in _FREE_STEPS:
+            if request.may_queue:
+                return self._redirects.try_spend(request.service)
+            # The try was told to refuse while there were tokens. Other
+            # requests may have spent them since, so this may go into debt.
+            self._redirects.spend(request.service)
+            return True
+        not_run = refusal.outcome is Outcome.NOT_RUN
+        if not (not_run or request.idempotent) or request.attempt > 1:
+            return False
+        if not_run and request.depth > 0:
+            # An upstream passes on that its own call did not run. Only the
+            # first caller retries this, or each level would.
+            return False
+        return self._retries.try_spend(request.service)
+
+    def try_spend_answer(
+        self, request: Request, status: int, tries: int
+    ) -> bool:
+        """Returns whether an answer may be dropped for another try.
+
+        Below the first call of a chain an answer is final: it may tell of a
+        failure further down, which has already been retried there.
+
+        Args:
+            request: The request.
+            status: The status of the answer.
+            tries: How many tries were sent.
+        """
+        return (
+            status in _RETRIED_STATUS
+            and request.idempotent
+            and request.depth == 0
+            and request.attempt == 1
+            and tries < MAX_TRIES
+            and self._answer_retries.try_spend(request.service)
+        )
