--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The routing policy against baselines, under a virtual clock."""
--- /dev/null
+++ b/bench/policy/deployment.py
@@ -0,0 +1,134 @@
+"""A deployment of real decision objects over fakes."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from bench.policy.fake_upstream import FakeUpstream
+from bench.policy.host import Host
+from bench.policy.size import Size
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.admission import SlotAdmission
+from rhubarbpaddle.configuration import (
+    AcceptedConfiguration,
+    AvailabilityZone,
+    Configuration,
+    Service,
+)
+from rhubarbpaddle.execution.sidecar import AttachedUpstream, Sidecar
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    UpstreamState,
+    UpstreamSummary,
+)
+
+SERVICE = "lanes"
+# Member changes and publications reach each node within this time.
+_MEMBER_SECONDS = 0.02
+_PUBLICATION_SECONDS = 0.2
+# What the upstream announces after a restart follows its real state late.
+_COLD_SECONDS = 1.0
+
+
+class Deployment:
+    """The hosts of one run and what operators and faults do to them.
+
+    Attributes:
+        hosts: All hosts, by name.
+        frozen: Whether member changes reach nobody.
+    """
+
+    def __init__(
+        self, size: Size, nursery: trio.Nursery, rng: random.Random
+    ) -> None:
+        self.size = size
+        self.clock = VirtualClock()
+        self.frozen = False
+        self._nursery = nursery
+        self._rng = rng
+        accepted = self._make_configuration(out="")
+        self.service = accepted.configuration.services[SERVICE]
+        self.hosts: dict[str, Host] = {}
+        for index in range(size.nodes):
+            self._add_host(index, accepted)
+        members = [host.table.own for host in self.hosts.values()]
+        for host in self.hosts.values():
+            for member in members:
+                host.table.merge(member)
+
+    def get_instances(self) -> list[Host]:
+        """Returns the hosts that have an upstream."""
+        return [h for h in self.hosts.values() if h.upstream is not None]
+
+    def restart(self, host: Host) -> None:
+        """Restarts the upstream of a host, which is cold then."""
+        assert host.upstream is not None
+        host.incarnation += 1
+        host.upstream.restart()
+        self._announce(host, UpstreamState.COLD)
+        self._later(
+            _COLD_SECONDS, lambda: self._announce(host, UpstreamState.WARM)
+        )
+
+    def publish_out(self, zone: str) -> None:
+        """Takes a zone out of service; an empty name takes out none."""
+        accepted = self._make_configuration(zone)
+        for host in self.hosts.values():
+            delay = self._rng.uniform(0, _PUBLICATION_SECONDS)
+            self._later(delay, lambda host=host: self._accept(host, accepted))
+
+    def _add_host(self, index: int, accepted: AcceptedConfiguration) -> None:
+        name = f"n{index}"
+        zone = self.size.zones[index % len(self.size.zones)]
+        own = Member(
+            name, 1, 1, MemberStatus.ALIVE, name, zone, f"{name}:2", "", None
+        )
+        table = MemberTable(own)
+        host = Host(name, zone, table, Sidecar(self.clock), accepted)
+        self.hosts[name] = host
+        if index < self.size.instances:
+            host.upstream = FakeUpstream(self.size.slots)
+            self._announce(host, UpstreamState.WARM)
+
+    def _announce(self, host: Host, state: UpstreamState) -> None:
+        assert host.upstream is not None
+        summary = UpstreamSummary(
+            SERVICE, host.name, host.incarnation, state, self.size.slots
+        )
+        attached = host.sidecar.upstream
+        if attached is None or attached.summary.incarnation != host.incarnation:
+            admission = SlotAdmission.from_config(self.service, self.clock)
+            attached = AttachedUpstream(summary, admission, host.upstream)
+        attached.admission.set_state(state)
+        host.sidecar.upstream = attached._replace(summary=summary)
+        member = host.table.update_own(upstream=summary)
+        if not self.frozen:
+            for other in self.hosts.values():
+                delay = self._rng.uniform(0, _MEMBER_SECONDS)
+                self._later(
+                    delay, lambda table=other.table: table.merge(member)
+                )
+
+    def _accept(self, host: Host, accepted: AcceptedConfiguration) -> None:
+        host.accepted = accepted
+        in_service = accepted.configuration.is_in_service(host.zone)
+        host.sidecar.in_service = in_service
+
+    def _make_configuration(self, out: str) -> AcceptedConfiguration:
+        zones = {
+            zone: AvailabilityZone(zone, "default", zone != out)
+            for zone in self.size.zones
+        }
+        services = {SERVICE: Service(SERVICE, slots=self.size.slots)}
+        cfg = Configuration(services, zones, {})
+        return AcceptedConfiguration(1, "", "", 0, cfg)
+
+    def _later(self, delay: float, function: Callable[[], object]) -> None:
+        async def run() -> None:
+            await trio.sleep(delay)
+            function()
+
+        self._nursery.start_soon(run)
--- /dev/null
+++ b/bench/policy/fake_upstream.py
@@ -0,0 +1,65 @@
+"""An upstream that works in virtual time."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+
+_FAIL_SECONDS = 0.0002
+_WARM_UP_SECONDS = 1.0
+
+
+class FakeUpstream:
+    """Runs as many requests at once as it has slots; others wait in order.
+
+    The target of a request is its work in seconds, so that every policy gets
+    the same work.
+
+    Attributes:
+        slowness: Factor on the work, above 1 for a straggler.
+        failing: Whether each request fails at once.
+        work_done: Seconds of work done.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self.slowness = 1.0
+        self.failing = False
+        self.work_done = 0.0
+        self._slots = slots
+        self._semaphore = trio.Semaphore(slots)
+        self._running = 0
+        self._cold_since = float("-inf")
+
+    def restart(self) -> None:
+        """Starts cold: it bears one request, and all slots after 1 s."""
+        self._cold_since = trio.current_time()
+
+    def get_capacity(self) -> int:
+        """Returns the requests that it bears at once at present."""
+        warmth = (trio.current_time() - self._cold_since) / _WARM_UP_SECONDS
+        return max(1, int(self._slots * min(1.0, warmth)))
+
+    @asynccontextmanager
+    async def send(
+        self, request: Request, body: Body
+    ) -> AsyncIterator[Response]:
+        """Runs a request; one above the capacity of a cold start fails."""
+        async with self._semaphore:
+            self._running += 1
+            try:
+                yield await self._run(float(request.target))
+            finally:
+                self._running -= 1
+
+    async def aclose(self) -> None:
+        """Does nothing; there are no connections."""
+
+    async def _run(self, work: float) -> Response:
+        if self.failing or self._running > self.get_capacity():
+            await trio.sleep(_FAIL_SECONDS)
+            return Response(503, [], BytesBody(b""), None)
+        await trio.sleep(work * self.slowness)
+        self.work_done += work * self.slowness
+        return Response(200, [], BytesBody(b""), None)
