--- a/src/rhubarbpaddle/routing/instance_health.py
+++ b/src/rhubarbpaddle/routing/instance_health.py
@@ -7,10 +7,6 @@
 # reaches 4 in fewer than one of 10,000 requests.
 _EJECTION_RATIO = 4.0
 _SLOW_RATIO = 2.0
-# So many answers in a row that took this many times the median eject an
-# instance before its estimate has enough samples.
-_VERY_SLOW_RATIO = 6.0
-_MAX_VERY_SLOW = 2
 _MAX_FAILURES = 2
 # Successes in a row that end the trial of an instance that was ejected.
 _TRIAL_SUCCESSES = 3
@@ -25,7 +21,6 @@
         self.latency: float | None = None
         self._samples = 0
         self._failures = 0
-        self._very_slow = 0
         self._trial_successes = _TRIAL_SUCCESSES
         self._ejection_seconds = _FIRST_EJECTION_SECONDS
         self._avoided_until = float("-inf")
@@ -79,9 +74,7 @@
             self.latency = latency
         else:
             self.latency += _LATENCY_WEIGHT * (latency - self.latency)
-        is_very_slow = median > 0 and latency > _VERY_SLOW_RATIO * median
-        self._very_slow = self._very_slow + 1 if is_very_slow else 0
-        if self._very_slow >= _MAX_VERY_SLOW or (
+        if (
             median > 0
             and self._samples >= _MIN_SAMPLES
             and self.latency > _EJECTION_RATIO * median
@@ -117,6 +110,5 @@
         )
         self._trial_successes = 0
         self._failures = 0
-        self._very_slow = 0
         self._samples = 0
         self.latency = None
