Spare a returning zone without letting queues grow elsewhere

Cause: the ramp multiplied the load of a returning zone by up to 10, so a gateway preferred a queue of 10 requests for each slot in another zone. Change: the ramp is an addend of up to 1.8 requests for each slot, for 2 s.

--- a/src/rhubarbpaddle/routing/adaptive_router.py
+++ b/src/rhubarbpaddle/routing/adaptive_router.py
@@ -31,6 +31,9 @@
     }
 )
 _AVOID_SECONDS = 1.0
+# With the first weight of a tenth, a zone that returns costs as much as 1.8
+# requests more for each slot.
+_RAMP_COST = 0.2
 _FULL = "no_free_slot"
 
 
@@ -154,10 +157,13 @@
         """Returns the expected cost in units of the median latency."""
         zone = load.candidate.availability_zone
         in_flight = load.estimate(state.mean_others, latency, now)
-        limit = load.get_limit(now) * self._ramp.get_weight(zone, now)
+        limit = load.get_limit(now)
         slowness = load.health.get_slowness(latency)
         trip = state.round_trips.get(zone) / latency
-        return (in_flight + 1) / limit * slowness + trip
+        # An addend, not a factor: a zone that returns is spared, but takes
+        # work before long queues form elsewhere.
+        ramp = _RAMP_COST * (1 / self._ramp.get_weight(zone, now) - 1)
+        return (in_flight + 1) / limit * slowness + trip + ramp
 
     def _sample(
         self, usable: list[InstanceLoad], now: float
--- a/src/rhubarbpaddle/routing/zone_ramp.py
+++ b/src/rhubarbpaddle/routing/zone_ramp.py
@@ -4,7 +4,7 @@
 
 # A zone that returns starts with a tenth of its weight and has its full
 # weight after this time, so that its caches and connections fill first.
-RAMP_SECONDS = 3.0
+RAMP_SECONDS = 2.0
 _FIRST_WEIGHT = 0.1
 
 
