Queue at the best instance instead of the last one tried

Cause: a request that met only full instances queued at the last one tried, which by construction has the worst score. Change: where no other instance can be asked, the full ones count again and the try must queue.

--- a/src/rhubarbpaddle/execution/gateway.py
+++ b/src/rhubarbpaddle/execution/gateway.py
@@ -97,8 +97,14 @@
         self, cfg: Configuration, service: str, history: TryHistory
     ) -> Candidate:
         candidate = self._router.choose(cfg, service, history.excluded)
-        # If all others are gone, an instance that was full may queue.
-        if candidate is None and history.readmit_full():
+        # Where no other instance can be asked, the request will queue. It does
+        # so at the best of all, which may be one that has refused as full.
+        if (
+            candidate is None
+            or not self._router.has_other(
+                cfg, service, history.excluded | {candidate.node_id}
+            )
+        ) and history.readmit_full():
             candidate = self._router.choose(cfg, service, history.excluded)
         if candidate is None:
             raise history.refusal
@@ -108,9 +114,11 @@
         self, cfg: Configuration, request: Request, history: TryHistory
     ) -> Request:
         """Returns the request for the try that `history` has started."""
-        may_redirect = self._retries.may_redirect(
-            request, history.count
-        ) and self._router.has_other(cfg, request.service, history.excluded)
+        may_redirect = (
+            not history.must_queue
+            and self._retries.may_redirect(request, history.count)
+            and self._router.has_other(cfg, request.service, history.excluded)
+        )
         return request._replace(
             may_queue=not may_redirect,
             attempt=request.attempt + history.may_have_run,
--- a/src/rhubarbpaddle/execution/try_history.py
+++ b/src/rhubarbpaddle/execution/try_history.py
@@ -14,6 +14,8 @@
         excluded: Node ids that the next try must not use.
         may_have_run: Whether a try may have run.
         refusal: Why the last try failed.
+        must_queue: Whether no instance is left that could be asked without
+            queueing.
     """
 
     def __init__(self, service: str) -> None:
@@ -25,6 +27,7 @@
             f"no instance of {service!r} takes work",
             step="route",
         )
+        self.must_queue = False
         self._full: set[str] = set()
 
     def start(self, node_id: str) -> None:
@@ -60,4 +63,5 @@
             return False
         self.excluded -= self._full
         self._full.clear()
+        self.must_queue = True
         return True
