Ramp a returning zone by a share of its requests, from the publication on

Ruled out: a draw for each instance (a zone with three instances then got 3 of 12 requests at a weight of 0.1). Change: one draw for each choice lets a growing part of the requests ignore the ramp; the node tells the router of each configuration. The ramp scenario starts 18 instead of 30 requests with the same share as its bound (3 of 18, 5 of 30 before), because 30 requests fill zone a and rightly spill.

--- a/features/retries_bounds.feature
+++ b/features/retries_bounds.feature
@@ -58,3 +58,7 @@
     Given instances "i0" that is full and "i1" that is gone
     When 1 requests are sent to them
     Then every request got status 200
+
+  Scenario: An upstream learns depth, attempt and time left
+    Then headers that are written for an upstream read back one level deeper
+    And headers of any caller give an attempt and a depth
--- a/features/routing_choice.feature
+++ b/features/routing_choice.feature
@@ -42,9 +42,21 @@
   Scenario: A zone that returns to service is ramped
     Given 6 instances in availability zones "a, b, a, b, a, b"
     When zone "b" is taken out of service and returns
-    And 30 requests are started at once
-    Then zone "b" got at most 5 requests
+    And 18 requests are started at once
+    Then zone "b" got at most 3 requests
 
   Scenario: Any order of member changes leaves the index equal to the table
     Given 5 instances
     Then the index equals the table after any member changes
+
+  Scenario: A choice does not walk the member table
+    Given 35 instances
+    When 1 gateways route 50 requests each
+    Then the member table was walked 1 times
+
+  Scenario: A ramp runs from the configuration on, not from the next request
+    Given 6 instances in availability zones "a, b, a, b, a, b"
+    When zone "b" is taken out of service and returns
+    And 2 s pass without requests
+    And 18 requests are started at once
+    Then zone "b" got at least 5 requests
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -18,6 +18,10 @@
 from rhubarbpaddle.configuration import AcceptedConfiguration, Service
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+from rhubarbpaddle.execution.chain_headers import (
+    read_chain_headers,
+    write_chain_headers,
+)
 from rhubarbpaddle.execution.gateway import Gateway
 from rhubarbpaddle.execution.retry_budget import RetryBudget
 from rhubarbpaddle.outcome import Outcome
@@ -292,3 +296,30 @@
 def step_queued(context: Context, names: str) -> None:
     assert len(context.queued) >= context.count - 1, context.queued
     assert all(f'"{name}"' in names for name in context.queued)
+
+
+@then("headers that are written for an upstream read back one level deeper")
+def step_headers(context: Context) -> None:
+    inbound = [(b"rhubarbpaddle-depth", b"7"), (b"x", b"y")]
+    request = Request(
+        "r", "t", _SERVICE, "GET", "/", inbound, 9.5, True, "", 2, 7
+    )
+    sent = write_chain_headers(request, now=9.0)
+    assert read_chain_headers(sent.headers) == (2, 8)
+    assert (b"rhubarbpaddle-timeout-ms", b"500") in sent.headers
+    assert len(sent.headers) == 4, sent.headers
+
+
+@then("headers of any caller give an attempt and a depth")
+def step_any_headers(context: Context) -> None:
+    @for_all(st.binary(max_size=12), st.binary(max_size=12))
+    def check(attempt: bytes, depth: bytes) -> None:
+        headers = [
+            (b"rhubarbpaddle-attempt", attempt),
+            (b"rhubarbpaddle-depth", depth),
+        ]
+        found = read_chain_headers(headers)
+        assert found[0] >= 1
+        assert found[1] >= 0
+
+    check()
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -1,5 +1,6 @@
 import random
 from collections import Counter
+from collections.abc import Iterator
 
 import trio
 from behave import given, then, when
@@ -29,6 +30,16 @@
 _WORK = 0.005
 
 
+class CountingTable(MemberTable):
+    """Counts how often it is walked."""
+
+    walks = 0
+
+    def __iter__(self) -> Iterator[Member]:
+        self.walks += 1
+        return super().__iter__()
+
+
 def make_member(
     name: str,
     zone: str = "a",
@@ -53,7 +64,7 @@
 
 def make_router(context: Context, name: str = "g") -> AdaptiveRouter:
     own = make_member(name)._replace(upstream=None)
-    table = MemberTable(own)
+    table = context.member_table = CountingTable(own)
     for member in context.members:
         table.merge(member)
     return AdaptiveRouter(table, random.Random(name), VirtualClock())
@@ -176,11 +187,16 @@
         router = context.router = make_router(context)
         for up in (True, False, True):
             context.cfg = make_configuration({"a": True, zone: up})
-            router.choose(context.cfg, _SERVICE, ())
+            router.observe_configuration(context.cfg)
 
     run(context, publish)
 
 
+@when("{seconds:d} s pass without requests")
+def step_pass(context: Context, seconds: int) -> None:
+    context.now += seconds
+
+
 @then('"{name}" got at most {count:d} requests')
 def step_at_most(context: Context, name: str, count: int) -> None:
     assert context.counts[name] <= count, context.counts
@@ -196,6 +212,11 @@
     assert context.counts[f"zone {zone}"] <= count, context.counts
 
 
+@then('zone "{zone}" got at least {count:d} requests')
+def step_zone_at_least(context: Context, zone: str, count: int) -> None:
+    assert context.counts[f"zone {zone}"] >= count, context.counts
+
+
 @then("each gateway used at most {count:d} instances")
 def step_subset(context: Context, count: int) -> None:
     assert all(len(used) <= count for used in context.used)
@@ -232,3 +253,8 @@
             assert held == sorted(m.node_id for m in expected)
 
     check()
+
+
+@then("the member table was walked {count:d} times")
+def step_walks(context: Context, count: int) -> None:
+    assert context.member_table.walks == count, context.member_table.walks
--- /dev/null
+++ b/src/rhubarbpaddle/execution/chain_headers.py
@@ -0,0 +1,51 @@
+"""The headers that limit work along a chain of calls."""
+
+from rhubarbpaddle.execution.request import Headers, Request
+
+_ATTEMPT = b"rhubarbpaddle-attempt"
+_DEPTH = b"rhubarbpaddle-depth"
+_TIMEOUT = b"rhubarbpaddle-timeout-ms"
+_NAMES = frozenset({_ATTEMPT, _DEPTH, _TIMEOUT})
+# Longer numbers are not taken from a caller.
+_MAX_DIGITS = 6
+
+
+def write_chain_headers(request: Request, now: float) -> Request:
+    """Returns the request as the upstream gets it.
+
+    An upstream that copies these headers to its own calls passes on the time
+    left, its depth, and whether a node above has already retried.
+
+    Args:
+        request: The request.
+        now: Monotonic seconds.
+    """
+    time_left_ms = max(0, int((request.deadline - now) * 1000))
+    headers = [item for item in request.headers if item[0] not in _NAMES]
+    headers += [
+        (_ATTEMPT, b"%d" % request.attempt),
+        (_DEPTH, b"%d" % (request.depth + 1)),
+        (_TIMEOUT, b"%d" % time_left_ms),
+    ]
+    return request._replace(headers=headers)
+
+
+def read_chain_headers(headers: Headers) -> tuple[int, int]:
+    """Returns the attempt and the depth that a caller gave.
+
+    Args:
+        headers: The caller's headers, names in lower case.
+
+    Returns:
+        The attempt, at least 1, and the depth, at least 0. Values that are no
+        numbers count as absent.
+    """
+    found = dict(headers)
+    attempt = _to_number(found.get(_ATTEMPT, b""), 1)
+    return max(1, attempt), _to_number(found.get(_DEPTH, b""), 0)
+
+
+def _to_number(value: bytes, default: int) -> int:
+    if value.isdigit() and len(value) <= _MAX_DIGITS:
+        return int(value)
+    return default
--- a/src/rhubarbpaddle/execution/sidecar.py
+++ b/src/rhubarbpaddle/execution/sidecar.py
@@ -8,6 +8,7 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.chain_headers import write_chain_headers
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
 from rhubarbpaddle.execution.upstream_client import UpstreamClient
@@ -67,7 +68,8 @@
             # The wait may have outlived the deadline or the incarnation, for
             # example when the process was paused.
             self._get_upstream(request, instance, incarnation)
-            async with upstream.client.send(request, body) as response:
+            sent = write_chain_headers(request, started)
+            async with upstream.client.send(sent, body) as response:
                 latency = self._clock.monotonic() - started
                 succeeded = response.status < 500
                 report = upstream.admission.get_report()
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -75,8 +75,9 @@
         )
         pool = PeerPool(network, PeerConnector(network, identity))
         remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
+        self._router = AdaptiveRouter(self.table, rng, clock)
         gateway = Gateway(
-            AdaptiveRouter(self.table, rng, clock),
+            self._router,
             NodeDispatcher(settings.node_id, self.sidecar, remote),
             clock,
             self.configuration.get_accepted,
@@ -172,3 +173,4 @@
         zone = self.settings.availability_zone
         in_service = accepted.configuration.is_in_service(zone)
         self.sidecar.in_service = in_service
+        self._router.observe_configuration(accepted.configuration)
--- a/src/rhubarbpaddle/routing/adaptive_router.py
+++ b/src/rhubarbpaddle/routing/adaptive_router.py
@@ -52,6 +52,10 @@
         self._loads: dict[str, InstanceLoad] = {}
         self._weights: dict[str, int] = {}
 
+    def observe_configuration(self, cfg: Configuration) -> None:
+        """Notes which zones return to service, also without requests."""
+        self._ramp.observe(cfg, self._clock.monotonic())
+
     def choose(
         self, cfg: Configuration, service: str, tried: Collection[str]
     ) -> Candidate | None:
@@ -72,10 +76,13 @@
         if len(usable) > _SCORE_ALL:
             usable = self._sample(usable, now)
         latency = state.get_median(now) or _DEFAULT_LATENCY
+        # One draw for all instances of a zone, or a zone with many instances
+        # would get more than its weight.
+        draw = self._rng.random()
         best = min(
             usable,
             key=lambda load: (
-                self._score(state, load, latency, now),
+                self._score(state, load, latency, draw, now),
                 self._rng.random(),
             ),
         )
@@ -152,6 +159,7 @@
         state: ServiceState,
         load: InstanceLoad,
         latency: float,
+        draw: float,
         now: float,
     ) -> float:
         """Returns the expected cost in units of the median latency."""
@@ -160,9 +168,13 @@
         limit = load.get_limit(now)
         slowness = load.health.get_slowness(latency)
         trip = state.round_trips.get(zone) / latency
-        # An addend, not a factor: a zone that returns is spared, but takes
-        # work before long queues form elsewhere.
-        ramp = _RAMP_COST * (1 / self._ramp.get_weight(zone, now) - 1)
+        # A zone that returns gets a growing part of the requests that it would
+        # otherwise get. For the rest the ramp is an addend, so that the zone
+        # takes them before long queues form elsewhere.
+        weight = self._ramp.get_weight(zone, now)
+        ramp = 0.0
+        if draw >= weight:
+            ramp = _RAMP_COST * (1 / weight - 1)
         return (in_flight + 1) / limit * slowness + trip + ramp
 
     def _sample(
