Forget instances that are gone

Ruled out: dropping it with each member change of any service (walks more). Change: state of members that left the service is dropped when the subset is made again, unless requests are in flight. Figures: after 100 replacements the router holds at most 6 instances (scenario); before, 105 by the code. Conclusion: memory follows the current members.

--- a/bench/policy/page.py
+++ b/bench/policy/page.py
@@ -28,6 +28,20 @@
 Command: `python -m bench.policy --rows rows.json` and then
 `python -m bench.policy.page rows.json`.
 
+The noisy tenant has 70 % (80 % where all overlap) of the capacity on top of
+the quiet tenants' load, so the excess must wait or be refused. `SlotAdmission`
+of this tree has neither fairness between tenants nor a cold ramp; the misses
+in the scenes with a noisy tenant or a cold upstream include that.
+
+Routing sends no probes; it learns from real requests, so the share of upstream
+time spent on measuring is 0 by construction. Tries count redirected refusals.
+While the log is down, traffic is sent for 0.3 s each 100 s, to keep the run
+short, so good answers per second are low there.
+
+Hedging is left out. Outside the scenes with more load than capacity, p99 is
+already close to the limit (see below), so a hedge could only lower p99.9 in
+the straggler scene; under overload it would add load. It was not tried.
+
 Targets: p99 within 1.2 times the omniscient limit in the steady scene and 1.5
 times in the others; no scene worse than a baseline; measuring at most 1 % of
 upstream time; goodput during a withdrawal at least 99.9 %.
--- a/features/routing_choice.feature
+++ b/features/routing_choice.feature
@@ -60,3 +60,8 @@
     And 2 s pass without requests
     And 18 requests are started at once
     Then zone "b" got at least 5 requests
+
+  Scenario: Instances that are gone are forgotten
+    Given 5 instances
+    When 100 members are replaced one after another
+    Then the router holds state for at most 6 instances
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -197,6 +197,27 @@
     context.now += seconds
 
 
+@when("{count:d} members are replaced one after another")
+def step_replace(context: Context, count: int) -> None:
+    async def replace() -> None:
+        router = context.router = make_router(context)
+        for index in range(count):
+            name = f"r{index}"
+            context.member_table.merge(make_member(name))
+            router.choose(context.cfg, _SERVICE, ())
+            context.member_table.merge(
+                make_member(name, version=2, status=MemberStatus.DEAD)
+            )
+            router.choose(context.cfg, _SERVICE, ())
+
+    run(context, replace)
+
+
+@then("the router holds state for at most {count:d} instances")
+def step_held(context: Context, count: int) -> None:
+    assert context.router.get_held_count() <= count
+
+
 @then('"{name}" got at most {count:d} requests')
 def step_at_most(context: Context, name: str, count: int) -> None:
     assert context.counts[name] <= count, context.counts
--- a/src/rhubarbpaddle/routing/adaptive_router.py
+++ b/src/rhubarbpaddle/routing/adaptive_router.py
@@ -99,6 +99,10 @@
             if load.candidate.node_id not in tried
         )
 
+    def get_held_count(self) -> int:
+        """Returns how many instances the router holds state for."""
+        return len(self._loads)
+
     def started(self, candidate: Candidate) -> None:
         """Notes that a request was sent to the candidate."""
         load = self._get_load(candidate)
@@ -216,7 +220,23 @@
                 -self._get_weight(member.node_id),
             )
         )
-        return [self._to_load(member) for member in members[:SUBSET_SIZE]]
+        pool = [self._to_load(member) for member in members[:SUBSET_SIZE]]
+        self._forget(service)
+        return pool
+
+    def _forget(self, service: str) -> None:
+        """Drops what is held of members that are gone."""
+        known = {m.node_id for m in self._index.get_members(service)}
+        gone = [
+            node_id
+            for node_id, load in self._loads.items()
+            if load.candidate.service == service
+            and node_id not in known
+            and load.in_flight == 0
+        ]
+        for node_id in gone:
+            del self._loads[node_id]
+            self._weights.pop(node_id, None)
 
     def _get_weight(self, node_id: str) -> int:
         weight = self._weights.get(node_id)
