--- a/features/steps/http_exchange_steps.py
+++ b/features/steps/http_exchange_steps.py
@@ -126,7 +126,7 @@
 
         world.nursery.start_soon(silence)
         started = trio.current_time()
-        request = make_request("POST", "/slow/9", Idempotency_Key="k")
+        request = make_request("POST", "/slow/9")
         context.answer = await world.ask(request, "a1")
         context.elapsed = trio.current_time() - started
 
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -112,7 +112,7 @@
         time_left = request.deadline - started
         if time_left <= 0:
             raise _make_late_refusal(self._address)
-        head = _make_head(request, body, time_left, self._address)
+        head = _make_head(request, body, self._address)
         repeatable = isinstance(body, BytesBody)
         try:
             response, response_body = await _send_and_receive(
@@ -214,15 +214,8 @@
     return answer[0].status_code >= 400
 
 
-def _make_head(
-    request: Request, body: Body, time_left: float, address: str
-) -> h11.Request:
-    headers: Headers = [
-        *request.headers,
-        (b"rhubarbpaddle-depth", b"%d" % (request.depth + 1)),
-        (b"rhubarbpaddle-attempt", b"%d" % request.attempt),
-        (b"rhubarbpaddle-timeout-ms", b"%d" % (time_left * 1000)),
-    ]
+def _make_head(request: Request, body: Body, address: str) -> h11.Request:
+    headers: Headers = list(request.headers)
     if body.length is None:
         headers.append((b"transfer-encoding", b"chunked"))
     elif body.length or request.method in ("POST", "PUT", "PATCH"):
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -43,7 +43,7 @@
 )
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.platform import HttpLogClient, LogClient
-from rhubarbpaddle.routing import LeastLoadedRouter
+from rhubarbpaddle.routing import AdaptiveRouter
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.telemetry import Metrics, get_logger
 
@@ -112,8 +112,9 @@
         )
         pool = PeerPool(network, connector)
         remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
+        self._router = AdaptiveRouter(self.table, rng, clock)
         gateway = Gateway(
-            LeastLoadedRouter(self.table, rng),
+            self._router,
             NodeDispatcher(settings.node_id, self.sidecar, remote),
             clock,
             self.configuration.get_accepted,
@@ -253,3 +254,4 @@
         in_service = accepted.configuration.is_in_service(zone)
         self.sidecar.in_service = in_service
         self.overlay.wake()
+        self._router.observe_configuration(accepted.configuration)
