--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -2,14 +2,20 @@
 
 import json
 import os
+import random
+import time
 from collections import Counter
+from collections.abc import Callable
 
 import h11
 import trio
 
 from standins.http_server import StandinRequest, StandinResponse
+from standins.warm_up import WarmUp
 
 _RENEWAL_SECONDS = 0.4
+_FALLEN_SECONDS = 0.5
+_NOT_RUN = (("rhubarbpaddle-outcome", "not-run"),)
 
 
 class Upstream:
@@ -17,7 +23,19 @@
 
     Attributes:
         runs: How often each request ran, by method and target.
+        probes: How often `/health` and `/load` were asked.
         state: What the upstream announces: `cold`, `warm` or `leaving`.
+        capacity: Requests that it works on at once; others wait inside.
+        work_seconds: The time of work for one request.
+        jitter: The part of that time that varies, up and down.
+        warm_up: What it bears after its start, or None if it starts warm.
+        reported_load: What `/load` says, or None for the truth.
+        straggle_seconds: Added to each answer.
+        fails_fast: Whether it answers 500 at once.
+        sheds_above: Requests in flight above which it answers 503, or None.
+        crash_target: Requests whose target begins so crash it.
+        on_crash: Ends the process, or what a test does instead.
+        in_flight: Requests that it holds.
     """
 
     def __init__(
@@ -26,27 +44,65 @@
         self.service = service
         self.instance = instance
         self.runs: Counter[str] = Counter()
+        self.probes: Counter[str] = Counter()
         self.state = "warm"
+        self.work_seconds = work_seconds
+        self.jitter = 0.0
+        self.warm_up: WarmUp | None = None
+        self.reported_load: int | None = None
+        self.straggle_seconds = 0.0
+        self.fails_fast = False
+        self.sheds_above: int | None = None
+        self.crash_target = "/crash"
+        self.on_crash: Callable[[], None] = lambda: os._exit(1)
+        self.in_flight = 0
+        self._rng = random.Random(f"{service} {instance}")
         self._slots = trio.CapacityLimiter(slots)
-        self._work_seconds = work_seconds
+        self._fallen_until = float("-inf")
+
+    @property
+    def capacity(self) -> int:
+        """Requests that it works on at once."""
+        return int(self._slots.total_tokens)
+
+    @capacity.setter
+    def capacity(self, slots: int) -> None:
+        self._slots.total_tokens = slots
 
     async def handle(self, request: StandinRequest) -> StandinResponse:
         """Answers one request."""
         match request.target:
             case "/health":
+                self.probes["/health"] += 1
                 return StandinResponse(200, b"ok\n")
             case "/load":
-                return _to_response({"in_flight": self._slots.borrowed_tokens})
+                self.probes["/load"] += 1
+                return _to_response(self._describe_load())
             case "/runs":
                 return _to_response(dict(self.runs))
             case "/leave":
                 self.state = "leaving"
                 return StandinResponse(200, b"ok\n")
-        if request.target.startswith("/crash"):
-            os._exit(1)
+        self.in_flight += 1
+        try:
+            return await self._run(request)
+        finally:
+            self.in_flight -= 1
+
+    async def _run(self, request: StandinRequest) -> StandinResponse:
+        if request.target.startswith(self.crash_target):
+            self.runs[f"{request.method} {request.target}"] += 1
+            self.on_crash()
+            return StandinResponse(0, b"")
+        if self.fails_fast or self._falls_over():
+            return StandinResponse(500, b"failed\n")
+        if self.sheds_above is not None and self.in_flight > self.sheds_above:
+            return StandinResponse(503, b"shed\n", _NOT_RUN)
         async with self._slots:
             self.runs[f"{request.method} {request.target}"] += 1
-            await trio.sleep(self._work_seconds)
+            await trio.sleep(self._get_work())
+        if self.warm_up is not None:
+            self.warm_up.note_answer()
         document = {
             "service": self.service,
             "instance": self.instance,
@@ -56,10 +112,35 @@
         }
         return _to_response(document)
 
+    def _falls_over(self) -> bool:
+        if self.warm_up is None:
+            return False
+        now = trio.current_time()
+        if self.in_flight > self.warm_up.get_bearable():
+            self.warm_up.violations += 1
+            self.warm_up.restart()
+            self._fallen_until = now + _FALLEN_SECONDS
+        return now < self._fallen_until
+
+    def _get_work(self) -> float:
+        work = self.work_seconds * (
+            1 + self.jitter * self._rng.uniform(-1.0, 1.0)
+        )
+        if self.warm_up is not None:
+            work *= self.warm_up.get_slowdown(self.in_flight)
+        return work + self.straggle_seconds
+
+    def _describe_load(self) -> dict[str, object]:
+        load = self.reported_load
+        return {
+            "in_flight": self.in_flight if load is None else load,
+            "state": self.state,
+        }
+
     async def announce(self, admin_address: str, address: str) -> None:
         """Announces this upstream to the node beside it until cancelled."""
         host, _, port = admin_address.rpartition(":")
-        incarnation = int(trio.current_time() * 1000)
+        incarnation = time.time_ns() // 1_000
         while True:
             document = {
                 "service": self.service,
