--- /dev/null
+++ b/src/rhubarbpaddle/execution/fingerprint.py
@@ -0,0 +1,30 @@
+"""Names requests that are equal, so that a repeated crash is recognized."""
+
+import hashlib
+
+from rhubarbpaddle.execution.body import Body, BytesBody
+
+_DIGEST_BYTES = 16
+
+
+def make_fingerprint(method: str, target: str, service: str, body: Body) -> str:
+    """Returns a digest over a request.
+
+    Args:
+        method: The HTTP method.
+        target: The HTTP request target.
+        service: The service that the request is for.
+        body: Its body. The content counts if it is in memory, otherwise only
+            the length, so that nothing has to be read.
+
+    Returns:
+        32 hexadecimal digits.
+    """
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in (method, target, service):
+        digest.update(f"{len(part)}:{part}".encode())
+    if isinstance(body, BytesBody):
+        digest.update(b"content:" + body.content)
+    else:
+        digest.update(f"length:{body.length}".encode())
+    return digest.hexdigest()
