Admit by what the upstream shows it can bear

Cause: the sidecar admitted as many requests as the operators' text gives slots, to a cold upstream as well, and served tenants in order of arrival. Ruled out: the lowest window mean as the baseline of the warm latency. Ruled out for the ramp: doubling; it needs strain to show at half of what the upstream bears with no margin. Change: AdaptiveAdmission replaces SlotAdmission (kept as bench FixedSlots): adaptive limit, ramp, deadline-aware fair queue, criticality by the header Rhubarbpaddle-Calling-Service. The registry passes on configuration and the baseline, and notices an expired lease when it expires, not up to a third of it later. The sidecar judges evidence and records crash strikes.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of single parts."""
--- /dev/null
+++ b/bench/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Figures on admission and cold start."""
--- /dev/null
+++ b/bench/admission/fixed_slots.py
@@ -0,0 +1,65 @@
+"""Admission by a fixed number of slots: the first version, to compare with."""
+
+from collections.abc import Mapping
+
+import trio
+
+from rhubarbpaddle.admission import Slot, Ticket
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration import Service, Tenant
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.measuring import Evidence, LoadReport
+from rhubarbpaddle.membership import UpstreamState
+
+
+class FixedSlots:
+    """Admits as many requests at once as the upstream has slots."""
+
+    def __init__(self, slots: int, clock: Clock) -> None:
+        self._slots = slots
+        self._clock = clock
+        self._semaphore = trio.Semaphore(slots)
+        self._state = UpstreamState.WARM
+
+    async def acquire(self, ticket: Ticket) -> Slot:
+        """Waits for a slot until the request's deadline."""
+        if self._semaphore.value == 0 and not ticket.may_queue:
+            raise RefusedError("no_free_slot", "all in use", step="admit")
+        with trio.move_on_at(ticket.deadline):
+            await self._semaphore.acquire()
+            return _SemaphoreSlot(self._semaphore)
+        raise RefusedError("queue_deadline", "no slot in time", step="admit")
+
+    def set_state(self, state: UpstreamState) -> None:
+        """Takes over what the upstream itself announces."""
+        self._state = state
+
+    def configure(
+        self, service: Service, tenants: Mapping[str, Tenant]
+    ) -> None:
+        """Does nothing; this version has no weights."""
+
+    def get_report(self) -> LoadReport:
+        """Returns the load at this moment."""
+        return LoadReport(
+            in_flight=self._slots - self._semaphore.value,
+            queued=self._semaphore.statistics().tasks_waiting,
+            limit=self._slots,
+            state=self._state,
+        )
+
+    def get_baseline(self) -> float | None:
+        """Returns None; this version does not measure."""
+        return None
+
+    def get_evidence_age(self) -> float:
+        """Returns 0; this version does not measure."""
+        return 0.0
+
+
+class _SemaphoreSlot:
+    def __init__(self, semaphore: trio.Semaphore) -> None:
+        self._semaphore = semaphore
+
+    def release(self, evidence: Evidence) -> None:
+        self._semaphore.release()
--- a/src/rhubarbpaddle/admission/__init__.py
+++ b/src/rhubarbpaddle/admission/__init__.py
@@ -1,8 +1,15 @@
 """Whether a request may run now at the upstream beside this node."""
 
+from rhubarbpaddle.admission.adaptive_admission import AdaptiveAdmission
 from rhubarbpaddle.admission.admission import Admission
+from rhubarbpaddle.admission.criticality_table import CriticalityTable
 from rhubarbpaddle.admission.slot import Slot
-from rhubarbpaddle.admission.slot_admission import SlotAdmission
 from rhubarbpaddle.admission.ticket import Ticket
 
-__all__ = ["Admission", "Slot", "SlotAdmission", "Ticket"]
+__all__ = [
+    "AdaptiveAdmission",
+    "Admission",
+    "CriticalityTable",
+    "Slot",
+    "Ticket",
+]
--- /dev/null
+++ b/src/rhubarbpaddle/admission/adaptive_admission.py
@@ -0,0 +1,345 @@
+"""Admission by what the upstream shows it can bear."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Self
+
+import trio
+
+from rhubarbpaddle.admission.cold_start_ramp import ColdStartRamp
+from rhubarbpaddle.admission.concurrency_limit import ConcurrencyLimit
+from rhubarbpaddle.admission.fair_queue import FairQueue
+from rhubarbpaddle.admission.slot import Slot
+from rhubarbpaddle.admission.ticket import Ticket
+from rhubarbpaddle.admission.waiter import Waiter
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration import Service, Tenant
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.measuring import Evidence, EvidenceKind, LoadReport
+from rhubarbpaddle.membership import UpstreamState
+
+_QUEUE_PER_SLOT = 4
+_HOLD_GAIN = 0.1
+_MIN_RETRY_AFTER = timedelta(milliseconds=50)
+# Answers in a row, each this far over the warm latency at half the proven
+# concurrency or less, that show a return to cold start.
+_COLD_LATENCY = 3.0
+_COLD_ANSWERS = 3
+# Timeouts in a row at low concurrency that show the same.
+_COLD_TIMEOUTS = 2
+# A deadline this close to the warm latency shows only an impatient caller.
+_FAIR_DEADLINE = 2.0
+# An announcement of `cold` holds the limit at 1 for this long; a report that
+# never changes must not hold it for ever.
+_ANNOUNCED_COLD_SECONDS = 30.0
+_TAKES_WORK = (UpstreamState.COLD, UpstreamState.WARM)
+_RETURNS_COLD = (EvidenceKind.LOST, EvidenceKind.UNREACHABLE)
+
+
+class AdaptiveAdmission:
+    """Slots, an adaptive limit, a ramp from cold start and a fair queue.
+
+    Requests in flight never exceed the slots, and no request is admitted
+    while as many are in flight as the limit allows at that moment.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        clock: Clock,
+        *,
+        baseline: float | None = None,
+        queue_length: int | None = None,
+    ) -> None:
+        """Makes the admission of a cold upstream.
+
+        Args:
+            slots: Requests that may never be exceeded.
+            clock: The source of time.
+            baseline: The warm latency in seconds if an earlier incarnation
+                showed it.
+            queue_length: Requests that may wait; by default 4 for each slot.
+        """
+        now = clock.monotonic()
+        self._slots = slots
+        self._clock = clock
+        self._queue = FairQueue()
+        self._queue_length = queue_length or slots * _QUEUE_PER_SLOT
+        self._in_flight = 0
+        self._announced = UpstreamState.WARM
+        self._announced_at = now
+        self._limit = ConcurrencyLimit(slots, now, baseline)
+        self._ramp: ColdStartRamp | None = ColdStartRamp(slots, baseline, now)
+        self._hold: float | None = None
+        self._slow_answers = 0
+        self._timeouts = 0
+        self._evidence_at = float("-inf")
+
+    @classmethod
+    def from_config(
+        cls,
+        service: Service,
+        tenants: Mapping[str, Tenant],
+        clock: Clock,
+        baseline: float | None = None,
+    ) -> Self:
+        """Makes the admission for an instance of a service."""
+        admission = cls(service.slots, clock, baseline=baseline)
+        admission.configure(service, tenants)
+        return admission
+
+    async def acquire(self, ticket: Ticket) -> Slot:
+        """Waits for a slot."""
+        self._check_state()
+        if self._in_flight < self._get_limit() and not self._queue:
+            self._in_flight += 1
+            return self._make_slot()
+        waiter = Waiter(ticket)
+        self._enqueue(waiter)
+        try:
+            with trio.move_on_at(ticket.deadline):
+                await waiter.ended.wait()
+        except BaseException:
+            self._abandon(waiter)
+            raise
+        if waiter.refusal is not None:
+            raise waiter.refusal
+        if not waiter.granted:
+            self._abandon(waiter)
+            raise RefusedError(
+                "queue_deadline",
+                "no slot became free before the deadline",
+                step="admit",
+                status=504,
+            )
+        try:
+            # The state may have changed between the grant and this task's turn.
+            self._check_state()
+        except RefusedError:
+            self._abandon(waiter)
+            raise
+        return self._make_slot()
+
+    def set_state(self, state: UpstreamState) -> None:
+        """Takes over what the upstream itself announces.
+
+        `cold`, and any return from `leaving` or `down`, starts a cold start.
+        `warm` does not end one.
+        """
+        returned = self._announced not in _TAKES_WORK and state in _TAKES_WORK
+        turned_cold = (
+            state is UpstreamState.COLD
+            and self._announced is not UpstreamState.COLD
+        )
+        if state is not self._announced:
+            self._announced_at = self._clock.monotonic()
+        self._announced = state
+        if returned or turned_cold:
+            self._start_cold()
+        if state not in _TAKES_WORK:
+            for waiter in self._queue.drain():
+                waiter.refuse(_make_state_refusal(state))
+        self._dispatch()
+
+    def configure(
+        self, service: Service, tenants: Mapping[str, Tenant]
+    ) -> None:
+        """Takes over changed limits and tenants' weights."""
+        self._queue.weights = {
+            tenant.name: tenant.weight for tenant in tenants.values()
+        }
+        if service.slots != self._slots:
+            self._slots = service.slots
+            self._queue_length = service.slots * _QUEUE_PER_SLOT
+            self._limit.set_slots(service.slots)
+            if self._ramp is not None:
+                self._ramp.set_slots(service.slots)
+        self._dispatch()
+
+    def get_report(self) -> LoadReport:
+        """Returns the load at this moment."""
+        state = self._announced
+        if state is UpstreamState.WARM and self._ramp is not None:
+            state = UpstreamState.COLD
+        return LoadReport(
+            in_flight=self._in_flight,
+            queued=len(self._queue),
+            limit=self._get_limit(),
+            state=state,
+        )
+
+    def get_baseline(self) -> float | None:
+        """Returns the warm latency in seconds, or None if it is unknown."""
+        return self._limit.baseline
+
+    def get_evidence_age(self) -> float:
+        """Returns the seconds since a request last showed anything."""
+        return self._clock.monotonic() - self._evidence_at
+
+    def _check_state(self) -> None:
+        if self._announced not in _TAKES_WORK:
+            raise _make_state_refusal(self._announced)
+
+    def _get_limit(self) -> int:
+        if self._ramp is None:
+            return min(self._slots, self._limit.get())
+        if self._announced is UpstreamState.COLD:
+            age = self._clock.monotonic() - self._announced_at
+            if age < _ANNOUNCED_COLD_SECONDS:
+                return 1
+        return min(self._slots, self._ramp.limit)
+
+    def _enqueue(self, waiter: Waiter) -> None:
+        if not waiter.ticket.may_queue:
+            raise RefusedError(
+                "no_free_slot",
+                "all requests that the upstream bears at once are running",
+                step="admit",
+                retry_after=self._get_retry_after(0),
+                may_retry=True,
+            )
+        ahead = self._queue.count_ahead(waiter)
+        wait = self._estimate_wait(ahead)
+        if wait > waiter.ticket.deadline - self._clock.monotonic():
+            raise RefusedError(
+                "queue_too_long",
+                "the expected wait for a slot exceeds the time left",
+                step="admit",
+                retry_after=self._get_retry_after(ahead),
+                may_retry=True,
+            )
+        if len(self._queue) >= self._queue_length:
+            self._shed_for(waiter, ahead)
+        self._queue.push(waiter)
+        self._dispatch()
+
+    def _shed_for(self, waiter: Waiter, ahead: int) -> None:
+        refusal = RefusedError(
+            "queue_full",
+            "too many requests wait for a slot",
+            step="admit",
+            retry_after=self._get_retry_after(ahead),
+            may_retry=True,
+        )
+        victim = self._queue.pick_victim(waiter)
+        if victim is waiter:
+            raise refusal
+        self._queue.remove(victim)
+        victim.refuse(refusal)
+
+    def _estimate_wait(self, ahead: int) -> float:
+        """Returns the seconds until a slot frees after those ahead."""
+        if self._hold is None:
+            return 0.0
+        return (ahead + 1) * self._hold / self._get_limit()
+
+    def _get_retry_after(self, ahead: int) -> timedelta:
+        wait = timedelta(seconds=self._estimate_wait(ahead))
+        return max(_MIN_RETRY_AFTER, wait)
+
+    def _abandon(self, waiter: Waiter) -> None:
+        if waiter.granted:
+            self._in_flight -= 1
+            self._dispatch()
+        elif waiter.refusal is None:
+            self._queue.remove(waiter)
+
+    def _dispatch(self) -> None:
+        while self._queue and self._in_flight < self._get_limit():
+            self._in_flight += 1
+            self._queue.pop().grant()
+
+    def _make_slot(self) -> Slot:
+        return _AdmittedSlot(self, self._clock.monotonic(), self._in_flight)
+
+    def release(
+        self, evidence: Evidence, started: float, concurrency: int
+    ) -> None:
+        """Takes a slot back.
+
+        Args:
+            evidence: What the request showed.
+            started: Monotonic seconds at which the slot was given.
+            concurrency: Requests in flight at that time, with this one.
+        """
+        now = self._clock.monotonic()
+        elapsed = now - started
+        self._in_flight -= 1
+        hold = elapsed if self._hold is None else self._hold
+        self._hold = hold + _HOLD_GAIN * (elapsed - hold)
+        if evidence.kind is EvidenceKind.TIMED_OUT and self._is_impatient(
+            elapsed
+        ):
+            evidence = Evidence(EvidenceKind.NONE)
+        if evidence.kind is not EvidenceKind.NONE:
+            self._evidence_at = now
+            self._record(evidence, started, concurrency, now)
+        self._dispatch()
+
+    def _is_impatient(self, elapsed: float) -> bool:
+        baseline = self._limit.baseline
+        return baseline is not None and elapsed < _FAIR_DEADLINE * baseline
+
+    def _record(
+        self, evidence: Evidence, started: float, concurrency: int, now: float
+    ) -> None:
+        if self._ramp is not None:
+            self._ramp.record(evidence, started, concurrency, now)
+            if self._ramp.finished:
+                self._limit.restart(self._ramp.limit, self._ramp.floor, now)
+                self._ramp = None
+            return
+        if self._shows_cold(evidence, concurrency):
+            self._start_cold()
+            return
+        self._limit.record(evidence, started, concurrency, now)
+
+    def _shows_cold(self, evidence: Evidence, concurrency: int) -> bool:
+        proven = self._limit.proven
+        low = concurrency <= max(1, proven // 2)
+        slow = (
+            evidence.kind is EvidenceKind.ANSWERED
+            and evidence.latency is not None
+            and self._limit.baseline is not None
+            and evidence.latency >= _COLD_LATENCY * self._limit.baseline
+        )
+        self._slow_answers = self._slow_answers + 1 if slow and low else 0
+        if evidence.kind is EvidenceKind.TIMED_OUT and low:
+            self._timeouts += 1
+        elif evidence.kind is EvidenceKind.ANSWERED:
+            self._timeouts = 0
+        return (
+            evidence.kind in _RETURNS_COLD
+            # It sheds what it bore before.
+            or (evidence.kind is EvidenceKind.SHED and concurrency <= proven)
+            or self._slow_answers >= _COLD_ANSWERS
+            or self._timeouts >= _COLD_TIMEOUTS
+        )
+
+    def _start_cold(self) -> None:
+        now = self._clock.monotonic()
+        self._slow_answers = self._timeouts = 0
+        self._ramp = ColdStartRamp(self._slots, self._limit.baseline, now)
+
+
+class _AdmittedSlot:
+    def __init__(
+        self, admission: AdaptiveAdmission, started: float, concurrency: int
+    ) -> None:
+        self._admission: AdaptiveAdmission | None = admission
+        self._started = started
+        self._concurrency = concurrency
+
+    def release(self, evidence: Evidence) -> None:
+        admission, self._admission = self._admission, None
+        if admission is not None:
+            admission.release(evidence, self._started, self._concurrency)
+
+
+def _make_state_refusal(state: UpstreamState) -> RefusedError:
+    return RefusedError(
+        "upstream_leaving",
+        f"the upstream takes no new work, its state is {state.value}",
+        step="admit",
+        may_retry=True,
+    )
--- /dev/null
+++ b/src/rhubarbpaddle/admission/concurrency_limit.py
@@ -0,0 +1,122 @@
+"""How many requests at once a warm upstream bears."""
+
+from rhubarbpaddle.measuring import Evidence, EvidenceKind, LatencyWindow
+
+# Latencies that are averaged before the limit grows or shrinks. With 12, work
+# times that vary by 90 % kept the limit at a third of the capacity.
+_WINDOW_SAMPLES = 32
+# The mean latency over the baseline at which the limit shrinks. Below it, an
+# upstream that queues what it can't run holds less than a quarter too much.
+_TOLERANCE = 1.25
+_SHED_FACTOR = 0.7
+_LATENCY_FACTOR = 0.5
+# The baseline is measured at half the limit, where load is not the cause of
+# slow answers. Taking the lowest mean of all windows instead follows the noise
+# down without end.
+_MEASURE_SECONDS = 5.0
+_BASELINE_GAIN = 0.3
+
+
+class ConcurrencyLimit:
+    """Additive increase, multiplicative decrease.
+
+    Attributes:
+        proven: The highest concurrency at which a window was good since the
+            limit last shrank.
+        baseline: The mean latency of an upstream that is not overloaded, in
+            seconds, or None if it is unknown.
+    """
+
+    def __init__(self, slots: int, now: float, baseline: float | None) -> None:
+        self.proven = 1
+        self.baseline = baseline
+        self._value = 1.0
+        self._slots = slots
+        self._window = LatencyWindow(now)
+        self._shrank = now
+        self._measuring = False
+        self._measured = now
+
+    def get(self) -> int:
+        """Returns the requests that may run at once, at least 1."""
+        if self._measuring:
+            return max(1, int(self._value / 2))
+        return int(self._value)
+
+    def set_slots(self, slots: int) -> None:
+        """Takes over a changed hard limit."""
+        self._slots = slots
+        self._value = min(self._value, slots)
+
+    def restart(self, value: int, floor: float | None, now: float) -> None:
+        """Starts from what a cold start ended with.
+
+        Args:
+            value: Requests at once.
+            floor: The lowest mean latency of the cold start, in seconds.
+            now: Monotonic seconds.
+        """
+        self._value = float(value)
+        self.proven = value
+        if self.baseline is None or (
+            floor is not None and floor > _TOLERANCE * self.baseline
+        ):
+            self.baseline = floor
+        self._measuring = False
+        self._measured = now
+        self._window.restart(now)
+        self._shrank = now
+
+    def record(
+        self, evidence: Evidence, started: float, concurrency: int, now: float
+    ) -> None:
+        """Takes over what one request showed.
+
+        Args:
+            evidence: How the request ended.
+            started: Monotonic seconds at which it started.
+            concurrency: Requests in flight when it started, with it.
+            now: Monotonic seconds.
+        """
+        if evidence.kind in (EvidenceKind.SHED, EvidenceKind.TIMED_OUT):
+            self._shrink(_SHED_FACTOR, started, now)
+        if evidence.kind is not EvidenceKind.ANSWERED:
+            return
+        if evidence.latency is None or started < self._window.opened:
+            return
+        if concurrency > self.get():
+            return
+        self._window.add(evidence.latency, concurrency)
+        if self._window.count >= _WINDOW_SAMPLES:
+            self._close_window(now)
+
+    def _close_window(self, now: float) -> None:
+        mean, peak = self._window.mean, self._window.peak
+        self._window.restart(now)
+        if self.baseline is None:
+            self.baseline = mean
+        excess = mean / self.baseline if self.baseline else 1.0
+        if self._measuring or self._value < 2:
+            if excess <= _TOLERANCE or self._value < 2:
+                self.baseline += _BASELINE_GAIN * (mean - self.baseline)
+            self._measuring = False
+            self._measured = now
+        if excess > _TOLERANCE:
+            self._shrink(max(_LATENCY_FACTOR, 1 / excess), now, now)
+            return
+        self.proven = max(self.proven, peak)
+        if peak >= int(self._value):
+            self._value = min(self._slots, self._value + 1)
+        self._measuring = (
+            self._value >= 2 and now - self._measured >= _MEASURE_SECONDS
+        )
+
+    def _shrink(self, factor: float, started: float, now: float) -> None:
+        # Requests that started before the limit shrank say nothing of it.
+        if started < self._shrank:
+            return
+        self._value = max(1.0, self._value * factor)
+        self.proven = min(self.proven, int(self._value))
+        self._shrank = now
+        self._measuring = False
+        self._window.restart(now)
--- a/src/rhubarbpaddle/admission/slot.py
+++ b/src/rhubarbpaddle/admission/slot.py
@@ -2,15 +2,16 @@
 
 from typing import Protocol
 
+from rhubarbpaddle.measuring import Evidence
+
 
 class Slot(Protocol):
     """A slot of an upstream, held while one request runs."""
 
-    def release(self, succeeded: bool, latency: float) -> None:
-        """Gives the slot back.
+    def release(self, evidence: Evidence) -> None:
+        """Gives the slot back; a second call has no effect.
 
         Args:
-            succeeded: False if the upstream failed, shed or timed out.
-            latency: Seconds that the upstream took.
+            evidence: What the request showed of the upstream.
         """
         ...
--- a/src/rhubarbpaddle/execution/sidecar.py
+++ b/src/rhubarbpaddle/execution/sidecar.py
@@ -1,26 +1,37 @@
-"""The only door to the upstream beside this node."""
+"""The only way to the upstream beside this node."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from datetime import timedelta
 
-from rhubarbpaddle.admission import Admission, Ticket
+from rhubarbpaddle.admission import CriticalityTable, Ticket
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.attached_upstream import AttachedUpstream
+from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.crash_ledger import CrashLedger
+from rhubarbpaddle.execution.crash_suspects import CrashSuspects
+from rhubarbpaddle.execution.fingerprint import make_fingerprint
+from rhubarbpaddle.execution.observed_body import ObservedBody
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
-from rhubarbpaddle.execution.upstream_client import UpstreamClient
-from rhubarbpaddle.measuring import LoadReport
-from rhubarbpaddle.membership import UpstreamSummary
+from rhubarbpaddle.measuring import (
+    NO_EVIDENCE,
+    Evidence,
+    EvidenceKind,
+    LoadReport,
+)
+from rhubarbpaddle.outcome import Outcome
 
+CALLING_SERVICE_HEADER = b"rhubarbpaddle-calling-service"
+OUTCOME_HEADER = b"rhubarbpaddle-outcome"
 
-class AttachedUpstream(NamedTuple):
-    """The upstream that has announced itself, with what serves it."""
-
-    summary: UpstreamSummary
-    admission: Admission
-    client: UpstreamClient
+_KINDS = {
+    "upstream_lost": EvidenceKind.LOST,
+    "upstream_timeout": EvidenceKind.TIMED_OUT,
+    "upstream_unreachable": EvidenceKind.UNREACHABLE,
+}
+_SHED_STATUSES = (429, 503)
 
 
 class Sidecar:
@@ -29,13 +40,33 @@
     Attributes:
         upstream: The upstream beside this node, if one has announced itself.
         in_service: Whether this node's availability zone takes new work.
+        criticality: Ranks requests by the service that calls.
+        crashes: The strikes against requests.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, crashes: CrashLedger | None = None
+    ) -> None:
         self.upstream: AttachedUpstream | None = None
         self.in_service = True
+        self.criticality = CriticalityTable({})
+        self.crashes = crashes or CrashLedger("-", clock)
+        self._suspects = CrashSuspects(self.crashes, clock)
         self._clock = clock
 
+    def attach(self, upstream: AttachedUpstream) -> None:
+        """Sends requests to this upstream from now on.
+
+        A new incarnation of the same instance confirms that the previous one
+        is gone.
+        """
+        previous, self.upstream = self.upstream, upstream
+        if (
+            previous is not None
+            and previous.summary.incarnation != upstream.summary.incarnation
+        ):
+            self._suspects.confirm(previous.summary.incarnation)
+
     def get_report(self) -> LoadReport | None:
         """Returns the upstream's load, or None if there is no upstream."""
         if self.upstream is None:
@@ -57,24 +88,92 @@
         Raises:
             RefusedError: There is no answer; `outcome` tells what is known.
         """
+        fingerprint = request.fingerprint or make_fingerprint(
+            request.method, request.target, request.service, body
+        )
         upstream = self._get_upstream(request, instance, incarnation)
-        ticket = Ticket(request.tenant, request.deadline, request.may_queue)
-        slot = await upstream.admission.acquire(ticket)
-        started = self._clock.monotonic()
-        latency = 0.0
-        succeeded = False
+        self._check_fingerprint(fingerprint)
+        slot = await upstream.admission.acquire(self._make_ticket(request))
+        evidence = NO_EVIDENCE
         try:
             # The wait may have outlived the deadline or the incarnation, for
-            # example when the process was paused.
-            self._get_upstream(request, instance, incarnation)
-            async with upstream.client.send(request, body) as response:
-                latency = self._clock.monotonic() - started
-                succeeded = response.status < 500
-                report = upstream.admission.get_report()
-                yield response._replace(report=report)
+            # example when the process was paused, or the request may have
+            # crashed another upstream in the meantime.
+            upstream = self._get_upstream(request, instance, incarnation)
+            self._check_fingerprint(fingerprint)
+            started = self._clock.monotonic()
+            source = body if isinstance(body, BytesBody) else ObservedBody(body)
+            answer: ObservedBody | None = None
+            try:
+                async with upstream.client.send(request, source) as response:
+                    elapsed = self._clock.monotonic() - started
+                    evidence = _judge(response, source, elapsed)
+                    _check_outcome(response, source)
+                    answer = ObservedBody(response.body)
+                    report = upstream.admission.get_report()
+                    yield response._replace(body=answer, report=report)
+                self.crashes.record_answer(fingerprint)
+            except RefusedError as exc:
+                if evidence is NO_EVIDENCE:
+                    evidence = _judge_error(exc, source)
+                    await self._look_for_crash(upstream, evidence, fingerprint)
+                raise
+            except BaseException:
+                if answer is not None and answer.failed:
+                    evidence = Evidence(EvidenceKind.LOST)
+                    await self._look_for_crash(upstream, evidence, fingerprint)
+                raise
         finally:
-            elapsed = self._clock.monotonic() - started
-            slot.release(succeeded, latency or elapsed)
+            slot.release(evidence)
+
+    async def _look_for_crash(
+        self, upstream: AttachedUpstream, evidence: Evidence, fingerprint: str
+    ) -> None:
+        """Records strikes if the upstream has crashed.
+
+        Raises:
+            RefusedError: It has crashed while it ran this request, which must
+                not be sent to another instance.
+        """
+        incarnation = upstream.summary.incarnation
+        if evidence.kind is EvidenceKind.UNREACHABLE:
+            self._suspects.confirm(incarnation)
+        if evidence.kind is not EvidenceKind.LOST:
+            return
+        self._suspects.add(fingerprint, incarnation)
+        if await upstream.reachability.is_open():
+            return
+        self._suspects.confirm(incarnation)
+        raise RefusedError(
+            "upstream_crashed",
+            "the upstream crashed while it ran the request",
+            step="run_request",
+            peer=upstream.summary.instance,
+            status=502,
+            outcome=Outcome.UNKNOWN,
+        )
+
+    def _make_ticket(self, request: Request) -> Ticket:
+        calling_service = ""
+        for name, value in request.headers:
+            if name == CALLING_SERVICE_HEADER:
+                calling_service = value.decode("latin-1")
+        return Ticket(
+            request.tenant,
+            request.deadline,
+            request.may_queue,
+            self.criticality.get(request.service, calling_service),
+        )
+
+    def _check_fingerprint(self, fingerprint: str) -> None:
+        if self.crashes.is_blocked(fingerprint):
+            raise RefusedError(
+                "suspected_crash",
+                "upstreams crashed while they ran this request",
+                step="admit",
+                retry_after=self.crashes.get_time_blocked(fingerprint)
+                + timedelta(seconds=1),
+            )
 
     def _get_upstream(
         self, request: Request, instance: str, incarnation: int
@@ -99,5 +198,38 @@
         return upstream
 
 
+def _judge(response: Response, source: Body, elapsed: float) -> Evidence:
+    if response.status in _SHED_STATUSES:
+        return Evidence(EvidenceKind.SHED)
+    if response.status >= 500:
+        return Evidence(EvidenceKind.FAILED)
+    # The time of an upload shows the caller's speed.
+    latency = elapsed if isinstance(source, BytesBody) else None
+    return Evidence(EvidenceKind.ANSWERED, latency)
+
+
+def _judge_error(exc: RefusedError, source: Body) -> Evidence:
+    if isinstance(source, ObservedBody) and source.failed:
+        return NO_EVIDENCE
+    return Evidence(_KINDS.get(exc.code, EvidenceKind.NONE))
+
+
+def _check_outcome(response: Response, source: Body) -> None:
+    """Turns an upstream's truthful `not-run` into a refusal.
+
+    Raises:
+        RefusedError: The upstream has shed the request and did not run it.
+    """
+    if response.status != 503:
+        return
+    if (OUTCOME_HEADER, b"not-run") in response.headers:
+        raise RefusedError(
+            "upstream_shed",
+            "the upstream refused the request",
+            step="run_request",
+            may_retry=isinstance(source, BytesBody),
+        )
+
+
 def _refuse(code: str, detail: str) -> RefusedError:
     return RefusedError(code, detail, step="admit", may_retry=True)
--- a/src/rhubarbpaddle/measuring/__init__.py
+++ b/src/rhubarbpaddle/measuring/__init__.py
@@ -1,5 +1,16 @@
 """Load, latency and health, and what it costs to measure them."""
 
+from rhubarbpaddle.measuring.evidence import NO_EVIDENCE, Evidence
+from rhubarbpaddle.measuring.evidence_kind import EvidenceKind
+from rhubarbpaddle.measuring.latency_window import LatencyWindow
 from rhubarbpaddle.measuring.load_report import LoadReport
+from rhubarbpaddle.measuring.probe_budget import ProbeBudget
 
-__all__ = ["LoadReport"]
+__all__ = [
+    "NO_EVIDENCE",
+    "Evidence",
+    "EvidenceKind",
+    "LatencyWindow",
+    "LoadReport",
+    "ProbeBudget",
+]
--- /dev/null
+++ b/src/rhubarbpaddle/measuring/latency_window.py
@@ -0,0 +1,37 @@
+"""The mean latency of consecutive requests."""
+
+
+class LatencyWindow:
+    """Collects latencies until there are enough of them for a decision.
+
+    Attributes:
+        opened: Monotonic seconds at which the window began.
+        count: Latencies collected.
+        peak: The highest concurrency at which one of the requests started.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """Forgets all latencies."""
+        self.opened = now
+        self.count = 0
+        self.peak = 0
+        self._total = 0.0
+
+    def add(self, latency: float, concurrency: int) -> None:
+        """Adds a latency.
+
+        Args:
+            latency: Seconds.
+            concurrency: Requests in flight when this one started, with it.
+        """
+        self.count += 1
+        self._total += latency
+        self.peak = max(self.peak, concurrency)
+
+    @property
+    def mean(self) -> float:
+        """The mean latency in seconds; 0 without any."""
+        return self._total / self.count if self.count else 0.0
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -9,6 +9,7 @@
 
 from rhubarbpaddle.clock import Clock, SystemClock
 from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.gateway import Gateway
 from rhubarbpaddle.execution.sidecar import Sidecar
 from rhubarbpaddle.http import CallerHandler
@@ -62,7 +63,8 @@
             upstream=None,
         )
         self.table = MemberTable(own)
-        self.sidecar = Sidecar(clock)
+        self.crashes = CrashLedger(settings.node_id, clock)
+        self.sidecar = Sidecar(clock, self.crashes)
         self.configuration = ConfigurationFollower(
             log, clock, self._apply_configuration
         )
@@ -172,3 +174,4 @@
         zone = self.settings.availability_zone
         in_service = accepted.configuration.is_in_service(zone)
         self.sidecar.in_service = in_service
+        self._registry.apply_configuration(accepted)
--- a/src/rhubarbpaddle/node/upstream_registry.py
+++ b/src/rhubarbpaddle/node/upstream_registry.py
@@ -4,10 +4,11 @@
 
 import trio
 
-from rhubarbpaddle.admission import SlotAdmission
+from rhubarbpaddle.admission import AdaptiveAdmission, CriticalityTable
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import AcceptedConfiguration, Service
-from rhubarbpaddle.execution.sidecar import AttachedUpstream, Sidecar
+from rhubarbpaddle.execution.attached_upstream import AttachedUpstream
+from rhubarbpaddle.execution.sidecar import Sidecar
 from rhubarbpaddle.http import HttpUpstreamClient
 from rhubarbpaddle.membership import (
     MemberTable,
@@ -16,6 +17,7 @@
 )
 from rhubarbpaddle.network import Network
 from rhubarbpaddle.node.announcement import Announcement
+from rhubarbpaddle.node.upstream_reachability import UpstreamReachability
 from rhubarbpaddle.telemetry import get_logger
 
 _log = get_logger("upstream")
@@ -38,7 +40,6 @@
         self._clock = clock
         self._lease = lease
         self._renewed = float("-inf")
-        self._service: Service | None = None
 
     async def announce(
         self, announcement: Announcement, accepted: AcceptedConfiguration
@@ -65,22 +66,40 @@
         )
         attached = self._sidecar.upstream
         if attached is None or not _is_same(attached.summary, summary):
-            await self._attach(announcement, summary, service)
+            await self._attach(announcement, summary, service, accepted)
         elif attached.summary.state is not summary.state:
             self._set_state(attached, summary.state)
         return True
 
+    def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
+        """Takes over limits, tenants' weights and dependencies."""
+        configuration = accepted.configuration
+        self._sidecar.criticality = CriticalityTable.from_config(configuration)
+        attached = self._sidecar.upstream
+        if attached is None:
+            return
+        service = configuration.services.get(attached.summary.service)
+        if service is None:
+            return
+        attached.admission.configure(service, configuration.tenants)
+        if service.slots != attached.summary.slots:
+            summary = attached.summary._replace(slots=service.slots)
+            self._sidecar.upstream = attached._replace(summary=summary)
+            self._table.update_own(upstream=summary)
+
     async def run(self) -> None:
         """Notices a lease that was not renewed."""
         while True:
-            await self._clock.sleep(self._lease / 3)
+            lease = self._lease.total_seconds()
+            left = self._renewed + lease - self._clock.monotonic()
             attached = self._sidecar.upstream
-            if attached is None:
-                continue
-            age = self._clock.monotonic() - self._renewed
-            if age > self._lease.total_seconds() and (
-                attached.summary.state is not UpstreamState.DOWN
+            if attached is None or (
+                attached.summary.state is UpstreamState.DOWN
             ):
+                await self._clock.sleep(self._lease / 3)
+            elif left > 0:
+                await self._clock.sleep(timedelta(seconds=left))
+            else:
                 _log.warn(
                     "announcement_lease_expired",
                     instance=attached.summary.instance,
@@ -92,9 +111,15 @@
         announcement: Announcement,
         summary: UpstreamSummary,
         service: Service,
+        accepted: AcceptedConfiguration,
     ) -> None:
         previous = self._sidecar.upstream
-        admission = SlotAdmission.from_config(service, self._clock)
+        baseline = None
+        if previous is not None and previous.summary.service == service.name:
+            baseline = previous.admission.get_baseline()
+        admission = AdaptiveAdmission.from_config(
+            service, accepted.configuration.tenants, self._clock, baseline
+        )
         admission.set_state(summary.state)
         client = HttpUpstreamClient(
             self._network,
@@ -102,7 +127,10 @@
             announcement.address,
             service.connections,
         )
-        self._sidecar.upstream = AttachedUpstream(summary, admission, client)
+        reachability = UpstreamReachability(self._network, announcement.address)
+        self._sidecar.attach(
+            AttachedUpstream(summary, admission, client, reachability)
+        )
         self._table.update_own(upstream=summary)
         _log.info(
             "upstream_attached",
@@ -111,6 +139,7 @@
             incarnation=summary.incarnation,
         )
         if previous is not None:
+            previous.admission.set_state(UpstreamState.DOWN)
             with trio.CancelScope(shield=True):
                 await previous.client.aclose()
 
@@ -118,8 +147,8 @@
         self, attached: AttachedUpstream, state: UpstreamState
     ) -> None:
         summary = attached.summary._replace(state=state)
-        attached.admission.set_state(state)
         self._sidecar.upstream = attached._replace(summary=summary)
+        attached.admission.set_state(state)
         self._table.update_own(upstream=summary)
         _log.info("upstream_state", instance=summary.instance, state=state)
 
