Take three failures in a row as a return to cold start

Cause: an upstream that falls back and falls over answers 500, and the limit stayed where it was. Ruled out: any single 500; a service's own rare errors would start a ramp. Change: three answers of 500 or more in a row start a cold start. The 3 violations of each fall back can't be avoided without a word from the upstream.

--- a/src/rhubarbpaddle/admission/adaptive_admission.py
+++ b/src/rhubarbpaddle/admission/adaptive_admission.py
@@ -27,6 +27,9 @@
 _COLD_ANSWERS = 3
 # Timeouts in a row at low concurrency that show the same.
 _COLD_TIMEOUTS = 2
+# Answers of 500 or more in a row that show the same. An upstream that falls
+# over need not say that it sheds load.
+_COLD_FAILURES = 3
 # A deadline this close to the warm latency shows only an impatient caller.
 _FAIR_DEADLINE = 2.0
 # An announcement of `cold` holds the limit at 1 for this long; a report that
@@ -73,6 +76,7 @@
         self._hold: float | None = None
         self._slow_answers = 0
         self._timeouts = 0
+        self._failures = 0
         self._evidence_at = float("-inf")
 
     @classmethod
@@ -308,17 +312,20 @@
             self._timeouts += 1
         elif evidence.kind is EvidenceKind.ANSWERED:
             self._timeouts = 0
+        failed = evidence.kind is EvidenceKind.FAILED
+        self._failures = self._failures + 1 if failed else 0
         return (
             evidence.kind in _RETURNS_COLD
             # It sheds what it bore before.
             or (evidence.kind is EvidenceKind.SHED and concurrency <= proven)
             or self._slow_answers >= _COLD_ANSWERS
             or self._timeouts >= _COLD_TIMEOUTS
+            or self._failures >= _COLD_FAILURES
         )
 
     def _start_cold(self) -> None:
         now = self._clock.monotonic()
-        self._slow_answers = self._timeouts = 0
+        self._slow_answers = self._timeouts = self._failures = 0
         self._ramp = ColdStartRamp(self._slots, self._limit.baseline, now)
 
 
