Attach a new incarnation only after requests to the previous one

Ruled out: passing the count of requests on to the new admission; the old one would have to wake the waiters of the new one. Change: the registry stops the previous upstream and attaches the next one with the first announcement after its requests have ended, at most 5 s later. The stand-in cluster can crash and restart upstreams.

--- a/bench/admission/fixed_slots.py
+++ b/bench/admission/fixed_slots.py
@@ -34,6 +34,9 @@
         """Takes over what the upstream itself announces."""
         self._state = state
 
+    def suspect_cold(self) -> None:
+        """Does nothing; this version has no cold start."""
+
     def configure(
         self, service: Service, tenants: Mapping[str, Tenant]
     ) -> None:
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -10,7 +10,7 @@
 import trio
 
 from features.support.host_network import HostNetwork
-from features.support.memory_fabric import MemoryFabric
+from features.support.memory_fabric import MemoryFabric, StreamHandler
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.configuration import Publication
 from rhubarbpaddle.execution import BytesBody
@@ -42,6 +42,8 @@
         self.log = LogServer()
         self.nodes: dict[str, Node] = {}
         self.upstreams: dict[str, Upstream] = {}
+        self.incarnations: dict[str, int] = {}
+        self._upstream_handlers: dict[str, StreamHandler] = {}
         self._nursery = nursery
         self._seed = seed
 
@@ -88,12 +90,27 @@
         async def handle(stream: trio.abc.Stream) -> None:
             await serve_connection(stream, upstream.handle)
 
-        network = HostNetwork(self.fabric, name)
-        await self._nursery.start(network.serve, f"{name}:4", handle)
+        await self._listen_upstream(name, handle)
         self._nursery.start_soon(self._announce, upstream, name)
         self.upstreams[name] = upstream
         return upstream
 
+    async def _listen_upstream(self, name: str, handler: StreamHandler) -> None:
+        self.incarnations[name] = int(trio.current_time() * 1_000_000) + 1
+        self._upstream_handlers[name] = handler
+        network = HostNetwork(self.fabric, name)
+        await self._nursery.start(network.serve, f"{name}:4", handler)
+
+    def crash_upstream(self, name: str) -> None:
+        """Ends the upstream's process: no listener, broken connections."""
+        self.fabric.stop_listening(f"{name}:4")
+        self.fabric.cut(name, name)
+        self.incarnations.pop(name, None)
+
+    async def restart_upstream(self, name: str) -> None:
+        """Starts the upstream again with a new incarnation."""
+        await self._listen_upstream(name, self._upstream_handlers[name])
+
     def publish(self, document: Mapping[str, object], base: int) -> int:
         """Appends a publication to the log and returns its offset."""
         publication = Publication(
@@ -152,8 +169,11 @@
         return Answer(response.status_code, answered, bytes(content))
 
     async def _announce(self, upstream: Upstream, name: str) -> None:
-        incarnation = int(trio.current_time() * 1_000_000) + 1
         while True:
+            incarnation = self.incarnations.get(name)
+            if incarnation is None:
+                await trio.sleep(_RENEWAL_SECONDS)
+                continue
             document = {
                 "service": upstream.service,
                 "instance": upstream.instance,
--- a/src/rhubarbpaddle/admission/adaptive_admission.py
+++ b/src/rhubarbpaddle/admission/adaptive_admission.py
@@ -145,6 +145,11 @@
                 waiter.refuse(_make_state_refusal(state))
         self._dispatch()
 
+    def suspect_cold(self) -> None:
+        """Starts a cold start unless there is one already."""
+        if self._ramp is None:
+            self._start_cold()
+
     def configure(
         self, service: Service, tenants: Mapping[str, Tenant]
     ) -> None:
--- a/src/rhubarbpaddle/admission/admission.py
+++ b/src/rhubarbpaddle/admission/admission.py
@@ -31,6 +31,10 @@
         """Takes over what the upstream itself announces."""
         ...
 
+    def suspect_cold(self) -> None:
+        """Starts a cold start unless there is one already."""
+        ...
+
     def configure(
         self, service: Service, tenants: Mapping[str, Tenant]
     ) -> None:
--- a/src/rhubarbpaddle/node/upstream_registry.py
+++ b/src/rhubarbpaddle/node/upstream_registry.py
@@ -20,11 +20,21 @@
 from rhubarbpaddle.node.upstream_reachability import UpstreamReachability
 from rhubarbpaddle.telemetry import get_logger
 
+# A new incarnation waits this long for requests sent to the previous one. Some
+# of them may have reached the new process before it announced itself, and would
+# come on top of what it bears.
+_HANDOVER_SECONDS = 5.0
+
 _log = get_logger("upstream")
 
 
 class UpstreamRegistry:
-    """Attaches the upstream to the sidecar while its lease holds."""
+    """Attaches the upstream to the sidecar while its lease holds.
+
+    Attributes:
+        service: The service of the upstream as the configuration in force has
+            it, or None before the first announcement.
+    """
 
     def __init__(
         self,
@@ -40,6 +50,8 @@
         self._clock = clock
         self._lease = lease
         self._renewed = float("-inf")
+        self._handover_began: float | None = None
+        self.service: Service | None = None
 
     async def announce(
         self, announcement: Announcement, accepted: AcceptedConfiguration
@@ -57,6 +69,7 @@
         if service is None:
             return False
         self._renewed = self._clock.monotonic()
+        self.service = service
         summary = UpstreamSummary(
             service=announcement.service,
             instance=announcement.instance,
@@ -66,6 +79,8 @@
         )
         attached = self._sidecar.upstream
         if attached is None or not _is_same(attached.summary, summary):
+            if attached is not None and self._must_wait(attached):
+                return True
             await self._attach(announcement, summary, service, accepted)
         elif attached.summary.state is not summary.state:
             self._set_state(attached, summary.state)
@@ -81,6 +96,7 @@
         service = configuration.services.get(attached.summary.service)
         if service is None:
             return
+        self.service = service
         attached.admission.configure(service, configuration.tenants)
         if service.slots != attached.summary.slots:
             summary = attached.summary._replace(slots=service.slots)
@@ -106,6 +122,19 @@
                 )
                 self._set_state(attached, UpstreamState.DOWN)
 
+    def _must_wait(self, previous: AttachedUpstream) -> bool:
+        """Stops the previous upstream; returns whether it holds requests.
+
+        The upstream's next announcement asks again.
+        """
+        now = self._clock.monotonic()
+        if self._handover_began is None:
+            self._handover_began = now
+            self._set_state(previous, UpstreamState.DOWN)
+        if now - self._handover_began > _HANDOVER_SECONDS:
+            return False
+        return previous.admission.get_report().in_flight > 0
+
     async def _attach(
         self,
         announcement: Announcement,
@@ -113,6 +142,7 @@
         service: Service,
         accepted: AcceptedConfiguration,
     ) -> None:
+        self._handover_began = None
         previous = self._sidecar.upstream
         baseline = None
         if previous is not None and previous.summary.service == service.name:
@@ -139,7 +169,6 @@
             incarnation=summary.incarnation,
         )
         if previous is not None:
-            previous.admission.set_state(UpstreamState.DOWN)
             with trio.CancelScope(shield=True):
                 await previous.client.aclose()
 
