Probe the upstream within its budget when traffic shows nothing

Ruled out: reading health as proof of warmth; a probe may lower what the upstream gets, never raise it. Probes beside the slots: they take one, so that a cold upstream never runs a request and a probe at once. Change: ProbeTask spends ProbeBudget on /health or /load, whichever is known for longer, if no request showed anything for 1 s. A probe that takes longer than its stated cost is charged in full. Metrics for probes.

--- a/bench/admission/__main__.py
+++ b/bench/admission/__main__.py
@@ -9,6 +9,7 @@
 
 from bench.admission.figure import Figure
 from bench.admission.fixed_slots import FixedSlots
+from bench.admission.probes import measure_probes
 from bench.admission.ramp import measure_fallback, measure_ramp
 from bench.admission.tenants import measure_tenants
 from bench.admission.tracking import measure_tracking
@@ -55,6 +56,8 @@
                 yield partial(measure_ramp, make, seconds, baseline, jitter)
         yield partial(measure_fallback, make, jitter)
     yield partial(measure_tenants, make)
+    for callers in (0, 4):
+        yield partial(measure_probes, callers)
 
 
 if __name__ == "__main__":
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -19,6 +19,7 @@
 from rhubarbpaddle.node.configuration_follower import ConfigurationFollower
 from rhubarbpaddle.node.member_follower import MemberFollower
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
+from rhubarbpaddle.node.probe_task import ProbeTask
 from rhubarbpaddle.node.settings import NodeSettings
 from rhubarbpaddle.node.status import NodeStatus
 from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
@@ -91,6 +92,7 @@
             clock,
             settings.announcement_lease,
         )
+        self._probes = ProbeTask(self.sidecar, self._registry, clock, metrics)
         self._callers = CallerHandler(
             gateway, clock, metrics, self.configuration.get_accepted
         )
@@ -128,6 +130,7 @@
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self._members.run)
             nursery.start_soon(self._registry.run)
+            nursery.start_soon(self._probes.run)
             self.table.update_own()
             _log.info("node_started", node=self.settings.node_id)
             task_status.started()
--- /dev/null
+++ b/src/rhubarbpaddle/node/probe_task.py
@@ -0,0 +1,154 @@
+"""Probes the upstream when real traffic shows nothing."""
+
+import secrets
+from datetime import timedelta
+
+import msgspec
+
+from rhubarbpaddle.admission import Ticket
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
+from rhubarbpaddle.execution import BytesBody, Request
+from rhubarbpaddle.execution.attached_upstream import AttachedUpstream
+from rhubarbpaddle.execution.sidecar import Sidecar
+from rhubarbpaddle.measuring import Evidence, EvidenceKind, ProbeBudget
+from rhubarbpaddle.membership import UpstreamState
+from rhubarbpaddle.node.probe_reading import ProbeReading
+from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
+from rhubarbpaddle.telemetry import Metrics, get_logger
+
+TARGETS = ("/health", "/load")
+# Real traffic as recent as this makes a probe needless.
+_FRESH_SECONDS = 1.0
+_TIMEOUT_SECONDS = 1.0
+_IDLE_DELAY = timedelta(milliseconds=250)
+_MAX_READING_BYTES = 4_096
+
+_log = get_logger("probe")
+
+
+class ProbeTask:
+    """Spends the probe budget where knowledge is oldest.
+
+    A probe takes a slot like a request, so that probes and requests together
+    never exceed what the upstream bears. It may lower what the upstream gets
+    but never raises it, because reports are late and health endpoints say
+    little of the work.
+    """
+
+    def __init__(
+        self,
+        sidecar: Sidecar,
+        registry: UpstreamRegistry,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._sidecar = sidecar
+        self._registry = registry
+        self._clock = clock
+        self._metrics = metrics
+        self._budget: ProbeBudget | None = None
+        self._terms: tuple[float, timedelta] | None = None
+        self._known_at = dict.fromkeys(TARGETS, float("-inf"))
+
+    async def run(self) -> None:
+        """Probes for as long as the node runs."""
+        while True:
+            upstream = self._sidecar.upstream
+            budget = self._get_budget()
+            if upstream is None or budget is None:
+                await self._clock.sleep(_IDLE_DELAY)
+                continue
+            if self._is_needless(upstream) or not budget.try_spend():
+                delay = timedelta(seconds=min(60.0, budget.get_delay()))
+                await self._clock.sleep(max(_IDLE_DELAY, delay))
+                continue
+            target = min(TARGETS, key=self._known_at.__getitem__)
+            await self._probe(upstream, budget, target)
+
+    def _get_budget(self) -> ProbeBudget | None:
+        """Returns the budget; changed terms start an empty one."""
+        service = self._registry.service
+        if service is None:
+            return None
+        terms = (service.probe_share, service.probe_cost)
+        if self._budget is None or terms != self._terms:
+            self._budget = ProbeBudget.from_config(service, self._clock)
+            self._terms = terms
+        return self._budget
+
+    def _is_needless(self, upstream: AttachedUpstream) -> bool:
+        state = upstream.summary.state
+        if state not in (UpstreamState.COLD, UpstreamState.WARM):
+            return True
+        return upstream.admission.get_evidence_age() < _FRESH_SECONDS
+
+    async def _probe(
+        self, upstream: AttachedUpstream, budget: ProbeBudget, target: str
+    ) -> None:
+        started = self._clock.monotonic()
+        service = upstream.summary.service
+        request = Request(
+            request_id=secrets.token_hex(8),
+            tenant="-",
+            service=service,
+            method="GET",
+            target=target,
+            headers=[],
+            deadline=started + _TIMEOUT_SECONDS,
+            idempotent=True,
+        )
+        ticket = Ticket(request.tenant, request.deadline, may_queue=False)
+        try:
+            slot = await upstream.admission.acquire(ticket)
+        except RefusedError:
+            # It runs all that it bears, so its answers will show more.
+            return
+        evidence = Evidence(EvidenceKind.NONE)
+        result = "cancelled"
+        try:
+            evidence, result = await self._send(upstream, request)
+        finally:
+            slot.release(evidence)
+            seconds = self._clock.monotonic() - started
+            budget.settle(seconds)
+            self._metrics.record_probe(service, target, result, seconds)
+        self._known_at[target] = self._clock.monotonic()
+
+    async def _send(
+        self, upstream: AttachedUpstream, request: Request
+    ) -> tuple[Evidence, str]:
+        """Returns the evidence; a good answer is none of the work's speed."""
+        try:
+            async with upstream.client.send(
+                request, BytesBody(b"")
+            ) as response:
+                content = bytearray()
+                while part := await response.body.receive():
+                    content += part[:_MAX_READING_BYTES]
+        except RefusedError as exc:
+            _log.warn("probe_failed", target=request.target, error=exc)
+            if exc.code == "upstream_unreachable":
+                return Evidence(EvidenceKind.UNREACHABLE), exc.code
+            return Evidence(EvidenceKind.FAILED), exc.code
+        except RhubarbpaddleError as exc:
+            _log.warn("probe_failed", target=request.target, error=exc)
+            return Evidence(EvidenceKind.FAILED), exc.code
+        # Below 500 it works; a service may have no such endpoint.
+        if response.status >= 500:
+            return Evidence(EvidenceKind.FAILED), str(response.status)
+        if request.target == "/load" and response.status == 200:
+            self._read_load(upstream, bytes(content))
+        return Evidence(EvidenceKind.NONE), "ok"
+
+    def _read_load(self, upstream: AttachedUpstream, content: bytes) -> None:
+        try:
+            reading = msgspec.json.decode(content, type=ProbeReading)
+        except msgspec.DecodeError as exc:
+            _log.info("load_not_understood", detail=exc)
+            return
+        if reading.get("state") == UpstreamState.COLD.value:
+            upstream.admission.suspect_cold()
+        self._metrics.record_reported_load(
+            upstream.summary.service, reading.get("in_flight", 0)
+        )
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -39,6 +39,18 @@
         self._refusals = meter.create_counter(
             "rhubarbpaddle.refusals", description="Refusals by code"
         )
+        self._probes = meter.create_counter(
+            "rhubarbpaddle.probes", description="Probes of the upstream"
+        )
+        self._probe_time = meter.create_counter(
+            "rhubarbpaddle.probe.time",
+            unit="s",
+            description="The upstream's time that probes took",
+        )
+        self._reported_load = meter.create_gauge(
+            "rhubarbpaddle.upstream.reported_in_flight",
+            description="Requests in flight by the upstream's own report",
+        )
 
     def record_request(
         self, tenant: str, service: str, status: int, seconds: float
@@ -57,6 +69,19 @@
             1, {"service": service, "code": code, "outcome": outcome}
         )
 
+    def record_probe(
+        self, service: str, target: str, result: str, seconds: float
+    ) -> None:
+        """Records a probe and the upstream's time that it took."""
+        self._probes.add(
+            1, {"service": service, "target": target, "result": result}
+        )
+        self._probe_time.add(seconds, {"service": service})
+
+    def record_reported_load(self, service: str, in_flight: int) -> None:
+        """Records what the upstream says of its load."""
+        self._reported_load.set(in_flight, {"service": service})
+
     def render(self) -> bytes:
         """Returns all instruments in the Prometheus text format."""
         return generate_latest(self._registry)
