Test admission and crashing requests

Cause: the limits, the queue and the crash ledger had no tests of their own. Ruled out: only a scenario with callers for harmless requests in flight at a crash; it passed with the fault put in, so the suspects are tested directly. Change: a Hypothesis state machine for admission; features for refusals, fairness, criticality, crashes, expiry and merging.

--- /dev/null
+++ b/features/steps/crashing_requests_steps.py
@@ -0,0 +1,235 @@
+import json
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as hypothesis_given
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from features.support.cluster import Cluster
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.execution.crash_ledger import CrashLedger
+from rhubarbpaddle.execution.crash_suspects import CrashSuspects
+from rhubarbpaddle.execution.fingerprint import make_fingerprint
+from rhubarbpaddle.execution.strike import Strike
+from rhubarbpaddle.execution.strike_update import StrikeUpdate
+
+_NAMES = ("a", "b", "c")
+_TEXT = {
+    "services": {"lanes": {"slots": 6, "timeout_ms": 2000}},
+    "availability_zones": {name: {} for name in _NAMES},
+}
+_CRASH = make_fingerprint("POST", "/crash", "lanes", BytesBody(b""))
+
+
+async def _start(nursery: trio.Nursery) -> Cluster:
+    cluster = Cluster(nursery)
+    await cluster.start_log()
+    cluster.publish(_TEXT, base=0)
+    for name in _NAMES:
+        await cluster.start_node(name, name)
+    ledgers = [node.crashes for node in cluster.nodes.values()]
+    for ledger in ledgers:
+        for other in ledgers:
+            if other is not ledger:
+                ledger.add_listener(other.merge)
+    await trio.sleep(1)
+    for name in _NAMES:
+        upstream = await cluster.start_upstream(name, "lanes")
+        upstream.on_crash = lambda name=name: cluster.crash_upstream(name)
+    await trio.sleep(1)
+    return cluster
+
+
+@given('three nodes whose upstreams crash on "/crash"')
+def step_nodes(context: Context) -> None:
+    context.crashed = 0
+
+
+@when(
+    'a caller sends "/crash" to each node in turn'
+    ' while others ask "/availability"'
+)
+def step_crash(context: Context) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            cluster = await _start(nursery)
+
+            async def ask(node: str) -> None:
+                while True:
+                    await cluster.send(node, "lanes", target="/availability")
+                    await trio.sleep(0.01)
+
+            for name in _NAMES:
+                nursery.start_soon(ask, name)
+            await trio.sleep(2)
+            context.answers = [
+                await cluster.send(name, "lanes", "POST", "/crash")
+                for name in _NAMES
+            ]
+            context.crashed = sum(
+                upstream.runs["POST /crash"]
+                for upstream in cluster.upstreams.values()
+            )
+            # Two upstreams are gone; their leases end.
+            await trio.sleep(2)
+            context.harmless = [
+                await cluster.send(name, "lanes", target="/availability")
+                for name in _NAMES
+            ]
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("{count:d} upstreams crashed")
+def step_crashed(context: Context, count: int) -> None:
+    assert context.crashed == count, context.crashed
+
+
+@then(
+    "the first 2 outcomes are unknown and the third is refused as"
+    ' "suspected_crash"'
+)
+def step_outcomes(context: Context) -> None:
+    outcomes = [
+        answer.headers["rhubarbpaddle-outcome"] for answer in context.answers
+    ]
+    assert outcomes == ["unknown", "unknown", "not-run"], context.answers
+    code = json.loads(context.answers[2].body)["code"]
+    assert code == "suspected_crash"
+
+
+@then('"/availability" is still answered')
+def step_harmless(context: Context) -> None:
+    statuses = [answer.status for answer in context.harmless]
+    assert statuses == [200, 200, 200], context.harmless
+
+
+@when("an upstream crashes and is back before anyone could look")
+def step_quick_restart(context: Context) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            cluster = await _start(nursery)
+            for name in _NAMES:
+
+                def crash(name: str = name) -> None:
+                    cluster.fabric.cut(name, name)
+                    cluster.incarnations[name] += 1
+
+                cluster.upstreams[name].on_crash = crash
+            await cluster.send("a", "lanes", "POST", "/crash")
+            await trio.sleep(2)
+            updates = cluster.nodes["a"].crashes.get_updates()
+            context.strikes = {
+                update.fingerprint: len(update.strikes) for update in updates
+            }
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("there is {count:d} strike against the request")
+def step_strikes(context: Context, count: int) -> None:
+    assert context.strikes == {_CRASH: count}, context.strikes
+
+
+@given("a request that was answered lately and one that never was")
+def step_popular(context: Context) -> None:
+    context.event = None
+
+
+@when("both are in flight at {count:d} crashes")
+def step_crashes(context: Context, count: int) -> None:
+    async def run() -> None:
+        ledger = CrashLedger("a", VirtualClock())
+        suspects = CrashSuspects(ledger, VirtualClock())
+        ledger.record_answer("popular")
+        for incarnation in range(count):
+            suspects.add("popular", incarnation)
+            suspects.add(_CRASH, incarnation)
+            suspects.confirm(incarnation)
+            # Its broken connection is noticed last.
+            suspects.add("popular", incarnation)
+            suspects.confirm(incarnation)
+        context.blocked = [
+            name for name in ("popular", _CRASH) if ledger.is_blocked(name)
+        ]
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("only the one that never was answered is blocked")
+def step_only(context: Context) -> None:
+    assert context.blocked == [_CRASH], context.blocked
+
+
+@given("two ledgers that exchange updates")
+def step_ledgers(context: Context) -> None:
+    context.event = None
+
+
+@when("both strike a request and one sees it answered")
+def step_answered(context: Context) -> None:
+    context.event = "answer"
+
+
+@when("both strike a request and 5 min pass")
+def step_expires(context: Context) -> None:
+    context.event = "expiry"
+
+
+@then("the request is blocked on neither")
+def step_not_blocked(context: Context) -> None:
+    async def run() -> None:
+        ledgers = [CrashLedger(name, VirtualClock()) for name in "ab"]
+        ledgers[0].add_listener(ledgers[1].merge)
+        ledgers[1].add_listener(ledgers[0].merge)
+        for ledger in ledgers:
+            ledger.strike(_CRASH)
+        assert [ledger.is_blocked(_CRASH) for ledger in ledgers] == [True] * 2
+        if context.event == "answer":
+            ledgers[1].record_answer(_CRASH)
+        else:
+            await trio.sleep(299)
+            assert ledgers[0].is_blocked(_CRASH)
+            await trio.sleep(2)
+        assert [ledger.is_blocked(_CRASH) for ledger in ledgers] == [False] * 2
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+_strikes = st.builds(Strike, st.sampled_from("abc"), st.integers(1, 3))
+_updates = st.builds(
+    lambda sequence, strikes: (sequence, tuple(sorted(strikes))),
+    st.integers(0, 2),
+    st.sets(_strikes, min_size=1, max_size=3),
+)
+
+
+@then("any updates merged in any order and twice give equal ledgers")
+def step_order(context: Context) -> None:
+    @hypothesis_given(st.lists(_updates, max_size=6), st.randoms())
+    def check(terms: list[tuple[int, tuple[Strike, ...]]], rng) -> None:  # type: ignore[no-untyped-def]
+        async def run() -> None:
+            clock = VirtualClock()
+            now = int(clock.now().timestamp() * 1_000_000)
+            updates = [
+                StrikeUpdate("x", sequence, strikes, now + strikes[-1].at)
+                for sequence, strikes in terms
+            ]
+            first = CrashLedger("1", clock)
+            second = CrashLedger("2", clock)
+            for update in updates:
+                first.merge(update)
+            shuffled = updates * 2
+            rng.shuffle(shuffled)
+            for update in shuffled:
+                second.merge(update)
+            assert first.get_updates() == second.get_updates()
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+
+    check()
--- /dev/null
+++ b/features/support/admission_machine.py
@@ -0,0 +1,135 @@
+"""A model of admission for Hypothesis."""
+
+import trio
+import trio.testing
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from trio.testing import MockClock
+
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.admission import AdaptiveAdmission, Slot, Ticket
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.measuring import Evidence, EvidenceKind
+from rhubarbpaddle.membership import UpstreamState
+
+_SLOTS = 4
+_QUEUE = 4 * _SLOTS
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Collects rules and replays them in one trio run at the end."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events: list[tuple[str, object]] = []
+
+    @rule(
+        tenant=st.sampled_from("abc"),
+        left=st.sampled_from([0.05, 1.0, 50.0]),
+        may_queue=st.booleans(),
+        criticality=st.integers(0, 2),
+    )
+    def ask(
+        self, tenant: str, left: float, may_queue: bool, criticality: int
+    ) -> None:
+        self.events.append(("ask", (tenant, left, may_queue, criticality)))
+
+    @rule(
+        index=st.integers(0, 20),
+        kind=st.sampled_from(EvidenceKind),
+        latency=st.sampled_from([0.001, 0.01, 0.5]),
+    )
+    def end(self, index: int, kind: EvidenceKind, latency: float) -> None:
+        evidence = Evidence(kind, latency)
+        self.events.append(("end", (index, evidence)))
+
+    @rule(index=st.integers(0, 20))
+    def cancel(self, index: int) -> None:
+        self.events.append(("cancel", index))
+
+    @rule(
+        index=st.integers(0, 20),
+        state=st.sampled_from(UpstreamState),
+    )
+    def end_and_turn(self, index: int, state: UpstreamState) -> None:
+        """Changes the state between a grant and the waiter's turn."""
+        evidence = Evidence(EvidenceKind.ANSWERED, 0.01)
+        self.events.append(("end_and_turn", (index, evidence, state)))
+
+    @rule(seconds=st.sampled_from([0.01, 0.2, 2.0]))
+    def wait(self, seconds: float) -> None:
+        self.events.append(("wait", seconds))
+
+    @invariant()
+    def nothing(self) -> None:
+        """The checks run at the end, in trio."""
+
+    def teardown(self) -> None:
+        trio.run(
+            _Replay(self.events).run, clock=MockClock(autojump_threshold=0)
+        )
+
+
+class _Replay:
+    def __init__(self, events: list[tuple[str, object]]) -> None:
+        self._events = events
+        self._admission: AdaptiveAdmission
+        self._held: list[Slot] = []
+        self._scopes: list[trio.CancelScope] = []
+        self._pending = 0
+
+    async def run(self) -> None:
+        self._admission = AdaptiveAdmission(_SLOTS, VirtualClock())
+        async with trio.open_nursery() as nursery:
+            for name, argument in self._events:
+                await self._apply(nursery, name, argument)
+                await trio.testing.wait_all_tasks_blocked()
+                report = self._admission.get_report()
+                assert report.in_flight == len(self._held) <= _SLOTS
+                assert 1 <= report.limit <= _SLOTS
+                assert report.queued == self._pending <= _QUEUE
+                if report.queued and report.limit > report.in_flight:
+                    # Only time can raise the limit without a release.
+                    assert report.state is UpstreamState.COLD
+            # All requests in flight end, so every waiter ends as well.
+            while self._held:
+                self._held.pop().release(Evidence(EvidenceKind.NONE))
+                await trio.testing.wait_all_tasks_blocked()
+        assert self._pending == 0
+        report = self._admission.get_report()
+        assert (report.in_flight, report.queued) == (0, 0)
+
+    async def _apply(
+        self, nursery: trio.Nursery, name: str, argument: object
+    ) -> None:
+        match name, argument:
+            case "ask", (tenant, left, may_queue, criticality):
+                ticket = Ticket(
+                    tenant, trio.current_time() + left, may_queue, criticality
+                )
+                nursery.start_soon(self._ask, ticket)
+            case "end", (index, evidence) if self._held:
+                slot = self._held.pop(index % len(self._held))
+                slot.release(evidence)
+                slot.release(evidence)
+            case "end_and_turn", (index, evidence, state):
+                if self._held:
+                    self._held.pop(index % len(self._held)).release(evidence)
+                self._admission.set_state(state)
+            case "cancel", int(index) if self._scopes:
+                self._scopes[index % len(self._scopes)].cancel()
+            case "wait", float(seconds):
+                await trio.sleep(seconds)
+
+    async def _ask(self, ticket: Ticket) -> None:
+        self._pending += 1
+        scope = trio.CancelScope()
+        self._scopes.append(scope)
+        try:
+            with scope:
+                self._held.append(await self._admission.acquire(ticket))
+        except RefusedError:
+            pass
+        finally:
+            self._pending -= 1
+            self._scopes.remove(scope)
