--- a/bench/admission/__main__.py
+++ b/bench/admission/__main__.py
@@ -55,6 +55,7 @@
             for baseline in (None, 0.01):
                 yield partial(measure_ramp, make, seconds, baseline, jitter)
         yield partial(measure_fallback, make, jitter)
+    yield partial(measure_ramp, make, 15.0, None, 0.2, False)
     yield partial(measure_tenants, make)
     for callers in (0, 4):
         yield partial(measure_probes, callers)
--- a/bench/admission/ramp.py
+++ b/bench/admission/ramp.py
@@ -18,12 +18,17 @@
 
 
 async def measure_ramp(
-    make: Factory, warm_up_seconds: float, baseline: float | None, jitter: float
+    make: Factory,
+    warm_up_seconds: float,
+    baseline: float | None,
+    jitter: float,
+    shows_strain: bool = True,
 ) -> list[Figure]:
     """Starts a cold upstream under 24 requests at once."""
     upstream = Upstream("lanes", "one", _SLOTS, _WORK_SECONDS)
     upstream.jitter = jitter
     upstream.warm_up = WarmUp(_SLOTS, warm_up_seconds)
+    upstream.warm_up.shows_strain = shows_strain
     admission = make(_SLOTS, VirtualClock(), baseline=baseline)
     load = Load(admission, upstream)
     taken = _LIMIT_SECONDS
@@ -39,6 +44,8 @@
     known = "known" if baseline else "unknown"
     name = f"warm-up of {warm_up_seconds:g} s, normal latency {known}"
     name += f", work time varying by {jitter:.0%}"
+    if not shows_strain:
+        name += ", no strain shown (outside the assumption)"
     violations = upstream.warm_up.violations
     return [
         Figure(
--- a/standins/warm_up.py
+++ b/standins/warm_up.py
@@ -12,6 +12,7 @@
 
     Attributes:
         violations: Requests that came while it ran all that it bore.
+        shows_strain: Whether its latency tells anything before it falls over.
     """
 
     def __init__(self, slots: int, seconds: float, requests: int = 0) -> None:
@@ -23,6 +24,7 @@
             requests: Answers until it is warm; 0 if they do not matter.
         """
         self.violations = 0
+        self.shows_strain = True
         self._slots = slots
         self._seconds = seconds
         self._requests = requests
@@ -51,7 +53,7 @@
     def get_slowdown(self, in_flight: int) -> float:
         """Returns how much longer than in the warm state a request takes."""
         warmth = self.get_warmth()
-        if warmth >= 1:
+        if warmth >= 1 or not self.shows_strain:
             return 1.0
         strain = max(1.0, 2 * in_flight / self.get_bearable())
         return (1 + 3 * (1 - warmth)) * strain
