Check more promises in the machine and show that the oracle can fail

Cause: the machine did not check withdrawn zones, leaving upstreams and the cost of probes, and nothing showed that its checks can fail. Ruled out: mutating source files (a patch of one function is enough and is undone by its context). The machine found that the lease task paused for zero seconds when less than a microsecond was left, which is an endless loop under virtual time; it now pauses for at least 1 ms.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format demo bench binary setup
+.PHONY: test lint format demo bench binary setup soak mutants
 
 setup: $(STAMP)
 
@@ -34,3 +34,9 @@
 
 binary: $(STAMP)
 	$(BIN)/python -m binary
+
+soak: $(STAMP)
+	$(BIN)/python -m features.promises --steps 10000
+
+mutants: $(STAMP)
+	$(BIN)/python -m features.promises.mutants
--- a/features/promises/interpreter.py
+++ b/features/promises/interpreter.py
@@ -7,9 +7,9 @@
 from trio.testing import MockClock
 
 from features.promises.operation import Operation
-from features.promises.oracle import Oracle
+from features.promises.oracle import WITHDRAWAL_SECONDS, Oracle
 from features.promises.sent_request import SentRequest
-from features.promises.world import NODES, SERVICES, World
+from features.promises.world import NODES, SERVICES, ZONES, World
 
 _SETTLE_SECONDS = 10.0
 # Claims, suspicions and lapsed leases of the run are over by then.
@@ -67,9 +67,39 @@
             self._world.send(node, request)
         await trio.sleep(_SETTLE_SECONDS)
         oracle.check_served(requests)
+        await self._withdraw_zone(oracle)
+        await self._let_leave()
         oracle.check_all()
         self.checked.update(oracle.checked)
 
+    async def _withdraw_zone(self, oracle: Oracle) -> None:
+        """Takes a zone out just before an outage of the log."""
+        world = self._world
+        world.publish(frozenset({ZONES[1]}), world.get_winner())
+        published = trio.current_time()
+        await trio.sleep(0.5)
+        world.log.available = False
+        await self._send_steadily("zone", WITHDRAWAL_SECONDS + 2.0)
+        oracle.check_withdrawn(ZONES[1], published, trio.current_time())
+        world.log.available = True
+        world.publish(frozenset(), world.get_winner())
+        await trio.sleep(_SETTLE_SECONDS)
+
+    async def _let_leave(self) -> None:
+        """Lets one upstream of each service leave under load."""
+        for service in SERVICES:
+            self._world.live_upstreams[f"{service}-{ZONES[0]}"].leave()
+        await self._send_steadily("leave", WITHDRAWAL_SECONDS + 2.0)
+
+    async def _send_steadily(self, kind: str, seconds: float) -> None:
+        for index in range(int(seconds / 0.05)):
+            node = NODES[index % len(NODES)]
+            for service in SERVICES:
+                marker = f"{kind}{len(self._world.sent)}"
+                request = SentRequest(marker, service, "GET", "")
+                self._world.send(node, request)
+            await trio.sleep(0.05)
+
     async def advance(self, seconds: float) -> None:
         """Lets time pass."""
         await trio.sleep(seconds)
--- a/features/promises/oracle.py
+++ b/features/promises/oracle.py
@@ -2,11 +2,15 @@
 
 from collections import Counter, defaultdict
 
+import trio
+
 from features.promises.sent_request import NOT_RUN, SentRequest
 from features.promises.world import World
 
 # The goal for a withdrawn availability zone and for a leaving upstream.
 WITHDRAWAL_SECONDS = 2.0
+# The share of an upstream's time that the operators' text grants by default.
+PROBE_SHARE = 0.01
 
 
 class Oracle:
@@ -31,6 +35,8 @@
         self.check_at_most_once()
         self.check_capacity()
         self.check_versions_never_revert()
+        self.check_leaving()
+        self.check_probes()
 
     def check_own_answers(self) -> None:
         """Each caller gets the whole answer to its own request."""
@@ -93,6 +99,30 @@
         ]
         assert not late, f"P3: {late[:3]} after {since}"
 
+    def check_leaving(self) -> None:
+        """A leaving upstream gets no new work a few seconds later."""
+        for upstream in self._world.upstreams:
+            if upstream.leaving_since is None:
+                continue
+            self.checked["leaving"] += 1
+            limit = upstream.leaving_since + WITHDRAWAL_SECONDS
+            late = [
+                run
+                for run in self._world.runs
+                if run.incarnation == id(upstream) and run.time > limit
+            ]
+            assert not late, f"P7: {late[:3]} after {limit}"
+
+    def check_probes(self) -> None:
+        """Probes take no more of an upstream's time than agreed."""
+        for upstream in self._world.upstreams:
+            self.checked["probes"] += 1
+            age = trio.current_time() - upstream.started
+            allowed = PROBE_SHARE * age + 0.006
+            assert upstream.probe_seconds <= allowed, (
+                f"P1: {upstream.instance} {upstream.probe_seconds} s of {age}"
+            )
+
     def check_served(self, requests: list[SentRequest]) -> None:
         """Without faults, requests are answered."""
         for request in requests:
--- a/features/promises/recording_upstream.py
+++ b/features/promises/recording_upstream.py
@@ -20,6 +20,7 @@
     instance: str
     availability_zone: str
     time: float
+    incarnation: int
 
 
 class RecordingUpstream:
@@ -29,6 +30,8 @@
         runs: Shared by all upstreams of the test.
         violations: More work than a cold upstream or its slots can bear.
         probe_seconds: Time spent on health and load requests.
+        started: When it started.
+        leaving_since: When it began to leave, if it did.
     """
 
     def __init__(
@@ -49,10 +52,17 @@
         self.crashed = trio.Event()
         self.violations: list[str] = []
         self.probe_seconds = 0.0
+        self.started = trio.current_time()
+        self.leaving_since: float | None = None
         self._slots = slots
         self._in_flight = 0
         self._cold_until = trio.current_time() + _COLD_SECONDS
 
+    def leave(self) -> None:
+        """Announces that it takes no new work."""
+        self.state = "leaving"
+        self.leaving_since = trio.current_time()
+
     def fall_back_into_cold_start(self) -> None:
         """Starts to bear little again, without a word."""
         self._cold_until = trio.current_time() + _COLD_SECONDS
@@ -89,6 +99,7 @@
                 self.instance,
                 self.availability_zone,
                 trio.current_time(),
+                id(self),
             )
         )
 
--- a/src/rhubarbpaddle/node/upstream_registry.py
+++ b/src/rhubarbpaddle/node/upstream_registry.py
@@ -23,6 +23,7 @@
 # A new incarnation waits this long for requests sent to the previous one. Some
 # of them may have reached the new process before it announced itself, and would
 # come on top of what it bears.
+_LEAST_PAUSE = timedelta(milliseconds=1)
 _HANDOVER_SECONDS = 5.0
 
 _log = get_logger("upstream")
@@ -114,7 +115,9 @@
             ):
                 await self._clock.sleep(self._lease / 3)
             elif left > 0:
-                await self._clock.sleep(timedelta(seconds=left))
+                # A rest below a microsecond would round to no pause at all.
+                pause = max(timedelta(seconds=left), _LEAST_PAUSE)
+                await self._clock.sleep(pause)
             else:
                 _log.warn(
                     "announcement_lease_expired",
