Shut down gracefully on SIGTERM and SIGINT

Node.drain_callers existed but was not called. Ruled out: closing idle callers' connections at the first signal, because a request may be on its way on them; closing the listener, because Network.serve ends its connections with it. Change: node/shutdown.py orders the steps. The node marks its member entry LEAVING, /readyz answers 503, answers carry Connection: close, and its sidecar refuses new requests as node_leaving (not-run, may_retry). After 2 s idle connections end and further requests are refused as not-run. The node exits with 0 once callers, exchanges, claims and reports of claims have ended; with 75 at a second signal or when shutdown_grace cuts off work. No scenario covers the shutdown yet.

--- a/src/rhubarbpaddle/cli/node.py
+++ b/src/rhubarbpaddle/cli/node.py
@@ -17,8 +17,9 @@
     """Runs a node until it is told to stop.
 
     Returns:
-        The exit code; 64 after one line that names the field, if the settings
-        are invalid or one of the node's own addresses can't be bound.
+        The exit code; 75 if the shutdown cut off work; 64 after one line that
+        names the field, if the settings are invalid or one of the node's own
+        addresses can't be bound.
     """
     try:
         settings = NodeSettings.from_file(Path(settings_path))
@@ -28,8 +29,8 @@
         print(f"rhubarbpaddle: {exc.peer}: {exc.detail}", file=sys.stderr)
         return ExitCode.INVALID_SETTINGS
     LogOutput.from_level(settings.log_level).install()
-    trio.run(Node.from_config(settings).run_until_signal)
-    return ExitCode.SUCCESS
+    completed = trio.run(Node.from_config(settings).run_until_signal)
+    return ExitCode.SUCCESS if completed else ExitCode.FORCED_STOP
 
 
 def _check_bindable(field: str, address: str, path: str) -> None:
--- a/src/rhubarbpaddle/execution/claim_reporter.py
+++ b/src/rhubarbpaddle/execution/claim_reporter.py
@@ -10,6 +10,7 @@
 from rhubarbpaddle.execution.claim_outcome import ClaimOutcome
 from rhubarbpaddle.execution.claim_release import ClaimRelease
 from rhubarbpaddle.execution.claim_store import ClaimStore
+from rhubarbpaddle.work_count import WorkCount
 
 Report = ClaimOutcome | ClaimRelease
 
@@ -24,6 +25,9 @@
     """Sends reports to the claim store, one task for each pending report.
 
     The tasks let reports of the same moment share one append.
+
+    Attributes:
+        work: The reports that are queued or being sent.
     """
 
     def __init__(
@@ -33,6 +37,7 @@
         self._clock = clock
         self._rng = rng
         self._pending = 0
+        self.work = WorkCount()
         self._sender, self._receiver = trio.open_memory_channel[
             tuple[Report, trio.Event]
         ](_MAX_REPORTS)
@@ -48,6 +53,8 @@
             self._sender.send_nowait((record, done))
         except trio.WouldBlock:
             done.set()
+        else:
+            self.work.begin()
         return done
 
     async def run(self) -> None:
@@ -73,4 +80,5 @@
                     delay = min(delay * 2, _MAX_DELAY_SECONDS)
         finally:
             self._pending -= 1
+            self.work.end()
             done.set()
--- a/src/rhubarbpaddle/execution/sidecar.py
+++ b/src/rhubarbpaddle/execution/sidecar.py
@@ -41,6 +41,8 @@
     Attributes:
         upstream: The upstream beside this node, if one has announced itself.
         in_service: Whether this node's availability zone takes new work.
+        leaving: Whether this node shuts down: it refuses new requests and
+            finishes those that it has queued or runs.
         criticality: Ranks requests by the service that calls.
         crashes: The strikes against requests.
     """
@@ -50,6 +52,7 @@
     ) -> None:
         self.upstream: AttachedUpstream | None = None
         self.in_service = True
+        self.leaving = False
         self.criticality = CriticalityTable({})
         self.crashes = crashes or CrashLedger("-", clock)
         self._suspects = CrashSuspects(self.crashes, clock)
@@ -89,6 +92,8 @@
         Raises:
             RefusedError: There is no answer; `outcome` tells what is known.
         """
+        if self.leaving:
+            raise _refuse("node_leaving", "the node shuts down")
         fingerprint = request.fingerprint or make_fingerprint(
             request.method, request.target, request.service, body
         )
--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -9,7 +9,13 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import AcceptedConfiguration
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
-from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+from rhubarbpaddle.execution import (
+    Body,
+    BytesBody,
+    Headers,
+    Request,
+    Response,
+)
 from rhubarbpaddle.execution.request_handler import RequestHandler
 from rhubarbpaddle.http.caller_head import CallerHead
 from rhubarbpaddle.http.event_body import EventBody
@@ -22,6 +28,7 @@
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.telemetry import Metrics, get_logger
+from rhubarbpaddle.work_count import WorkCount
 
 # Bodies up to this length are read before an instance is chosen, so that the
 # request can be sent again.
@@ -33,7 +40,11 @@
 
 
 class CallerHandler:
-    """Serves the connections of callers, one task for each."""
+    """Serves the connections of callers, one task for each.
+
+    Attributes:
+        work: The requests in progress, until their answers were delivered.
+    """
 
     def __init__(
         self,
@@ -53,12 +64,22 @@
         self._watch = watch
         self._limits = limits
         self._idle = IdleConnections(limits.idle_connections)
+        self._closing = False
         self._draining = False
+        self.work = WorkCount()
+
+    def announce_close(self) -> None:
+        """Sends `Connection: close` with each answer from now on."""
+        self._closing = True
 
     def drain(self) -> None:
-        """Ends idle connections now and the others after their answer."""
+        """Ends idle connections, and the others after their answer.
+
+        Requests that arrive later are refused as `not-run`.
+        """
+        self._closing = True
         self._draining = True
-        self._idle.close_all()
+        self._idle.close_all(self._network.has_input)
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serves one connection until it ends."""
@@ -92,20 +113,21 @@
             await conn.aclose()
 
     async def _serve(self, conn: ServerConnection) -> None:
-        while not self._draining:
+        while True:
             self._idle.add(conn)
             received = await conn.receive_request()
             self._idle.remove(conn)
             if received is None:
                 return
-            self._watch.add(conn, conn.scope)
-            try:
-                await self._serve_request(conn, *received)
-            finally:
-                self._watch.remove(conn)
-            if not conn.start_next_cycle():
-                await conn.linger()
-                return
+            with self.work:
+                self._watch.add(conn, conn.scope)
+                try:
+                    await self._serve_request(conn, *received)
+                finally:
+                    self._watch.remove(conn)
+                if not conn.start_next_cycle():
+                    await conn.linger()
+                    return
 
     async def _serve_request(
         self, conn: ServerConnection, head: h11.Request, body: EventBody
@@ -114,6 +136,10 @@
         started = self._clock.monotonic()
         service = "-"
         try:
+            if self._draining:
+                raise RefusedError(
+                    "node_leaving", "the node shuts down", step="route"
+                )
             accepted = self._get_accepted()
             if accepted is None:
                 raise RefusedError(
@@ -141,13 +167,14 @@
     async def _send_response(
         self, conn: ServerConnection, method: bytes, response: Response
     ) -> None:
-        headers = [*response.headers, VIA]
-        if self._draining:
-            headers.append((b"connection", b"close"))
+        headers = [*response.headers, VIA, *self._get_connection_headers()]
         await conn.send_response(
             method, response.status, headers, response.body
         )
 
+    def _get_connection_headers(self) -> Headers:
+        return [(b"connection", b"close")] if self._closing else []
+
     async def _refuse(
         self,
         conn: ServerConnection,
@@ -162,6 +189,7 @@
             self._network.reset_on_close(conn.stream)
             return
         headers, content = make_problem(exc, request_id)
+        headers = [*headers, *self._get_connection_headers()]
         try:
             await conn.send_response(
                 method, exc.status, headers, BytesBody(content)
--- a/src/rhubarbpaddle/http/idle_connections.py
+++ b/src/rhubarbpaddle/http/idle_connections.py
@@ -1,5 +1,9 @@
 """The callers' connections that wait for their next request."""
 
+from collections.abc import Callable
+
+import trio
+
 from rhubarbpaddle.http.server_connection import ServerConnection
 
 
@@ -22,7 +26,15 @@
         """Notes that a connection received a request or ended."""
         self._waiting.pop(conn, None)
 
-    def close_all(self) -> None:
-        """Ends all waits, for a graceful shutdown."""
+    def close_all(self, has_input: Callable[[trio.abc.Stream], bool]) -> None:
+        """Ends all waits, for a graceful shutdown.
+
+        A connection on which a request has begun to arrive stays open, so that
+        the request gets an answer.
+
+        Args:
+            has_input: Returns whether a stream holds bytes not read yet.
+        """
         for conn in tuple(self._waiting):
-            conn.scope.cancel()
+            if not conn.receiving_head and not has_input(conn.stream):
+                conn.scope.cancel()
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -36,6 +36,7 @@
         scope: Encloses all use of the connection. It is cancelled by its
             deadline while a head is awaited, and by others to end the
             connection.
+        receiving_head: Whether a part of a head has arrived.
     """
 
     def __init__(
@@ -47,7 +48,7 @@
         super().__init__(stream, h11.SERVER, peer)
         self.scope = trio.CancelScope()
         self._limits = limits
-        self._receiving_head = False
+        self.receiving_head = False
         self._answering = False
         self._takes_interim = False
         self._chunked = False
@@ -59,7 +60,7 @@
         Raises:
             RefusedError: A head took too long.
         """
-        if self._receiving_head and self.scope.cancelled_caught:
+        if self.receiving_head and self.scope.cancelled_caught:
             raise make_bad_request("the head took too long", 408)
 
     async def receive_request(self) -> tuple[h11.Request, EventBody] | None:
@@ -196,7 +197,7 @@
         end = received.find(HEAD_END)
         limits = self._limits
         if end < 0 and not ended:
-            self._receiving_head = bool(received)
+            self.receiving_head = bool(received)
             waited = limits.head_seconds if received else limits.idle_seconds
             self.scope.deadline = trio.current_time() + waited
             while end < 0:
@@ -208,13 +209,13 @@
                 end = received.find(HEAD_END)
                 if end < 0:
                     self._check_partial(received)
-                    if not self._receiving_head:
-                        self._receiving_head = True
+                    if not self.receiving_head:
+                        self.receiving_head = True
                         self.scope.deadline = (
                             trio.current_time() + limits.head_seconds
                         )
             self.scope.deadline = math.inf
-            self._receiving_head = False
+            self.receiving_head = False
         if end < 0:
             if not received:
                 return False
--- a/src/rhubarbpaddle/node/admin_handler.py
+++ b/src/rhubarbpaddle/node/admin_handler.py
@@ -31,11 +31,13 @@
         metrics: Metrics,
         get_accepted: Callable[[], AcceptedConfiguration | None],
         get_status: Callable[[], NodeStatus],
+        is_leaving: Callable[[], bool],
     ) -> None:
         self._registry = registry
         self._metrics = metrics
         self._get_accepted = get_accepted
         self._get_status = get_status
+        self._is_leaving = is_leaving
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serves one connection until it ends."""
@@ -65,6 +67,8 @@
             case b"GET", b"/healthz":
                 return 200, b"text/plain", b"ok\n"
             case b"GET", b"/readyz":
+                if self._is_leaving():
+                    return 503, b"text/plain", b"shutting down\n"
                 if self._get_accepted() is None:
                     return 503, b"text/plain", b"no configuration\n"
                 return 200, b"text/plain", b"ready\n"
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -32,6 +32,7 @@
 from rhubarbpaddle.node.probe_task import ProbeTask
 from rhubarbpaddle.node.seed_stream import SeedRecord, SeedStream
 from rhubarbpaddle.node.settings import NodeSettings
+from rhubarbpaddle.node.shutdown import Shutdown
 from rhubarbpaddle.node.status import NodeStatus
 from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
 from rhubarbpaddle.peer import (
@@ -155,11 +156,13 @@
             network,
             self._watch,
         )
+        exchanges = ExchangeServer(self.sidecar, clock, self._watch)
+        claims = ClaimsServer(self.claims)
         self._peers = PeerListener(
             identity,
             {
-                "exchange": ExchangeServer(self.sidecar, clock, self._watch),
-                "claims": ClaimsServer(self.claims),
+                "exchange": exchanges,
+                "claims": claims,
                 "control": self.overlay,
             },
         )
@@ -168,6 +171,19 @@
             metrics,
             self.configuration.get_accepted,
             self.get_status,
+            lambda: self.sidecar.leaving,
+        )
+        self._shutdown = Shutdown(
+            self._leave,
+            self._callers.drain,
+            {
+                "callers": self._callers.work,
+                "exchanges": exchanges.work,
+                "claims": claims.work,
+                "reports": self._reporter.work,
+            },
+            clock,
+            settings.shutdown_grace,
         )
 
     @classmethod
@@ -202,22 +218,46 @@
             _log.info("node_started", node=self.settings.node_id)
             task_status.started()
 
-    async def run_until_signal(self) -> None:
-        """Runs until the process is told to stop."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self.run)
-            with trio.open_signal_receiver(
-                signal.SIGTERM, signal.SIGINT
-            ) as signals:
-                async for signum in signals:
-                    _log.info("node_stopping", signal=signum)
-                    break
-            nursery.cancel_scope.cancel()
+    async def run_until_signal(self) -> bool:
+        """Runs until the process is told to stop by SIGTERM or SIGINT.
+
+        Returns:
+            Whether all work ended; False if a second signal or the time limit
+            of the shutdown cut some off.
+        """
+        completed = False
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.run)
+                signum = await anext(signals)
+                _log.info("node_stopping", signal=signum)
+
+                async def shut_down() -> None:
+                    nonlocal completed
+                    completed = await self.shut_down()
+                    nursery.cancel_scope.cancel()
+
+                nursery.start_soon(shut_down)
+                signum = await anext(signals)
+                _log.warn("node_stopped_by_force", signal=signum)
+                nursery.cancel_scope.cancel()
+        return completed
+
+    async def shut_down(self) -> bool:
+        """Ends the node's work; see `Shutdown.run`."""
+        return await self._shutdown.run()
 
     def drain_callers(self) -> None:
         """Ends idle callers' connections, the others after their answer."""
         self._callers.drain()
 
+    def _leave(self) -> None:
+        self.sidecar.leaving = True
+        self._callers.announce_close()
+        self.table.update_own(status=MemberStatus.LEAVING)
+
     def get_status(self) -> NodeStatus:
         """Returns what operators see of this node."""
         state = self.configuration.get_state()
--- a/src/rhubarbpaddle/peer/claims_server.py
+++ b/src/rhubarbpaddle/peer/claims_server.py
@@ -17,30 +17,38 @@
     ReleaseReport,
     ReportRecorded,
 )
+from rhubarbpaddle.work_count import WorkCount
 
 
 class ClaimsServer:
-    """Answers the claims that arrive on a connection, one after another."""
+    """Answers the claims that arrive on a connection, one after another.
+
+    Attributes:
+        work: The claims and reports in progress.
+    """
 
     def __init__(self, store: ClaimStore) -> None:
         self._store = store
+        self.work = WorkCount()
 
     async def serve(self, conn: PeerConnection, hello: Hello) -> None:
         """Serves one connection until it ends."""
         while not conn.broken:
             message = await conn.receive()
-            match message:
-                case ClaimRequest(record=record):
-                    answer = await self._claim(record)
-                case OutcomeReport() | ReleaseReport():
-                    answer = await self._report(message)
-                case _:
-                    raise ProtocolError(
-                        f"expected a claim, got {type(message).__name__}",
-                        step="receive_claim",
-                        peer=conn.peer,
-                    )
-            await conn.send(answer)
+            with self.work:
+                await conn.send(await self._answer(conn, message))
+
+    async def _answer(self, conn: PeerConnection, message: Message) -> Message:
+        match message:
+            case ClaimRequest(record=record):
+                return await self._claim(record)
+            case OutcomeReport() | ReleaseReport():
+                return await self._report(message)
+        raise ProtocolError(
+            f"expected a claim, got {type(message).__name__}",
+            step="receive_claim",
+            peer=conn.peer,
+        )
 
     async def _claim(self, record: ClaimRecord) -> Message:
         try:
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -26,6 +26,7 @@
 )
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.telemetry import get_logger
+from rhubarbpaddle.work_count import WorkCount
 
 # Bodies up to this length travel in the message of their head.
 INLINE_BODY_BYTES = 16 * 1024
@@ -35,7 +36,11 @@
 
 
 class ExchangeServer:
-    """Runs the calls that arrive on a connection, one after another."""
+    """Runs the calls that arrive on a connection, one after another.
+
+    Attributes:
+        work: The calls in progress, queued ones included.
+    """
 
     def __init__(
         self, sidecar: Sidecar, clock: Clock, watch: StreamWatch
@@ -43,6 +48,7 @@
         self._sidecar = sidecar
         self._clock = clock
         self._watch = watch
+        self.work = WorkCount()
 
     async def serve(self, conn: PeerConnection, hello: Hello) -> None:
         """Serves one connection until it ends."""
@@ -57,7 +63,8 @@
                     )
                 self._watch.add(conn, scope)
                 try:
-                    await self._serve_call(conn, call)
+                    with self.work:
+                        await self._serve_call(conn, call)
                 finally:
                     self._watch.remove(conn)
         if scope.cancelled_caught:
--- a/src/rhubarbpaddle/routing/adaptive_router.py
+++ b/src/rhubarbpaddle/routing/adaptive_router.py
@@ -23,6 +23,7 @@
 _AVOIDED_CODES = frozenset(
     {
         "instance_gone",
+        "node_leaving",
         "peer_lost",
         "peer_unreachable",
         "upstream_leaving",
