--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -77,7 +77,11 @@
 
 
 def start_node(
-    group: ProcessGroup, node: DemoNode, log_address: str, folder: Path
+    group: ProcessGroup,
+    node: DemoNode,
+    log_address: str,
+    folder: Path,
+    *upstream_options: str,
 ) -> None:
     """Starts a node and the upstream beside it."""
     settings = write_settings(node, log_address, folder)
@@ -93,6 +97,7 @@
         node.service,
         "--instance",
         node.name,
+        *upstream_options,
     )
 
 
--- a/demo/process_group.py
+++ b/demo/process_group.py
@@ -51,9 +51,25 @@
             process.kill()
             return process.wait()
 
+    def wait(self, name: str, seconds: float) -> int:
+        """Waits for the end of a process and returns its exit code.
+
+        Raises:
+            subprocess.TimeoutExpired: It still runs.
+        """
+        code = self._processes[name].wait(seconds)
+        del self._processes[name]
+        return code
+
     def stop_all(self) -> None:
-        """Stops all processes, the last one started first."""
-        for name in reversed(tuple(self._processes)):
+        """Stops all processes, the last one started first.
+
+        All are asked before any is awaited, as a node takes 2 s to shut down.
+        """
+        names = tuple(reversed(self._processes))
+        for name in names:
+            self._processes[name].terminate()
+        for name in names:
             self.stop(name)
 
 
