End the processes of the tests without a shutdown

Cause: each scenario's cleanup waited 2 s or more for nodes to shut down. Ruled out: a shorter notice for tests only, which would test other behaviour. Change: ProcessGroup.kill_all ends all processes by their ids at once.

--- a/demo/process_group.py
+++ b/demo/process_group.py
@@ -61,6 +61,14 @@
         del self._processes[name]
         return code
 
+    def kill_all(self) -> None:
+        """Ends all processes at once, also paused ones."""
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+        self._processes.clear()
+
     def stop_all(self) -> None:
         """Stops all processes, the last one started first.
 
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -29,7 +29,7 @@
     folder = tempfile.TemporaryDirectory(prefix="rhubarbpaddle-")
     context.add_cleanup(folder.cleanup)
     group = ProcessGroup(Path(folder.name))
-    context.add_cleanup(group.stop_all)
+    context.add_cleanup(group.kill_all)
     context.world = ProcessWorld(group, Path(folder.name))
     context.world.start(work_ms)
 
