Use the node's admission in the routing bench

Change: the routing policy runs with AdaptiveAdmission, the handover and the probe task of the node; baselines keep plain slots. The noisy tenant is reported apart.

--- a/bench/policy/deployment.py
+++ b/bench/policy/deployment.py
@@ -5,11 +5,12 @@
 
 import trio
 
+from bench.admission.fixed_slots import FixedSlots
 from bench.policy.fake_upstream import FakeUpstream
 from bench.policy.host import Host
 from bench.policy.size import Size
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.admission import SlotAdmission
+from rhubarbpaddle.admission import AdaptiveAdmission, Admission
 from rhubarbpaddle.configuration import (
     AcceptedConfiguration,
     AvailabilityZone,
@@ -31,6 +32,9 @@
 _PUBLICATION_SECONDS = 0.2
 # What the upstream announces after a restart follows its real state late.
 _COLD_SECONDS = 1.0
+# A restarted upstream announces itself again at this interval while requests to
+# its previous incarnation are in flight.
+_ANNOUNCE_SECONDS = 0.1
 
 
 class Deployment:
@@ -42,13 +46,26 @@
     """
 
     def __init__(
-        self, size: Size, nursery: trio.Nursery, rng: random.Random
+        self,
+        size: Size,
+        nursery: trio.Nursery,
+        rng: random.Random,
+        adaptive: bool,
     ) -> None:
+        """Starts all hosts.
+
+        Args:
+            size: The numbers of the deployment.
+            nursery: Runs delayed changes.
+            rng: The source of delays.
+            adaptive: Whether admission is the node's; else plain slots.
+        """
         self.size = size
         self.clock = VirtualClock()
         self.frozen = False
         self._nursery = nursery
         self._rng = rng
+        self._adaptive = adaptive
         accepted = self._make_configuration(out="")
         self.service = accepted.configuration.services[SERVICE]
         self.hosts: dict[str, Host] = {}
@@ -68,10 +85,7 @@
         assert host.upstream is not None
         host.incarnation += 1
         host.upstream.restart()
-        self._announce(host, UpstreamState.COLD)
-        self._later(
-            _COLD_SECONDS, lambda: self._announce(host, UpstreamState.WARM)
-        )
+        self._hand_over(host)
 
     def publish_out(self, zone: str) -> None:
         """Takes a zone out of service; an empty name takes out none."""
@@ -93,6 +107,19 @@
             host.upstream = FakeUpstream(self.size.slots)
             self._announce(host, UpstreamState.WARM)
 
+    def _hand_over(self, host: Host) -> None:
+        """Attaches the new incarnation as `UpstreamRegistry` does."""
+        attached = host.sidecar.upstream
+        assert attached is not None
+        if self._adaptive and attached.admission.get_report().in_flight > 0:
+            self._set_state(host, attached, UpstreamState.DOWN)
+            self._later(_ANNOUNCE_SECONDS, lambda: self._hand_over(host))
+            return
+        self._announce(host, UpstreamState.COLD)
+        self._later(
+            _COLD_SECONDS, lambda: self._announce(host, UpstreamState.WARM)
+        )
+
     def _announce(self, host: Host, state: UpstreamState) -> None:
         assert host.upstream is not None
         summary = UpstreamSummary(
@@ -100,8 +127,28 @@
         )
         attached = host.sidecar.upstream
         if attached is None or attached.summary.incarnation != host.incarnation:
-            admission = SlotAdmission.from_config(self.service, self.clock)
-            attached = AttachedUpstream(summary, admission, host.upstream)
+            admission = self._make_admission(attached)
+            attached = AttachedUpstream(
+                summary, admission, host.upstream, host.upstream
+            )
+            host.sidecar.attach(attached)
+        self._set_state(host, attached, state)
+
+    def _make_admission(self, previous: AttachedUpstream | None) -> Admission:
+        if not self._adaptive:
+            return FixedSlots(self.size.slots, self.clock)
+        # The warm latency is known, as from an incarnation before the run.
+        baseline: float | None = self.size.work
+        if previous is not None:
+            baseline = previous.admission.get_baseline()
+        return AdaptiveAdmission.from_config(
+            self.service, {}, self.clock, baseline
+        )
+
+    def _set_state(
+        self, host: Host, attached: AttachedUpstream, state: UpstreamState
+    ) -> None:
+        summary = attached.summary._replace(state=state)
         attached.admission.set_state(state)
         host.sidecar.upstream = attached._replace(summary=summary)
         member = host.table.update_own(upstream=summary)
--- a/bench/policy/fake_upstream.py
+++ b/bench/policy/fake_upstream.py
@@ -9,6 +9,8 @@
 
 _FAIL_SECONDS = 0.0002
 _WARM_UP_SECONDS = 1.0
+# The work of a probe, an assumption.
+_PROBE_SECONDS = 0.002
 
 
 class FakeUpstream:
@@ -21,12 +23,14 @@
         slowness: Factor on the work, above 1 for a straggler.
         failing: Whether each request fails at once.
         work_done: Seconds of work done.
+        probe_seconds: Seconds spent on probes.
     """
 
     def __init__(self, slots: int) -> None:
         self.slowness = 1.0
         self.failing = False
         self.work_done = 0.0
+        self.probe_seconds = 0.0
         self._slots = slots
         self._semaphore = trio.Semaphore(slots)
         self._running = 0
@@ -49,13 +53,25 @@
         async with self._semaphore:
             self._running += 1
             try:
-                yield await self._run(float(request.target))
+                yield await self._answer(request.target)
             finally:
                 self._running -= 1
 
+    async def is_open(self) -> bool:
+        """Returns True: a restart keeps the listener open."""
+        return True
+
     async def aclose(self) -> None:
         """Does nothing; there are no connections."""
 
+    async def _answer(self, target: str) -> Response:
+        if not target.startswith("/"):
+            return await self._run(float(target))
+        started = trio.current_time()
+        response = await self._run(_PROBE_SECONDS)
+        self.probe_seconds += trio.current_time() - started
+        return response
+
     async def _run(self, work: float) -> Response:
         if self.failing or self._running > self.get_capacity():
             await trio.sleep(_FAIL_SECONDS)
--- a/bench/policy/result.py
+++ b/bench/policy/result.py
@@ -15,6 +15,9 @@
         withdrawal: Good answers per request during the withdrawal.
         tries: Tries per request.
         measuring: Share of upstream time that probes took.
+        noisy_p99: 99th percentile of the noisy tenant, in seconds, or 0.
+        noisy_refused: Share of the noisy tenant's requests without a good
+            answer.
     """
 
     p50: float
@@ -25,3 +28,5 @@
     withdrawal: float
     tries: float
     measuring: float
+    noisy_p99: float
+    noisy_refused: float
