Measure the warm latency without halving the limit after a pause

Cause: the time since the last measurement also ran while no request came. The first 32 answers of each burst then halved the limit of every instance at once. Ruled out: the cold instance (the slow answers ran at the three warm ones) and the redirects (each slow answer was the last, queueing try of its request). Change: answers at half the limit or less measure without an intervention, and pauses of more than 1 s do not count towards the 5 s. Test: the new scenario fails on the code before with a limit of 3.

--- a/features/admission_limits.feature
+++ b/features/admission_limits.feature
@@ -43,3 +43,16 @@
   Scenario: Criticality counts who depends on the calling service
     Given coaching depends on reservas and reservas on lanes
     Then a call to "lanes" has criticality 2 from "reservas", 0 from "coaching" and 0 from ""
+
+  Scenario: A burst after a pause meets the full limit
+    # The measurement at half the limit made the first burst after a quiet time
+    # wait, at all instances at once.
+    Given a warm limit of 6
+    When no request comes for 100 s
+    And full load follows for 1 s
+    Then the limit was never below 6
+
+  Scenario: The warm latency is still measured under lasting load
+    Given a warm limit of 6
+    When full load follows for 6 s
+    Then the limit was 3 at some time
--- a/features/steps/admission_limits_steps.py
+++ b/features/steps/admission_limits_steps.py
@@ -17,6 +17,7 @@
     Slot,
     Ticket,
 )
+from rhubarbpaddle.admission.concurrency_limit import ConcurrencyLimit
 from rhubarbpaddle.configuration import Configuration, Service, Tenant
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import NO_EVIDENCE, Evidence, EvidenceKind
@@ -24,6 +25,7 @@
 from rhubarbpaddle.outcome import Outcome
 
 _ANSWERED = Evidence(EvidenceKind.ANSWERED, 1.0)
+_FAST = Evidence(EvidenceKind.ANSWERED, 0.01)
 Step = Callable[["Desk"], Awaitable[None]]
 
 
@@ -232,3 +234,37 @@
     assert context.ranks.get("lanes", "reservas") == direct
     assert context.ranks.get("lanes", "coaching") == indirect
     assert context.ranks.get("lanes", "") == outside
+
+
+@given("a warm limit of {value:d}")
+def step_warm_limit(context: Context, value: int) -> None:
+    context.limit = ConcurrencyLimit(value, 0.0, 0.01)
+    context.limit.restart(value, 0.01, 0.0)
+    context.limits = []
+    context.now = 0.0
+
+
+@when("no request comes for {seconds:d} s")
+def step_pause(context: Context, seconds: int) -> None:
+    context.now += seconds
+
+
+@when("full load follows for {seconds:d} s")
+def step_full_load(context: Context, seconds: int) -> None:
+    end = context.now + seconds
+    while context.now < end:
+        concurrency = context.limit.get()
+        started, context.now = context.now, context.now + 0.01
+        for _ in range(concurrency):
+            context.limit.record(_FAST, started, concurrency, context.now)
+        context.limits.append(context.limit.get())
+
+
+@then("the limit was never below {value:d}")
+def step_never_below(context: Context, value: int) -> None:
+    assert min(context.limits) >= value, context.limits
+
+
+@then("the limit was {value:d} at some time")
+def step_at_some_time(context: Context, value: int) -> None:
+    assert value in context.limits, context.limits
--- a/src/rhubarbpaddle/admission/concurrency_limit.py
+++ b/src/rhubarbpaddle/admission/concurrency_limit.py
@@ -15,6 +15,9 @@
 # down without end.
 _MEASURE_SECONDS = 5.0
 _BASELINE_GAIN = 0.3
+# A pause in the answers. It does not count towards the next measurement, or the
+# first requests after a quiet time would meet half the limit everywhere.
+_PAUSE_SECONDS = 1.0
 
 
 class ConcurrencyLimit:
@@ -36,6 +39,8 @@
         self._shrank = now
         self._measuring = False
         self._measured = now
+        self._low = LatencyWindow(now)
+        self._answered = now
 
     def get(self) -> int:
         """Returns the requests that may run at once, at least 1."""
@@ -84,12 +89,34 @@
             return
         if evidence.latency is None or started < self._window.opened:
             return
+        self._skip_pause(now)
         if concurrency > self.get():
             return
+        if concurrency <= max(1, int(self._value / 2)):
+            self._record_low(evidence.latency, concurrency, now)
         self._window.add(evidence.latency, concurrency)
         if self._window.count >= _WINDOW_SAMPLES:
             self._close_window(now)
 
+    def _skip_pause(self, now: float) -> None:
+        pause = now - self._answered
+        self._answered = now
+        if pause > _PAUSE_SECONDS:
+            self._measured = min(now, self._measured + pause)
+
+    def _record_low(self, latency: float, concurrency: int, now: float) -> None:
+        """Measures the baseline by requests that met little load anyway."""
+        if self._measuring or self.baseline is None:
+            return
+        self._low.add(latency, concurrency)
+        if self._low.count < _WINDOW_SAMPLES:
+            return
+        mean = self._low.mean
+        self._low.restart(now)
+        if mean <= _TOLERANCE * self.baseline:
+            self.baseline += _BASELINE_GAIN * (mean - self.baseline)
+            self._measured = now
+
     def _close_window(self, now: float) -> None:
         mean, peak = self._window.mean, self._window.peak
         self._window.restart(now)
