--- a/src/rhubarbpaddle/execution/gateway.py
+++ b/src/rhubarbpaddle/execution/gateway.py
@@ -78,12 +78,7 @@
                 )
             except RefusedError as exc:
                 history.fail(candidate.node_id, exc, sent.may_queue)
-                has_other = self._router.has_other(
-                    cfg, request.service, history.excluded
-                )
-                if not self._retries.try_spend(
-                    sent, exc, history.count, has_other
-                ):
+                if not self._retries.try_spend(sent, exc, history.count):
                     raise
                 continue
             if not self._may_drop(cfg, sent, body, response, history):
--- a/src/rhubarbpaddle/execution/retry_policy.py
+++ b/src/rhubarbpaddle/execution/retry_policy.py
@@ -18,17 +18,6 @@
 _RESERVE = 5
 # Steps at which a refusal has cost the upstream nothing.
 _FREE_STEPS = frozenset({"admit", "connect_peer", "connect_upstream"})
-# Refusals of an instance that takes no work at all. The router avoids it after
-# the first one, so they are few. A request must not fail for want of tokens
-# while an instance that is not avoided can take it.
-_GONE_CODES = frozenset(
-    {
-        "instance_gone",
-        "peer_unreachable",
-        "upstream_leaving",
-        "zone_out_of_service",
-    }
-)
 # Answers that another instance may not give.
 _RETRIED_STATUS = frozenset({502, 503, 504})
 
@@ -66,11 +55,7 @@
         )
 
     def try_spend(
-        self,
-        request: Request,
-        refusal: RefusedError,
-        tries: int,
-        has_other: bool,
+        self, request: Request, refusal: RefusedError, tries: int
     ) -> bool:
         """Returns whether a refused request may be tried again.
 
@@ -78,18 +63,14 @@
             request: The request.
             refusal: Why the last try failed.
             tries: How many tries were sent.
-            has_other: Whether an instance that is not avoided is left.
         """
         if not refusal.may_retry or tries >= MAX_TRIES:
             return False
         if refusal.step in _FREE_STEPS:
-            if request.may_queue and not (
-                has_other and refusal.code in _GONE_CODES
-            ):
+            if request.may_queue:
                 return self._redirects.try_spend(request.service)
-            # The try was told to refuse while there were tokens, or its
-            # instance is gone. Other requests may have spent the tokens since,
-            # so this may go into debt.
+            # The try was told to refuse while there were tokens. Other
+            # requests may have spent them since, so this may go into debt.
             self._redirects.spend(request.service)
             return True
         not_run = refusal.outcome is Outcome.NOT_RUN
