Measure the footprint of node processes

Cause: the limits of 32 MB, 2.5 % of a core and 13 KB/s per node had no measurement over real processes. Ruled out: TCP_INFO inside the node and counters in PeerConnection, which would add code to the data path. A node moves its bytes with read and write system calls, so /proc/PID/io counts them; log lines are included. Change: bench/footprint.py, with a row per size and slopes per node.

--- /dev/null
+++ b/bench/footprint.py
@@ -0,0 +1,166 @@
+"""Memory, processor time and control traffic of node processes at rest.
+
+Starts real node processes with stand-ins for the log and for three upstreams,
+waits until all nodes know each other and measures them without any request.
+With `--executable` it runs `dist/rhubarbpaddle` instead of the interpreter.
+"""
+
+import json
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from pathlib import Path
+
+from bench.footprint_row import FootprintRow
+from bench.process_footprint import ProcessFootprint
+from demo.deployment import (
+    SERVICES,
+    ZONES,
+    DemoNode,
+    reserve_ports,
+    write_settings,
+    write_text,
+)
+from demo.process_group import ProcessGroup, wait_for_http
+
+SIZES = (6, 12, 24, 48)
+_UPSTREAMS = 3
+_START_SECONDS = 60.0
+# The first seconds after the last join still carry tables and checkpoints.
+_SETTLE_SECONDS = 5.0
+_REST_SECONDS = 20.0
+_EXECUTABLE = Path(__file__).parents[1] / "dist" / "rhubarbpaddle"
+
+
+def main() -> None:
+    """Prints a row for each size, then the slopes per node."""
+    arguments = sys.argv[1:]
+    executable = "--executable" in arguments
+    sizes = [int(word) for word in arguments if word.isdigit()] or SIZES
+    print("| " + " | ".join(FootprintRow._fields) + " |")
+    print("| --- " * len(FootprintRow._fields) + "|")
+    rows = []
+    for size in sizes:
+        rows.append(measure(size, executable))
+        cells = (f"{value:.5g}" for value in rows[-1])
+        print("| " + " | ".join(cells) + " |", flush=True)
+    if len(rows) > 1:
+        print_slopes(rows)
+
+
+def print_slopes(rows: list[FootprintRow]) -> None:
+    """Prints how each figure grows with the number of nodes."""
+    nodes = [row.nodes for row in rows]
+    print("\n| figure | at 0 nodes | per node | at 800 nodes |")
+    print("| --- | --- | --- | --- |")
+    for name in FootprintRow._fields[1:]:
+        values = [getattr(row, name) for row in rows]
+        slope, start = statistics.linear_regression(nodes, values)
+        at_800 = start + 800 * slope
+        print(f"| {name} | {start:.4g} | {slope:.3g} | {at_800:.4g} |")
+
+
+def measure(size: int, executable: bool) -> FootprintRow:
+    """Runs a deployment of this size and returns its footprint."""
+    with tempfile.TemporaryDirectory(prefix="rhubarbpaddle-") as name:
+        folder = Path(name)
+        with ProcessGroup(folder) as group:
+            log_address = f"127.0.0.1:{reserve_ports(1)[0]}"
+            group.start("log", "standins", "log", log_address)
+            nodes = make_nodes(size)
+            for node in nodes:
+                start_node(group, node, log_address, folder, executable)
+            for node in nodes:
+                wait_for_http(
+                    f"http://{node.admin_address}/healthz", _START_SECONDS
+                )
+            text = write_text(folder, None)
+            publish = ["publish", str(text), "--log", log_address, "--yes"]
+            subprocess.run(
+                [sys.executable, "-m", "rhubarbpaddle", *publish],
+                check=True,
+                stdout=subprocess.DEVNULL,
+            )
+            for node in nodes[:_UPSTREAMS]:
+                start_upstream(group, node)
+            wait_for_members(nodes)
+            time.sleep(_SETTLE_SECONDS)
+            pids = [group.pid(node.name) for node in nodes]
+            before = [ProcessFootprint.of(pid) for pid in pids]
+            time.sleep(_REST_SECONDS)
+            after = [ProcessFootprint.of(pid) for pid in pids]
+    return FootprintRow.from_footprints(before, after, _REST_SECONDS)
+
+
+def make_nodes(size: int) -> list[DemoNode]:
+    """Returns nodes spread evenly over zones and services."""
+    ports = iter(reserve_ports(4 * size))
+    return [
+        DemoNode(
+            f"n{index}",
+            ZONES[index % len(ZONES)],
+            SERVICES[index % len(SERVICES)],
+            *(f"127.0.0.1:{next(ports)}" for _ in range(4)),
+        )
+        for index in range(size)
+    ]
+
+
+def start_node(
+    group: ProcessGroup,
+    node: DemoNode,
+    log_address: str,
+    folder: Path,
+    executable: bool,
+) -> None:
+    """Starts a node from the source or from the executable."""
+    settings = str(write_settings(node, log_address, folder))
+    if executable:
+        group.start_program(node.name, str(_EXECUTABLE), "node", settings)
+    else:
+        group.start(node.name, "rhubarbpaddle", "node", settings)
+
+
+def start_upstream(group: ProcessGroup, node: DemoNode) -> None:
+    """Starts the upstream beside a node."""
+    group.start(
+        f"upstream-{node.name}",
+        "standins",
+        "upstream",
+        node.upstream_address,
+        "--announce-to",
+        node.admin_address,
+        "--service",
+        node.service,
+        "--instance",
+        node.name,
+    )
+
+
+def wait_for_members(nodes: list[DemoNode]) -> None:
+    """Waits until each node lists all members and has a configuration.
+
+    Raises:
+        TimeoutError: Some node does not in time.
+    """
+    names = {node.name for node in nodes}
+    deadline = time.monotonic() + _START_SECONDS
+    for node in nodes:
+        wait_for_http(f"http://{node.admin_address}/readyz", _START_SECONDS)
+        url = f"http://{node.admin_address}/status"
+        while True:
+            with urllib.request.urlopen(url, timeout=5) as response:
+                members = json.load(response)["members"].keys()
+            if members >= names:
+                break
+            if time.monotonic() > deadline:
+                missing = len(names - members)
+                raise TimeoutError(f"{node.name} misses {missing} members")
+            time.sleep(0.2)
+
+
+if __name__ == "__main__":
+    main()
--- a/demo/process_group.py
+++ b/demo/process_group.py
@@ -26,9 +26,13 @@
 
     def start(self, name: str, *arguments: str) -> None:
         """Starts `python -m` with these arguments under a name."""
+        self.start_program(name, sys.executable, "-m", *arguments)
+
+    def start_program(self, name: str, *command: str) -> None:
+        """Starts a program with its arguments under a name."""
         with (self._log_folder / f"{name}.log").open("ab") as output:
             self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                command,
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
