Render the Prometheus text format without the exporter

Cause: OpenTelemetry's Prometheus exporter imports prometheus_client, which imports wsgiref, http.server, urllib.request, email and ssl. Ruled out: keeping the exporter and importing it at the first scrape, which only moves the cost. Change: InMemoryMetricReader and telemetry/prometheus_text.py; the exporter is no longer a dependency.

--- /dev/null
+++ b/features/metrics_text.feature
@@ -0,0 +1,19 @@
+Feature: Metrics are exposed in the Prometheus text format
+
+  # A label value that is not escaped makes the whole scrape fail.
+  Scenario: Every line follows the text format, whatever a label contains
+    Given a request of a tenant whose name holds a quote, a backslash and a line break
+    When the metrics are rendered
+    Then every line follows the text format
+    And the metrics contain these lines without the scope's labels
+      | line                                                                                                  |
+      | # TYPE rhubarbpaddle_request_duration_seconds histogram                                               |
+      | rhubarbpaddle_request_duration_seconds_bucket{le="0.128",service="lanes",status="200",tenant="ESCAPED"} 0.0 |
+      | rhubarbpaddle_request_duration_seconds_bucket{le="0.256",service="lanes",status="200",tenant="ESCAPED"} 1.0 |
+      | rhubarbpaddle_request_duration_seconds_bucket{le="16.0",service="lanes",status="200",tenant="ESCAPED"} 1.0 |
+      | rhubarbpaddle_request_duration_seconds_bucket{le="+Inf",service="lanes",status="200",tenant="ESCAPED"} 2.0 |
+      | rhubarbpaddle_request_duration_seconds_count{service="lanes",status="200",tenant="ESCAPED"} 2.0       |
+      | rhubarbpaddle_request_duration_seconds_sum{service="lanes",status="200",tenant="ESCAPED"} 30.25       |
+      | # TYPE rhubarbpaddle_probe_time_seconds_total counter                                                 |
+      | rhubarbpaddle_probe_time_seconds_total{service="lanes"} 0.5                                           |
+      | rhubarbpaddle_upstream_reported_in_flight{service="lanes"} 3.0                                        |
--- /dev/null
+++ b/features/steps/metrics_text_steps.py
@@ -0,0 +1,51 @@
+import re
+
+from behave import given, then, when
+from behave.runner import Context
+
+from rhubarbpaddle.telemetry import Metrics
+
+_NAME = "[a-zA-Z_][a-zA-Z0-9_]*"
+_LABEL = rf'{_NAME}="(?:[^"\\\n]|\\["\\n])*"'
+_NUMBER = r"(?:[+-]Inf|NaN|-?[0-9]+(?:\.[0-9]+)?(?:e[+-]?[0-9]+)?)"
+_LINE = re.compile(
+    rf"# HELP {_NAME} .*|# TYPE {_NAME} (?:counter|gauge|histogram)"
+    rf"|{_NAME}\{{(?:{_LABEL}(?:,{_LABEL})*)?\}} {_NUMBER}"
+)
+_SCOPE_LABELS = re.compile(r'otel_scope_[a-z_]+="[^"]*",')
+_TENANT = 'a"b\\c\nd'
+_ESCAPED = r"a\"b\\c\nd"
+
+
+@given(
+    "a request of a tenant whose name holds a quote, a backslash and a line"
+    " break"
+)
+def step_record(context: Context) -> None:
+    context.metrics = Metrics()
+    for seconds in (0.25, 30):
+        context.metrics.record_request(_TENANT, "lanes", 200, seconds)
+    context.metrics.record_probe("lanes", "load", "ok", 0.5)
+    context.metrics.record_reported_load("lanes", 3)
+
+
+@when("the metrics are rendered")
+def step_render(context: Context) -> None:
+    text = context.metrics.render().decode()
+    assert text.endswith("\n")
+    context.lines = text[:-1].split("\n")
+
+
+@then("every line follows the text format")
+def step_syntax(context: Context) -> None:
+    assert context.lines
+    wrong = [line for line in context.lines if not _LINE.fullmatch(line)]
+    assert not wrong, wrong
+
+
+@then("the metrics contain these lines without the scope's labels")
+def step_lines(context: Context) -> None:
+    found = {_SCOPE_LABELS.sub("", line) for line in context.lines}
+    for row in context.table:
+        line = row["line"].replace("ESCAPED", _ESCAPED)
+        assert line in found, (line, found)
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -1,12 +1,13 @@
 """What a node counts and measures, by OpenTelemetry."""
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.metrics.view import (
     ExplicitBucketHistogramAggregation,
     View,
 )
-from prometheus_client import CollectorRegistry, generate_latest
+
+from rhubarbpaddle.telemetry.prometheus_text import PrometheusText
 
 _LATENCY_SECONDS = (
     0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064,
@@ -18,11 +19,10 @@
     """The instruments of one node."""
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._registry)
+        self._reader = InMemoryMetricReader()
         buckets = ExplicitBucketHistogramAggregation(_LATENCY_SECONDS)
         provider = MeterProvider(
-            metric_readers=[reader],
+            metric_readers=[self._reader],
             views=[
                 View(
                     instrument_name="rhubarbpaddle.request.duration",
@@ -92,4 +92,7 @@
 
     def render(self) -> bytes:
         """Returns all instruments in the Prometheus text format."""
-        return generate_latest(self._registry)
+        text = PrometheusText()
+        if data := self._reader.get_metrics_data():
+            text.add_all(data)
+        return text.encode()
