Load OpenSSL only when TLS is used

Cause: trio imports ssl, and hashlib prefers OpenSSL's digests, so each node maps libssl and libcrypto and holds their data. Ruled out: importlib.util.LazyLoader, because the second import statement loads the module already; leaving ssl out of the archive, which breaks the import of trio. Change: a placeholder for ssl in sys.modules that imports the real module at the first use of one of its names, and the interpreter's own digests.

--- a/src/rhubarbpaddle/cli/main.py
+++ b/src/rhubarbpaddle/cli/main.py
@@ -4,13 +4,14 @@
 from collections.abc import Sequence
 
 from rhubarbpaddle.cli.exit_code import ExitCode
-from rhubarbpaddle.cli.process import prevent_library_search
+from rhubarbpaddle.cli.process import defer_tls, prevent_library_search
 from rhubarbpaddle.exceptions import SettingsError
 
 
 def main(argv: Sequence[str] | None = None) -> None:
     """Runs a command and exits with its code."""
     prevent_library_search()
+    defer_tls()
     tokens = list(sys.argv[1:] if argv is None else argv)
     # A node does without the command line's libraries, which would cost a
     # third of its memory.
