Load shared libraries with the modules that need them

Cause: the executable loaded all bundled libraries at its start, OpenSSL, bzip2 and lzma included, although a node needs few of them. Ruled out: leaving the libraries out, since other commands may need them. Change: the index names each extension module's libraries; the importer loads them before the module.

--- a/binary/archive.py
+++ b/binary/archive.py
@@ -13,7 +13,6 @@
     EXTENSIONS_FOLDER,
     EXTENSIONS_INDEX,
     LIBRARIES_FOLDER,
-    LIBRARIES_INDEX,
 )
 
 _PRODUCT = "rhubarbpaddle"
@@ -45,7 +44,7 @@
         # Without compression the import needs no zlib, which is itself an
         # extension module in the archive.
         self._zip = zipfile.ZipFile(path, "w", zipfile.ZIP_STORED)
-        self._extensions: list[str] = []
+        self._extensions: dict[str, dict[str, Path]] = {}
         self._libraries: dict[str, Path] = {}
         self._folders: set[Path] = set()
 
@@ -112,16 +111,20 @@
     def _add_extension(self, path: Path, relative: Path) -> None:
         dotted = _MODULE_SUFFIX.sub("", ".".join(relative.parts))
         self._zip.write(path, f"{EXTENSIONS_FOLDER}/{dotted}")
-        self._extensions.append(dotted)
-        self._libraries.update(_iter_libraries(path))
+        needed = dict(_iter_libraries(path))
+        self._extensions[dotted] = needed
+        self._libraries.update(needed)
 
     def _add_indexes(self) -> None:
         ordered = _sort_by_dependency(self._libraries)
         for name in ordered:
             path = self._libraries[name].resolve()
             self._zip.write(path, f"{LIBRARIES_FOLDER}/{name}")
-        self._zip.writestr(LIBRARIES_INDEX, "\n".join(ordered))
-        self._zip.writestr(EXTENSIONS_INDEX, "\n".join(self._extensions))
+        lines = (
+            " ".join([name, *(lib for lib in ordered if lib in needed)])
+            for name, needed in self._extensions.items()
+        )
+        self._zip.writestr(EXTENSIONS_INDEX, "\n".join(lines))
 
 
 def _is_omitted(relative: Path) -> bool:
--- a/binary/bootstrap_archive.py
+++ b/binary/bootstrap_archive.py
@@ -12,7 +12,8 @@
 
 EXTENSIONS_FOLDER = "extensions"
 LIBRARIES_FOLDER = "libraries"
-LIBRARIES_INDEX = f"{LIBRARIES_FOLDER}/index.txt"
+# A line for each extension module: its name, then the libraries that it needs
+# in the order in which they must be loaded.
 EXTENSIONS_INDEX = f"{EXTENSIONS_FOLDER}/index.txt"
 
 
@@ -21,14 +22,20 @@
 
     def __init__(self, archive: zipimport.zipimporter) -> None:
         self._archive = archive
-        self._names = frozenset(read_index(archive, EXTENSIONS_INDEX))
+        self._libraries = {
+            name: libraries
+            for name, *libraries in read_index(archive, EXTENSIONS_INDEX)
+        }
+        self._loaded: set[str] = set()
 
     def find_spec(
         self, name: str, path: object = None, target: object = None
     ) -> ModuleSpec | None:
         """Returns the spec of an extension module in the archive."""
-        if name not in self._names:
+        if name not in self._libraries:
             return None
+        for library in self._libraries[name]:
+            self._load_library(library)
         content = self._archive.get_data(
             os.path.join(self._archive.archive, EXTENSIONS_FOLDER, name)
         )
@@ -36,11 +43,22 @@
         loader = ExtensionFileLoader(name, location)
         return spec_from_file_location(name, location, loader=loader)
 
+    def _load_library(self, name: str) -> None:
+        if name in self._loaded:
+            return
+        import _launcher
 
-def read_index(archive: zipimport.zipimporter, index: str) -> list[str]:
-    """Returns the lines of a text file in the archive."""
+        content = self._archive.get_data(
+            os.path.join(self._archive.archive, LIBRARIES_FOLDER, name)
+        )
+        _launcher.load_library(store_in_memory(name, content))
+        self._loaded.add(name)
+
+
+def read_index(archive: zipimport.zipimporter, index: str) -> list[list[str]]:
+    """Returns the words of each line of a text file in the archive."""
     content = archive.get_data(os.path.join(archive.archive, index))
-    return content.decode().split()
+    return [line.split() for line in content.decode().splitlines()]
 
 
 def store_in_memory(name: str, content: bytes) -> str:
@@ -57,14 +75,7 @@
 
 def run() -> None:
     """Prepares imports and runs the command line."""
-    import _launcher
-
     archive = zipimport.zipimporter(sys.executable)
-    for name in read_index(archive, LIBRARIES_INDEX):
-        content = archive.get_data(
-            os.path.join(archive.archive, LIBRARIES_FOLDER, name)
-        )
-        _launcher.load_library(store_in_memory(name, content))
     sys.meta_path.insert(0, MemoryExtensionFinder(archive))
 
     from rhubarbpaddle.cli import main
