Shorten docstrings in the executable

Cause: docstrings of all imported modules stay in memory. Ruled out: optimize=2, which also removes the assertions of trio and others; removing docstrings whole, because dataclasses then compute a text for each class without one. Change: modules are compiled with the first line of each docstring, except for cyclopts and rhubarbpaddle/cli, whose docstrings are the help texts.

--- a/binary/archive.py
+++ b/binary/archive.py
@@ -1,12 +1,14 @@
 """Collects the modules that go into the executable."""
 
+import ast
 import importlib.metadata
-import py_compile
+import marshal
 import re
 import subprocess
 import sysconfig
 import zipfile
 from collections.abc import Iterator
+from importlib.util import MAGIC_NUMBER, source_hash
 from pathlib import Path
 
 from binary.bootstrap_archive import (
@@ -14,6 +16,7 @@
     EXTENSIONS_INDEX,
     LIBRARIES_FOLDER,
 )
+from binary.docstrings import DocstringShortener, keeps_docstrings
 
 _PRODUCT = "rhubarbpaddle"
 # Parts of the standard library that the product can't reach.
@@ -34,6 +37,8 @@
     r"lib(c|m|dl|pthread|rt|util|gcc_s)\.so|ld-linux|linux-vdso"
 )
 _LIBRARY_LINE = re.compile(r"\s*(\S+) => (/\S+)")
+# The flags mark a hash-based file that is not checked against its source.
+_UNCHECKED_HEADER = MAGIC_NUMBER + (1).to_bytes(4, "little")
 _MODULE_SUFFIX = re.compile(r"(\.cpython-[^.]+|\.abi3)?\.so$")
 
 
@@ -86,20 +91,20 @@
                 self._zip.write(path, str(relative))
 
     def _add_module(self, path: Path, relative: Path) -> None:
+        source = path.read_bytes()
         try:
-            compiled = py_compile.compile(
-                str(path),
-                cfile=str(Path(self._zip.filename or "").with_suffix(".pyc")),
-                dfile=str(relative),
-                doraise=True,
-                optimize=0,
-                invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+            tree = ast.parse(source)
+            if not keeps_docstrings(str(relative)):
+                tree = DocstringShortener().visit(tree)
+            code = compile(
+                tree, str(relative), "exec", dont_inherit=True, optimize=0
             )
-        except py_compile.PyCompileError:
+        except (SyntaxError, ValueError):
+            # Templates and tests of syntax are not modules.
             return
-        if compiled is not None:
-            self._add_folders(relative)
-            self._zip.write(compiled, str(relative.with_suffix(".pyc")))
+        self._add_folders(relative)
+        content = _UNCHECKED_HEADER + source_hash(source) + marshal.dumps(code)
+        self._zip.writestr(str(relative.with_suffix(".pyc")), content)
 
     def _add_folders(self, relative: Path) -> None:
         """Adds entries for folders, which namespace packages need."""
