Let the stream watch wait while it watches nothing

Cause: a node at rest woke 41 times a second; ten of these were the check of connections with running requests, of which there were none. Ruled out: a longer interval, which would notice lost callers later. Change: the task waits for the first connection, then checks each 100 ms.

--- a/src/rhubarbpaddle/stream_watch.py
+++ b/src/rhubarbpaddle/stream_watch.py
@@ -22,6 +22,7 @@
         self._network = network
         self._clock = clock
         self._scopes: dict[Watchable, trio.CancelScope] = {}
+        self._added = trio.Event()
 
     def add(self, conn: Watchable, scope: trio.CancelScope) -> None:
         """Starts to check a connection.
@@ -31,6 +32,7 @@
             scope: What to cancel once its far side is gone.
         """
         self._scopes[conn] = scope
+        self._added.set()
 
     def remove(self, conn: Watchable) -> None:
         """Stops checking a connection."""
@@ -39,6 +41,10 @@
     async def run(self) -> None:
         """Checks until cancelled."""
         while True:
+            if not self._scopes:
+                # A timer would be a quarter of an idle node's wake-ups.
+                self._added = trio.Event()
+                await self._added.wait()
             await self._clock.sleep(CHECK_INTERVAL)
             for conn, scope in tuple(self._scopes.items()):
                 if not self._check(conn):
