Show the logs of nodes that do not come up in the footprint's bench

Cause: a run of the executable with 24 nodes failed because a node was not ready within 60 s, and its log was gone. The executable had been rebuilt during that run; whether that was the cause is not known. Change: the logs' ends are printed before the error.

--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -86,7 +86,12 @@
             )
             for node in nodes[:_UPSTREAMS]:
                 start_upstream(group, node)
-            wait_for_members(nodes)
+            try:
+                wait_for_members(nodes)
+            except TimeoutError:
+                for path in sorted(folder.glob("n*.log")):
+                    print(path.name, path.read_text()[-500:], file=sys.stderr)
+                raise
             time.sleep(_SETTLE_SECONDS)
             pids = [group.pid(node.name) for node in nodes]
             before = [ProcessFootprint.of(pid) for pid in pids]
