Reserve ports outside the range of outgoing connections

The ports for listeners came from the range that the system also uses for outgoing connections, so a node that had started could hold the port of one that had not. The taken port itself was not seen in a log, so the cause is inferred.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -1,6 +1,7 @@
 """The small deployment that the demonstration runs."""
 
 import json
+import random
 import socket
 from pathlib import Path
 from typing import NamedTuple
@@ -8,6 +9,12 @@
 ZONES = ("costa-a", "costa-b", "costa-c")
 SERVICES = ("lanes", "reservas")
 
+_FIRST_PORT = 10_000
+_END_PORT = 32_000
+# Seeded by the system, so that two runs at once choose different ports.
+_PORTS = random.SystemRandom()
+_reserved: set[int] = set()
+
 
 class DemoNode(NamedTuple):
     """A node with the upstream beside it and their addresses."""
@@ -36,15 +43,23 @@
 
 
 def reserve_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Returns ports that are free and that the system gives to nobody.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections; a port from that range may be taken before it is used.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _PORTS.randrange(_FIRST_PORT, _END_PORT)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _reserved:
+            _reserved.add(port)
+            ports.append(port)
+    return ports
 
 
 def write_settings(node: DemoNode, log_address: str, folder: Path) -> Path:
