Ignore SIGPIPE in the executable

Cause: nodes run from the executable ended without a line in their log while many links were opened; one ended with signal 13. The isolated configuration of the interpreter installs no signal handlers, so SIGPIPE kept its default. Change: the launcher asks for the interpreter's signal handlers; the trace's scenario reads the mask of ignored signals.

--- a/binary/launcher.c
+++ b/binary/launcher.c
@@ -53,6 +53,9 @@
     config->write_bytecode = 0;
     config->pathconfig_warnings = 0;
     config->buffered_stdio = 1;
+    /* Without its handlers the interpreter leaves SIGPIPE to its default, and
+     * a write to a connection that the far side has closed ends the process. */
+    config->install_signal_handlers = 1;
     config->module_search_paths_set = 1;
 
     wchar_t *path = Py_DecodeLocale(executable, NULL);
--- a/features/binary.feature
+++ b/features/binary.feature
@@ -6,4 +6,5 @@
     Then the node answers its health check
     And the trace shows no child process
     And the trace shows no file opened for writing
+    And a write to a closed connection does not end it
     And it ends with exit code 0 on SIGTERM
--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -63,6 +63,7 @@
         wait_for_http(url, _START_SECONDS)
         with urllib.request.urlopen(url) as response:
             context.health = response.status
+        context.ignored = _read_ignored_signals(trace)
         pid = int(trace.read_text().split(maxsplit=1)[0])
         os.kill(pid, signal.SIGTERM)
         context.exit_code = process.wait(_START_SECONDS)
@@ -92,6 +93,19 @@
     assert not found, found
 
 
+@then("a write to a closed connection does not end it")
+def step_sigpipe(context: Context) -> None:
+    assert context.ignored & 1 << signal.SIGPIPE - 1, hex(context.ignored)
+
+
 @then("it ends with exit code {code:d} on SIGTERM")
 def step_ended(context: Context, code: int) -> None:
     assert context.exit_code == code, context.exit_code
+
+
+def _read_ignored_signals(trace: Path) -> int:
+    """Returns the mask of the signals that the traced process ignores."""
+    pid = trace.read_text().split(maxsplit=1)[0]
+    status = Path(f"/proc/{pid}/status").read_text()
+    line = next(n for n in status.splitlines() if n.startswith("SigIgn:"))
+    return int(line.split()[1], 16)
