--- a/bench/hops.py
+++ b/bench/hops.py
@@ -69,7 +69,7 @@
         "availability_zones": {"a": {}, "b": {}},
     }
     text.write_text(json.dumps(document))
-    group.run("rhubarbpaddle", "publish", str(text), "--log", log)
+    group.run("rhubarbpaddle", "publish", str(text), "--log", log, "--yes")
     paths = {
         "direct": upstream,
         "one copier": copier,
--- /dev/null
+++ b/src/rhubarbpaddle/execution/lost_body.py
@@ -0,0 +1,20 @@
+"""The refusal of a response whose body failed before its head was passed on."""
+
+from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
+from rhubarbpaddle.outcome import Outcome
+
+
+def make_lost_body(exc: RhubarbpaddleError) -> RefusedError:
+    """Returns the refusal; the request has run at least in part.
+
+    Args:
+        exc: Why the body could not be read.
+    """
+    return RefusedError(
+        "upstream_lost",
+        f"the response's body failed: {exc.detail}",
+        step=exc.step,
+        peer=exc.peer,
+        status=502,
+        outcome=Outcome.UNKNOWN,
+    )
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -11,6 +11,7 @@
     RhubarbpaddleError,
 )
 from rhubarbpaddle.execution import Body, Headers
+from rhubarbpaddle.execution.lost_body import make_lost_body
 from rhubarbpaddle.http.connection import HttpConnection
 from rhubarbpaddle.http.event_body import EventBody, get_length
 from rhubarbpaddle.http.limits import DEFAULT_LIMITS, CallerLimits
@@ -257,14 +258,7 @@
     except RefusedError:
         raise
     except RhubarbpaddleError as exc:
-        raise RefusedError(
-            "upstream_lost",
-            f"the response's body failed: {exc.detail}",
-            step=exc.step,
-            peer=exc.peer,
-            status=502,
-            outcome=Outcome.UNKNOWN,
-        ) from exc
+        raise make_lost_body(exc) from exc
 
 
 def _make_body_refusal(detail: str, status: int) -> RefusedError:
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -66,18 +66,7 @@
     ) -> None:
         self.settings = settings
         self._network = network
-        incarnation = int(clock.now().timestamp() * 1_000_000)
-        own = Member(
-            node_id=settings.node_id,
-            incarnation=incarnation,
-            version=1,
-            status=MemberStatus.ALIVE,
-            host=settings.host,
-            availability_zone=settings.availability_zone,
-            peer_address=settings.peer_address,
-            admin_address=settings.admin_address,
-            upstream=None,
-        )
+        own = _make_own_member(settings, clock)
         self.table = MemberTable(own)
         self.crashes = CrashLedger(settings.node_id, clock)
         self.sidecar = Sidecar(clock, self.crashes)
@@ -92,19 +81,11 @@
         identity = PeerIdentity(
             settings.cluster,
             settings.node_id,
-            incarnation,
+            own.incarnation,
             settings.secret.encode(),
         )
         connector = PeerConnector(network, identity)
-        self._seeds = SeedStream(
-            SeedRecord(
-                node_id=settings.node_id, peer_address=settings.peer_address
-            ),
-            settings.seeds,
-            log,
-            clock,
-            rng,
-        )
+        self._seeds = _make_seeds(settings, log, clock, rng)
         self.overlay = Overlay(
             connector,
             self.table,
@@ -302,3 +283,26 @@
         self.overlay.wake()
         self._router.observe_configuration(accepted.configuration)
         self._registry.apply_configuration(accepted)
+
+
+def _make_own_member(settings: NodeSettings, clock: Clock) -> Member:
+    return Member(
+        node_id=settings.node_id,
+        incarnation=int(clock.now().timestamp() * 1_000_000),
+        version=1,
+        status=MemberStatus.ALIVE,
+        host=settings.host,
+        availability_zone=settings.availability_zone,
+        peer_address=settings.peer_address,
+        admin_address=settings.admin_address,
+        upstream=None,
+    )
+
+
+def _make_seeds(
+    settings: NodeSettings, log: LogClient, clock: Clock, rng: random.Random
+) -> SeedStream:
+    own = SeedRecord(
+        node_id=settings.node_id, peer_address=settings.peer_address
+    )
+    return SeedStream(own, settings.seeds, log, clock, rng)
--- a/src/rhubarbpaddle/peer/call_body.py
+++ b/src/rhubarbpaddle/peer/call_body.py
@@ -1,6 +1,5 @@
 """The body of a call that follows in messages of its own."""
 
-from rhubarbpaddle.exceptions import ProtocolError
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.messages import Admitted, BodyEnd, BodyPart
 
@@ -49,10 +48,5 @@
                 case BodyEnd(request_id=self._request_id):
                     self.complete = True
                 case _:
-                    self._conn.broken = True
-                    raise ProtocolError(
-                        f"unexpected {type(message).__name__}",
-                        step="receive_body",
-                        peer=self._conn.peer,
-                    )
+                    raise self._conn.make_unexpected(message, "receive_body")
         return b""
--- a/src/rhubarbpaddle/peer/connection.py
+++ b/src/rhubarbpaddle/peer/connection.py
@@ -122,6 +122,16 @@
             peer=self.peer,
         )
 
+    def make_unexpected(self, message: object, step: str) -> ProtocolError:
+        """Returns the error of a message that does not fit the exchange.
+
+        The connection must not be used again.
+        """
+        self.broken = True
+        return ProtocolError(
+            f"unexpected {type(message).__name__}", step=step, peer=self.peer
+        )
+
     async def aclose(self) -> None:
         """Closes the connection at once."""
         self.broken = True
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -143,11 +143,7 @@
                 case ConfigurationUpdate():
                     self._adopt(message)
                 case _:
-                    raise ProtocolError(
-                        f"unexpected {type(message).__name__}",
-                        step="control_link",
-                        peer=self.peer_id,
-                    )
+                    raise self._conn.make_unexpected(message, "control_link")
 
     def _compare(self, heartbeat: Heartbeat) -> None:
         """Sends the whole table if the neighbour's differs for long."""
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -12,8 +12,8 @@
     RhubarbpaddleError,
 )
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+from rhubarbpaddle.execution.lost_body import make_lost_body
 from rhubarbpaddle.execution.sidecar import Sidecar
-from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.peer.call_body import CallBody
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.messages import (
@@ -167,14 +167,7 @@
         while part := await body.receive():
             content += part
     except RhubarbpaddleError as exc:
-        raise RefusedError(
-            "upstream_lost",
-            f"the response's body failed: {exc.detail}",
-            step=exc.step,
-            peer=exc.peer,
-            status=502,
-            outcome=Outcome.UNKNOWN,
-        ) from exc
+        raise make_lost_body(exc) from exc
     return bytes(content)
 
 
--- a/src/rhubarbpaddle/peer/message_body.py
+++ b/src/rhubarbpaddle/peer/message_body.py
@@ -1,6 +1,5 @@
 """A body that arrives in messages from another node."""
 
-from rhubarbpaddle.exceptions import ProtocolError
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.messages import BodyEnd, BodyPart, KeepAlive
 
@@ -49,10 +48,5 @@
                 case BodyEnd(request_id=self._request_id):
                     self.complete = True
                 case _:
-                    self._conn.broken = True
-                    raise ProtocolError(
-                        f"unexpected {type(message).__name__}",
-                        step="receive_body",
-                        peer=self._conn.peer,
-                    )
+                    raise self._conn.make_unexpected(message, "receive_body")
         return b""
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -7,7 +7,6 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import (
-    ProtocolError,
     RefusedError,
     RhubarbpaddleError,
 )
@@ -23,7 +22,6 @@
     BodyPart,
     Call,
     KeepAlive,
-    Message,
     Refusal,
     ResponseHead,
 )
@@ -122,7 +120,7 @@
                 and message.request_id == request.request_id
             ):
                 return message
-            raise _unexpected(conn, message)
+            raise conn.make_unexpected(message, "exchange")
 
     async def _upload(
         self, conn: PeerConnection, request: Request, body: Body
@@ -146,7 +144,7 @@
         if not upload.complete:
             conn.broken = True
         if isinstance(answer, Admitted):
-            raise _unexpected(conn, answer)
+            raise conn.make_unexpected(answer, "exchange")
         return answer
 
     def _to_call(
@@ -204,12 +202,3 @@
         may_retry=refusal.may_retry,
         report=refusal.report,
     )
-
-
-def _unexpected(conn: PeerConnection, message: Message | None) -> ProtocolError:
-    conn.broken = True
-    return ProtocolError(
-        f"unexpected {type(message).__name__}",
-        step="exchange",
-        peer=conn.peer,
-    )
