Show admission, retries and the configuration in the metrics

Cause: a scrape showed requests, refusals and probes, but not the load of the upstream, retries, the version and age of the configuration or the lag. Ruled out: recording them at each change (they are held by the node anyway, so they are read at the scrape and cost nothing between scrapes). Change: seven observable gauges and a counter of retries by service. Conclusion: what status shows can also be scraped.

--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -23,6 +23,10 @@
 
 
 @when('a caller sends "{method} {target}" for "{service}" to node "{node}"')
+@when(
+    'a caller sends "{method} {target}" for "{service}" to node "{node}" and'
+    " metrics are read"
+)
 def step_send(
     context: Context, method: str, target: str, service: str, node: str
 ) -> None:
@@ -37,6 +41,10 @@
                 await cluster.start_upstream(name, upstream)
             await trio.sleep(_SETTLE_SECONDS)
             answer = await cluster.send(node, service, method, target)
+            scrape = await cluster.request(
+                f"{node}:3", "GET", "/metrics", {"host": node}, b""
+            )
+            context.metrics = scrape.body.decode()
             nursery.cancel_scope.cancel()
         return answer
 
@@ -56,6 +64,21 @@
     assert context.answer.headers["rhubarbpaddle-outcome"] == "not-run"
 
 
+@then("the metrics hold")
+def step_metrics(context: Context) -> None:
+    for row in context.table:
+        lines = [
+            line
+            for line in context.metrics.splitlines()
+            if line.startswith((row["name"] + "{", row["name"] + " "))
+        ]
+        values = [line.rpartition(" ")[2] for line in lines]
+        assert [float(value) for value in values] == [float(row["value"])], (
+            row["name"],
+            lines,
+        )
+
+
 def _make_text(context: Context) -> dict[str, object]:
     zones = set(context.nodes.values())
     return {
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -10,3 +10,17 @@
     Given nodes "a1" in availability zones "a"
     When a caller sends "GET /" for "pesanan" to node "a1"
     Then the caller gets status 404 with code "unknown_service"
+
+  # Guards against a scrape that lacks what an operator looks for first.
+  Scenario: A scrape shows requests, admission and the configuration
+    Given nodes "a1" in availability zones "a"
+    And an upstream of service "lanes" beside node "a1"
+    When a caller sends "GET /x" for "lanes" to node "a1" and metrics are read
+    Then the metrics hold
+      | name                                     | value |
+      | rhubarbpaddle_configuration_version      | 1.0   |
+      | rhubarbpaddle_log_lag                    | 0.0   |
+      | rhubarbpaddle_members                    | 1.0   |
+      | rhubarbpaddle_limit                      | 1.0   |
+      | rhubarbpaddle_in_flight                  | 0.0   |
+      | rhubarbpaddle_request_duration_seconds_count | 1.0 |
--- a/src/rhubarbpaddle/execution/gateway.py
+++ b/src/rhubarbpaddle/execution/gateway.py
@@ -1,7 +1,7 @@
 """Takes a caller's request to an instance that can answer it."""
 
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import trio
@@ -39,6 +39,11 @@
         self._get_accepted = get_accepted
         self._retries = RetryPolicy()
 
+    @property
+    def retried(self) -> Mapping[str, int]:
+        """How many retries were sent, by service."""
+        return self._retries.retried
+
     @asynccontextmanager
     async def handle(
         self, request: Request, body: Body
--- a/src/rhubarbpaddle/execution/retry_policy.py
+++ b/src/rhubarbpaddle/execution/retry_policy.py
@@ -1,5 +1,7 @@
 """Which failures of a try permit another one."""
 
+from collections import Counter
+
 from rhubarbpaddle.configuration import Configuration
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.request import Request
@@ -27,6 +29,9 @@
 
     A redirect is another try after a refusal that cost the upstream nothing.
     A retry is another try after work that may have been done.
+
+    Attributes:
+        retried: Retries by service.
     """
 
     def __init__(self) -> None:
@@ -36,6 +41,7 @@
         self._retries = RetryBudget(share=0.5)
         self._answer_retries = RetryBudget(share=0.5)
         self._redirects = RetryBudget(_REDIRECT_RATIO)
+        self.retried: Counter[str] = Counter()
 
     def note_call(self, cfg: Configuration, service: str) -> None:
         """Notes a call before its first try."""
@@ -80,7 +86,9 @@
             # An upstream passes on that its own call did not run. Only the
             # first caller retries this, or each level would.
             return False
-        return self._retries.try_spend(request.service)
+        return self._note_retry(
+            request, self._retries.try_spend(request.service)
+        )
 
     def try_spend_answer(
         self, request: Request, status: int, tries: int
@@ -95,7 +103,7 @@
             status: The status of the answer.
             tries: How many tries were sent.
         """
-        return (
+        permitted = (
             status in _RETRIED_STATUS
             and request.idempotent
             and request.depth == 0
@@ -103,3 +111,9 @@
             and tries < MAX_TRIES
             and self._answer_retries.try_spend(request.service)
         )
+        return self._note_retry(request, permitted)
+
+    def _note_retry(self, request: Request, permitted: bool) -> bool:
+        if permitted:
+            self.retried[request.service] += 1
+        return permitted
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -48,7 +48,7 @@
 from rhubarbpaddle.platform import HttpLogClient, LogClient
 from rhubarbpaddle.routing import AdaptiveRouter
 from rhubarbpaddle.stream_watch import StreamWatch
-from rhubarbpaddle.telemetry import Metrics, get_logger
+from rhubarbpaddle.telemetry import Metrics, NodeReadings, get_logger
 
 _log = get_logger("node")
 
@@ -99,7 +99,7 @@
         pool = PeerPool(network, connector, clock)
         remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
         self._router = AdaptiveRouter(self.table, rng, clock)
-        gateway = Gateway(
+        gateway = self._gateway = Gateway(
             self._router,
             NodeDispatcher(settings.node_id, self.sidecar, remote),
             clock,
@@ -120,6 +120,7 @@
             self.configuration.get_accepted,
         )
         metrics = Metrics()
+        metrics.observe(self._read_metrics)
         self._watch = StreamWatch(network, clock)
         self._registry = UpstreamRegistry(
             self.sidecar,
@@ -269,6 +270,20 @@
             limit=report.limit,
         )
 
+    def _read_metrics(self) -> NodeReadings:
+        status = self.get_status()
+        return NodeReadings(
+            configuration_version=status.version,
+            configuration_age=status.configuration_age_seconds,
+            log_lag=status.lag,
+            members=len(status.members),
+            service=status.service,
+            in_flight=status.in_flight,
+            queued=status.queued,
+            limit=status.limit,
+            retries=self._gateway.retried,
+        )
+
     def _list_alive(self) -> list[str]:
         return [
             member.node_id
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -1,5 +1,8 @@
 """What a node counts and measures, by OpenTelemetry."""
 
+from collections.abc import Callable, Iterable
+
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.metrics.view import (
@@ -7,6 +10,7 @@
     View,
 )
 
+from rhubarbpaddle.telemetry.node_readings import NodeReadings
 from rhubarbpaddle.telemetry.prometheus_text import PrometheusText
 
 _LATENCY_SECONDS = (
@@ -14,6 +18,18 @@
     0.128, 0.256, 0.512, 1.0, 2.0, 4.0, 8.0, 16.0,
 )  # fmt: skip
 
+# Each is named like the field of `NodeReadings` that it shows.
+_GAUGES = (
+    ("configuration_version", "", "Version of the text in force, or 0"),
+    ("configuration_age", "s", "Time since the log confirmed the text"),
+    ("log_lag", "", "Records of the log that are not applied yet"),
+    ("members", "", "Members known, this node included"),
+    ("in_flight", "", "Requests that the upstream runs"),
+    ("queued", "", "Requests that wait for the upstream"),
+    ("limit", "", "Requests that the upstream may run at once"),
+)
+_OF_UPSTREAM = frozenset({"in_flight", "queued", "limit"})
+
 
 class Metrics:
     """The instruments of one node."""
@@ -30,7 +46,7 @@
                 )
             ],
         )
-        meter = provider.get_meter("rhubarbpaddle")
+        meter = self._meter = provider.get_meter("rhubarbpaddle")
         self._duration = meter.create_histogram(
             "rhubarbpaddle.request.duration",
             unit="s",
@@ -52,6 +68,26 @@
             description="Requests in flight by the upstream's own report",
         )
 
+    def observe(self, read: Callable[[], NodeReadings]) -> None:
+        """Adds gauges whose values are read at each scrape.
+
+        Args:
+            read: Returns the node's readings.
+        """
+        meter = self._meter
+        for name, unit, description in _GAUGES:
+            meter.create_observable_gauge(
+                f"rhubarbpaddle.{name}",
+                [_make_callback(name, read)],
+                unit,
+                description,
+            )
+        meter.create_observable_counter(
+            "rhubarbpaddle.retries",
+            [lambda _: _observe_retries(read())],
+            description="Tries after work that may have been done",
+        )
+
     def record_request(
         self, tenant: str, service: str, status: int, seconds: float
     ) -> None:
@@ -96,3 +132,24 @@
         if data := self._reader.get_metrics_data():
             text.add_all(data)
         return text.encode()
+
+
+def _make_callback(
+    name: str, read: Callable[[], NodeReadings]
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def observe(options: CallbackOptions) -> Iterable[Observation]:
+        readings = read()
+        value = getattr(readings, name)
+        if value is None:
+            return []
+        labels = {"service": readings.service} if name in _OF_UPSTREAM else {}
+        return [Observation(value, labels)]
+
+    return observe
+
+
+def _observe_retries(readings: NodeReadings) -> list[Observation]:
+    return [
+        Observation(count, {"service": service})
+        for service, count in readings.retries.items()
+    ]
