Use existing pieces for an accepted text, an upstream's start and a baseline

Cause: reading the whole change again: the control link built an accepted configuration field by field although AcceptedConfiguration.from_text does it; the footprint's bench repeated the demonstration's start of an upstream; and LeastLoadedRouter stood in the package although only benches use it. Ruled out: one rendezvous hash for routing, partitions and checkpoints (another hash would move owners while nodes of two versions run); one class for the two bodies in memory (the type decides which travels in a message); one receive loop for the two bodies of messages (one watches for silence). Change: the link calls from_text, the bench calls start_upstream of the demonstration, and the baseline moved to bench/policy.

--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -16,6 +16,7 @@
 
 from bench.footprint_row import FootprintRow
 from bench.process_footprint import ProcessFootprint
+from demo.__main__ import start_upstream
 from demo.deployment import (
     SERVICES,
     ZONES,
@@ -129,22 +130,6 @@
         group.start(node.name, "rhubarbpaddle", "node", settings)
 
 
-def start_upstream(group: ProcessGroup, node: DemoNode) -> None:
-    """Starts the upstream beside a node."""
-    group.start(
-        f"upstream-{node.name}",
-        "standins",
-        "upstream",
-        node.upstream_address,
-        "--announce-to",
-        node.admin_address,
-        "--service",
-        node.service,
-        "--instance",
-        node.name,
-    )
-
-
 def wait_for_members(nodes: list[DemoNode]) -> None:
     """Waits until each node lists all members and has a configuration.
 
--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -11,7 +11,8 @@
 )
 from bench.policy.deployment import Deployment
 from bench.policy.host import Host
-from rhubarbpaddle.routing import AdaptiveRouter, LeastLoadedRouter, Router
+from bench.policy.least_loaded_router import LeastLoadedRouter
+from rhubarbpaddle.routing import AdaptiveRouter, Router
 
 POLICY = "adaptive"
 LIMIT = "omniscient"
--- a/bench/routing_scale.py
+++ b/bench/routing_scale.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from bench.policy.least_loaded_router import LeastLoadedRouter
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.configuration import (
     AvailabilityZone,
@@ -25,7 +26,7 @@
     UpstreamState,
     UpstreamSummary,
 )
-from rhubarbpaddle.routing import AdaptiveRouter, LeastLoadedRouter, Router
+from rhubarbpaddle.routing import AdaptiveRouter, Router
 
 _SIZES = (12, 50, 200, 800)
 _SERVICES = tuple(f"s{index}" for index in range(23))
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -86,6 +86,13 @@
     """Starts a node and the upstream beside it."""
     settings = write_settings(node, log_address, folder)
     group.start(node.name, "rhubarbpaddle", "node", str(settings))
+    start_upstream(group, node, *upstream_options)
+
+
+def start_upstream(
+    group: ProcessGroup, node: DemoNode, *upstream_options: str
+) -> None:
+    """Starts the upstream beside a node."""
     group.start(
         f"upstream-{node.name}",
         "standins",
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -1,14 +1,9 @@
 """One control connection between two neighbours."""
 
-import hashlib
-
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import (
-    AcceptedConfiguration,
-    parse_configuration,
-)
+from rhubarbpaddle.configuration import AcceptedConfiguration
 from rhubarbpaddle.exceptions import ConfigurationError, ProtocolError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.strike_update import StrikeUpdate
@@ -167,19 +162,13 @@
         if accepted is not None and accepted.version >= update.version:
             return
         try:
-            configuration = parse_configuration(update.text)
+            newer = AcceptedConfiguration.from_text(
+                update.version, update.text, update.as_of
+            )
         except ConfigurationError as exc:
             raise ProtocolError(
                 "the configuration is invalid",
                 step="adopt_configuration",
                 peer=self.peer_id,
             ) from exc
-        self._configuration.adopt(
-            AcceptedConfiguration(
-                version=update.version,
-                digest=hashlib.sha256(update.text.encode()).hexdigest(),
-                text=update.text,
-                as_of=update.as_of,
-                configuration=configuration,
-            )
-        )
+        self._configuration.adopt(newer)
--- a/src/rhubarbpaddle/routing/__init__.py
+++ b/src/rhubarbpaddle/routing/__init__.py
@@ -2,7 +2,6 @@
 
 from rhubarbpaddle.routing.adaptive_router import AdaptiveRouter
 from rhubarbpaddle.routing.candidate import Candidate
-from rhubarbpaddle.routing.least_loaded_router import LeastLoadedRouter
 from rhubarbpaddle.routing.router import Router
 
-__all__ = ["AdaptiveRouter", "Candidate", "LeastLoadedRouter", "Router"]
+__all__ = ["AdaptiveRouter", "Candidate", "Router"]
