--- a/bench/claims.py
+++ b/bench/claims.py
@@ -25,10 +25,10 @@
 from rhubarbpaddle.clock import SystemClock
 from rhubarbpaddle.execution.claim_ledger import ClaimLedger
 from rhubarbpaddle.execution.claim_outcome import ClaimOutcome
+from rhubarbpaddle.log import HttpLogClient
 from rhubarbpaddle.network import TcpNetwork
 from rhubarbpaddle.node.claim_codec import encode_group
 from rhubarbpaddle.node.claim_partition_task import ClaimPartitionTask
-from rhubarbpaddle.platform import HttpLogClient
 
 RATES = (10, 100, 1_000, 6_000)
 APPEND_MS = (1, 5, 20)
--- a/bench/claims_log.py
+++ b/bench/claims_log.py
@@ -6,7 +6,7 @@
 import trio
 
 from rhubarbpaddle.exceptions import LogUnavailableError
-from rhubarbpaddle.platform import Batch, Record
+from rhubarbpaddle.log import Batch, Record
 
 
 class MemoryLog:
--- a/features/promises/world.py
+++ b/features/promises/world.py
@@ -19,8 +19,8 @@
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.log import HttpLogClient
 from rhubarbpaddle.node import Node, NodeSettings
-from rhubarbpaddle.platform import HttpLogClient
 from standins.http_server import serve_connection
 from standins.log_server import LogServer
 
--- a/features/steps/cli_publish_steps.py
+++ b/features/steps/cli_publish_steps.py
@@ -17,7 +17,7 @@
 from rhubarbpaddle.cli.publisher import Publisher
 from rhubarbpaddle.configuration import ConfigurationHistory, parse_record
 from rhubarbpaddle.exceptions import LogUnavailableError
-from rhubarbpaddle.platform import HttpLogClient
+from rhubarbpaddle.log import HttpLogClient
 from standins.http_server import StandinRequest, StandinResponse
 from standins.log_server import LogServer
 
--- a/features/steps/configuration_history_steps.py
+++ b/features/steps/configuration_history_steps.py
@@ -20,8 +20,8 @@
     AcceptedConfiguration,
     ConfigurationHistory,
 )
+from rhubarbpaddle.log import HttpLogClient
 from rhubarbpaddle.node.configuration_reader import ConfigurationReader
-from rhubarbpaddle.platform import HttpLogClient
 from standins.http_server import StandinRequest, StandinResponse
 from standins.log_server import LogServer
 
@@ -187,9 +187,8 @@
     async def run(cluster: Cluster) -> None:
         first, second = (cluster.nodes[f"node-{i}"] for i in range(2))
         cluster.log.available = False
-        accepted = AcceptedConfiguration.from_text(1, make_text(1), 0)
         await trio.sleep(1)
-        assert second.configuration.adopt(accepted)
+        assert second.configuration.adopt_text(1, make_text(1), 0)
         context.during = second.configuration.get_state()
         append_publication(cluster.log.streams["configuration"], 1)
         await trio.sleep(seconds)
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -15,8 +15,8 @@
 from rhubarbpaddle.configuration import Publication
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.log import HttpLogClient
 from rhubarbpaddle.node import Node, NodeSettings
-from rhubarbpaddle.platform import HttpLogClient
 from standins.http_server import serve_connection
 from standins.log_server import LogServer
 from standins.upstream import Upstream
--- a/features/support/fake_log.py
+++ b/features/support/fake_log.py
@@ -5,7 +5,7 @@
 import trio
 
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
-from rhubarbpaddle.platform import Batch, Record
+from rhubarbpaddle.log import Batch, Record
 
 _LATE_SECONDS = 3.0
 
--- a/features/support/log_run.py
+++ b/features/support/log_run.py
@@ -10,7 +10,7 @@
 from features.support.history_machine import make_text
 from features.support.host_network import HostNetwork
 from features.support.memory_fabric import MemoryFabric
-from rhubarbpaddle.platform import HttpLogClient
+from rhubarbpaddle.log import HttpLogClient
 from standins.http_server import Handler, serve_connection
 from standins.log_server import LogStream
 
--- a/features/support/overlay_group.py
+++ b/features/support/overlay_group.py
@@ -28,10 +28,10 @@
     def get_accepted(self) -> AcceptedConfiguration | None:
         return self.accepted
 
-    def adopt(self, accepted: AcceptedConfiguration) -> bool:
-        if self.accepted and self.accepted.version >= accepted.version:
+    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
+        if self.accepted and self.accepted.version >= version:
             return False
-        self.accepted = accepted
+        self.accepted = AcceptedConfiguration.from_text(version, text, as_of)
         return True
 
 
--- a/features/support/pausable_log.py
+++ b/features/support/pausable_log.py
@@ -5,7 +5,7 @@
 import trio
 
 from features.support.fake_log import FakeLog
-from rhubarbpaddle.platform import Batch
+from rhubarbpaddle.log import Batch
 
 
 class PausableLog:
--- /dev/null
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -0,0 +1,212 @@
+"""Admission by the slots, the pace and the cold start of an instance."""
+
+import itertools
+from datetime import timedelta
+from typing import NamedTuple
+
+import trio
+
+from rhubarbpaddle.admission.cold_window import ColdWindow
+from rhubarbpaddle.admission.failure_share import FailureShare
+from rhubarbpaddle.admission.instance_slot import InstanceSlot
+from rhubarbpaddle.admission.obstacle import Obstacle
+from rhubarbpaddle.admission.ticket import Ticket
+from rhubarbpaddle.admission.work_times import WorkTimes
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.measuring import Evidence, EvidenceKind, LoadReport
+from rhubarbpaddle.measuring.instance_monitor import InstanceMonitor
+from rhubarbpaddle.membership import UpstreamState
+
+# An instance that is nearly full works more slowly on everything it runs.
+USED_SHARE = 0.75
+# Work that starts at twice the usual time or more rarely meets its target.
+SLOW_PACE = 2.0
+# A reading this old still tells the pace of the moment: spells last 100 ms
+# and more.
+READING_SECONDS = 0.025
+# How often the first in the queue looks whether an obstacle has passed.
+_LOOK_SECONDS = 0.02
+_LEAST_RETRY_AFTER = timedelta(milliseconds=100)
+_FAILURES = frozenset(
+    {
+        EvidenceKind.FAILED,
+        EvidenceKind.LOST,
+        EvidenceKind.TIMED_OUT,
+    }
+)
+
+
+class _Waiter(NamedTuple):
+    priority: int
+    number: int
+
+
+class InstanceAdmission:
+    """Lets requests into one instance while it can serve them in time."""
+
+    def __init__(
+        self,
+        slots: int,
+        cold_rate: float,
+        monitor: InstanceMonitor,
+        clock: Clock,
+    ) -> None:
+        """Makes the admission of an idle instance.
+
+        Args:
+            slots: Requests that the instance can run at once.
+            cold_rate: Requests per second that it can bear while cold.
+            monitor: Tells the instance's pace.
+            clock: The source of time.
+        """
+        self.limit = max(1, int(slots * USED_SHARE))
+        self.window = ColdWindow(cold_rate)
+        self.in_flight = 0
+        self._cold_until = float("-inf")
+        self._monitor = monitor
+        self._clock = clock
+        self._failures = FailureShare(clock)
+        self._times = WorkTimes()
+        self._queue: list[_Waiter] = []
+        self._numbers = itertools.count()
+        self._changed = trio.Event()
+
+    def set_cold(self, seconds: float) -> None:
+        """Takes over how long the instance says that it stays cold."""
+        self._cold_until = self._clock.monotonic() + seconds
+
+    def is_cold(self) -> bool:
+        """Returns whether the instance is in its cold start."""
+        return self._clock.monotonic() < self._cold_until
+
+    def get_report(self) -> LoadReport:
+        """Returns the load at this moment."""
+        state = UpstreamState.COLD if self.is_cold() else UpstreamState.WARM
+        return LoadReport(
+            self.in_flight,
+            len(self._queue),
+            self.limit,
+            state,
+            self._monitor.get_pace(_LOOK_SECONDS * 2),
+        )
+
+    async def acquire(self, ticket: Ticket) -> InstanceSlot:
+        """Waits until the instance can take a request.
+
+        Args:
+            ticket: The request. If it may not queue, it is refused at once
+                where another instance may serve it sooner.
+
+        Raises:
+            RefusedError: The request must not run here; it did not run.
+        """
+        await self._refresh(READING_SECONDS)
+        if ticket.may_queue:
+            await self._wait(ticket)
+        else:
+            obstacle = self._find_obstacle()
+            if obstacle is None and self._queue:
+                obstacle = Obstacle.FULL
+            if obstacle is not None and not self._may_try(obstacle):
+                raise self._make_refusal(obstacle, 0.0)
+        return self._enter(ticket)
+
+    def _enter(self, ticket: Ticket) -> InstanceSlot:
+        self.in_flight += 1
+        now = self._clock.monotonic()
+        self.window.add(now)
+        pace = self._monitor.get_pace(READING_SECONDS * 2)
+
+        def end(evidence: Evidence) -> None:
+            self.in_flight -= 1
+            if evidence.kind is EvidenceKind.ANSWERED:
+                self._failures.note(False)
+                if evidence.latency is not None:
+                    self._times.note(ticket.route, evidence.latency, pace)
+            elif evidence.kind in _FAILURES:
+                self._failures.note(True)
+            if evidence.kind is EvidenceKind.LOST:
+                # The instance may have restarted, which makes it cold.
+                self._monitor.invalidate()
+            self._wake()
+
+        return InstanceSlot(end)
+
+    async def _refresh(self, max_age: float) -> None:
+        await self._monitor.refresh(max_age)
+        reading = self._monitor.reading
+        if reading is not None and reading.cold_seconds is not None:
+            left = reading.cold_seconds - self._monitor.get_age()
+            self._cold_until = self._clock.monotonic() + left
+
+    def _find_obstacle(self) -> Obstacle | None:
+        now = self._clock.monotonic()
+        if self.is_cold() and not self.window.has_room(now):
+            return Obstacle.COLD
+        if self.in_flight >= self.limit:
+            return Obstacle.FULL
+        if self._monitor.get_pace(READING_SECONDS * 2) >= SLOW_PACE:
+            return Obstacle.SLOW
+        if self._failures.is_failing():
+            return Obstacle.FAILING
+        return None
+
+    def _may_try(self, obstacle: Obstacle) -> bool:
+        return obstacle is Obstacle.FAILING and self._failures.try_trial()
+
+    async def _wait(self, ticket: Ticket) -> None:
+        work = self._times.get(ticket.route)
+        waiter = _Waiter(ticket.priority, next(self._numbers))
+        ahead = sum(other < waiter for other in self._queue)
+        if self.in_flight >= self.limit:
+            start = (ahead + 1) * self._times.get_mean() / self.limit
+            left = min(ticket.useful_until, ticket.deadline)
+            if self._clock.monotonic() + start + work > left:
+                raise self._make_refusal(Obstacle.FULL, start)
+        self._queue.append(waiter)
+        self._queue.sort()
+        try:
+            while not self._may_start(waiter, ticket, work):
+                if self._clock.monotonic() + work > ticket.deadline:
+                    raise RefusedError(
+                        "overloaded",
+                        "the request can't be answered before its deadline",
+                        step="admit",
+                        retry_after=_LEAST_RETRY_AFTER,
+                    )
+                with trio.move_on_after(_LOOK_SECONDS):
+                    await self._changed.wait()
+                if self._queue[0] == waiter:
+                    await self._refresh(_LOOK_SECONDS)
+        finally:
+            self._queue.remove(waiter)
+            self._wake()
+
+    def _may_start(self, waiter: _Waiter, ticket: Ticket, work: float) -> bool:
+        if self._queue[0] != waiter:
+            return False
+        obstacle = self._find_obstacle()
+        if obstacle is Obstacle.SLOW:
+            # Waiting pays only while the target can still be met.
+            pace = self._monitor.get_pace(READING_SECONDS * 2)
+            now = self._clock.monotonic()
+            return (
+                now + work > ticket.useful_until
+                and now + work * pace <= ticket.deadline
+            )
+        return obstacle is None or obstacle is Obstacle.FAILING
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _make_refusal(self, obstacle: Obstacle, wait: float) -> RefusedError:
+        return RefusedError(
+            f"instance_{obstacle.value}",
+            f"the instance is {obstacle.value}",
+            step="admit",
+            may_retry=True,
+            retry_after=max(_LEAST_RETRY_AFTER, timedelta(seconds=wait)),
+            report=self.get_report(),
+        )
--- a/src/rhubarbpaddle/cli/app.py
+++ b/src/rhubarbpaddle/cli/app.py
@@ -30,6 +30,14 @@
     sys.exit(run_node(str(settings)))
 
 
+@app.command
+def platform() -> None:
+    """Run a node on the platform that names its settings file itself."""
+    from rhubarbpaddle.cli.platform_node import run_platform_node
+
+    sys.exit(run_platform_node())
+
+
 @app.command
 def check(text: Path) -> None:
     """Check an operators' text and say what is wrong with it.
--- a/src/rhubarbpaddle/cli/main.py
+++ b/src/rhubarbpaddle/cli/main.py
@@ -19,6 +19,10 @@
         from rhubarbpaddle.cli.node import run_node
 
         sys.exit(run_node(tokens[1]))
+    if tokens == ["platform"]:
+        from rhubarbpaddle.cli.platform_node import run_platform_node
+
+        sys.exit(run_platform_node())
     from cyclopts import CycloptsError
 
     from rhubarbpaddle.cli.app import app
--- /dev/null
+++ b/src/rhubarbpaddle/cli/platform_node.py
@@ -0,0 +1,29 @@
+"""The `platform` command: the daemon on the users' platform."""
+
+import sys
+
+import trio
+
+from rhubarbpaddle.cli.exit_code import ExitCode
+from rhubarbpaddle.exceptions import SettingsError
+from rhubarbpaddle.platform.node import PlatformNode
+from rhubarbpaddle.telemetry import LogOutput
+
+_LOG_LEVEL = "info"
+
+
+def run_platform_node() -> ExitCode:
+    """Runs a node until it is told to stop.
+
+    Returns:
+        The exit code; 75 if the shutdown cut off work; 64 after one line that
+        names the field, if the settings are invalid.
+    """
+    LogOutput.from_level(_LOG_LEVEL, sys.stdout).install()
+    try:
+        node = PlatformNode.from_environment()
+    except SettingsError as exc:
+        print(f"rhubarbpaddle: {exc.peer}: {exc.detail}", file=sys.stderr)
+        return ExitCode.INVALID_SETTINGS
+    completed = trio.run(node.run_until_signal)
+    return ExitCode.SUCCESS if completed else ExitCode.FORCED_STOP
--- a/src/rhubarbpaddle/cli/publish.py
+++ b/src/rhubarbpaddle/cli/publish.py
@@ -22,8 +22,8 @@
 from rhubarbpaddle.clock import SystemClock
 from rhubarbpaddle.configuration import AcceptedPublication
 from rhubarbpaddle.exceptions import LogUnavailableError, RhubarbpaddleError
+from rhubarbpaddle.log import HttpLogClient
 from rhubarbpaddle.network import TcpNetwork
-from rhubarbpaddle.platform import HttpLogClient
 
 _POLL_SECONDS = 0.25
 
--- a/src/rhubarbpaddle/cli/publisher.py
+++ b/src/rhubarbpaddle/cli/publisher.py
@@ -14,9 +14,9 @@
     Publication,
 )
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
+from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.node.configuration_reader import STREAM, ConfigurationReader
-from rhubarbpaddle.platform import LogClient
 
 
 class Publisher:
--- a/src/rhubarbpaddle/cli/status.py
+++ b/src/rhubarbpaddle/cli/status.py
@@ -14,8 +14,8 @@
 from rhubarbpaddle.cli.publisher import Publisher
 from rhubarbpaddle.clock import SystemClock
 from rhubarbpaddle.exceptions import LogUnavailableError, RhubarbpaddleError
+from rhubarbpaddle.log import HttpLogClient
 from rhubarbpaddle.network import TcpNetwork
-from rhubarbpaddle.platform import HttpLogClient
 
 _LOG_PATIENCE = timedelta(seconds=3)
 
--- a/src/rhubarbpaddle/configuration/__init__.py
+++ b/src/rhubarbpaddle/configuration/__init__.py
@@ -14,9 +14,17 @@
     Publication,
     parse_record,
 )
+from rhubarbpaddle.configuration.route import Route
+from rhubarbpaddle.configuration.route_kind import RouteKind
+from rhubarbpaddle.configuration.route_table import RouteTable
+from rhubarbpaddle.configuration.routing_configuration import (
+    RoutingConfiguration,
+)
 from rhubarbpaddle.configuration.service import Service
+from rhubarbpaddle.configuration.service_limits import ServiceLimits
 from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.configuration.text import check_text, parse_configuration
+from rhubarbpaddle.configuration.weighted_service import WeightedService
 
 __all__ = [
     "AcceptedConfiguration",
@@ -28,8 +36,14 @@
     "Configuration",
     "ConfigurationHistory",
     "Publication",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "RoutingConfiguration",
     "Service",
+    "ServiceLimits",
     "Tenant",
+    "WeightedService",
     "check_text",
     "parse_configuration",
     "parse_record",
--- /dev/null
+++ b/src/rhubarbpaddle/execution/instance_door.py
@@ -0,0 +1,244 @@
+"""The only way to an instance that reports its slots and its pace."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+from rhubarbpaddle.admission import Ticket
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
+from rhubarbpaddle.execution.attached_instance import AttachedInstance
+from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.crash_ledger import CrashLedger
+from rhubarbpaddle.execution.crash_suspects import CrashSuspects
+from rhubarbpaddle.execution.event_log import EventLog
+from rhubarbpaddle.execution.evidence_rules import judge, judge_error
+from rhubarbpaddle.execution.fingerprint import make_fingerprint
+from rhubarbpaddle.execution.observed_body import ObservedBody
+from rhubarbpaddle.execution.request import Request
+from rhubarbpaddle.execution.response import Response
+from rhubarbpaddle.measuring import (
+    NO_EVIDENCE,
+    Evidence,
+    EvidenceKind,
+    LoadReport,
+)
+from rhubarbpaddle.membership import UpstreamState
+from rhubarbpaddle.outcome import Outcome
+
+_TAKES_WORK = (UpstreamState.COLD, UpstreamState.WARM)
+# Bodies of this length at most are read before they are passed on, so that a
+# loss on the way is answered instead of breaking off the caller's answer.
+_WHOLE_BODY_BYTES = 64 * 1024
+
+
+class InstanceDoor:
+    """Admits requests to the instance beside this node and runs them there.
+
+    Attributes:
+        attached: The instance, if one has reported.
+        in_service: Whether this node's availability zone takes new work.
+        leaving: Whether this node shuts down: it refuses new requests and
+            finishes those that it has queued or runs.
+        crashes: The strikes against requests.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        crashes: CrashLedger,
+        on_lost: Callable[[], None],
+        log: EventLog,
+    ) -> None:
+        """Makes a door without an instance.
+
+        Args:
+            clock: The source of time.
+            crashes: The strikes against requests.
+            on_lost: Called when the instance seems to be gone.
+            log: Where failed requests are logged.
+        """
+        self._log = log
+        self.attached: AttachedInstance | None = None
+        self.in_service = True
+        self.leaving = False
+        self.crashes = crashes
+        self._suspects = CrashSuspects(crashes, clock)
+        self._clock = clock
+        self._on_lost = on_lost
+
+    def attach(self, attached: AttachedInstance) -> None:
+        """Sends requests to this instance from now on.
+
+        A new incarnation confirms that the previous one is gone.
+        """
+        previous, self.attached = self.attached, attached
+        if (
+            previous is not None
+            and previous.summary.incarnation != attached.summary.incarnation
+        ):
+            self._suspects.confirm(previous.summary.incarnation)
+
+    def get_report(self) -> LoadReport | None:
+        """Returns the instance's load, or None if there is no instance."""
+        if self.attached is None:
+            return None
+        return self.attached.admission.get_report()
+
+    @asynccontextmanager
+    async def handle(
+        self, request: Request, body: Body, instance: str, incarnation: int
+    ) -> AsyncIterator[Response]:
+        """Runs a request once the instance can bear it."""
+        if self.leaving:
+            raise _refuse("node_leaving", "the node shuts down")
+        fingerprint = request.fingerprint or make_fingerprint(
+            request.method, request.target, request.service, body
+        )
+        attached = self._get_attached(request, instance, incarnation)
+        self._check_fingerprint(fingerprint)
+        slot = await attached.admission.acquire(_make_ticket(request))
+        evidence = NO_EVIDENCE
+        try:
+            # The wait may have outlived the deadline or the incarnation, for
+            # example when the process was paused.
+            attached = self._get_attached(request, instance, incarnation)
+            self._check_reading(attached)
+            self._check_fingerprint(fingerprint)
+            started = self._clock.monotonic()
+            source = body if isinstance(body, BytesBody) else ObservedBody(body)
+            answer: ObservedBody | None = None
+            try:
+                async with attached.client.send(request, source) as response:
+                    elapsed = self._clock.monotonic() - started
+                    evidence = judge(response, source, elapsed)
+                    answer = ObservedBody(response.body)
+                    yield response._replace(
+                        body=await _read_short(answer),
+                        report=attached.admission.get_report(),
+                    )
+                self.crashes.record_answer(fingerprint)
+            except RefusedError as exc:
+                if evidence is NO_EVIDENCE:
+                    evidence = judge_error(exc, source)
+                    self._log_failure(request, exc)
+                    await self._look_for_crash(attached, evidence, fingerprint)
+                raise
+            except BaseException:
+                if answer is not None and answer.failed:
+                    evidence = Evidence(EvidenceKind.LOST)
+                    await self._look_for_crash(attached, evidence, fingerprint)
+                raise
+        finally:
+            slot.release(evidence)
+
+    def _log_failure(self, request: Request, exc: RefusedError) -> None:
+        self._log.info(
+            "instance_failed",
+            request_id=request.request_id,
+            service=request.service,
+            outcome=exc.outcome,
+            error=exc,
+        )
+
+    async def _look_for_crash(
+        self, attached: AttachedInstance, evidence: Evidence, fingerprint: str
+    ) -> None:
+        """Records strikes if the instance has crashed."""
+        incarnation = attached.summary.incarnation
+        if evidence.kind is EvidenceKind.UNREACHABLE:
+            self._suspects.confirm(incarnation)
+            self._on_lost()
+        if evidence.kind is not EvidenceKind.LOST:
+            return
+        self._suspects.add(fingerprint, incarnation)
+        if await attached.reachability.is_open():
+            return
+        self._suspects.confirm(incarnation)
+        self._on_lost()
+
+    def _check_fingerprint(self, fingerprint: str) -> None:
+        if self.crashes.is_blocked(fingerprint):
+            raise RefusedError(
+                "suspected_crash",
+                "instances crashed while they ran this request",
+                step="admit_blocked",
+                retry_after=self.crashes.get_time_blocked(fingerprint)
+                + timedelta(seconds=1),
+            )
+
+    def _check_reading(self, attached: AttachedInstance) -> None:
+        reading = attached.monitor.reading
+        if attached.monitor.refused:
+            self._on_lost()
+            raise _refuse("instance_down", "the instance refuses connections")
+        if (
+            reading is not None
+            and reading.instance is not None
+            and reading.instance != attached.summary.instance
+        ):
+            self._on_lost()
+            raise _refuse("instance_gone", "another instance has its address")
+
+    def _get_attached(
+        self, request: Request, instance: str, incarnation: int
+    ) -> AttachedInstance:
+        attached = self.attached
+        if not self.in_service:
+            raise _refuse("zone_out_of_service", "the zone takes no new work")
+        if (
+            attached is None
+            or attached.summary.state not in _TAKES_WORK
+            or attached.summary.instance != instance
+            or attached.summary.service != request.service
+            or attached.summary.incarnation != incarnation
+        ):
+            raise _refuse("instance_gone", "the chosen instance is gone")
+        if self._clock.monotonic() >= request.deadline:
+            raise RefusedError(
+                "deadline_exceeded",
+                "the deadline passed before the request was sent",
+                step="admit_late",
+            )
+        return attached
+
+
+async def _read_short(body: ObservedBody) -> Body:
+    """Returns a short body whole, any other as it is.
+
+    Raises:
+        RefusedError: The body failed; the request has run.
+    """
+    length = body.length
+    if length is not None and length > _WHOLE_BODY_BYTES:
+        return body
+    content = bytearray()
+    try:
+        while part := await body.receive():
+            content += part
+    except RhubarbpaddleError as exc:
+        raise RefusedError(
+            "upstream_lost",
+            f"the answer's body failed: {exc.detail}",
+            step="run_request",
+            peer=exc.peer,
+            status=502,
+            outcome=Outcome.UNKNOWN,
+            may_retry=True,
+        ) from exc
+    return BytesBody(bytes(content))
+
+
+def _make_ticket(request: Request) -> Ticket:
+    return Ticket(
+        request.tenant,
+        request.deadline,
+        request.may_queue,
+        priority=request.priority,
+        useful_until=request.useful_until,
+        route=request.route,
+    )
+
+
+def _refuse(code: str, detail: str) -> RefusedError:
+    return RefusedError(code, detail, step="admit", may_retry=True)
--- a/src/rhubarbpaddle/execution/request.py
+++ b/src/rhubarbpaddle/execution/request.py
@@ -1,5 +1,6 @@
 """A request on its way from a caller to an upstream."""
 
+import math
 from typing import NamedTuple
 
 Headers = list[tuple[bytes, bytes]]
@@ -24,6 +25,12 @@
         may_queue: False if the sender prefers another instance to waiting.
         claim: The token of the claim that permits a non-idempotent request.
         fingerprint: A digest that names equal requests.
+        route: The route that it came by, or the empty string.
+        priority: The rank of its route, 0 for the most urgent.
+        useful_until: Monotonic seconds on this node after which an answer is
+            worth much less; never later than the deadline.
+        max_attempts: The instances that it may be sent to at most.
+        calling_service: The service on the host where it began.
     """
 
     request_id: str
@@ -40,3 +47,8 @@
     may_queue: bool = True
     claim: str = ""
     fingerprint: str = ""
+    route: str = ""
+    priority: int = 0
+    useful_until: float = math.inf
+    max_attempts: int = 1
+    calling_service: str = ""
--- /dev/null
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -0,0 +1,214 @@
+"""Takes a routed request to an instance that can serve it in time."""
+
+import math
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.dispatcher import Dispatcher
+from rhubarbpaddle.execution.event_log import EventLog
+from rhubarbpaddle.execution.request import Request
+from rhubarbpaddle.execution.response import Response
+from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
+from rhubarbpaddle.execution.try_record import TryRecord, is_before_instance
+from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.routing.candidate import Candidate
+from rhubarbpaddle.routing.instance_router import InstanceRouter
+
+# Instances that are asked for immediate service before the request queues.
+_ASKED_INSTANCES = 4
+# The node beside the instance answers at the deadline; this is for its answer
+# to arrive.
+_DEADLINE_GRACE_SECONDS = 0.03
+_RETRIED_STATUSES = frozenset({500, 502, 503, 504})
+
+
+class RouteGateway:
+    """Tries instances until one answers, within budget and deadline."""
+
+    def __init__(
+        self,
+        router: InstanceRouter,
+        dispatcher: Dispatcher,
+        budget: SharedRetryBudget,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._log = log
+        self._router = router
+        self._dispatcher = dispatcher
+        self._budget = budget
+        self._clock = clock
+
+    @asynccontextmanager
+    async def handle(
+        self, request: Request, body: Body
+    ) -> AsyncIterator[Response]:
+        """Runs a request and yields its answer.
+
+        Raises:
+            RefusedError: There is no answer; `outcome` tells what is known.
+        """
+        self._budget.note_request(request.service)
+        async with AsyncExitStack() as stack:
+            yield await self._get_response(stack, request, body)
+
+    async def _get_response(
+        self, stack: AsyncExitStack, request: Request, body: Body
+    ) -> Response:
+        record = TryRecord(request.service)
+        while True:
+            if self._clock.monotonic() >= request.deadline:
+                raise _make_deadline_refusal(record.may_have_run)
+            candidate, may_queue = self._choose(request, record)
+            if candidate is None:
+                raise _conclude(record)
+            try:
+                response = await self._try_candidate(
+                    stack,
+                    request._replace(may_queue=may_queue),
+                    _rewind(body),
+                    candidate,
+                )
+            except RefusedError as exc:
+                record.fail(candidate.node_id, exc)
+                self._log_try(request, candidate, record, exc)
+                if may_queue or not self._may_retry(request, record, exc):
+                    raise _conclude(record) from exc
+                continue
+            if not self._may_drop(request, body, response, record):
+                return response
+            await stack.aclose()
+            refusal = RefusedError(
+                "upstream_failed",
+                f"an instance answered {response.status}",
+                step="run_request",
+                peer=candidate.node_id,
+                status=502,
+                outcome=Outcome.UNKNOWN,
+            )
+            record.fail(candidate.node_id, refusal)
+            self._log_try(request, candidate, record, refusal)
+
+    def _choose(
+        self, request: Request, record: TryRecord
+    ) -> tuple[Candidate | None, bool]:
+        """Returns the next instance and whether to queue there."""
+        if len(record.busy) < _ASKED_INSTANCES:
+            candidate = self._router.choose(request.service, record.excluded)
+            if candidate is not None:
+                return candidate, False
+        excluded = record.excluded - set(record.busy)
+        return self._router.choose(request.service, excluded), True
+
+    def _may_retry(
+        self, request: Request, record: TryRecord, exc: RefusedError
+    ) -> bool:
+        if not exc.may_retry:
+            return False
+        if is_before_instance(exc):
+            return True
+        if record.may_have_run and not request.idempotent:
+            return False
+        return record.attempts < request.max_attempts and (
+            self._budget.try_spend(request.service)
+        )
+
+    def _may_drop(
+        self,
+        request: Request,
+        body: Body,
+        response: Response,
+        record: TryRecord,
+    ) -> bool:
+        """Returns whether a failed answer may be replaced by another try."""
+        return (
+            response.status in _RETRIED_STATUSES
+            and request.idempotent
+            and isinstance(body, BytesBody)
+            and record.attempts + 1 < request.max_attempts
+            and self._clock.monotonic() < request.useful_until
+            and self._budget.try_spend(request.service)
+        )
+
+    async def _try_candidate(
+        self,
+        stack: AsyncExitStack,
+        request: Request,
+        body: Body,
+        candidate: Candidate,
+    ) -> Response:
+        self._router.started(candidate)
+        try:
+            response = await self._dispatch(stack, request, body, candidate)
+        except RefusedError as exc:
+            self._router.finished(candidate, exc.report, exc.code)
+            raise
+        except BaseException:
+            self._router.finished(candidate, None)
+            raise
+        stack.callback(self._router.finished, candidate, response.report)
+        return response
+
+    async def _dispatch(
+        self,
+        stack: AsyncExitStack,
+        request: Request,
+        body: Body,
+        candidate: Candidate,
+    ) -> Response:
+        deadline = request.deadline + _DEADLINE_GRACE_SECONDS
+        with trio.move_on_at(deadline):
+            return await stack.enter_async_context(
+                self._dispatcher.dispatch(request, body, candidate)
+            )
+        raise _make_deadline_refusal(may_have_run=True)
+
+    def _log_try(
+        self,
+        request: Request,
+        candidate: Candidate,
+        record: TryRecord,
+        exc: RefusedError,
+    ) -> None:
+        left = request.deadline - self._clock.monotonic()
+        self._log.info(
+            "try_failed",
+            request_id=request.request_id,
+            route=request.route,
+            instance=candidate.instance,
+            attempts=record.attempts,
+            outcome=exc.outcome,
+            left_ms=math.floor(left * 1000),
+            error=exc,
+        )
+
+
+def _rewind(body: Body) -> Body:
+    """Returns the body for another try."""
+    return BytesBody(body.content) if isinstance(body, BytesBody) else body
+
+
+def _conclude(record: TryRecord) -> RefusedError:
+    """Returns the final refusal, which covers all tries."""
+    last = record.refusal
+    if not record.may_have_run:
+        return last
+    last.outcome = Outcome.UNKNOWN
+    if last.status not in (502, 504):
+        last.status = 502
+    return last
+
+
+def _make_deadline_refusal(may_have_run: bool) -> RefusedError:
+    return RefusedError(
+        "deadline_exceeded",
+        "the deadline passed without an answer",
+        step="route",
+        status=504 if may_have_run else 503,
+        outcome=Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN,
+    )
--- a/src/rhubarbpaddle/execution/sidecar.py
+++ b/src/rhubarbpaddle/execution/sidecar.py
@@ -12,6 +12,7 @@
 from rhubarbpaddle.execution.chain_headers import write_chain_headers
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_suspects import CrashSuspects
+from rhubarbpaddle.execution.evidence_rules import judge, judge_error
 from rhubarbpaddle.execution.fingerprint import make_fingerprint
 from rhubarbpaddle.execution.observed_body import ObservedBody
 from rhubarbpaddle.execution.request import Request
@@ -27,13 +28,6 @@
 CALLING_SERVICE_HEADER = b"rhubarbpaddle-calling-service"
 OUTCOME_HEADER = b"rhubarbpaddle-outcome"
 
-_KINDS = {
-    "upstream_lost": EvidenceKind.LOST,
-    "upstream_timeout": EvidenceKind.TIMED_OUT,
-    "upstream_unreachable": EvidenceKind.UNREACHABLE,
-}
-_SHED_STATUSES = (429, 503)
-
 
 class Sidecar:
     """Admits requests to the upstream and runs them there.
@@ -114,7 +108,7 @@
             try:
                 async with upstream.client.send(sent, source) as response:
                     elapsed = self._clock.monotonic() - started
-                    evidence = _judge(response, source, elapsed)
+                    evidence = judge(response, source, elapsed)
                     _check_outcome(response, source)
                     answer = ObservedBody(response.body)
                     report = upstream.admission.get_report()
@@ -122,7 +116,7 @@
                 self.crashes.record_answer(fingerprint)
             except RefusedError as exc:
                 if evidence is NO_EVIDENCE:
-                    evidence = _judge_error(exc, source)
+                    evidence = judge_error(exc, source)
                     await self._look_for_crash(upstream, evidence, fingerprint)
                 raise
             except BaseException:
@@ -205,22 +199,6 @@
         return upstream
 
 
-def _judge(response: Response, source: Body, elapsed: float) -> Evidence:
-    if response.status in _SHED_STATUSES:
-        return Evidence(EvidenceKind.SHED)
-    if response.status >= 500:
-        return Evidence(EvidenceKind.FAILED)
-    # The time of an upload shows the caller's speed.
-    latency = elapsed if isinstance(source, BytesBody) else None
-    return Evidence(EvidenceKind.ANSWERED, latency)
-
-
-def _judge_error(exc: RefusedError, source: Body) -> Evidence:
-    if isinstance(source, ObservedBody) and source.failed:
-        return NO_EVIDENCE
-    return Evidence(_KINDS.get(exc.code, EvidenceKind.NONE))
-
-
 def _check_outcome(response: Response, source: Body) -> None:
     """Turns an upstream's truthful `not-run` into a refusal.
 
--- /dev/null
+++ b/src/rhubarbpaddle/execution/try_record.py
@@ -0,0 +1,53 @@
+"""The tries of one routed request."""
+
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.outcome import Outcome
+
+# Refused by the node beside an instance, which will be able to serve soon.
+_PASSING = frozenset(
+    {
+        "instance_cold",
+        "instance_failing",
+        "instance_full",
+        "instance_slow",
+    }
+)
+
+
+class TryRecord:
+    """What the tries of a request have shown so far.
+
+    Attributes:
+        attempts: Tries that have reached an instance.
+        may_have_run: Whether one of them may have run.
+        excluded: Node ids that the next try must not use.
+        busy: Node ids whose instance could serve the request later.
+        refusal: Why the last try failed.
+    """
+
+    def __init__(self, service: str) -> None:
+        self.attempts = 0
+        self.may_have_run = False
+        self.excluded: set[str] = set()
+        self.busy: list[str] = []
+        self.refusal = RefusedError(
+            "no_instance",
+            f"no instance of {service!r} takes work",
+            step="route",
+        )
+
+    def fail(self, node_id: str, refusal: RefusedError) -> None:
+        """Notes that the try at an instance failed."""
+        self.excluded.add(node_id)
+        if refusal.code in _PASSING:
+            self.busy.append(node_id)
+        if not is_before_instance(refusal):
+            self.attempts += 1
+        if refusal.outcome is Outcome.UNKNOWN:
+            self.may_have_run = True
+        self.refusal = refusal
+
+
+def is_before_instance(refusal: RefusedError) -> bool:
+    """Returns whether a refused try has not reached the instance."""
+    return refusal.outcome is Outcome.NOT_RUN and refusal.step != "run_request"
--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -1,28 +1,21 @@
 """Serves callers over HTTP/1.1."""
 
-import secrets
-from collections.abc import Callable
-
 import h11
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import AcceptedConfiguration
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution import (
     Body,
     BytesBody,
     Headers,
-    Request,
     Response,
 )
 from rhubarbpaddle.execution.request_handler import RequestHandler
-from rhubarbpaddle.http.caller_head import CallerHead
+from rhubarbpaddle.http.caller_dialect import CallerDialect
 from rhubarbpaddle.http.event_body import EventBody
-from rhubarbpaddle.http.headers import VIA
 from rhubarbpaddle.http.idle_connections import IdleConnections
 from rhubarbpaddle.http.limits import DEFAULT_LIMITS, CallerLimits
-from rhubarbpaddle.http.problem import make_problem
 from rhubarbpaddle.http.server_connection import ServerConnection
 from rhubarbpaddle.network import Network
 from rhubarbpaddle.outcome import Outcome
@@ -33,8 +26,6 @@
 # Bodies up to this length are read before an instance is chosen, so that the
 # request can be sent again.
 _BUFFERED_BODY_BYTES = 16 * 1024
-_REQUEST_ID_BYTES = 8
-_OTHER_TENANT = "other"
 
 _log = get_logger("caller")
 
@@ -51,7 +42,7 @@
         gateway: RequestHandler,
         clock: Clock,
         metrics: Metrics,
-        get_accepted: Callable[[], AcceptedConfiguration | None],
+        dialect: CallerDialect,
         network: Network,
         watch: StreamWatch,
         limits: CallerLimits = DEFAULT_LIMITS,
@@ -59,7 +50,7 @@
         self._gateway = gateway
         self._clock = clock
         self._metrics = metrics
-        self._get_accepted = get_accepted
+        self._dialect = dialect
         self._network = network
         self._watch = watch
         self._limits = limits
@@ -132,7 +123,7 @@
     async def _serve_request(
         self, conn: ServerConnection, head: h11.Request, body: EventBody
     ) -> None:
-        request_id = secrets.token_hex(_REQUEST_ID_BYTES)
+        request_id = self._dialect.get_request_id(head)
         started = self._clock.monotonic()
         service = "-"
         try:
@@ -140,13 +131,7 @@
                 raise RefusedError(
                     "node_leaving", "the node shuts down", step="route"
                 )
-            accepted = self._get_accepted()
-            if accepted is None:
-                raise RefusedError(
-                    "not_ready", "no configuration is in force", step="route"
-                )
-            caller_head = CallerHead.from_head(head, conn.peer)
-            request = self._make_request(caller_head, accepted, request_id)
+            request = self._dialect.make_request(head, conn.peer, request_id)
             service = request.service
             # Reading a body asks a caller that expects `100 Continue` for it,
             # which must wait until an instance has admitted the request.
@@ -154,9 +139,8 @@
             buffered = body if expects else await _buffer_body(body)
             async with self._gateway.handle(request, buffered) as response:
                 await self._send_response(conn, head.method, response)
-            tenants = accepted.configuration.tenants
             self._metrics.record_request(
-                request.tenant if request.tenant in tenants else _OTHER_TENANT,
+                self._dialect.get_label(request),
                 service,
                 response.status,
                 self._clock.monotonic() - started,
@@ -167,7 +151,11 @@
     async def _send_response(
         self, conn: ServerConnection, method: bytes, response: Response
     ) -> None:
-        headers = [*response.headers, VIA, *self._get_connection_headers()]
+        headers = [
+            *response.headers,
+            *self._dialect.get_answer_headers(),
+            *self._get_connection_headers(),
+        ]
         await conn.send_response(
             method, response.status, headers, response.body
         )
@@ -188,44 +176,15 @@
         if not conn.can_answer():
             self._network.reset_on_close(conn.stream)
             return
-        headers, content = make_problem(exc, request_id)
+        status, headers, content = self._dialect.make_refusal(exc, request_id)
         headers = [*headers, *self._get_connection_headers()]
         try:
             await conn.send_response(
-                method, exc.status, headers, BytesBody(content)
+                method, status, headers, BytesBody(content)
             )
         except RhubarbpaddleError as error:
             _log.info("caller_connection_ended", error=error)
 
-    def _make_request(
-        self,
-        head: CallerHead,
-        accepted: AcceptedConfiguration,
-        request_id: str,
-    ) -> Request:
-        service = accepted.configuration.services.get(head.service)
-        if service is None:
-            raise RefusedError(
-                "unknown_service",
-                f"there is no service {head.service!r}",
-                step="route",
-                status=404,
-            )
-        timeout = min(service.timeout.total_seconds(), head.timeout_ms / 1000)
-        return Request(
-            request_id=request_id,
-            tenant=head.tenant,
-            service=head.service,
-            method=head.method,
-            target=head.target,
-            headers=head.headers,
-            deadline=self._clock.monotonic() + timeout,
-            idempotent=service.is_idempotent(head.method, head.target),
-            key=head.key,
-            attempt=head.attempt,
-            depth=head.depth,
-        )
-
 
 async def _buffer_body(body: EventBody) -> Body:
     if body.length is None or body.length > _BUFFERED_BODY_BYTES:
--- /dev/null
+++ b/src/rhubarbpaddle/http/health_client.py
@@ -0,0 +1,76 @@
+"""Asks an instance for its health over HTTP/1.1."""
+
+from collections.abc import Callable
+
+import h11
+
+from rhubarbpaddle.exceptions import RhubarbpaddleError
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.http.upstream_dialect import RawHeaders
+from rhubarbpaddle.measuring.instance_reading import InstanceReading
+from rhubarbpaddle.network import Network
+
+
+class HttpHealthClient:
+    """Sends `GET` to the health path over one kept connection."""
+
+    def __init__(
+        self,
+        network: Network,
+        address: str,
+        path: str,
+        read: Callable[[RawHeaders], InstanceReading | None],
+    ) -> None:
+        """Makes a client without a connection.
+
+        Args:
+            network: Opens connections.
+            address: The instance's `IP:PORT`.
+            path: The path of the health check.
+            read: Reads the headers of an answer.
+        """
+        self._network = network
+        self._address = address
+        self._path = path
+        self._read = read
+        self._conn: ClientConnection | None = None
+
+    async def check(self) -> InstanceReading | None:
+        """Returns what the instance says, or None if it names no load."""
+        kept, self._conn = self._conn, None
+        if kept is not None:
+            try:
+                return await self._exchange(kept)
+            except RhubarbpaddleError:
+                # The instance may have closed it; a new one tells more.
+                pass
+        stream = await self._network.connect(self._address)
+        return await self._exchange(ClientConnection(stream, self._address))
+
+    async def aclose(self) -> None:
+        """Closes the connection."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            await conn.aclose()
+
+    async def _exchange(self, conn: ClientConnection) -> InstanceReading | None:
+        finished = False
+        try:
+            head = h11.Request(
+                method="GET",
+                target=self._path,
+                headers=[("host", self._address)],
+            )
+            await conn.send_request(head, BytesBody(b""))
+            response, body = await conn.receive_response()
+            while await body.receive():
+                pass
+            finished = conn.is_reusable()
+        finally:
+            if finished:
+                conn.h11.start_next_cycle()
+                self._conn = conn
+            else:
+                await conn.aclose()
+        return self._read(response.headers)
--- a/src/rhubarbpaddle/http/limits.py
+++ b/src/rhubarbpaddle/http/limits.py
@@ -16,6 +16,8 @@
         linger_seconds: How long the rest of a request is discarded after an
             answer that came before the request's end.
         linger_bytes: How much of the rest is discarded at most.
+        keeps_half_closed: Whether a caller that has closed its sending side
+            still waits for its answer.
     """
 
     head_bytes: int = 16 * 1024
@@ -25,6 +27,7 @@
     idle_connections: int = 8_192
     linger_seconds: float = 2.0
     linger_bytes: int = 1 << 20
+    keeps_half_closed: bool = True
 
 
 DEFAULT_LIMITS = CallerLimits()
--- /dev/null
+++ b/src/rhubarbpaddle/http/request_responder.py
@@ -0,0 +1,63 @@
+"""Answers short requests, one task for each connection."""
+
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+
+from rhubarbpaddle.exceptions import RhubarbpaddleError
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.http.event_body import EventBody
+from rhubarbpaddle.http.server_connection import ServerConnection
+from rhubarbpaddle.telemetry import get_logger
+
+_MAX_BODY_BYTES = 64 * 1024
+
+# Status, media type and content.
+ShortAnswer = tuple[int, bytes, bytes]
+Answerer = Callable[[h11.Request, bytes], Awaitable[ShortAnswer]]
+
+_log = get_logger("admin")
+
+
+class RequestResponder:
+    """Serves connections whose requests and answers fit in memory."""
+
+    def __init__(self, answer: Answerer) -> None:
+        """Makes a responder.
+
+        Args:
+            answer: Returns the answer to a head and its body.
+        """
+        self._answer = answer
+
+    async def handle(self, stream: trio.abc.Stream) -> None:
+        """Serves one connection until it ends."""
+        conn = ServerConnection(stream, "admin")
+        try:
+            with conn.scope:
+                while received := await conn.receive_request():
+                    head, body = received
+                    content = await _read(body)
+                    status, kind, answer = await self._answer(head, content)
+                    await conn.send_response(
+                        head.method,
+                        status,
+                        [(b"content-type", kind)],
+                        BytesBody(answer),
+                    )
+                    if not conn.start_next_cycle():
+                        break
+        except RhubarbpaddleError as exc:
+            _log.debug("admin_connection_ended", error=exc)
+        finally:
+            await conn.aclose()
+
+
+async def _read(body: EventBody) -> bytes:
+    content = bytearray()
+    while part := await body.receive():
+        content += part
+        if len(content) > _MAX_BODY_BYTES:
+            break
+    return bytes(content)
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -163,6 +163,11 @@
         """
         if state is RemoteState.CLOSED:
             return None
+        if (
+            state is RemoteState.HALF_CLOSED
+            and not self._limits.keeps_half_closed
+        ):
+            return None
         if (
             state is RemoteState.OPEN
             or self._answering
--- /dev/null
+++ b/src/rhubarbpaddle/http/service_client.py
@@ -0,0 +1,91 @@
+"""Short exchanges with one HTTP/1.1 service."""
+
+import h11
+import trio
+
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.network import Network
+
+_MAX_IDLE = 32
+
+
+class ServiceClient:
+    """Sends a request and returns the whole answer.
+
+    A connection carries one exchange at a time and is used again only after
+    the answer was read to its end.
+    """
+
+    def __init__(
+        self, network: Network, address: str, connect_seconds: float
+    ) -> None:
+        """Makes a client without connections.
+
+        Args:
+            network: Opens connections.
+            address: The service's `IP:PORT`.
+            connect_seconds: How long opening a connection may take.
+        """
+        self.address = address
+        self._network = network
+        self._connect_seconds = connect_seconds
+        self._idle: list[ClientConnection] = []
+
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection is kept that may turn out to be dead."""
+        return bool(self._idle)
+
+    async def acquire(self) -> ClientConnection:
+        """Returns an idle connection or opens one.
+
+        Raises:
+            OSError: The service refuses connections or is out of reach.
+            trio.TooSlowError: It did not accept one in time.
+        """
+        while self._idle:
+            conn = self._idle.pop()
+            if not self._network.has_input(conn.stream):
+                return conn
+            await conn.aclose()
+        with trio.fail_after(self._connect_seconds):
+            stream = await self._network.connect(self.address)
+        return ClientConnection(stream, self.address)
+
+    async def release(self, conn: ClientConnection) -> None:
+        """Takes a connection back after its exchange, however it ended."""
+        if conn.is_reusable() and len(self._idle) < _MAX_IDLE:
+            conn.h11.start_next_cycle()
+            self._idle.append(conn)
+        else:
+            await conn.aclose()
+
+    async def purge(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def exchange(
+        self, conn: ClientConnection, method: str, target: str, payload: bytes
+    ) -> tuple[int, bytes]:
+        """Sends a request and returns the status and the body.
+
+        Raises:
+            RhubarbpaddleError: The connection failed; the request may have
+                taken effect.
+        """
+        head = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                ("host", self.address),
+                ("content-length", str(len(payload))),
+            ],
+        )
+        await conn.send_request(head, BytesBody(payload))
+        response, body = await conn.receive_response()
+        content = bytearray()
+        while part := await body.receive():
+            content += part
+        return response.status_code, bytes(content)
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -1,9 +1,9 @@
 """Sends requests to the upstream beside this node."""
 
-import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from datetime import timedelta
+from typing import NoReturn
 
 import h11
 import trio
@@ -19,8 +19,11 @@
 )
 from rhubarbpaddle.execution.upload import Upload
 from rhubarbpaddle.http.event_body import EventBody
-from rhubarbpaddle.http.headers import get_header, remove_hop_by_hop
+from rhubarbpaddle.http.headers import remove_hop_by_hop
+from rhubarbpaddle.http.product_upstream_dialect import PRODUCT_DIALECT
 from rhubarbpaddle.http.upstream_connection import UpstreamConnection
+from rhubarbpaddle.http.upstream_dialect import UpstreamDialect
+from rhubarbpaddle.measuring.instance_reading import InstanceReading
 from rhubarbpaddle.network import Network
 from rhubarbpaddle.outcome import Outcome
 
@@ -29,7 +32,6 @@
 _MAX_IDLE_SECONDS = 5.0
 # A refusal's body up to this length is read so that its connection stays.
 _REFUSAL_BODY_BYTES = 64 * 1024
-_RETRY_AFTER = re.compile(r"[0-9]{1,6}")
 
 _Answer = tuple[h11.Response, EventBody]
 
@@ -38,8 +40,26 @@
     """Keeps at most a fixed number of connections to one upstream."""
 
     def __init__(
-        self, network: Network, clock: Clock, address: str, connections: int
+        self,
+        network: Network,
+        clock: Clock,
+        address: str,
+        connections: int,
+        dialect: UpstreamDialect = PRODUCT_DIALECT,
+        note_load: Callable[[InstanceReading], None] | None = None,
     ) -> None:
+        """Makes a client without connections.
+
+        Args:
+            network: Opens connections.
+            clock: The source of time.
+            address: The upstream's `IP:PORT`.
+            connections: Connections that may be open at once.
+            dialect: The headers that the upstream understands.
+            note_load: Called with the load that comes with an answer.
+        """
+        self._note_load = note_load
+        self._dialect = dialect
         self._network = network
         self._clock = clock
         self._address = address
@@ -120,12 +140,17 @@
         time_left = request.deadline - started
         if time_left <= 0:
             raise _make_late_refusal(self._address)
-        head = _make_head(request, body, self._address)
+        headers = self._dialect.make_headers(request, time_left)
+        head = _make_head(request, headers, body, self._address)
         repeatable = isinstance(body, BytesBody)
         try:
             response, response_body = await _send_and_receive(
                 conn, head, body, time_left
             )
+            while not self._dialect.is_answer(request, response.headers):
+                response, response_body = await _skip_answer(
+                    conn, head, response_body, time_left
+                )
         except trio.TooSlowError as exc:
             if conn.last_success is not None:
                 await self._purge(started)
@@ -141,8 +166,15 @@
             raise _make_refusal(
                 "upstream_lost", str(exc), self._address, 502, repeatable
             ) from exc
-        if response.status_code == 503:
-            await self._raise_if_not_run(response, response_body, repeatable)
+        if self._note_load is not None:
+            reading = self._dialect.read_load(response.headers)
+            if reading is not None:
+                self._note_load(reading)
+        retry_after = self._dialect.read_refusal(
+            response.status_code, response.headers
+        )
+        if retry_after is not None:
+            await self._raise_not_run(response_body, retry_after, repeatable)
         if request.method == "HEAD" or response.status_code in (204, 304):
             await response_body.receive()
             headers = remove_hop_by_hop(response.headers)
@@ -174,12 +206,9 @@
                 kept.append(conn)
         self._idle = kept
 
-    async def _raise_if_not_run(
-        self, response: h11.Response, body: EventBody, repeatable: bool
-    ) -> None:
-        headers = list(response.headers)
-        if get_header(headers, b"rhubarbpaddle-outcome") != Outcome.NOT_RUN:
-            return
+    async def _raise_not_run(
+        self, body: EventBody, retry_after: timedelta, repeatable: bool
+    ) -> NoReturn:
         if body.length is not None and body.length <= _REFUSAL_BODY_BYTES:
             with trio.move_on_after(_CONNECT_SECONDS):
                 try:
@@ -188,15 +217,12 @@
                 except RhubarbpaddleError:
                     # The refusal holds; the connection is not used again.
                     pass
-        seconds = get_header(headers, b"retry-after") or ""
-        if not _RETRY_AFTER.fullmatch(seconds):
-            seconds = "1"
         raise RefusedError(
             "upstream_refused",
             "the upstream refused the request before it ran",
             step="run_request",
             peer=self._address,
-            retry_after=timedelta(seconds=int(seconds)),
+            retry_after=retry_after,
             may_retry=repeatable,
         )
 
@@ -222,8 +248,24 @@
     return answer[0].status_code >= 400
 
 
-def _make_head(request: Request, body: Body, address: str) -> h11.Request:
-    headers: Headers = list(request.headers)
+async def _skip_answer(
+    conn: UpstreamConnection, head: h11.Request, body: EventBody, seconds: float
+) -> _Answer:
+    """Discards an answer to an earlier request and waits for the next one.
+
+    An upstream may answer a request twice, and the second answer then arrives
+    where that of the next request is due. The connection is closed afterwards.
+    """
+    with trio.fail_after(seconds):
+        while await body.receive():
+            pass
+        conn.restart_parser(head)
+        return await conn.receive_response()
+
+
+def _make_head(
+    request: Request, headers: Headers, body: Body, address: str
+) -> h11.Request:
     if body.length is None:
         headers.append((b"transfer-encoding", b"chunked"))
     elif body.length or request.method in ("POST", "PUT", "PATCH"):
--- a/src/rhubarbpaddle/platform/batch.py
+++ b/src/rhubarbpaddle/log/batch.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from rhubarbpaddle.platform.record import Record
+from rhubarbpaddle.log.record import Record
 
 
 class Batch(NamedTuple):
--- a/src/rhubarbpaddle/platform/http_log_client.py
+++ b/src/rhubarbpaddle/log/http_log_client.py
@@ -4,7 +4,6 @@
 import json
 from datetime import timedelta
 
-import h11
 import trio
 
 from rhubarbpaddle.exceptions import (
@@ -12,31 +11,24 @@
     LogUnavailableError,
     RhubarbpaddleError,
 )
-from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.http.service_client import ServiceClient
+from rhubarbpaddle.log.batch import Batch
+from rhubarbpaddle.log.record import Record
 from rhubarbpaddle.network import Network
-from rhubarbpaddle.platform.batch import Batch
-from rhubarbpaddle.platform.record import Record
 
 # How long the log may be silent beyond the wait that a read asks for.
 SILENCE_SECONDS = 2.0
-_MAX_IDLE = 32
 # The log refuses with these before it appends. After any other failure, for
 # example a 500 or 504 of something in between, the append may take effect.
 _REFUSALS = frozenset({400, 404, 413, 429, 503})
 
 
 class HttpLogClient:
-    """Speaks `POST /streams/NAME` and `GET /streams/NAME` with the log.
-
-    A connection carries one exchange at a time and is used again only after
-    the answer was read to its end.
-    """
+    """Speaks `POST /streams/NAME` and `GET /streams/NAME` with the log."""
 
     def __init__(self, network: Network, address: str) -> None:
-        self._network = network
-        self._address = address
-        self._idle: list[ClientConnection] = []
+        self._service = ServiceClient(network, address, SILENCE_SECONDS)
 
     async def append(self, stream: str, payload: bytes) -> int:
         """Appends a record.
@@ -51,18 +43,18 @@
         conn = await self._acquire("append")
         try:
             with trio.fail_after(SILENCE_SECONDS):
-                status, answer = await self._exchange(
+                status, answer = await self._service.exchange(
                     conn, "POST", f"/streams/{stream}", payload
                 )
             if status == 200:
                 return int(json.loads(answer)["offset"])
         except trio.TooSlowError as exc:
-            await self._purge()
+            await self._service.purge()
             raise self._make_unknown("no answer in time") from exc
         except (RhubarbpaddleError, ValueError, KeyError) as exc:
             raise self._make_unknown(str(exc)) from exc
         finally:
-            await self._release(conn)
+            await self._service.release(conn)
         if status in _REFUSALS:
             raise self._make_unavailable(f"status {status}", "append")
         raise self._make_unknown(f"status {status}")
@@ -85,76 +77,46 @@
             except LogUnavailableError:
                 # Connections break when the log restarts, so the others that
                 # are idle are most likely dead too.
-                if not self._idle:
+                if not self._service.has_idle:
                     raise
-                await self._purge()
+                await self._service.purge()
                 return await self._read_once(target)
-        await self._purge()
+        await self._service.purge()
         raise self._make_unavailable("no answer in time", "read")
 
     async def aclose(self) -> None:
         """Closes all idle connections."""
-        await self._purge()
+        await self._service.purge()
 
     async def _read_once(self, target: str) -> Batch:
         conn = await self._acquire("read")
         try:
-            status, answer = await self._exchange(conn, "GET", target, b"")
+            status, answer = await self._service.exchange(
+                conn, "GET", target, b""
+            )
             if status == 200:
                 return _parse_batch(json.loads(answer))
         except (RhubarbpaddleError, ValueError, KeyError) as exc:
             raise self._make_unavailable(str(exc), "read") from exc
         finally:
-            await self._release(conn)
+            await self._service.release(conn)
         raise self._make_unavailable(f"status {status}", "read")
 
     async def _acquire(self, step: str) -> ClientConnection:
-        while self._idle:
-            conn = self._idle.pop()
-            if not self._network.has_input(conn.stream):
-                return conn
-            await conn.aclose()
         try:
-            with trio.fail_after(SILENCE_SECONDS):
-                stream = await self._network.connect(self._address)
+            return await self._service.acquire()
         except (OSError, trio.TooSlowError) as exc:
             raise self._make_unavailable(f"no connection: {exc}", step) from exc
-        return ClientConnection(stream, self._address)
-
-    async def _release(self, conn: ClientConnection) -> None:
-        if conn.is_reusable() and len(self._idle) < _MAX_IDLE:
-            conn.h11.start_next_cycle()
-            self._idle.append(conn)
-        else:
-            await conn.aclose()
-
-    async def _purge(self) -> None:
-        while self._idle:
-            await self._idle.pop().aclose()
-
-    async def _exchange(
-        self, conn: ClientConnection, method: str, target: str, payload: bytes
-    ) -> tuple[int, bytes]:
-        head = h11.Request(
-            method=method,
-            target=target,
-            headers=[
-                ("host", self._address),
-                ("content-length", str(len(payload))),
-            ],
-        )
-        await conn.send_request(head, BytesBody(payload))
-        response, body = await conn.receive_response()
-        content = bytearray()
-        while part := await body.receive():
-            content += part
-        return response.status_code, bytes(content)
 
     def _make_unavailable(self, detail: str, step: str) -> LogUnavailableError:
-        return LogUnavailableError(detail, step=step, peer=self._address)
+        return LogUnavailableError(
+            detail, step=step, peer=self._service.address
+        )
 
     def _make_unknown(self, detail: str) -> AppendUnknownError:
-        return AppendUnknownError(detail, step="append", peer=self._address)
+        return AppendUnknownError(
+            detail, step="append", peer=self._service.address
+        )
 
 
 def _parse_batch(document: dict[str, object]) -> Batch:
--- a/src/rhubarbpaddle/platform/log_client.py
+++ b/src/rhubarbpaddle/log/log_client.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from rhubarbpaddle.platform.batch import Batch
+from rhubarbpaddle.log.batch import Batch
 
 
 class LogClient(Protocol):
--- a/src/rhubarbpaddle/measuring/load_report.py
+++ b/src/rhubarbpaddle/measuring/load_report.py
@@ -13,9 +13,11 @@
         queued: Requests that wait for a slot.
         limit: Requests that the upstream may run at once at present.
         state: The upstream's state.
+        pace: How long work takes at present, as a multiple of the usual.
     """
 
     in_flight: int
     queued: int
     limit: int
     state: UpstreamState
+    pace: float = 1.0
--- a/src/rhubarbpaddle/node/admin_handler.py
+++ b/src/rhubarbpaddle/node/admin_handler.py
@@ -7,19 +7,12 @@
 import trio
 
 from rhubarbpaddle.configuration import AcceptedConfiguration
-from rhubarbpaddle.exceptions import RhubarbpaddleError
-from rhubarbpaddle.execution import BytesBody
-from rhubarbpaddle.http.event_body import EventBody
-from rhubarbpaddle.http.server_connection import ServerConnection
+from rhubarbpaddle.http.request_responder import RequestResponder
 from rhubarbpaddle.node.announcement import Announcement
 from rhubarbpaddle.node.announcement_document import AnnouncementDocument
 from rhubarbpaddle.node.status import NodeStatus
 from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
-from rhubarbpaddle.telemetry import Metrics, get_logger
-
-_MAX_BODY_BYTES = 64 * 1024
-
-_log = get_logger("admin")
+from rhubarbpaddle.telemetry import Metrics
 
 
 class AdminHandler:
@@ -38,31 +31,15 @@
         self._get_accepted = get_accepted
         self._get_status = get_status
         self._is_leaving = is_leaving
+        self._responder = RequestResponder(self._answer)
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serves one connection until it ends."""
-        conn = ServerConnection(stream, "admin")
-        try:
-            while received := await conn.receive_request():
-                head, body = received
-                status, kind, content = await self._answer(head, body)
-                await conn.send_response(
-                    head.method,
-                    status,
-                    [(b"content-type", kind)],
-                    BytesBody(content),
-                )
-                if not conn.start_next_cycle():
-                    break
-        except RhubarbpaddleError as exc:
-            _log.debug("admin_connection_ended", error=exc)
-        finally:
-            await conn.aclose()
+        await self._responder.handle(stream)
 
     async def _answer(
-        self, head: h11.Request, body: EventBody
+        self, head: h11.Request, content: bytes
     ) -> tuple[int, bytes, bytes]:
-        content = await _read(body)
         match head.method, head.target:
             case b"GET", b"/healthz":
                 return 200, b"text/plain", b"ok\n"
@@ -93,12 +70,3 @@
         if not await self._registry.announce(announcement, accepted):
             return 409, b"text/plain", b"unknown service\n"
         return 200, b"text/plain", b"ok\n"
-
-
-async def _read(body: EventBody) -> bytes:
-    content = bytearray()
-    while part := await body.receive():
-        content += part
-        if len(content) > _MAX_BODY_BYTES:
-            break
-    return bytes(content)
--- a/src/rhubarbpaddle/node/backoff.py
+++ b/src/rhubarbpaddle/node/backoff.py
@@ -12,14 +12,15 @@
 class Backoff:
     """Doubles the delay up to a limit, with jitter so that nodes spread."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, limit: timedelta = _LIMIT) -> None:
         self._rng = rng
+        self._limit = limit
         self._delay = _FIRST
 
     def next_delay(self) -> timedelta:
         """Returns how long to wait before the next attempt."""
         delay = self._delay
-        self._delay = min(delay * 2, _LIMIT)
+        self._delay = min(delay * 2, self._limit)
         return delay * self._rng.uniform(0.5, 1.0)
 
     def reset(self) -> None:
--- a/src/rhubarbpaddle/node/checkpoint_writer.py
+++ b/src/rhubarbpaddle/node/checkpoint_writer.py
@@ -12,8 +12,8 @@
     ConfigurationHistory,
 )
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
+from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.node.configuration_reader import STREAM
-from rhubarbpaddle.platform import LogClient
 from rhubarbpaddle.telemetry import get_logger
 
 # A reader without state replays at most about this many publications, which
--- a/src/rhubarbpaddle/node/claim_partition_task.py
+++ b/src/rhubarbpaddle/node/claim_partition_task.py
@@ -19,11 +19,11 @@
 from rhubarbpaddle.execution.claim_record import ClaimRecord
 from rhubarbpaddle.execution.claim_release import ClaimRelease
 from rhubarbpaddle.execution.claim_state import ClaimState
+from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.node.append_pace import AppendPace
 from rhubarbpaddle.node.claim_codec import decode_group, encode_group
 from rhubarbpaddle.node.pending_record import PendingRecord
 from rhubarbpaddle.outcome import Outcome
-from rhubarbpaddle.platform import LogClient
 from rhubarbpaddle.telemetry import get_logger
 
 POLL_SECONDS = 1.0
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -13,12 +13,12 @@
     ConfigurationHistory,
 )
 from rhubarbpaddle.exceptions import LogUnavailableError
+from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.node.checkpoint_writer import CheckpointWriter
 from rhubarbpaddle.node.configuration_reader import ConfigurationReader
 from rhubarbpaddle.node.configuration_state import ConfigurationState
 from rhubarbpaddle.node.settings import NodeSettings
-from rhubarbpaddle.platform import LogClient
 from rhubarbpaddle.telemetry import get_logger
 
 _WAIT = timedelta(seconds=5)
@@ -109,12 +109,16 @@
             lag=self.history.lag,
         )
 
-    def adopt(self, accepted: AcceptedConfiguration) -> bool:
+    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
         """Takes a peer's configuration if it is newer.
 
         Returns:
             Whether it came into force here.
+
+        Raises:
+            ConfigurationError: The text is invalid.
         """
+        accepted = AcceptedConfiguration.from_text(version, text, as_of)
         changed = self.history.adopt(accepted)
         if changed:
             self._announce()
--- a/src/rhubarbpaddle/node/configuration_reader.py
+++ b/src/rhubarbpaddle/node/configuration_reader.py
@@ -12,7 +12,7 @@
     parse_record,
 )
 from rhubarbpaddle.exceptions import ConfigurationError, LogUnavailableError
-from rhubarbpaddle.platform import LogClient
+from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.telemetry import get_logger
 
 STREAM = "configuration"
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -1,7 +1,6 @@
 """One node: its parts and its tasks."""
 
 import random
-import signal
 from typing import Self
 
 import trio
@@ -16,6 +15,8 @@
 from rhubarbpaddle.execution.gateway import Gateway
 from rhubarbpaddle.execution.sidecar import Sidecar
 from rhubarbpaddle.http import CallerHandler
+from rhubarbpaddle.http.product_caller_dialect import ProductCallerDialect
+from rhubarbpaddle.log import HttpLogClient, LogClient
 from rhubarbpaddle.membership import (
     Member,
     MemberStatus,
@@ -33,6 +34,7 @@
 from rhubarbpaddle.node.seed_stream import SeedRecord, SeedStream
 from rhubarbpaddle.node.settings import NodeSettings
 from rhubarbpaddle.node.shutdown import Shutdown
+from rhubarbpaddle.node.signals import run_until_signal
 from rhubarbpaddle.node.status import NodeStatus
 from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
 from rhubarbpaddle.peer import (
@@ -45,7 +47,6 @@
     RemoteDispatcher,
 )
 from rhubarbpaddle.peer.connector import PeerConnector
-from rhubarbpaddle.platform import HttpLogClient, LogClient
 from rhubarbpaddle.routing import AdaptiveRouter
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.telemetry import Metrics, NodeReadings, get_logger
@@ -134,7 +135,7 @@
             claiming,
             clock,
             metrics,
-            self.configuration.get_accepted,
+            ProductCallerDialect(clock, self.configuration.get_accepted),
             network,
             self._watch,
         )
@@ -207,25 +208,7 @@
             Whether all work ended; False if a second signal or the time limit
             of the shutdown cut some off.
         """
-        completed = False
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async with trio.open_nursery() as nursery:
-                await nursery.start(self.run)
-                signum = await anext(signals)
-                _log.info("node_stopping", signal=signum)
-
-                async def shut_down() -> None:
-                    nonlocal completed
-                    completed = await self.shut_down()
-                    nursery.cancel_scope.cancel()
-
-                nursery.start_soon(shut_down)
-                signum = await anext(signals)
-                _log.warn("node_stopped_by_force", signal=signum)
-                nursery.cancel_scope.cancel()
-        return completed
+        return await run_until_signal(self.run, self.shut_down)
 
     async def shut_down(self) -> bool:
         """Ends the node's work; see `Shutdown.run`."""
--- a/src/rhubarbpaddle/node/node_dispatcher.py
+++ b/src/rhubarbpaddle/node/node_dispatcher.py
@@ -3,7 +3,7 @@
 from contextlib import AbstractAsyncContextManager
 
 from rhubarbpaddle.execution import Body, Dispatcher, Request, Response
-from rhubarbpaddle.execution.sidecar import Sidecar
+from rhubarbpaddle.execution.upstream_gate import UpstreamGate
 from rhubarbpaddle.routing import Candidate
 
 
@@ -11,10 +11,10 @@
     """Saves the hop when the chosen instance stands beside this node."""
 
     def __init__(
-        self, node_id: str, sidecar: Sidecar, remote: Dispatcher
+        self, node_id: str, gate: UpstreamGate, remote: Dispatcher
     ) -> None:
         self._node_id = node_id
-        self._sidecar = sidecar
+        self._gate = gate
         self._remote = remote
 
     def dispatch(
@@ -22,7 +22,7 @@
     ) -> AbstractAsyncContextManager[Response]:
         """Sends a request and returns its answer."""
         if candidate.node_id == self._node_id:
-            return self._sidecar.handle(
+            return self._gate.handle(
                 request, body, candidate.instance, candidate.incarnation
             )
         return self._remote.dispatch(request, body, candidate)
--- a/src/rhubarbpaddle/node/seed_stream.py
+++ b/src/rhubarbpaddle/node/seed_stream.py
@@ -8,7 +8,7 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
-from rhubarbpaddle.platform import LogClient
+from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.telemetry import get_logger
 
 STREAM = "membership"
--- a/src/rhubarbpaddle/node/shutdown.py
+++ b/src/rhubarbpaddle/node/shutdown.py
@@ -26,6 +26,7 @@
         work: Mapping[str, WorkCount],
         clock: Clock,
         grace: timedelta,
+        notice: timedelta = NOTICE,
     ) -> None:
         """Prepares a shutdown.
 
@@ -36,7 +37,9 @@
             work: What has to end before the node may, by name for the log.
             clock: The source of time.
             grace: How long the shutdown may take.
+            notice: How long the node still takes callers' new requests.
         """
+        self._notice = notice
         self._leave = leave
         self._drain_callers = drain_callers
         self._work = work
@@ -52,7 +55,7 @@
         started = self._clock.monotonic()
         self._leave()
         with trio.move_on_after(self._grace.total_seconds()) as limit:
-            await self._clock.sleep(min(NOTICE, self._grace / 2))
+            await self._clock.sleep(min(self._notice, self._grace / 2))
             self._drain_callers()
             # Work of one kind can start work of another: the end of a caller's
             # request starts the report of its claim.
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -3,7 +3,6 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import AcceptedConfiguration
 from rhubarbpaddle.exceptions import ConfigurationError, ProtocolError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.strike_update import StrikeUpdate
@@ -162,7 +161,7 @@
         if accepted is not None and accepted.version >= update.version:
             return
         try:
-            newer = AcceptedConfiguration.from_text(
+            self._configuration.adopt_text(
                 update.version, update.text, update.as_of
             )
         except ConfigurationError as exc:
@@ -171,4 +170,3 @@
                 step="adopt_configuration",
                 peer=self.peer_id,
             ) from exc
-        self._configuration.adopt(newer)
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -1,5 +1,6 @@
 """The sidecar's side of exchanges."""
 
+import math
 from collections.abc import AsyncIterator
 from datetime import timedelta
 
@@ -13,7 +14,7 @@
 )
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
 from rhubarbpaddle.execution.lost_body import make_lost_body
-from rhubarbpaddle.execution.sidecar import Sidecar
+from rhubarbpaddle.execution.upstream_gate import UpstreamGate
 from rhubarbpaddle.peer.call_body import CallBody
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.messages import (
@@ -43,9 +44,9 @@
     """
 
     def __init__(
-        self, sidecar: Sidecar, clock: Clock, watch: StreamWatch
+        self, gate: UpstreamGate, clock: Clock, watch: StreamWatch
     ) -> None:
-        self._sidecar = sidecar
+        self._gate = gate
         self._clock = clock
         self._watch = watch
         self.work = WorkCount()
@@ -98,7 +99,7 @@
     ) -> None:
         request = self._to_request(call)
         try:
-            async with self._sidecar.handle(
+            async with self._gate.handle(
                 request, body, call.instance, call.incarnation
             ) as response:
                 await self._send_response(conn, call.request_id, response)
@@ -129,6 +130,10 @@
         await conn.send(BodyEnd(request_id))
 
     def _to_request(self, call: Call) -> Request:
+        now = self._clock.monotonic()
+        useful_until = math.inf
+        if call.useful_left_ms is not None:
+            useful_until = now + call.useful_left_ms / 1000
         return Request(
             request_id=call.request_id,
             tenant=call.tenant,
@@ -136,7 +141,7 @@
             method=call.method,
             target=call.target,
             headers=call.headers,
-            deadline=self._clock.monotonic() + call.time_left_ms / 1000,
+            deadline=now + call.time_left_ms / 1000,
             idempotent=call.idempotent,
             key=call.key,
             attempt=call.attempt,
@@ -144,6 +149,10 @@
             may_queue=call.may_queue,
             claim=call.claim,
             fingerprint=call.fingerprint,
+            route=call.route,
+            priority=call.priority,
+            useful_until=useful_until,
+            calling_service=call.calling_service,
         )
 
     def _to_refusal(self, request_id: str, exc: RefusedError) -> Refusal:
@@ -156,7 +165,7 @@
             outcome=exc.outcome,
             retry_after_ms=exc.retry_after // timedelta(milliseconds=1),
             may_retry=exc.may_retry,
-            report=self._sidecar.get_report(),
+            report=self._gate.get_report(),
         )
 
 
--- a/src/rhubarbpaddle/peer/messages/call.py
+++ b/src/rhubarbpaddle/peer/messages/call.py
@@ -26,6 +26,11 @@
         configuration_version: The version in force at the gateway.
         body: The body, or None if it follows in parts after `Admitted`.
         body_length: Bytes that follow, or None if that is not known.
+        route: The route that the request came by, or the empty string.
+        priority: The rank of its route, 0 for the most urgent.
+        useful_left_ms: Milliseconds until an answer is worth much less, or
+            None if there is no such time before the deadline.
+        calling_service: The service on the host where the request began.
     """
 
     request_id: str
@@ -47,3 +52,7 @@
     configuration_version: int
     body: bytes | None
     body_length: int | None
+    route: str = ""
+    priority: int = 0
+    useful_left_ms: int | None = None
+    calling_service: str = ""
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -154,7 +154,10 @@
         if isinstance(body, BytesBody):
             inline = body.content
             assert len(inline) <= INLINE_BODY_BYTES
-        time_left = request.deadline - self._clock.monotonic()
+        now = self._clock.monotonic()
+        useful_left_ms = None
+        if math.isfinite(request.useful_until):
+            useful_left_ms = int((request.useful_until - now) * 1000)
         return Call(
             request_id=request.request_id,
             tenant=request.tenant,
@@ -164,7 +167,7 @@
             method=request.method,
             target=request.target,
             headers=request.headers,
-            time_left_ms=int(time_left * 1000),
+            time_left_ms=int((request.deadline - now) * 1000),
             idempotent=request.idempotent,
             key=request.key,
             attempt=request.attempt,
@@ -175,6 +178,10 @@
             configuration_version=self._get_version(),
             body=inline,
             body_length=body.length,
+            route=request.route,
+            priority=request.priority,
+            useful_left_ms=useful_left_ms,
+            calling_service=request.calling_service,
         )
 
 
--- /dev/null
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -0,0 +1,125 @@
+"""The platform's headers between callers and a node."""
+
+import re
+from collections.abc import Callable
+
+import h11
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration import RouteKind, RoutingConfiguration
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution import Headers, Request
+from rhubarbpaddle.http.headers import get_header, remove_hop_by_hop
+from rhubarbpaddle.http.strict_head import make_bad_request
+from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.platform import header_names
+from rhubarbpaddle.routing.traffic_split import TrafficSplit
+
+# Written anew by the node beside the instance.
+_REPLACED = frozenset(
+    {
+        b"content-length",
+        b"expect",
+        header_names.CALLING_SERVICE,
+        header_names.DEADLINE,
+        header_names.EXPECTED_INSTANCE,
+    }
+)
+_NUMBER = re.compile(r"[0-9]{1,9}")
+# These promise that the request has not run and never will.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+class PlatformCallerDialect:
+    """Finds a request's route and tells of refusals by status alone."""
+
+    def __init__(
+        self,
+        service: Callable[[], str],
+        clock: Clock,
+        split: TrafficSplit,
+        get_configuration: Callable[[], RoutingConfiguration | None],
+    ) -> None:
+        """Makes the dialect of one host.
+
+        Args:
+            service: Returns the service of the instance on this host.
+            clock: The source of time.
+            split: Divides the requests of a route.
+            get_configuration: Returns the configuration in force.
+        """
+        self._service = service
+        self._clock = clock
+        self._split = split
+        self._get_configuration = get_configuration
+
+    def get_request_id(self, head: h11.Request) -> str:
+        """Returns the id that the caller gave."""
+        return get_header(list(head.headers), header_names.REQUEST_ID) or "-"
+
+    def make_request(
+        self, head: h11.Request, address: str, request_id: str
+    ) -> Request:
+        """Returns the request that a head stands for."""
+        cfg = self._get_configuration()
+        if cfg is None:
+            raise RefusedError(
+                "not_ready", "no configuration is in force", step="route"
+            )
+        received = remove_hop_by_hop(head.headers)
+        target = head.target.decode("ascii")
+        host = get_header(received, b"host") or ""
+        route = cfg.routes.find(host, target)
+        if route is None:
+            raise RefusedError(
+                "no_route",
+                f"no route for {host}{target}",
+                step="route",
+                status=404,
+            )
+        now = self._clock.monotonic()
+        timeout = route.timeout.total_seconds()
+        wanted = get_header(received, header_names.DEADLINE)
+        if wanted is not None:
+            if not _NUMBER.fullmatch(wanted):
+                raise make_bad_request("the deadline is not a whole number")
+            timeout = min(timeout, int(wanted) / 1000)
+        useful = min(timeout, route.latency_target.total_seconds())
+        return Request(
+            request_id=request_id,
+            tenant="",
+            service=self._split.choose(route),
+            method=head.method.decode("ascii"),
+            target=target,
+            headers=[item for item in received if item[0] not in _REPLACED],
+            deadline=now + timeout,
+            idempotent=route.kind is RouteKind.IDEMPOTENT,
+            route=route.name,
+            priority=route.priority,
+            useful_until=now + useful,
+            max_attempts=route.max_attempts,
+            calling_service=self._service(),
+        )
+
+    def make_refusal(
+        self, exc: RefusedError, request_id: str
+    ) -> tuple[int, Headers, bytes]:
+        """Returns an answer without a body."""
+        status = exc.status
+        if exc.outcome is not Outcome.NOT_RUN and status in _PROMISES:
+            status = 502
+        headers: Headers = []
+        if request_id != "-":
+            headers.append((header_names.REQUEST_ID, request_id.encode()))
+        if status in (429, 503):
+            seconds = exc.retry_after.total_seconds()
+            headers.append((b"retry-after", b"%.3f" % seconds))
+        return status, headers, b""
+
+    def get_label(self, request: Request) -> str:
+        """Returns the route."""
+        return request.route
+
+    def get_answer_headers(self) -> Headers:
+        """Returns no headers; answers are passed on as they are."""
+        return []
--- /dev/null
+++ b/src/rhubarbpaddle/platform/configuration_document.py
@@ -0,0 +1,117 @@
+"""The operators' configuration as the platform writes it."""
+
+import json
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Any
+
+from rhubarbpaddle.configuration import (
+    Route,
+    RouteKind,
+    RouteTable,
+    RoutingConfiguration,
+    ServiceLimits,
+    WeightedService,
+)
+from rhubarbpaddle.exceptions import ConfigurationError
+
+
+def parse_configuration_document(
+    text: bytes | str, withdrawn_zones: Iterable[str] = ()
+) -> RoutingConfiguration:
+    """Decodes a whole configuration.
+
+    Args:
+        text: The JSON document.
+        withdrawn_zones: Availability zones that get no new work.
+
+    Raises:
+        ConfigurationError: A field is missing or has a wrong type or value.
+    """
+    try:
+        document = json.loads(text)
+        entries = document["resources"]
+        limits = next(
+            entry["spec"] for entry in entries if entry["entryKind"] == "limits"
+        )
+        return RoutingConfiguration(
+            version=parse_version(document["version"]),
+            routes=RouteTable.from_routes(
+                _parse_route(entry["metadata"]["name"], entry["spec"])
+                for entry in entries
+                if entry["entryKind"] == "routes"
+            ),
+            services={
+                entry["metadata"]["name"]: _parse_limits(
+                    entry["metadata"]["name"], entry["spec"]
+                )
+                for entry in entries
+                if entry["entryKind"] == "services"
+            },
+            head_bytes=int(limits["maxHeaderBytes"]),
+            body_bytes=int(limits["maxBodyBytes"]),
+            head_timeout=_parse_ms(limits["headerTimeoutMs"]),
+            idle_timeout=_parse_ms(limits["idleTimeoutMs"]),
+            withdrawn_zones=frozenset(withdrawn_zones),
+        )
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        StopIteration,
+    ) as exc:
+        raise ConfigurationError(
+            f"the configuration can't be read: {exc!r}",
+            step="parse_configuration",
+        ) from exc
+
+
+def parse_version(text: str) -> int:
+    """Returns the number of a version, written as `r` and a number.
+
+    Raises:
+        ValueError: It has another form.
+    """
+    if text[:1] != "r":
+        raise ValueError(f"not a version: {text!r}")
+    return int(text[1:])
+
+
+def _parse_route(name: str, spec: dict[str, Any]) -> Route:
+    parts: tuple[WeightedService, ...]
+    if spec.get("trafficSplit"):
+        parts = tuple(
+            WeightedService(str(part["service"]), float(part["weight"]))
+            for part in spec["trafficSplit"]
+            if float(part["weight"]) > 0
+        )
+        if not parts:
+            raise ValueError(f"route {name}: no part has a weight")
+    else:
+        parts = (WeightedService(str(spec["service"]), 1.0),)
+    return Route(
+        name=str(name),
+        host=str(spec["host"]).lower(),
+        path_prefix=str(spec["pathPrefix"]),
+        kind=RouteKind(spec["kind"]),
+        parts=parts,
+        timeout=_parse_ms(spec["timeoutMs"]),
+        latency_target=_parse_ms(spec["targetLatencyMs"]),
+        priority=int(spec["priority"]),
+        max_attempts=int(spec["maxAttempts"]),
+    )
+
+
+def _parse_limits(name: str, spec: dict[str, Any]) -> ServiceLimits:
+    return ServiceLimits(
+        service=str(name),
+        health_path=str(spec["healthPath"]),
+        connections=int(spec["maxConnections"]),
+        cold_start=timedelta(seconds=float(spec["coldStartS"])),
+        cold_rate=float(spec["coldPerS"]),
+    )
+
+
+def _parse_ms(value: float) -> timedelta:
+    return timedelta(milliseconds=float(value))
--- /dev/null
+++ b/src/rhubarbpaddle/platform/node.py
@@ -0,0 +1,293 @@
+"""A node that runs on the users' platform: its parts and its tasks."""
+
+import os
+import random
+from datetime import timedelta
+from pathlib import Path
+from typing import Self
+
+import h11
+import trio
+from trio import TaskStatus
+
+from rhubarbpaddle.clock import Clock, SystemClock
+from rhubarbpaddle.configuration import RoutingConfiguration, ServiceLimits
+from rhubarbpaddle.exceptions import SettingsError
+from rhubarbpaddle.execution.crash_ledger import CrashLedger
+from rhubarbpaddle.execution.instance_door import InstanceDoor
+from rhubarbpaddle.execution.route_gateway import RouteGateway
+from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
+from rhubarbpaddle.http import CallerHandler
+from rhubarbpaddle.http.limits import CallerLimits
+from rhubarbpaddle.http.request_responder import RequestResponder, ShortAnswer
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    Suspicion,
+)
+from rhubarbpaddle.network import Network, TcpNetwork
+from rhubarbpaddle.node.instance_registry import InstanceRegistry
+from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
+from rhubarbpaddle.node.shutdown import Shutdown
+from rhubarbpaddle.node.signals import run_until_signal
+from rhubarbpaddle.peer import (
+    ExchangeServer,
+    Overlay,
+    PeerIdentity,
+    PeerListener,
+    PeerPool,
+    RemoteDispatcher,
+)
+from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
+from rhubarbpaddle.platform.node_directory import NodeDirectory
+from rhubarbpaddle.platform.operator_follower import OperatorFollower
+from rhubarbpaddle.platform.report_handler import ReportHandler
+from rhubarbpaddle.platform.settings import SETTINGS_VARIABLE, PlatformSettings
+from rhubarbpaddle.platform.store_client import StoreClient
+from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
+from rhubarbpaddle.routing.instance_router import InstanceRouter
+from rhubarbpaddle.routing.traffic_split import TrafficSplit
+from rhubarbpaddle.stream_watch import StreamWatch
+from rhubarbpaddle.telemetry import Metrics, get_logger
+
+_CLUSTER = "platform"
+# The platform gives nodes no secret; its network admits only its machines.
+_SECRET = b"-"
+# The readiness check comes once a second and takes a node out after two
+# misses.
+_NOTICE = timedelta(seconds=3)
+# Leaves time to end before the process is killed.
+_GRACE_MARGIN = timedelta(milliseconds=500)
+_SETTINGS_INTERVAL = timedelta(seconds=1)
+# Callers reuse connections for up to four fifths of the idle limit, which may
+# change while a connection waits.
+_IDLE_SECONDS = 120.0
+
+_log = get_logger("node")
+
+
+class PlatformNode:
+    """Serves callers, other nodes and the instance on one host."""
+
+    def __init__(
+        self,
+        path: Path,
+        settings: PlatformSettings,
+        network: Network,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._path = path
+        self.settings = settings
+        self._network = network
+        self._clock = clock
+        self._stopping = False
+        incarnation = int(clock.now().timestamp() * 1_000_000)
+        self.table = MemberTable(_make_own_member(settings, incarnation))
+        crashes = CrashLedger(settings.node_id, clock)
+        self.door = InstanceDoor(
+            clock, crashes, self._note_lost, get_logger("door")
+        )
+        store = StoreClient(network, settings.store_address)
+        self.configuration = OperatorFollower(
+            store, clock, rng, self._apply_configuration
+        )
+        self._directory = NodeDirectory(
+            settings.node_id, settings.peer_address, store, clock, rng
+        )
+        identity = PeerIdentity(
+            _CLUSTER, settings.node_id, incarnation, _SECRET
+        )
+        connector = PeerConnector(network, identity)
+        self.overlay = Overlay(
+            connector,
+            self.table,
+            Suspicion(self.table, clock),
+            self.configuration,
+            clock,
+            rng,
+            self._directory.get_addresses,
+            crashes,
+        )
+        self.registry = InstanceRegistry(
+            settings.instance_address,
+            self.door,
+            self.table,
+            network,
+            clock,
+            PlatformUpstreamDialect(self._get_instance),
+            self._get_limits,
+        )
+        pool = PeerPool(network, connector, clock)
+        remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
+        gateway = RouteGateway(
+            InstanceRouter(self.table, clock, rng, self._is_in_service),
+            NodeDispatcher(settings.node_id, self.door, remote),
+            SharedRetryBudget(
+                settings.retry_terms, clock, lambda: len(self.table)
+            ),
+            clock,
+            get_logger("gateway"),
+        )
+        self.metrics = Metrics()
+        self._watch = StreamWatch(network, clock)
+        self._callers = CallerHandler(
+            gateway,
+            clock,
+            self.metrics,
+            PlatformCallerDialect(
+                lambda: self.settings.service,
+                clock,
+                TrafficSplit(rng),
+                self.configuration.get_configuration,
+            ),
+            network,
+            self._watch,
+            CallerLimits(idle_seconds=_IDLE_SECONDS, keeps_half_closed=False),
+        )
+        exchanges = ExchangeServer(self.door, clock, self._watch)
+        self._peers = PeerListener(
+            identity, {"exchange": exchanges, "control": self.overlay}
+        )
+        self._shutdown = Shutdown(
+            self._leave,
+            self._callers.drain,
+            {"callers": self._callers.work, "exchanges": exchanges.work},
+            clock,
+            settings.shutdown_grace - _GRACE_MARGIN,
+            _NOTICE,
+        )
+
+    @classmethod
+    def from_environment(cls) -> Self:
+        """Makes a node from the settings file that the platform names.
+
+        Raises:
+            SettingsError: The file is not named or is invalid.
+        """
+        name = os.environ.get(SETTINGS_VARIABLE)
+        if not name:
+            raise SettingsError(
+                f"{SETTINGS_VARIABLE} is not set", step="load_settings"
+            )
+        path = Path(name)
+        settings = PlatformSettings.from_file(path)
+        return cls(path, settings, TcpNetwork(), SystemClock(), random.Random())
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs all tasks until cancelled."""
+        settings = self.settings
+        reports = RequestResponder(ReportHandler(self.registry).answer)
+        readiness = RequestResponder(self._answer_readiness)
+        listeners = (
+            (settings.peer_address, self._peers.handle),
+            (settings.report_address, reports.handle),
+            (settings.caller_address, self._callers.handle),
+            (settings.readiness_address, readiness.handle),
+        )
+        async with trio.open_nursery() as nursery:
+            for address, handler in listeners:
+                await nursery.start(self._network.serve, address, handler)
+            nursery.start_soon(self.configuration.run)
+            nursery.start_soon(self._directory.run)
+            nursery.start_soon(self.overlay.run)
+            nursery.start_soon(self._watch.run)
+            nursery.start_soon(self.registry.run)
+            nursery.start_soon(self._watch_settings)
+            _log.info("node_started", node=settings.node_id)
+            task_status.started()
+
+    async def run_until_signal(self) -> bool:
+        """Runs until SIGTERM or SIGINT; see `signals.run_until_signal`."""
+        return await run_until_signal(
+            self.run, self._shutdown.run, self.reload_settings
+        )
+
+    def reload_settings(self) -> None:
+        """Takes over what has changed in the settings file."""
+        try:
+            settings = PlatformSettings.from_file(self._path)
+        except SettingsError as exc:
+            _log.warn("settings_invalid", error=exc)
+            return
+        changed = [
+            name
+            for name, old, new in zip(
+                settings._fields, self.settings, settings, strict=True
+            )
+            if old != new
+        ]
+        self.settings = settings
+        _log.info("settings_reloaded", changed=",".join(changed))
+
+    async def _watch_settings(self) -> None:
+        """Notices changes of the file that come without a signal."""
+        seen = self._read_change_time()
+        while True:
+            await self._clock.sleep(_SETTINGS_INTERVAL)
+            found = self._read_change_time()
+            if found != seen:
+                seen = found
+                self.reload_settings()
+
+    def _read_change_time(self) -> int:
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError as exc:
+            _log.warn("settings_unreadable", reason=exc)
+            return 0
+
+    async def _answer_readiness(
+        self, head: h11.Request, content: bytes
+    ) -> ShortAnswer:
+        if head.target == b"/metrics":
+            return 200, b"text/plain; version=0.0.4", self.metrics.render()
+        if self._stopping:
+            return 503, b"text/plain", b"shutting down\n"
+        if self.configuration.get_configuration() is None:
+            return 503, b"text/plain", b"no configuration\n"
+        return 200, b"text/plain", b"ready\n"
+
+    def _leave(self) -> None:
+        self._stopping = True
+        self.door.leaving = True
+        self.table.update_own(status=MemberStatus.LEAVING)
+
+    def _apply_configuration(self, cfg: RoutingConfiguration) -> None:
+        zone = self.settings.availability_zone
+        self.door.in_service = cfg.is_in_service(zone)
+        self.registry.apply_limits()
+        self.overlay.wake()
+
+    def _is_in_service(self, availability_zone: str) -> bool:
+        cfg = self.configuration.get_configuration()
+        return cfg is None or cfg.is_in_service(availability_zone)
+
+    def _get_limits(self, service: str) -> ServiceLimits | None:
+        cfg = self.configuration.get_configuration()
+        return cfg.services.get(service) if cfg else None
+
+    def _get_instance(self) -> str | None:
+        attached = self.door.attached
+        return attached.summary.instance if attached else None
+
+    def _note_lost(self) -> None:
+        self.registry.note_lost()
+
+
+def _make_own_member(settings: PlatformSettings, incarnation: int) -> Member:
+    return Member(
+        node_id=settings.node_id,
+        incarnation=incarnation,
+        version=1,
+        status=MemberStatus.ALIVE,
+        host=settings.node_id,
+        availability_zone=settings.availability_zone,
+        peer_address=settings.peer_address,
+        admin_address=settings.readiness_address,
+        upstream=None,
+    )
--- /dev/null
+++ b/src/rhubarbpaddle/platform/operator_follower.py
@@ -0,0 +1,158 @@
+"""Follows what operators write to the store."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration import RoutingConfiguration
+from rhubarbpaddle.exceptions import ConfigurationError, RhubarbpaddleError
+from rhubarbpaddle.node.backoff import Backoff
+from rhubarbpaddle.platform.operator_state import OperatorState
+from rhubarbpaddle.platform.store_client import HistoryLostError, StoreClient
+from rhubarbpaddle.telemetry import get_logger
+
+_TOPIC = "keyed.op"
+# A read is a priced call, and the store waits for 30 s at most.
+_WAIT = timedelta(seconds=25)
+# Half of the 2 s in which an accepted configuration has to be in force.
+_BACKOFF_LIMIT = timedelta(seconds=1)
+
+_log = get_logger("configuration")
+
+
+class OperatorFollower:
+    """Holds the configuration in force, from the store or from peers."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        clock: Clock,
+        rng: random.Random,
+        on_change: Callable[[RoutingConfiguration], None],
+    ) -> None:
+        """Makes a follower that knows nothing yet.
+
+        Args:
+            store: The platform's store.
+            clock: The source of time.
+            rng: The source of jitter.
+            on_change: Called with each configuration that comes into force.
+        """
+        self._store = store
+        self._clock = clock
+        self._on_change = on_change
+        self._backoff = Backoff(rng, _BACKOFF_LIMIT)
+        self._records: dict[str, bytes] = {}
+        self._end: int | None = None
+        self._reachable = True
+        self.state: OperatorState | None = None
+
+    def get_accepted(self) -> OperatorState | None:
+        """Returns the state in force, for peers."""
+        return self.state
+
+    def get_version(self) -> int:
+        """Returns the place of the state in the order of all, or 0."""
+        return self.state.version if self.state else 0
+
+    def get_configuration(self) -> RoutingConfiguration | None:
+        """Returns the configuration in force."""
+        return self.state.configuration if self.state else None
+
+    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
+        """Takes a peer's state if it is newer."""
+        if version <= self.get_version():
+            return False
+        state = OperatorState.from_text(text, version)
+        if not self._put_in_force(state, "peer"):
+            return False
+        if self._end is not None and self._end < version:
+            self._records = state.get_records()
+            self._end = version
+        return True
+
+    async def run(self) -> None:
+        """Reads the topic for as long as the node runs."""
+        while True:
+            try:
+                if self._end is None:
+                    await self._read_all()
+                else:
+                    await self._read_on(self._end)
+                self._note_reachable(None)
+                self._backoff.reset()
+            except HistoryLostError:
+                _log.info("configuration_history_lost", offset=self._end)
+                self._end = None
+            except RhubarbpaddleError as exc:
+                self._note_reachable(exc)
+                await self._clock.sleep(self._backoff.next_delay())
+
+    async def _read_all(self) -> None:
+        newest = await self._store.read_newest(_TOPIC)
+        self._records = {record.key: record.value for record in newest.records}
+        self._end = newest.end
+        self._apply()
+
+    async def _read_on(self, start: int) -> None:
+        end, records = await self._store.read(_TOPIC, start, _WAIT)
+        if self._end != start:
+            # A peer's newer state was adopted during the read.
+            records = (
+                [record for record in records if record.offset >= self._end]
+                if self._end is not None
+                else []
+            )
+        if not records:
+            return
+        for record in records:
+            if record.value:
+                self._records[record.key] = record.value
+            else:
+                self._records.pop(record.key, None)
+        self._end = max(end, self._end or 0)
+        self._apply()
+
+    def _apply(self) -> None:
+        assert self._end is not None
+        if self._end <= self.get_version():
+            return
+        try:
+            state = OperatorState.from_records(self._records, self._end)
+        except ConfigurationError as exc:
+            _log.warn("configuration_invalid", offset=self._end, error=exc)
+            return
+        self._put_in_force(state, "store")
+
+    def _put_in_force(self, state: OperatorState, source: str) -> bool:
+        held = self.get_configuration()
+        cfg = state.configuration
+        if held is not None and cfg.version < held.version:
+            _log.warn(
+                "configuration_older",
+                version=cfg.version,
+                held=held.version,
+                source=source,
+            )
+            return False
+        self.state = state
+        _log.info(
+            "configuration_in_force",
+            version=cfg.version,
+            offset=state.version,
+            source=source,
+            routes=len(cfg.routes),
+            withdrawn_zones=",".join(sorted(cfg.withdrawn_zones)),
+        )
+        self._on_change(cfg)
+        return True
+
+    def _note_reachable(self, exc: RhubarbpaddleError | None) -> None:
+        if exc is None:
+            if not self._reachable:
+                _log.info("store_regained")
+            self._reachable = True
+        elif self._reachable:
+            self._reachable = False
+            _log.warn("store_lost", error=exc)
--- /dev/null
+++ b/src/rhubarbpaddle/platform/report_document.py
@@ -0,0 +1,83 @@
+"""An instance's status report as the platform writes it."""
+
+import json
+from datetime import timedelta
+from typing import Any
+
+from rhubarbpaddle.exceptions import ProtocolError
+from rhubarbpaddle.node.instance_report import InstanceReport
+
+_STATES = frozenset({"ready", "draining"})
+_STEP = "read_report"
+
+
+def parse_report(instance: str, content: bytes) -> InstanceReport:
+    """Decodes a status report.
+
+    Args:
+        instance: The id in the path of the call.
+        content: The body.
+
+    Raises:
+        ProtocolError: A field is missing or has a wrong type or value.
+    """
+    document = _load(content)
+    try:
+        state = document["state"]
+        if state not in _STATES:
+            raise ValueError(f"unknown state {state!r}")
+        slots = _get_number(document, "slots")
+        if slots < 1:
+            raise ValueError("no slots")
+        return InstanceReport(
+            instance=instance,
+            # The Unix millisecond of the instance's start.
+            incarnation=_get_number(document, "born"),
+            sequence=_get_number(document, "seq"),
+            service=_get_text(document, "service"),
+            slots=slots,
+            leaving=state == "draining",
+            cold_time=timedelta(
+                milliseconds=_get_number(document, "coldRemainingMs")
+            ),
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        raise ProtocolError(
+            f"a field is missing or wrong: {exc!r}", step=_STEP, peer=instance
+        ) from exc
+
+
+def parse_departure(instance: str, content: bytes) -> int | None:
+    """Returns the incarnation that a departing instance names, if any.
+
+    Raises:
+        ProtocolError: The body can't be read.
+    """
+    if not content.strip():
+        return None
+    born = _load(content).get("born")
+    return born if isinstance(born, int) else None
+
+
+def _load(content: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(content)
+    except ValueError as exc:
+        raise ProtocolError(str(exc), step=_STEP) from exc
+    if not isinstance(document, dict):
+        raise ProtocolError("the body is not an object", step=_STEP)
+    return document
+
+
+def _get_number(document: dict[str, Any], name: str) -> int:
+    value = document[name]
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{name} is not a number")
+    return int(value)
+
+
+def _get_text(document: dict[str, Any], name: str) -> str:
+    value = document[name]
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{name} is not a text")
+    return value
--- /dev/null
+++ b/src/rhubarbpaddle/platform/report_handler.py
@@ -0,0 +1,47 @@
+"""Takes the reports of the instance on this host."""
+
+import re
+
+import h11
+
+from rhubarbpaddle.exceptions import ProtocolError
+from rhubarbpaddle.http.request_responder import ShortAnswer
+from rhubarbpaddle.node.instance_registry import InstanceRegistry
+from rhubarbpaddle.platform.report_document import (
+    parse_departure,
+    parse_report,
+)
+from rhubarbpaddle.telemetry import get_logger
+
+_TARGET = re.compile(rb"/instances/([^/?]+)/(heartbeat|deregister)")
+_JSON = b"application/json"
+
+_log = get_logger("reports")
+
+
+class ReportHandler:
+    """Acknowledges status reports and departures."""
+
+    def __init__(self, registry: InstanceRegistry) -> None:
+        self._registry = registry
+
+    async def answer(self, head: h11.Request, content: bytes) -> ShortAnswer:
+        """Returns the answer to a call of the instance.
+
+        A report that can't be read is refused and names no instance; what is
+        known of the instance stays in force.
+        """
+        found = _TARGET.fullmatch(head.target)
+        if head.method != b"POST" or found is None:
+            return 404, _JSON, b"{}"
+        instance = found[1].decode("latin-1")
+        try:
+            if found[2] == b"heartbeat":
+                self._registry.take_report(parse_report(instance, content))
+            else:
+                incarnation = parse_departure(instance, content)
+                self._registry.take_departure(instance, incarnation)
+        except ProtocolError as exc:
+            _log.warn("report_invalid", instance=instance, error=exc)
+            return 400, _JSON, b"{}"
+        return 200, _JSON, b"{}"
--- /dev/null
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -0,0 +1,103 @@
+"""The settings file that the platform writes for each process."""
+
+import json
+from collections.abc import Mapping
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, NamedTuple, Self
+
+from rhubarbpaddle.exceptions import SettingsError
+from rhubarbpaddle.execution.shared_retry_budget import RetryTerms
+
+SETTINGS_VARIABLE = "RHUBARBPADDLE_SETTINGS"
+_STEP = "load_settings"
+
+
+class PlatformSettings(NamedTuple):
+    """What a process learns of its host and of the platform.
+
+    Attributes:
+        node_id: The platform's `node`: the name of the host, which is also
+            that of the only node on it.
+        availability_zone: The platform's `zone`.
+        service: The service of the instance on this host.
+        instance_address: The platform's `appAddr`: the instance's `IP:PORT`.
+        caller_address: The platform's `outbound`: for callers on this host.
+        peer_address: The platform's `inbound`: for other nodes.
+        readiness_address: For the platform's readiness check.
+        report_address: The platform's `control`: for the instance's reports.
+        store_address: The `IP:PORT` of the platform's store.
+        report_interval: The platform's `heartbeatMs`.
+        shutdown_grace: The platform's `graceS`: from SIGTERM to SIGKILL.
+        retry_terms: What all nodes together may repeat.
+        seeds: Report addresses of other hosts; may be stale.
+    """
+
+    node_id: str
+    availability_zone: str
+    service: str
+    instance_address: str
+    caller_address: str
+    peer_address: str
+    readiness_address: str
+    report_address: str
+    store_address: str
+    report_interval: timedelta
+    shutdown_grace: timedelta
+    retry_terms: RetryTerms
+    seeds: tuple[str, ...]
+
+    @classmethod
+    def from_file(cls, path: Path) -> Self:
+        """Loads the settings.
+
+        Raises:
+            SettingsError: The file can't be read, or a field is missing or has
+                a wrong type.
+        """
+        try:
+            document = json.loads(path.read_bytes())
+        except (OSError, ValueError) as exc:
+            raise SettingsError(str(exc), step=_STEP, peer=str(path)) from exc
+        try:
+            return cls.from_document(document)
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            raise SettingsError(
+                f"a field is missing or has a wrong type: {exc!r}",
+                step=_STEP,
+                peer=str(path),
+            ) from exc
+
+    @classmethod
+    def from_document(cls, document: Mapping[str, Any]) -> Self:
+        """Decodes the settings' four tables.
+
+        Raises:
+            KeyError: A field is missing.
+            TypeError: A field has a wrong type.
+            ValueError: A field has a wrong value.
+        """
+        local, network = document["local"], document["network"]
+        platform, bounds = document["platform"], document["terms"]["bounds"]
+        listen = network["listen"]
+        return cls(
+            node_id=str(local["node"]),
+            availability_zone=str(local["zone"]),
+            service=str(local["service"]),
+            instance_address=str(local["appAddr"]),
+            caller_address=str(listen["outbound"]),
+            peer_address=str(listen["inbound"]),
+            readiness_address=str(listen["readiness"]),
+            report_address=str(listen["control"]),
+            store_address=str(platform["platform"]["address"]),
+            report_interval=timedelta(
+                milliseconds=float(platform["heartbeatMs"])
+            ),
+            shutdown_grace=timedelta(seconds=float(bounds["graceS"])),
+            retry_terms=RetryTerms(
+                ratio=float(bounds["retryBudgetRatio"]),
+                slack=float(bounds["retryBudgetSlack"]),
+                window=timedelta(seconds=float(bounds["budgetWindowS"])),
+            ),
+            seeds=tuple(map(str, network["seeds"])),
+        )
--- /dev/null
+++ b/src/rhubarbpaddle/platform/store_client.py
@@ -0,0 +1,175 @@
+"""The client of the platform's store."""
+
+import base64
+import json
+from datetime import timedelta
+from typing import NamedTuple
+
+import trio
+
+from rhubarbpaddle.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    RhubarbpaddleError,
+)
+from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.http.service_client import ServiceClient
+from rhubarbpaddle.network import Network
+from rhubarbpaddle.platform.keyed_record import (
+    KeyedRecord,
+    encode_record,
+    parse_read,
+)
+
+# The store takes 4 ms where nothing ails it, and up to 100 times that where
+# it is slow.
+_ANSWER_SECONDS = 2.0
+_CONNECT_SECONDS = 1.0
+# Statuses that mean that nothing was done.
+_REFUSALS = frozenset({400, 403, 404, 412, 413, 429, 503, 507})
+
+
+class NewestRecords(NamedTuple):
+    """The newest record of each key of a topic.
+
+    Attributes:
+        records: The records; keys that were dropped are missing.
+        end: The partition's end when the reading began.
+    """
+
+    records: list[KeyedRecord]
+    end: int
+
+
+class HistoryLostError(LogUnavailableError):
+    """The records that were asked for have been deleted."""
+
+    code = "history_lost"
+
+
+class StoreClient:
+    """Reads and writes keyed topics, which have one partition."""
+
+    def __init__(self, network: Network, address: str) -> None:
+        self._service = ServiceClient(network, address, _CONNECT_SECONDS)
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Appends the value of a key.
+
+        Raises:
+            LogUnavailableError: Nothing was appended.
+            AppendUnknownError: The value may have been appended, or may yet
+                be appended later.
+        """
+        target = f"/log-append?topic={topic}&part=0"
+        conn = await self._acquire("append")
+        try:
+            with trio.fail_after(_ANSWER_SECONDS):
+                status, _ = await self._service.exchange(
+                    conn, "POST", target, encode_record(key, value)
+                )
+        except (trio.TooSlowError, RhubarbpaddleError) as exc:
+            raise AppendUnknownError(
+                f"no answer: {exc}", step="append", peer=self._service.address
+            ) from exc
+        finally:
+            await self._service.release(conn)
+        if status in _REFUSALS:
+            raise self._make_unavailable(f"status {status}", "append")
+        if status != 200:
+            raise AppendUnknownError(
+                f"status {status}", step="append", peer=self._service.address
+            )
+
+    async def read_newest(self, topic: str) -> NewestRecords:
+        """Returns the newest record of each key.
+
+        Raises:
+            LogUnavailableError: The store did not answer.
+        """
+        records: list[KeyedRecord] = []
+        end: int | None = None
+        after = ""
+        while True:
+            target = f"/log-newest?topic={topic}&part=0{after}"
+            status, answer = await self._get(target, timedelta())
+            if status != 200:
+                raise self._make_unavailable(f"status {status}", "read_newest")
+            try:
+                document = json.loads(answer)
+                page = [
+                    KeyedRecord(
+                        str(item["key"]),
+                        base64.b64decode(item["value"]),
+                        int(item["offset"]),
+                    )
+                    for item in document["items"]
+                ]
+                if end is None:
+                    end = int(document["end"])
+                has_more = bool(document["hasMore"]) and bool(page)
+            except (ValueError, KeyError, TypeError) as exc:
+                raise self._make_unavailable(
+                    f"the answer can't be read: {exc!r}", "read_newest"
+                ) from exc
+            records += page
+            if not has_more:
+                return NewestRecords(records, end)
+            after = f"&after={page[-1].key}"
+
+    async def read(
+        self, topic: str, start: int, wait: timedelta
+    ) -> tuple[int, list[KeyedRecord]]:
+        """Reads records from an offset on, and waits if there are none.
+
+        Args:
+            topic: The topic.
+            start: The first offset.
+            wait: How long the store may wait for a record.
+
+        Returns:
+            The offset after the last record that was read, and the records.
+
+        Raises:
+            HistoryLostError: Records from this offset on have been deleted.
+            LogUnavailableError: The store did not answer.
+        """
+        wait_ms = wait // timedelta(milliseconds=1)
+        target = f"/log-read?topic={topic}&part=0&from={start}&waitMs={wait_ms}"
+        status, answer = await self._get(target, wait)
+        if status == 410:
+            raise HistoryLostError(
+                "the records were deleted",
+                step="read_log",
+                peer=self._service.address,
+            )
+        if status != 200:
+            raise self._make_unavailable(f"status {status}", "read_log")
+        _, records = parse_read(answer, start)
+        return start + len(records), records
+
+    async def aclose(self) -> None:
+        """Closes all idle connections."""
+        await self._service.purge()
+
+    async def _get(self, target: str, wait: timedelta) -> tuple[int, bytes]:
+        conn = await self._acquire("read")
+        try:
+            with trio.fail_after(wait.total_seconds() + _ANSWER_SECONDS):
+                return await self._service.exchange(conn, "GET", target, b"")
+        except (trio.TooSlowError, RhubarbpaddleError) as exc:
+            await self._service.purge()
+            raise self._make_unavailable(f"no answer: {exc}", "read") from exc
+        finally:
+            await self._service.release(conn)
+
+    async def _acquire(self, step: str) -> ClientConnection:
+        try:
+            return await self._service.acquire()
+        except (OSError, trio.TooSlowError) as exc:
+            raise self._make_unavailable(f"no connection: {exc}", step) from exc
+
+    def _make_unavailable(self, detail: str, step: str) -> LogUnavailableError:
+        return LogUnavailableError(
+            detail, step=step, peer=self._service.address
+        )
--- /dev/null
+++ b/src/rhubarbpaddle/platform/upstream_dialect.py
@@ -0,0 +1,74 @@
+"""The platform's headers between a node and its instance."""
+
+import re
+from collections.abc import Callable
+from datetime import timedelta
+
+from rhubarbpaddle.execution import Headers, Request
+from rhubarbpaddle.http.headers import get_header
+from rhubarbpaddle.http.upstream_dialect import RawHeaders
+from rhubarbpaddle.measuring.instance_reading import InstanceReading
+from rhubarbpaddle.platform import header_names
+
+_RETRY_AFTER = timedelta(milliseconds=100)
+_LOAD = re.compile(r"\s*(\d+)\s*,\s*(\d+)\s*,\s*(\d+)\s*(?:,\s*(\d+)\s*)?")
+_USUAL_PACE = 100.0
+_NUMBER = re.compile(r"[0-9]{1,9}")
+
+
+class PlatformUpstreamDialect:
+    """Names the expected instance and reads what the instance says."""
+
+    def __init__(self, get_instance: Callable[[], str | None]) -> None:
+        """Makes the dialect of one host.
+
+        Args:
+            get_instance: Returns the id of the instance beside this node.
+        """
+        self._get_instance = get_instance
+
+    def make_headers(self, request: Request, time_left: float) -> Headers:
+        """Returns the headers to send."""
+        headers = [
+            *request.headers,
+            (header_names.DEADLINE, b"%d" % max(1, int(time_left * 1000))),
+            (header_names.CALLING_SERVICE, request.calling_service.encode()),
+        ]
+        instance = self._get_instance()
+        if instance is not None:
+            headers.append((header_names.EXPECTED_INSTANCE, instance.encode()))
+        return headers
+
+    def is_answer(self, request: Request, headers: RawHeaders) -> bool:
+        """Returns whether an answer bears the request's id, or none."""
+        request_id = get_header(list(headers), header_names.REQUEST_ID)
+        return request_id in (None, request.request_id)
+
+    def read_refusal(
+        self, status: int, headers: RawHeaders
+    ) -> timedelta | None:
+        """Returns when to come back if the instance ran nothing."""
+        not_run = get_header(list(headers), header_names.NOT_RUN) is not None
+        if status == 421 or (not_run and status in (400, 429, 503)):
+            return _RETRY_AFTER
+        return None
+
+    def read_load(self, headers: RawHeaders) -> InstanceReading | None:
+        """Returns what the headers of an answer say of the load."""
+        received = list(headers)
+        found = _LOAD.fullmatch(get_header(received, header_names.LOAD) or "")
+        if found is None:
+            return None
+        running, waiting, slots, pace = found.groups()
+        cold = get_header(received, header_names.COLD)
+        cold_seconds = None
+        if cold is not None and _NUMBER.fullmatch(cold):
+            cold_seconds = int(cold) / 1000
+        return InstanceReading(
+            instance=get_header(received, header_names.INSTANCE),
+            running=int(running),
+            waiting=int(waiting),
+            slots=int(slots),
+            pace=int(pace) / _USUAL_PACE if pace else 1.0,
+            cold_seconds=cold_seconds,
+        )
--- /dev/null
+++ b/src/rhubarbpaddle/routing/instance_router.py
@@ -0,0 +1,118 @@
+"""Chooses the instance that will most likely serve a request in time."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Collection, Iterator
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.measuring import LoadReport
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    UpstreamState,
+)
+from rhubarbpaddle.routing.candidate import Candidate
+from rhubarbpaddle.routing.instance_view import InstanceView
+
+_TAKES_WORK = (UpstreamState.COLD, UpstreamState.WARM)
+_UNREACHED = frozenset({"peer_unreachable", "peer_lost", "peer_silent"})
+
+
+class InstanceRouter:
+    """Prefers the own availability zone while an instance there has room.
+
+    The node beside the chosen instance knows the load of the moment and
+    refuses at once, so a wrong guess costs a round trip and no work.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        clock: Clock,
+        rng: random.Random,
+        is_in_service: Callable[[str], bool],
+    ) -> None:
+        """Makes a router.
+
+        Args:
+            table: The nodes and their instances.
+            clock: The source of time.
+            rng: Breaks ties, so that nodes do not choose alike.
+            is_in_service: Returns whether a zone may get new work.
+        """
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._is_in_service = is_in_service
+        self._views: defaultdict[str, InstanceView] = defaultdict(InstanceView)
+
+    def choose(self, service: str, tried: Collection[str]) -> Candidate | None:
+        """Returns the instance for the next try, or None if none is left.
+
+        Args:
+            service: The service that the request is for.
+            tried: Node ids that must not be chosen.
+        """
+        members = [
+            member
+            for member in self._iter_members(service)
+            if member.node_id not in tried
+        ]
+        if not members:
+            return None
+        now = self._clock.monotonic()
+        return Candidate.from_member(
+            min(members, key=lambda member: self._rank(member, now))
+        )
+
+    def has_instance(self, service: str) -> bool:
+        """Returns whether any instance of a service takes work."""
+        return any(self._iter_members(service))
+
+    def started(self, candidate: Candidate) -> None:
+        """Notes that a request was sent to the candidate."""
+        self._views[candidate.node_id].outstanding += 1
+
+    def finished(
+        self, candidate: Candidate, report: LoadReport | None, code: str = ""
+    ) -> None:
+        """Notes the end of a request.
+
+        Args:
+            candidate: The instance that the request was sent to.
+            report: The load that came back, if any did.
+            code: The code of the refusal, or the empty string.
+        """
+        view = self._views[candidate.node_id]
+        view.outstanding -= 1
+        now = self._clock.monotonic()
+        if report is not None:
+            view.note_report(report, now)
+        elif code in _UNREACHED:
+            view.avoid(now)
+
+    def _iter_members(self, service: str) -> Iterator[Member]:
+        for member in self._table:
+            upstream = member.upstream
+            if (
+                upstream is not None
+                and upstream.service == service
+                and upstream.state in _TAKES_WORK
+                and member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+                and self._is_in_service(member.availability_zone)
+            ):
+                yield member
+
+    def _rank(self, member: Member, now: float) -> tuple[float, ...]:
+        assert member.upstream is not None
+        view = self._views[member.node_id]
+        own_zone = self._table.own.availability_zone
+        return (
+            member.status is MemberStatus.SUSPECT or view.is_avoided(now),
+            view.is_busy(now),
+            view.is_cold(),
+            member.availability_zone != own_zone,
+            view.get_load(member.upstream.slots, now),
+            self._rng.random(),
+        )
--- a/src/rhubarbpaddle/telemetry/log_output.py
+++ b/src/rhubarbpaddle/telemetry/log_output.py
@@ -1,7 +1,7 @@
 """Where log lines go."""
 
 import sys
-from typing import Self
+from typing import Self, TextIO
 
 import logbook
 
@@ -12,16 +12,21 @@
 
 
 class LogOutput:
-    """Writes log lines to the standard error stream."""
+    """Writes log lines to a standard stream."""
 
-    def __init__(self, level: str) -> None:
-        self._handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    def __init__(self, level: str, stream: TextIO) -> None:
+        self._handler = logbook.StreamHandler(stream, level=level.upper())
         self._handler.format_string = _FORMAT
 
     @classmethod
-    def from_level(cls, level: str) -> Self:
-        """Makes an output for events of at least this level."""
-        return cls(level)
+    def from_level(cls, level: str, stream: TextIO | None = None) -> Self:
+        """Makes an output for events of at least this level.
+
+        Args:
+            level: The level's name.
+            stream: Where the lines go; the standard error stream if None.
+        """
+        return cls(level, stream or sys.stderr)
 
     def install(self) -> None:
         """Sends the log lines of the whole process to this output."""
