--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -1,5 +1,6 @@
 """Admission by the slots, the pace and the cold start of an instance."""
 
+import math
 from datetime import timedelta
 
 import trio
@@ -192,7 +193,9 @@
         if self.in_flight + ahead < limit:
             return 0.0
         turns = ahead + 1 + self.in_flight - limit
-        return max(1, turns) * self._times.get_mean() / limit
+        # Requests of a burst end together, so that only whole rounds count.
+        rounds = math.ceil(max(1, turns) / limit)
+        return rounds * self._times.get_mean()
 
     def _get_waiting_limit(self) -> int:
         return self.limit if self._crowding.is_harmful() else self.slots
@@ -204,8 +207,14 @@
         self, waiting: WaitingRequest, ticket: Ticket, work: float
     ) -> None:
         now = self._clock.monotonic()
-        late = now > waiting.latest_start and not self._is_first(waiting)
-        if late or now + work > ticket.deadline:
+        # A slow instance has room for late requests; a full one has not.
+        gives_way = (
+            now > waiting.latest_start
+            and not self._is_first(waiting)
+            and self._find_obstacle(self._get_waiting_limit())
+            in (Obstacle.FULL, Obstacle.COLD)
+        )
+        if gives_way or now + work > ticket.deadline:
             raise RefusedError(
                 "overloaded",
                 "the request can't be answered in time",
--- a/src/rhubarbpaddle/routing/instance_router.py
+++ b/src/rhubarbpaddle/routing/instance_router.py
@@ -46,6 +46,8 @@
         self._rng = rng
         self._is_in_service = is_in_service
         self._views: defaultdict[str, InstanceView] = defaultdict(InstanceView)
+        self._by_service: dict[str, list[Member]] | None = None
+        table.add_listener(self._note_change)
 
     def choose(self, service: str, tried: Collection[str]) -> Candidate | None:
         """Returns the instance for the next try, or None if none is left.
@@ -97,16 +99,18 @@
         elif code in _UNREACHED:
             view.avoid(now)
 
+    def _note_change(self, member: Member, source: str | None) -> None:
+        self._by_service = None
+
     def _iter_members(self, service: str) -> Iterator[Member]:
-        for member in self._table:
-            upstream = member.upstream
-            if (
-                upstream is not None
-                and upstream.service == service
-                and upstream.state in _TAKES_WORK
-                and member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-                and self._is_in_service(member.availability_zone)
-            ):
+        # The table changes rarely, and each request reads it.
+        if self._by_service is None:
+            self._by_service = defaultdict(list)
+            for member in filter(_takes_work, self._table):
+                assert member.upstream is not None
+                self._by_service[member.upstream.service].append(member)
+        for member in self._by_service.get(service, ()):
+            if self._is_in_service(member.availability_zone):
                 yield member
 
     def _rank(self, member: Member, now: float) -> tuple[float, ...]:
@@ -121,3 +125,11 @@
             view.get_load(member.upstream.slots, now),
             self._rng.random(),
         )
+
+
+def _takes_work(member: Member) -> bool:
+    return (
+        member.upstream is not None
+        and member.upstream.state in _TAKES_WORK
+        and member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+    )
