--- a/src/rhubarbpaddle/execution/instance_door.py
+++ b/src/rhubarbpaddle/execution/instance_door.py
@@ -15,6 +15,7 @@
 from rhubarbpaddle.execution.evidence_rules import judge, judge_error
 from rhubarbpaddle.execution.fingerprint import make_fingerprint
 from rhubarbpaddle.execution.observed_body import ObservedBody
+from rhubarbpaddle.execution.prefixed_body import PrefixedBody
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
 from rhubarbpaddle.measuring import (
@@ -216,6 +217,8 @@
     try:
         while part := await body.receive():
             content += part
+            if len(content) > _WHOLE_BODY_BYTES:
+                return PrefixedBody(bytes(content), body)
     except RhubarbpaddleError as exc:
         raise RefusedError(
             "upstream_lost",
