--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -217,7 +217,7 @@
         if gives_way or now + work > ticket.deadline:
             raise RefusedError(
                 "overloaded",
-                "the request can't be answered in time",
+                f"the request can't be answered in time: {self._describe()}",
                 step="admit_late",
                 retry_after=max(
                     _LEAST_RETRY_AFTER,
@@ -248,10 +248,21 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def _describe(self) -> str:
+        """Returns what decides an admission, and how old it is."""
+        reading = self._monitor.reading
+        pace = reading.pace if reading else "unknown"
+        age = self._monitor.get_age()
+        return (
+            f"pace {pace} of {min(age, 999) * 1000:.0f} ms ago,"
+            f" {self.in_flight} of {self.limit} to {self.slots} slots used,"
+            f" {len(self._line)} waiting"
+        )
+
     def _make_refusal(self, obstacle: Obstacle, wait: float) -> RefusedError:
         return RefusedError(
             f"instance_{obstacle.value}",
-            f"the instance is {obstacle.value}",
+            f"the instance is {obstacle.value}: {self._describe()}",
             step="admit",
             may_retry=True,
             retry_after=max(_LEAST_RETRY_AFTER, timedelta(seconds=wait)),
--- a/src/rhubarbpaddle/execution/event_log.py
+++ b/src/rhubarbpaddle/execution/event_log.py
@@ -9,3 +9,7 @@
     def info(self, event: str, **fields: object) -> None:
         """Logs an event of normal operation."""
         ...
+
+    def notice(self, event: str, **fields: object) -> None:
+        """Logs an event that explains a failed request."""
+        ...
--- a/src/rhubarbpaddle/execution/instance_door.py
+++ b/src/rhubarbpaddle/execution/instance_door.py
@@ -134,7 +134,7 @@
             slot.release(evidence)
 
     def _log_failure(self, request: Request, exc: RefusedError) -> None:
-        self._log.info(
+        self._log.notice(
             "instance_failed",
             request_id=request.request_id,
             service=request.service,
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -83,6 +83,17 @@
                     raise _conclude(record) from exc
                 continue
             if not self._may_drop(request, body, response, record):
+                self._log.info(
+                    "try_answered",
+                    request_id=request.request_id,
+                    route=request.route,
+                    instance=candidate.instance,
+                    incarnation=candidate.incarnation,
+                    status=response.status,
+                    attempts=record.attempts + 1,
+                    refused=len(record.excluded),
+                    queued=may_queue,
+                )
                 return response
             await stack.aclose()
             refusal = RefusedError(
@@ -180,7 +191,8 @@
         exc: RefusedError,
     ) -> None:
         left = request.deadline - self._clock.monotonic()
-        self._log.info(
+        write = self._log.info if is_before_instance(exc) else self._log.notice
+        write(
             "try_failed",
             request_id=request.request_id,
             route=request.route,
--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -139,11 +139,19 @@
             buffered = body if expects else await _buffer_body(body)
             async with self._gateway.handle(request, buffered) as response:
                 await self._send_response(conn, head.method, response)
+            elapsed = self._clock.monotonic() - started
             self._metrics.record_request(
                 self._dialect.get_label(request),
                 service,
                 response.status,
-                self._clock.monotonic() - started,
+                elapsed,
+            )
+            _log.info(
+                "request_answered",
+                request_id=request_id,
+                service=service,
+                status=response.status,
+                ms=round(elapsed * 1000),
             )
         except RefusedError as exc:
             await self._refuse(conn, head.method, service, request_id, exc)
@@ -172,7 +180,14 @@
         exc: RefusedError,
     ) -> None:
         self._metrics.record_refusal(service, exc.code, exc.outcome)
-        _log.info("request_refused", request_id=request_id, error=exc)
+        _log.notice(
+            "request_refused",
+            request_id=request_id,
+            service=service,
+            status=exc.status,
+            outcome=exc.outcome,
+            error=exc,
+        )
         if not conn.can_answer():
             self._network.reset_on_close(conn.stream)
             return
--- a/src/rhubarbpaddle/telemetry/bounded_handler.py
+++ b/src/rhubarbpaddle/telemetry/bounded_handler.py
@@ -9,13 +9,15 @@
 # the first show, and each costs processor time.
 LINES_PER_SECOND = 150
 _BURST_LINES = 300
+# Lines of normal operation leave this many for those that explain a failure.
+_RESERVED_LINES = 150
 
 
 class BoundedHandler(logbook.Handler):
     """Drops lines beyond a rate, and those that the reader does not take.
 
-    The next line that is written tells how many were dropped. Warnings and
-    errors are never dropped for the rate.
+    The next line that is written tells how many were dropped. Lines of normal
+    operation are dropped first, warnings and errors never for the rate.
     """
 
     def __init__(self, descriptor: int, level: str, format_string: str) -> None:
@@ -36,7 +38,9 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes a line, or counts it as dropped."""
-        if not self._take_token() and record.level < logbook.WARNING:
+        reserved = _RESERVED_LINES if record.level <= logbook.INFO else 0
+        taken = self._take_token(reserved)
+        if not taken and record.level < logbook.WARNING:
             self.dropped += 1
             return
         line = str(self.format(record))  # type: ignore[no-untyped-call]
@@ -50,12 +54,12 @@
             return
         self.dropped = 0
 
-    def _take_token(self) -> bool:
+    def _take_token(self, reserved: int) -> bool:
         now = time.monotonic()
         earned = (now - self._filled_at) * LINES_PER_SECOND
         self._filled_at = now
         self._tokens = min(_BURST_LINES, self._tokens + earned)
-        if self._tokens < 1:
+        if self._tokens < 1 + reserved:
             return False
         self._tokens -= 1
         return True
--- a/src/rhubarbpaddle/telemetry/event_logger.py
+++ b/src/rhubarbpaddle/telemetry/event_logger.py
@@ -25,6 +25,10 @@
         """Logs an event of normal operation."""
         self._logger.info(format_event(event, fields))
 
+    def notice(self, event: str, **fields: object) -> None:
+        """Logs an event that explains a failed request."""
+        self._logger.notice(format_event(event, fields))
+
     def warn(self, event: str, **fields: object) -> None:
         """Logs an event that an operator may have to look at."""
         self._logger.warn(format_event(event, fields))
