--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -103,3 +103,17 @@
     Given a platform with hosts "h1, h2"
     When a call to "h2" is closed before "h2" has read it
     Then the instance of "h2" has run nothing
+
+  # Guards against an instance that is served by default limits (one connection,
+  # a wrong health path) because its report came before the configuration.
+  Scenario: An instance that reports before the configuration gets its limits
+    Given a platform without a configuration and hosts "h1"
+    When the instance of "h1" reports and the configuration comes 0.5 s later
+    Then 4 requests at once are answered within 0.2 s
+
+  # Guards against an instance that stands idle while the node beside it, which
+  # is restarted alone, ends its work.
+  Scenario: The instance beside a stopping node still serves other nodes
+    Given a platform with hosts "h1, h2"
+    When "h1" is told to stop and 0.5 s later a caller asks "h2", whose instance is gone
+    Then the caller gets 200 and the readiness of "h1" is 503
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -414,3 +414,63 @@
 @then('the instance of "{name}" has run nothing')
 def step_nothing(context: Context, name: str) -> None:
     assert context.world.instances[name].runs == []
+
+
+@when(
+    'the instance of "{name}" reports and the configuration comes {after:g} s '
+    "later"
+)
+def step_early_report(context: Context, name: str, after: float) -> None:
+    async def script(world: PlatformWorld) -> None:
+        assert await world.report(name) == 200
+        await trio.sleep(after)
+        world.put_configuration(make_configuration())
+        await trio.sleep(1)
+        context.answers = []
+        started = trio.current_time()
+
+        async def ask(index: int) -> None:
+            answer = await world.ask(name, f"r{index}")
+            elapsed = trio.current_time() - started
+            context.answers.append((answer.status, elapsed))
+
+        async with trio.open_nursery() as nursery:
+            for index in range(4):
+                nursery.start_soon(ask, index)
+
+    _run(context, script, report=False)
+
+
+@then("{count:d} requests at once are answered within {seconds:g} s")
+def step_all_soon(context: Context, count: int, seconds: float) -> None:
+    assert len(context.answers) == count
+    for status, elapsed in context.answers:
+        assert status == 200 and elapsed < seconds, context.answers
+    assert context.world.instances["h1"].checks > 0
+
+
+@when(
+    '"{name}" is told to stop and {after:g} s later a caller asks "{other}", '
+    "whose instance is gone"
+)
+def step_stopping(
+    context: Context, name: str, after: float, other: str
+) -> None:
+    async def script(world: PlatformWorld) -> None:
+        await world.report(other, state="draining", seq=2)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.nodes[name].shut_down)
+            await trio.sleep(after)
+            context.answer = await world.ask(other, "one")
+            check = await world.send(f"{name}:3", "GET", "/ready", {})
+            context.check = check.status
+
+    _run(context, script)
+
+
+@then('the caller gets 200 and the readiness of "{name}" is 503')
+def step_still_serves(context: Context, name: str) -> None:
+    assert context.answer.status == 200, context.answer.status
+    assert context.world.instances[name].runs == ["one"]
+    assert context.check == 503
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -64,6 +64,7 @@
         self._newest: tuple[int, int] = (0, 0)
         self._left: set[tuple[str, int]] = set()
         self._lost = trio.Event()
+        self._unserved: InstanceReport | None = None
 
     def take_report(self, report: InstanceReport) -> bool:
         """Takes a report of the instance.
@@ -88,14 +89,27 @@
         self._newest = order
         if (report.instance, report.incarnation) in self._left:
             return True
+        self._use_report(report)
+        return True
+
+    def _use_report(self, report: InstanceReport) -> None:
         attached = self._door.attached
         if attached is None or not _is_same(attached.summary, report):
-            attached = self._attach(report)
+            limits = self._get_limits(report.service)
+            if limits is None:
+                _log.info(
+                    "instance_waits_for_configuration",
+                    service=report.service,
+                    instance=report.instance,
+                )
+                self._unserved = report
+                return
+            attached = self._attach(report, limits)
+        self._unserved = None
         cold = report.cold_time.total_seconds()
         attached.admission.set_cold(cold)
         state = UpstreamState.COLD if cold > 0 else UpstreamState.WARM
         self._set_state(UpstreamState.LEAVING if report.leaving else state)
-        return True
 
     def take_departure(
         self, instance: str, incarnation: int | None = None
@@ -108,6 +122,13 @@
         """
         attached = self._door.attached
         if attached is None or attached.summary.instance != instance:
+            waiting = self._unserved
+            if (
+                incarnation is None
+                and waiting is not None
+                and waiting.instance == instance
+            ):
+                incarnation = waiting.incarnation
             if incarnation is not None:
                 self._left.add((instance, incarnation))
             return
@@ -132,7 +153,16 @@
         self._lost.set()
 
     def apply_limits(self) -> None:
-        """Takes over limits that a new configuration has changed."""
+        """Takes over limits that a new configuration has changed.
+
+        An instance whose service was not known before gets its limits now.
+        """
+        report, self._unserved = self._unserved, None
+        if (
+            report is not None
+            and (report.instance, report.incarnation) not in self._left
+        ):
+            self._use_report(report)
         attached = self._door.attached
         if attached is None:
             return
@@ -163,25 +193,26 @@
                     attached.admission.set_cold(reading.cold_seconds or 0.0)
                     self._set_state(UpstreamState.WARM)
 
-    def _attach(self, report: InstanceReport) -> AttachedInstance:
-        limits = self._get_limits(report.service)
-        path, rate, connections = "/", 1.0, 1
-        if limits is not None:
-            path = limits.health_path
-            rate = limits.cold_rate
-            connections = limits.connections
+    def _attach(
+        self, report: InstanceReport, limits: ServiceLimits
+    ) -> AttachedInstance:
         monitor = InstanceMonitor(
             HttpHealthClient(
-                self._network, self._address, path, self._dialect.read_load
+                self._network,
+                self._address,
+                limits.health_path,
+                self._dialect.read_load,
             ),
             self._clock,
         )
-        admission = InstanceAdmission(report.slots, rate, monitor, self._clock)
+        admission = InstanceAdmission(
+            report.slots, limits.cold_rate, monitor, self._clock
+        )
         client = HttpUpstreamClient(
             self._network,
             self._clock,
             self._address,
-            connections,
+            limits.connections,
             self._dialect,
             monitor.note,
         )
@@ -206,7 +237,6 @@
             incarnation=report.incarnation,
             slots=report.slots,
             cold_seconds=report.cold_time.total_seconds(),
-            limits_known=limits is not None,
         )
         return attached
 
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -155,8 +155,8 @@
             identity, {"exchange": exchanges, "control": self.overlay}
         )
         self._shutdown = Shutdown(
+            self._announce_stop,
             self._leave,
-            self._callers.drain,
             {"callers": self._callers.work, "exchanges": exchanges.work},
             clock,
             settings.shutdown_grace - _GRACE_MARGIN,
@@ -209,9 +209,13 @@
     async def run_until_signal(self) -> bool:
         """Runs until SIGTERM or SIGINT; see `signals.run_until_signal`."""
         return await run_until_signal(
-            self.run, self._shutdown.run, self.reload_settings
+            self.run, self.shut_down, self.reload_settings
         )
 
+    async def shut_down(self) -> bool:
+        """Ends the node's work; see `Shutdown.run`."""
+        return await self._shutdown.run()
+
     def reload_settings(self) -> None:
         """Takes over what has changed in the settings file."""
         try:
@@ -257,10 +261,18 @@
             return 503, b"text/plain", b"no configuration\n"
         return 200, b"text/plain", b"ready\n"
 
-    def _leave(self) -> None:
+    def _announce_stop(self) -> None:
+        """Makes the readiness check fail.
+
+        The instance may run on, so other nodes can send to it until `_leave`.
+        """
         self._stopping = True
+
+    def _leave(self) -> None:
+        """Takes no new work; what runs is finished."""
         self.door.leaving = True
         self.table.update_own(status=MemberStatus.LEAVING)
+        self._callers.drain()
 
     def _apply_configuration(self, cfg: RoutingConfiguration) -> None:
         zone = self.settings.availability_zone
