--- a/src/rhubarbpaddle/execution/body.py
+++ b/src/rhubarbpaddle/execution/body.py
@@ -40,3 +40,8 @@
         """Returns all bytes once, then none."""
         part, self._rest = self._rest, b""
         return part
+
+
+def rewind_body(body: Body) -> Body:
+    """Returns the body for another try, from its start if it is in memory."""
+    return BytesBody(body.content) if isinstance(body, BytesBody) else body
--- a/src/rhubarbpaddle/execution/gateway.py
+++ b/src/rhubarbpaddle/execution/gateway.py
@@ -9,7 +9,7 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import AcceptedConfiguration, Configuration
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body, BytesBody, rewind_body
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
@@ -79,7 +79,7 @@
             sent = self._prepare(cfg, request, history)
             try:
                 response = await self._try_candidate(
-                    stack, sent, _rewind(body), candidate
+                    stack, sent, rewind_body(body), candidate
                 )
             except RefusedError as exc:
                 history.fail(candidate.node_id, exc, sent.may_queue)
@@ -203,11 +203,6 @@
         raise _make_deadline_refusal(may_have_run=True)
 
 
-def _rewind(body: Body) -> Body:
-    """Returns the body for another try."""
-    return BytesBody(body.content) if isinstance(body, BytesBody) else body
-
-
 def _make_deadline_refusal(may_have_run: bool) -> RefusedError:
     return RefusedError(
         "deadline_exceeded",
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -8,7 +8,7 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body, BytesBody, rewind_body
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.event_log import EventLog
 from rhubarbpaddle.execution.request import Request
@@ -73,7 +73,7 @@
                 response = await self._try_candidate(
                     stack,
                     request._replace(may_queue=may_queue),
-                    _rewind(body),
+                    rewind_body(body),
                     candidate,
                 )
             except RefusedError as exc:
@@ -204,11 +204,6 @@
         )
 
 
-def _rewind(body: Body) -> Body:
-    """Returns the body for another try."""
-    return BytesBody(body.content) if isinstance(body, BytesBody) else body
-
-
 def _conclude(record: TryRecord) -> RefusedError:
     """Returns the final refusal, which covers all tries."""
     last = record.refusal
--- a/src/rhubarbpaddle/routing/instance_router.py
+++ b/src/rhubarbpaddle/routing/instance_router.py
@@ -68,10 +68,6 @@
             min(members, key=lambda member: self._rank(member, now))
         )
 
-    def has_instance(self, service: str) -> bool:
-        """Returns whether any instance of a service takes work."""
-        return any(self._iter_members(service))
-
     def is_busy(self, candidate: Candidate) -> bool:
         """Returns whether an instance was full or slow a moment ago."""
         view = self._views[candidate.node_id]
