Bound repeated runs to a fifth of the retry budget

Each repeated run made its calls again, and these count as repeats at the called service beside its own retries. Ruled out: retries beyond a node's own share.

--- a/features/routing_instances.feature
+++ b/features/routing_instances.feature
@@ -50,3 +50,11 @@
     Given 12 nodes that share 60 retries and 0.2 for each request in 10 s
     When each node gets 20 requests a second for 30 s and retries all it may
     Then no 10 s have more than 60 retries and 0.2 for each request
+
+  # Guards against repeated runs whose calls, repeated too, exceed the budget
+  # of the service that they call (hunted day wkn-mesh scale-1, seed
+  # 785065501080).
+  Scenario: Calls of repeated runs fit into the budget of the called service
+    Given 12 nodes that share 60 retries and 0.2 for each request in 10 s
+    When of 300 requests a second a third runs and fails and each run makes 2 calls that instances refuse as not run, for 20 s
+    Then in no 10 s the called service gets more than 60 repeats and 0.2 for each request
--- a/features/steps/routing_instances_steps.py
+++ b/features/steps/routing_instances_steps.py
@@ -230,7 +230,7 @@
         for _ in range(rate * seconds):
             for budget in budgets:
                 budget.note_request(_SERVICE)
-                if budget.try_spend(_SERVICE):
+                if budget.try_spend(_SERVICE, may_have_run=True):
                     context.retries.append(trio.current_time())
             await trio.sleep(1 / rate)
 
@@ -251,3 +251,53 @@
     for first in context.retries[:: context.nodes]:
         count = sum(first <= at < first + window for at in context.retries)
         assert count <= allowed, (first, count)
+
+
+@when(
+    "of {rate:d} requests a second a third runs and fails and each run makes "
+    "{calls:d} calls that instances refuse as not run, for {seconds:d} s"
+)
+def step_storm_of_two_levels(
+    context: Context, rate: int, calls: int, seconds: int
+) -> None:
+    async def run() -> None:
+        budgets = [
+            SharedRetryBudget(
+                context.terms, VirtualClock(), lambda: context.nodes
+            )
+            for _ in range(context.nodes)
+        ]
+        for number in range(rate * seconds):
+            budget = budgets[number // 3 % context.nodes]
+            budget.note_request(_SERVICE)
+            if number % 3:
+                await trio.sleep(1 / rate)
+                continue
+            runs = 1 + budget.try_spend(_SERVICE, may_have_run=True)
+            for call in range(runs * calls):
+                caller = budgets[(number + call) % context.nodes]
+                caller.note_request("lookups")
+                context.requested.append(trio.current_time())
+                repeats = call >= calls
+                repeats += caller.try_spend("lookups", may_have_run=False)
+                context.retries += [trio.current_time()] * repeats
+            await trio.sleep(1 / rate)
+
+    context.retries = []
+    context.requested = []
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then(
+    "in no {window:d} s the called service gets more than {slack:d} repeats "
+    "and {ratio:g} for each request"
+)
+def step_called_within(
+    context: Context, window: int, slack: int, ratio: float
+) -> None:
+    assert context.retries
+    for first in context.retries[::10]:
+        repeats = sum(first <= at < first + window for at in context.retries)
+        requests = sum(first <= at < first + window for at in context.requested)
+        allowed = slack + ratio * requests
+        assert repeats <= allowed, (first, repeats, allowed)
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -130,7 +130,9 @@
         if record.may_have_run and not request.idempotent:
             return False
         return record.attempts < request.max_attempts and (
-            self._budget.try_spend(request.service)
+            self._budget.try_spend(
+                request.service, may_have_run=record.may_have_run
+            )
         )
 
     def _may_drop(
@@ -147,7 +149,7 @@
             and isinstance(body, BytesBody)
             and record.attempts + 1 < request.max_attempts
             and self._clock.monotonic() < request.useful_until
-            and self._budget.try_spend(request.service)
+            and self._budget.try_spend(request.service, may_have_run=True)
         )
 
     async def _try_candidate(
--- a/src/rhubarbpaddle/execution/shared_retry_budget.py
+++ b/src/rhubarbpaddle/execution/shared_retry_budget.py
@@ -7,9 +7,12 @@
 
 from rhubarbpaddle.clock import Clock
 
-# A retry may start further calls, which count as retries where they arrive,
-# and nodes do not know each other's counts.
-_USED_SHARE = 0.5
+# Nodes do not know each other's counts, and a service receives the calls of
+# repeated runs beside its own retries, so that half is left for those.
+_RETRY_SHARE = 0.5
+# A repeated run makes its calls again, often two or more at one service, and
+# that service can't tell them from first calls.
+_REPEATED_RUN_SHARE = 0.2
 
 
 class RetryTerms(NamedTuple):
@@ -44,22 +47,40 @@
         self._count_nodes = count_nodes
         self._requests: defaultdict[str, deque[float]] = defaultdict(deque)
         self._retries: defaultdict[str, deque[float]] = defaultdict(deque)
+        self._repeated_runs: defaultdict[str, deque[float]] = defaultdict(deque)
 
     def note_request(self, service: str) -> None:
         """Notes a request before its first try."""
         self._requests[service].append(self._clock.monotonic())
 
-    def try_spend(self, service: str) -> bool:
-        """Takes a retry if there is one, and returns whether there was."""
-        requests = self._trim(self._requests[service])
-        retries = self._trim(self._retries[service])
-        slack = self._terms.slack / max(1, self._count_nodes())
-        allowed = _USED_SHARE * (self._terms.ratio * requests + slack)
-        if retries + 1 > allowed:
+    def try_spend(self, service: str, *, may_have_run: bool) -> bool:
+        """Takes a retry if there is one, and returns whether there was.
+
+        Args:
+            service: The service that the request is for.
+            may_have_run: Whether the request may have run before, so that
+                the calls that it makes may be repeated too.
+        """
+        runs = self._repeated_runs[service]
+        if may_have_run and not self._has_room(
+            runs, service, _REPEATED_RUN_SHARE
+        ):
             return False
-        self._retries[service].append(self._clock.monotonic())
+        retries = self._retries[service]
+        if not self._has_room(retries, service, _RETRY_SHARE):
+            return False
+        now = self._clock.monotonic()
+        retries.append(now)
+        if may_have_run:
+            runs.append(now)
         return True
 
+    def _has_room(self, used: deque[float], service: str, share: float) -> bool:
+        requests = self._trim(self._requests[service])
+        slack = self._terms.slack / max(1, self._count_nodes())
+        allowed = share * (self._terms.ratio * requests + slack)
+        return self._trim(used) + 1 <= allowed
+
     def _trim(self, times: deque[float]) -> int:
         oldest = self._clock.monotonic() - self._terms.window.total_seconds()
         while times and times[0] < oldest:
