Fetch a new configuration once, compressed, when a neighbour announces it

Cause: each node sent each new text over all its links in both directions. A node now announces its version with the heartbeat; the neighbour asks one of those that have it, and the text crosses the link compressed. Ruled out: sending only to neighbours whose heartbeat is older, which still sends a text several times when several neighbours learn it at once.

--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -7,9 +7,11 @@
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.strike_update import StrikeUpdate
 from rhubarbpaddle.membership import Member, MemberTable
+from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.messages import (
+    ConfigurationRequest,
     ConfigurationUpdate,
     Heartbeat,
     MemberUpdate,
@@ -42,6 +44,7 @@
         peer_id: str,
         table: MemberTable,
         configuration: ConfigurationSource,
+        requests: ConfigurationRequests,
         clock: Clock,
         crashes: CrashLedger,
     ) -> None:
@@ -49,6 +52,7 @@
         self._conn = conn
         self._table = table
         self._configuration = configuration
+        self._requests = requests
         self._clock = clock
         self._crashes = crashes
         self._pending: dict[str, Member] = {}
@@ -56,7 +60,8 @@
             update.fingerprint: update for update in crashes.get_updates()
         }
         self._wake = trio.Event()
-        self._sent_version = 0
+        self._wanted_version = 0
+        self._is_asked = False
         self._differences = 0
         self._repaired = float("-inf")
 
@@ -114,13 +119,15 @@
             self._pending_strikes = {}
             await self._conn.send(Strikes(strikes))
         accepted = self._configuration.get_accepted()
-        version = accepted.version if accepted else 0
-        if accepted is not None and version > self._sent_version:
-            self._sent_version = version
-            await self._conn.send(
-                ConfigurationUpdate(version, accepted.as_of, accepted.text)
-            )
-        await self._conn.send(Heartbeat(self._table.digest, version))
+        if self._is_asked and accepted is not None:
+            self._is_asked = False
+            await self._conn.send(ConfigurationUpdate.from_accepted(accepted))
+        if self._wanted_version:
+            await self._conn.send(ConfigurationRequest(self._wanted_version))
+            self._wanted_version = 0
+        await self._conn.send(
+            Heartbeat(self._table.digest, self._get_version())
+        )
 
     async def _receive_all(self) -> None:
         while True:
@@ -128,12 +135,16 @@
             match message:
                 case Heartbeat():
                     self._compare(message)
+                    self._ask_for(message.configuration_version)
                 case MemberUpdate(members=members):
                     for member in members:
                         self._table.merge(member, self.peer_id)
                 case Strikes(updates=updates):
                     for update in updates:
                         self._crashes.merge(update)
+                case ConfigurationRequest():
+                    self._is_asked = True
+                    self._wake.set()
                 case ConfigurationUpdate():
                     self._adopt(message)
                 case _:
@@ -156,15 +167,24 @@
             for member in self._table:
                 self.enqueue(member)
 
-    def _adopt(self, update: ConfigurationUpdate) -> None:
+    def _get_version(self) -> int:
         accepted = self._configuration.get_accepted()
-        if accepted is not None and accepted.version >= update.version:
+        return accepted.version if accepted else 0
+
+    def _ask_for(self, version: int) -> None:
+        """Asks the neighbour for a version that this node lacks."""
+        if version > self._get_version() and self._requests.may_ask(version):
+            self._wanted_version = version
+            self._wake.set()
+
+    def _adopt(self, update: ConfigurationUpdate) -> None:
+        if self._get_version() >= update.version:
             return
         try:
             self._configuration.adopt_text(
-                update.version, update.text, update.as_of
+                update.version, update.get_text(), update.as_of
             )
-        except ConfigurationError as exc:
+        except (ConfigurationError, ValueError) as exc:
             raise ProtocolError(
                 "the configuration is invalid",
                 step="adopt_configuration",
--- a/src/rhubarbpaddle/peer/messages/__init__.py
+++ b/src/rhubarbpaddle/peer/messages/__init__.py
@@ -9,6 +9,9 @@
 from rhubarbpaddle.peer.messages.claim_held import ClaimHeldAnswer
 from rhubarbpaddle.peer.messages.claim_refused import ClaimRefused
 from rhubarbpaddle.peer.messages.claim_request import ClaimRequest
+from rhubarbpaddle.peer.messages.configuration_request import (
+    ConfigurationRequest,
+)
 from rhubarbpaddle.peer.messages.configuration_update import (
     ConfigurationUpdate,
 )
@@ -31,6 +34,7 @@
     | BodyPart
     | Call
     | Challenge
+    | ConfigurationRequest
     | ConfigurationUpdate
     | Heartbeat
     | Hello
@@ -40,8 +44,6 @@
     | ClaimHeldAnswer
     | ClaimRefused
     | ClaimRequest
-    | Hello
-    | KeepAlive
     | OutcomeReport
     | Refusal
     | Reject
@@ -62,6 +64,7 @@
     "ClaimHeldAnswer",
     "ClaimRefused",
     "ClaimRequest",
+    "ConfigurationRequest",
     "ConfigurationUpdate",
     "Heartbeat",
     "Hello",
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -17,6 +17,7 @@
     Suspicion,
     choose_neighbours,
 )
+from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.connector import PeerConnector
@@ -54,6 +55,7 @@
         self._table = table
         self._suspicion = suspicion
         self._configuration = configuration
+        self._requests = ConfigurationRequests(clock)
         self._clock = clock
         self._rng = rng
         self._get_seeds = get_seeds
@@ -71,7 +73,7 @@
         return len(self._links)
 
     def wake(self) -> None:
-        """Sends a new configuration to all neighbours at once."""
+        """Tells all neighbours of a new configuration at once."""
         for link in self._links:
             link.wake()
 
@@ -184,6 +186,7 @@
             node_id,
             self._table,
             self._configuration,
+            self._requests,
             self._clock,
             self._crashes,
         )
