Serve short requests first and let late ones wait for their deadline

Requests of a priority were served in the order of arrival, so that short ones waited behind uploads.

The queue now follows the apparent tardiness cost: work per second first, more so as the latest start comes near, late requests with a quarter of the weight. A late request waits while it can be answered before its deadline. The wait is estimated from when running work will probably end, not in whole rounds.

The scenario "A request that has become late gives way" had a second request with 2 s to its target, which is in time in either order; it now has 0.45 s.

--- a/features/instance_admission.feature
+++ b/features/instance_admission.feature
@@ -62,7 +62,7 @@
   Scenario: A request that has become late gives way
     Given an instance with 1 slots at pace 1
     When a request with 0.15 s to its target queues behind one that runs 0.2 s
-    And a request with 2 s to its target queues as well
+    And a request with 0.45 s to its target queues as well
     Then the second starts first
 
   # Guards against refusing late requests while a slow instance has free slots
@@ -90,3 +90,13 @@
     Given an instance with 1 slots at pace 1
     When a waiting request is cancelled
     Then the next one starts as soon as the slot is free
+
+  # Guards against refused lookups of running work, which fails for it: under
+  # uploads beyond the capacity they missed their latency target in the queue
+  # and were refused at once, although their callers waited on (grown
+  # redes-pacifico scale-1, 54 of 432 bookings failed in 4 s). No kind of
+  # request may be served less often than another by more than 5 in 100.
+  Scenario: Short lookups are served under a load of long requests
+    Given an instance with 4 slots at pace 1
+    When uploads of 0.14 s come 40 times a second and lookups of 0.03 s 20 times for 5 s
+    Then at least 95 of 100 lookups run
--- a/features/steps/instance_admission_steps.py
+++ b/features/steps/instance_admission_steps.py
@@ -56,6 +56,7 @@
         kind: EvidenceKind = EvidenceKind.ANSWERED,
         crowded_work: float | None = None,
         slows_all: bool = False,
+        route: str = "r",
     ) -> None:
         """Runs one request and notes what became of it."""
         asked = trio.current_time()
@@ -65,7 +66,7 @@
             may_queue,
             priority=priority,
             useful_until=asked + useful,
-            route="r",
+            route=route,
         )
         try:
             slot = await self.admission.acquire(ticket)
@@ -398,3 +399,43 @@
 def step_none_refused(context: Context, count: int) -> None:
     assert len(context.bench.started) == count, context.bench.refused
     assert not context.bench.refused
+
+
+@when(
+    "uploads of {upload:g} s come {uploads:d} times a second and lookups of "
+    "{lookup:g} s {lookups:d} times for {seconds:d} s"
+)
+def step_mixed(
+    context: Context,
+    upload: float,
+    uploads: int,
+    lookup: float,
+    lookups: int,
+    seconds: int,
+) -> None:
+    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+        async def send(
+            name: str, rate: int, work: float, useful: float, deadline: float
+        ) -> None:
+            for _ in range(rate * seconds):
+                nursery.start_soon(ask, name, work, useful, deadline)
+                await trio.sleep(1 / rate)
+
+        async def ask(
+            name: str, work: float, useful: float, deadline: float
+        ) -> None:
+            await bench.ask(
+                name, useful=useful, deadline=deadline, work=work, route=name
+            )
+
+        nursery.start_soon(send, "upload", uploads, upload, 0.5, 1.2)
+        nursery.start_soon(send, "lookup", lookups, lookup, 0.12, 0.6)
+
+    context.asked = lookups * seconds
+    _run(context, script)
+
+
+@then("at least {share:d} of 100 lookups run")
+def step_lookups_run(context: Context, share: int) -> None:
+    ran = sum(name == "lookup" for name, _ in context.bench.started)
+    assert 100 * ran >= share * context.asked, (ran, context.asked)
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -12,8 +12,9 @@
 from rhubarbpaddle.admission.obstacle import Obstacle
 from rhubarbpaddle.admission.slot_use import SlotUse
 from rhubarbpaddle.admission.ticket import Ticket
-from rhubarbpaddle.admission.waiting_line import WaitingLine, WaitingRequest
-from rhubarbpaddle.admission.work_times import WorkTimes
+from rhubarbpaddle.admission.waiting_line import WaitingLine
+from rhubarbpaddle.admission.waiting_request import WaitingRequest
+from rhubarbpaddle.admission.work_times import DEFAULT_SECONDS, WorkTimes
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, EvidenceKind, LoadReport
@@ -30,6 +31,9 @@
 READING_SECONDS = 0.025
 # How often the first in the queue looks whether an obstacle has passed.
 _LOOK_SECONDS = 0.02
+# The part of the time to its latency target that a request's work takes, where
+# nothing is known yet; operators set targets of three times the work or more.
+_WORK_SHARE = 1 / 3
 _LEAST_RETRY_AFTER = timedelta(milliseconds=100)
 _FAILURES = frozenset(
     {
@@ -69,6 +73,7 @@
         self._times = WorkTimes()
         self._crowding = Crowding(self.limit, self.slots)
         self._last_slot_starts = 0
+        self._expected_ends: dict[object, float] = {}
         self._line = WaitingLine()
 
     def set_cold(self, seconds: float) -> None:
@@ -116,12 +121,16 @@
         now = self._clock.monotonic()
         self.window.add(now)
         pace = self._monitor.get_pace(READING_SECONDS * 2)
+        key = object()
+        work = self._get_work(ticket, now)
+        self._expected_ends[key] = now + max(1.0, pace) * work
         in_last_slot = self.in_flight > self.limit
         self._last_slot_starts += in_last_slot
         starts_before = self._last_slot_starts
 
         def end(evidence: Evidence) -> None:
             self.in_flight -= 1
+            del self._expected_ends[key]
             if evidence.kind is EvidenceKind.ANSWERED:
                 self._failures.note(False)
                 if evidence.latency is not None:
@@ -173,16 +182,23 @@
         """Waits in line until the instance can take the request.
 
         Raises:
-            RefusedError: The request would be answered late, or it is late
-                already and holds a place that others could use in time.
+            RefusedError: The request can't be answered before its deadline,
+                or would be late beside too many others that will be late.
         """
         now = self._clock.monotonic()
-        work = self._times.get(ticket.route)
+        work = self._get_work(ticket, now)
         useful_until = min(ticket.useful_until, ticket.deadline)
-        start = self._estimate_wait(ticket.priority, now)
+        waiting = self._line.make(ticket.priority, useful_until - work, work)
+        start = self._estimate_wait(waiting, now)
         if start > 0 and now + start + work > useful_until:
-            raise self._make_refusal(Obstacle.FULL, start)
-        waiting = self._line.add(ticket.priority, useful_until - work)
+            waiting = waiting._replace(latest_start=-math.inf)
+            start = self._estimate_wait(waiting, now)
+            if (
+                self._line.count_late_ahead(waiting, now) >= self.slots
+                or now + start + work > ticket.deadline
+            ):
+                raise self._make_refusal(Obstacle.FULL, start)
+        self._line.add(waiting)
         try:
             while not self._may_start(waiting, ticket, work):
                 self._check_late(waiting, ticket, work)
@@ -199,16 +215,23 @@
             self._line.remove(waiting)
             self._wake()
 
-    def _estimate_wait(self, priority: int, now: float) -> float:
-        """Returns the seconds until a newcomer could start."""
+    def _estimate_wait(self, waiting: WaitingRequest, now: float) -> float:
+        """Returns the seconds until a request could start."""
         limit = self._get_waiting_limit()
-        ahead = self._line.count_ahead(priority, now)
-        if self.in_flight + ahead < limit:
+        ahead = self._line.count_ahead(waiting, now)
+        if self.in_flight + ahead < limit or self.in_flight == 0:
             return 0.0
         turns = ahead + 1 + self.in_flight - limit
-        # Requests of a burst end together, so that only whole rounds count.
-        rounds = math.ceil(max(1, turns) / limit)
-        return rounds * self._times.get_mean()
+        rounds, place = divmod(max(1, turns) - 1, self.in_flight)
+        ends = sorted(self._expected_ends.values())
+        return max(0.0, ends[place] - now) + rounds * self._times.get_mean()
+
+    def _get_work(self, ticket: Ticket, now: float) -> float:
+        """Returns the seconds that a request will probably take."""
+        if self._times.knows(ticket.route):
+            return self._times.get(ticket.route)
+        left = max(0.0, ticket.useful_until - now)
+        return min(DEFAULT_SECONDS, left * _WORK_SHARE)
 
     def _get_waiting_limit(self) -> int:
         return self.limit if self._crowding.is_harmful() else self.slots
@@ -220,24 +243,21 @@
         self, waiting: WaitingRequest, ticket: Ticket, work: float
     ) -> None:
         now = self._clock.monotonic()
+        start = 0.0
         # A slow instance has room for late requests; a full one has not.
-        gives_way = (
-            now > waiting.latest_start
+        if (
+            waiting.is_late(now)
             and not self._is_first(waiting)
             and self._find_obstacle(self._get_waiting_limit())
             in (Obstacle.FULL, Obstacle.COLD)
-        )
-        if gives_way or now + work > ticket.deadline:
+        ):
+            start = self._estimate_wait(waiting, now)
+        if now + start + work > ticket.deadline:
             raise RefusedError(
                 "overloaded",
                 f"the request can't be answered in time: {self._describe()}",
                 step="admit_late",
-                retry_after=max(
-                    _LEAST_RETRY_AFTER,
-                    timedelta(
-                        seconds=self._estimate_wait(ticket.priority, now)
-                    ),
-                ),
+                retry_after=max(_LEAST_RETRY_AFTER, timedelta(seconds=start)),
                 report=self.get_report(),
             )
 
--- a/src/rhubarbpaddle/admission/waiting_line.py
+++ b/src/rhubarbpaddle/admission/waiting_line.py
@@ -1,29 +1,14 @@
 """The requests that wait for one instance."""
 
 import itertools
-from typing import NamedTuple
 
 import trio
 
-
-class WaitingRequest(NamedTuple):
-    """A request that waits.
-
-    Attributes:
-        priority: The rank of its route, 0 for the most urgent.
-        number: Orders requests by arrival.
-        latest_start: Monotonic seconds after which its answer will be late.
-        turn: Where its task waits to become the first.
-    """
-
-    priority: int
-    number: int
-    latest_start: float
-    turn: trio.lowlevel.ParkingLot
+from rhubarbpaddle.admission.waiting_request import WaitingRequest
 
 
 class WaitingLine:
-    """Orders requests by urgency; those that will be late come last."""
+    """Orders requests by what is lost if they wait."""
 
     def __init__(self) -> None:
         self._waiting: list[WaitingRequest] = []
@@ -32,25 +17,38 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, priority: int, latest_start: float) -> WaitingRequest:
-        """Adds a request behind its equals."""
-        added = WaitingRequest(
+    def make(
+        self, priority: int, latest_start: float, work: float
+    ) -> WaitingRequest:
+        """Returns a request that comes behind its equals."""
+        return WaitingRequest(
             priority,
             next(self._numbers),
             latest_start,
+            work,
             trio.lowlevel.ParkingLot(),
         )
-        self._waiting.append(added)
-        return added
+
+    def add(self, request: WaitingRequest) -> None:
+        """Adds a request."""
+        self._waiting.append(request)
 
     def remove(self, request: WaitingRequest) -> None:
         """Removes a request that no longer waits."""
         self._waiting.remove(request)
 
-    def count_ahead(self, priority: int, now: float) -> int:
-        """Returns how many would be served before a newcomer."""
+    def count_ahead(self, request: WaitingRequest, now: float) -> int:
+        """Returns how many will be served before a request."""
+        rank = request.get_lasting_rank(now)
         return sum(
-            other.priority <= priority and other.latest_start >= now
+            other.get_lasting_rank(now) < rank for other in self._waiting
+        )
+
+    def count_late_ahead(self, request: WaitingRequest, now: float) -> int:
+        """Returns how many late requests are served before a late one."""
+        rank = request.get_lasting_rank(now)
+        return sum(
+            other.is_late(now) and other.get_lasting_rank(now) < rank
             for other in self._waiting
         )
 
@@ -60,14 +58,7 @@
         Raises:
             ValueError: Nobody waits.
         """
-        return min(
-            self._waiting,
-            key=lambda request: (
-                request.latest_start < now,
-                request.priority,
-                request.number,
-            ),
-        )
+        return min(self._waiting, key=lambda request: request.get_rank(now))
 
     def wake_first(self, now: float) -> None:
         """Resumes the task of the request whose turn it is.
--- a/src/rhubarbpaddle/admission/work_times.py
+++ b/src/rhubarbpaddle/admission/work_times.py
@@ -1,7 +1,7 @@
 """How long an instance works on the requests of each route."""
 
 _WEIGHT = 0.1
-# Work takes about a third of the latency target where nothing is known yet.
+# Where nothing is known yet.
 DEFAULT_SECONDS = 0.1
 
 
