--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -30,6 +30,7 @@
         self._world = world
         self._rng = world.rng
         self._busy: set[str] = set()
+        self._withdrawn: set[str] = set()
         planned: list[HostFault] = [
             self._stop_node,
             self._reload_node,
@@ -107,12 +108,16 @@
 
     async def _withdraw_zone(self, host: SoakHost) -> None:
         zone = self._rng.choice(ZONES)
+        if zone in self._withdrawn:
+            return
+        self._withdrawn.add(zone)
         key = f"evacuate/{zone}"
         start = trio.current_time() + _WITHDRAW_SECONDS
         self._world.store.put("keyed.op", key, b"{}")
         await trio.sleep(_WITHDRAW_SECONDS + 2.0)
         self._world.withdrawals.append((zone, start, trio.current_time()))
         self._world.store.put("keyed.op", key, b"")
+        self._withdrawn.discard(zone)
 
     async def _kill_node(self, host: SoakHost) -> None:
         host.kill()
