Give each type a module of its own; share the refusal at a deadline

Moved without a change of behaviour: SystemClock, TcpNetwork, BytesBody, RetryTerms, Publication, Checkpoint, TextMember, PublishOutcome, SeedRecord, ConnectionHandler, NewestRecords, HistoryLostError, ConfigurationWitness.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format demo bench binary setup soak mutants
+.PHONY: test lint format demo bench binary setup soak promises mutants
 
 setup: $(STAMP)
 
@@ -35,7 +35,11 @@
 binary: $(STAMP)
 	$(BIN)/python -m binary
 
+# The first seed is the time of day, so that each call runs fresh ones.
 soak: $(STAMP)
+	$(BIN)/python -m soak $$(date +%s) --count 4
+
+promises: $(STAMP)
 	$(BIN)/python -m features.promises --steps 10000
 
 mutants: $(STAMP)
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -22,14 +22,14 @@
 from bench.claims_log import MemoryLog
 from demo.deployment import DemoNode, reserve_ports, write_settings, write_text
 from demo.process_group import ProcessGroup, wait_for_http
-from rhubarbpaddle.clock import SystemClock
 from rhubarbpaddle.execution.claim_ledger import ClaimLedger
 from rhubarbpaddle.execution.claim_outcome import ClaimOutcome
 from rhubarbpaddle.log import HttpLogClient
-from rhubarbpaddle.network import TcpNetwork
 from rhubarbpaddle.node.claim_codec import encode_group
 from rhubarbpaddle.node.claim_partition_task import ClaimPartitionTask
-from rhubarbpaddle.node.log_witness import ConfigurationWitness
+from rhubarbpaddle.node.configuration_witness import ConfigurationWitness
+from rhubarbpaddle.system_clock import SystemClock
+from rhubarbpaddle.tcp_network import TcpNetwork
 
 RATES = (10, 100, 1_000, 6_000)
 APPEND_MS = (1, 5, 20)
--- a/bench/claims_load.py
+++ b/bench/claims_load.py
@@ -7,14 +7,15 @@
 
 import trio
 
-from rhubarbpaddle.clock import Clock, SystemClock
+from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.claim_key import to_ms
 from rhubarbpaddle.execution.claim_partition import PARTITIONS, get_partition
 from rhubarbpaddle.execution.claim_record import ClaimRecord
 from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.node.claim_partition_task import ClaimPartitionTask
-from rhubarbpaddle.node.log_witness import ConfigurationWitness
+from rhubarbpaddle.node.configuration_witness import ConfigurationWitness
+from rhubarbpaddle.system_clock import SystemClock
 
 
 class LoadResult(NamedTuple):
--- a/bench/transport_client.py
+++ b/bench/transport_client.py
@@ -30,8 +30,8 @@
 
 async def run_msgspec(port: int) -> None:
     """Makes exchanges over one connection."""
-    from rhubarbpaddle.network import TcpNetwork
     from rhubarbpaddle.peer.connection import PeerConnection
+    from rhubarbpaddle.tcp_network import TcpNetwork
 
     stream = await TcpNetwork().connect(f"127.0.0.1:{port}")
     conn = PeerConnection(stream, "server")
--- a/bench/transport_server.py
+++ b/bench/transport_server.py
@@ -32,8 +32,8 @@
 
 async def serve_msgspec(port: int) -> None:
     """Serves framed messages."""
-    from rhubarbpaddle.network import TcpNetwork
     from rhubarbpaddle.peer.connection import PeerConnection
+    from rhubarbpaddle.tcp_network import TcpNetwork
 
     async def handle(stream: trio.abc.Stream) -> None:
         conn = PeerConnection(stream, "client")
--- a/features/steps/cli_publish_steps.py
+++ b/features/steps/cli_publish_steps.py
@@ -13,7 +13,8 @@
 from features.support.history_machine import make_text
 from features.support.log_run import run_with_log
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.cli.publish_result import PublishOutcome, PublishResult
+from rhubarbpaddle.cli.publish_outcome import PublishOutcome
+from rhubarbpaddle.cli.publish_result import PublishResult
 from rhubarbpaddle.cli.publisher import Publisher
 from rhubarbpaddle.configuration import ConfigurationHistory, parse_record
 from rhubarbpaddle.exceptions import LogUnavailableError
--- a/features/steps/http_exchange_steps.py
+++ b/features/steps/http_exchange_steps.py
@@ -13,14 +13,14 @@
 from features.support.http_world import HttpWorld, make_request, run_http_world
 from features.support.memory_pipe import MemoryPipe
 from features.support.memory_stream import MemoryStream
-from rhubarbpaddle.clock import SystemClock
 from rhubarbpaddle.http.server_connection import ServerConnection
-from rhubarbpaddle.network import TcpNetwork
 from rhubarbpaddle.peer import PeerIdentity
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.messages import BodyPart, KeepAlive
 from rhubarbpaddle.stream_watch import StreamWatch
+from rhubarbpaddle.system_clock import SystemClock
+from rhubarbpaddle.tcp_network import TcpNetwork
 from rhubarbpaddle.tcp_stream import TcpStream
 
 
--- a/features/steps/routing_instances_steps.py
+++ b/features/steps/routing_instances_steps.py
@@ -10,10 +10,8 @@
 
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.configuration import Route, RouteKind, WeightedService
-from rhubarbpaddle.execution.shared_retry_budget import (
-    RetryTerms,
-    SharedRetryBudget,
-)
+from rhubarbpaddle.execution.retry_terms import RetryTerms
+from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.membership import (
     Member,
--- a/soak/instance.py
+++ b/soak/instance.py
@@ -12,7 +12,7 @@
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
-from rhubarbpaddle.network import TcpNetwork
+from rhubarbpaddle.tcp_network import TcpNetwork
 from soak.records import Run
 from standins.platform_instance import PlatformInstance
 
--- a/src/rhubarbpaddle/cli/publish.py
+++ b/src/rhubarbpaddle/cli/publish.py
@@ -16,14 +16,15 @@
 from rhubarbpaddle.cli.exit_code import ExitCode
 from rhubarbpaddle.cli.fleet_client import FleetClient
 from rhubarbpaddle.cli.fleet_report import FleetReport
-from rhubarbpaddle.cli.publish_result import PublishOutcome, PublishResult
+from rhubarbpaddle.cli.publish_outcome import PublishOutcome
+from rhubarbpaddle.cli.publish_result import PublishResult
 from rhubarbpaddle.cli.publisher import Publisher
 from rhubarbpaddle.cli.text_file import TextFile, load_text_file
-from rhubarbpaddle.clock import SystemClock
 from rhubarbpaddle.configuration import AcceptedPublication
 from rhubarbpaddle.exceptions import LogUnavailableError, RhubarbpaddleError
 from rhubarbpaddle.log import HttpLogClient
-from rhubarbpaddle.network import TcpNetwork
+from rhubarbpaddle.system_clock import SystemClock
+from rhubarbpaddle.tcp_network import TcpNetwork
 
 _POLL_SECONDS = 0.25
 
--- a/src/rhubarbpaddle/cli/publish_result.py
+++ b/src/rhubarbpaddle/cli/publish_result.py
@@ -1,19 +1,11 @@
 """How a publication ended."""
 
-from enum import Enum
 from typing import NamedTuple
 
+from rhubarbpaddle.cli.publish_outcome import PublishOutcome
 from rhubarbpaddle.configuration import AcceptedPublication
 
 
-class PublishOutcome(Enum):
-    """What became of a publication."""
-
-    ACCEPTED = "accepted"
-    LOST = "lost"
-    UNKNOWN = "unknown"
-
-
 class PublishResult(NamedTuple):
     """The outcome and the publication that was accepted on the base.
 
--- a/src/rhubarbpaddle/cli/publisher.py
+++ b/src/rhubarbpaddle/cli/publisher.py
@@ -5,7 +5,8 @@
 import uuid
 from datetime import timedelta
 
-from rhubarbpaddle.cli.publish_result import PublishOutcome, PublishResult
+from rhubarbpaddle.cli.publish_outcome import PublishOutcome
+from rhubarbpaddle.cli.publish_result import PublishResult
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import (
     AcceptedPublication,
--- a/src/rhubarbpaddle/cli/status.py
+++ b/src/rhubarbpaddle/cli/status.py
@@ -12,10 +12,10 @@
 from rhubarbpaddle.cli.fleet_client import FleetClient
 from rhubarbpaddle.cli.fleet_report import FleetReport
 from rhubarbpaddle.cli.publisher import Publisher
-from rhubarbpaddle.clock import SystemClock
 from rhubarbpaddle.exceptions import LogUnavailableError, RhubarbpaddleError
 from rhubarbpaddle.log import HttpLogClient
-from rhubarbpaddle.network import TcpNetwork
+from rhubarbpaddle.system_clock import SystemClock
+from rhubarbpaddle.tcp_network import TcpNetwork
 
 _LOG_PATIENCE = timedelta(seconds=3)
 
--- a/src/rhubarbpaddle/configuration/__init__.py
+++ b/src/rhubarbpaddle/configuration/__init__.py
@@ -6,14 +6,12 @@
 )
 from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
 from rhubarbpaddle.configuration.checked_text import CheckedText
+from rhubarbpaddle.configuration.checkpoint import Checkpoint
 from rhubarbpaddle.configuration.checkpoint_mark import CheckpointMark
 from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.configuration.history import ConfigurationHistory
-from rhubarbpaddle.configuration.records import (
-    Checkpoint,
-    Publication,
-    parse_record,
-)
+from rhubarbpaddle.configuration.publication import Publication
+from rhubarbpaddle.configuration.records import parse_record
 from rhubarbpaddle.configuration.route import Route
 from rhubarbpaddle.configuration.route_kind import RouteKind
 from rhubarbpaddle.configuration.route_table import RouteTable
--- a/src/rhubarbpaddle/configuration/history.py
+++ b/src/rhubarbpaddle/configuration/history.py
@@ -4,8 +4,9 @@
 from rhubarbpaddle.configuration.accepted_publication import (
     AcceptedPublication,
 )
+from rhubarbpaddle.configuration.checkpoint import Checkpoint
 from rhubarbpaddle.configuration.checkpoint_mark import CheckpointMark
-from rhubarbpaddle.configuration.records import Checkpoint, Publication
+from rhubarbpaddle.configuration.publication import Publication
 from rhubarbpaddle.exceptions import ConfigurationError
 
 EMPTY_VERSION = 0
--- a/src/rhubarbpaddle/configuration/section.py
+++ b/src/rhubarbpaddle/configuration/section.py
@@ -5,7 +5,8 @@
 from datetime import timedelta
 
 from rhubarbpaddle.configuration.findings import Findings
-from rhubarbpaddle.configuration.text_value import TextMember, TextValue
+from rhubarbpaddle.configuration.text_member import TextMember
+from rhubarbpaddle.configuration.text_value import TextValue
 
 HOST_LABEL = re.compile(r"[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?")
 _LABEL_REMEDY = (
--- a/src/rhubarbpaddle/configuration/text_scanner.py
+++ b/src/rhubarbpaddle/configuration/text_scanner.py
@@ -5,7 +5,8 @@
 import re
 
 from rhubarbpaddle.configuration.findings import Findings
-from rhubarbpaddle.configuration.text_value import TextMember, TextValue
+from rhubarbpaddle.configuration.text_member import TextMember
+from rhubarbpaddle.configuration.text_value import TextValue
 
 # The deepest valid text has 4 levels; the limit keeps hostile nesting from
 # exhausting the stack.
--- a/src/rhubarbpaddle/configuration/text_value.py
+++ b/src/rhubarbpaddle/configuration/text_value.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple, TypeAlias
 
+from rhubarbpaddle.configuration.text_member import TextMember
+
 Content: TypeAlias = (
     str
     | int
@@ -42,10 +44,3 @@
             case tuple():
                 return "a list"
         return "an object"
-
-
-class TextMember(NamedTuple):
-    """A value of an object and where its key starts."""
-
-    key_offset: int
-    value: TextValue
--- a/src/rhubarbpaddle/execution/__init__.py
+++ b/src/rhubarbpaddle/execution/__init__.py
@@ -1,6 +1,7 @@
 """Requests, their answers, retries, deadlines and at-most-once claims."""
 
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.request import Headers, Request
 from rhubarbpaddle.execution.response import Response
--- a/src/rhubarbpaddle/execution/body.py
+++ b/src/rhubarbpaddle/execution/body.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from rhubarbpaddle.execution.bytes_body import BytesBody
+
 
 class Body(Protocol):
     """A body that arrives in parts.
@@ -24,24 +26,6 @@
         ...
 
 
-class BytesBody:
-    """A body that is already in memory."""
-
-    def __init__(self, content: bytes) -> None:
-        self.content = content
-        self._rest = content
-
-    @property
-    def length(self) -> int | None:
-        """Bytes in all."""
-        return len(self.content)
-
-    async def receive(self) -> bytes:
-        """Returns all bytes once, then none."""
-        part, self._rest = self._rest, b""
-        return part
-
-
 def rewind_body(body: Body) -> Body:
     """Returns the body for another try, from its start if it is in memory."""
     return BytesBody(body.content) if isinstance(body, BytesBody) else body
--- a/src/rhubarbpaddle/execution/claim_fingerprint.py
+++ b/src/rhubarbpaddle/execution/claim_fingerprint.py
@@ -2,7 +2,8 @@
 
 import hashlib
 
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.claim_request_body import ClaimRequestBody
 from rhubarbpaddle.execution.request import Request
 
--- a/src/rhubarbpaddle/execution/claiming_gateway.py
+++ b/src/rhubarbpaddle/execution/claiming_gateway.py
@@ -10,7 +10,8 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import AcceptedConfiguration, Service
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.claim_body import MAX_KEPT_BYTES, ClaimBody
 from rhubarbpaddle.execution.claim_fingerprint import (
     make_fingerprint,
--- a/src/rhubarbpaddle/execution/evidence_rules.py
+++ b/src/rhubarbpaddle/execution/evidence_rules.py
@@ -1,7 +1,8 @@
 """What the end of a request shows of the upstream that ran it."""
 
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.observed_body import ObservedBody
 from rhubarbpaddle.execution.response import Response
 from rhubarbpaddle.measuring import NO_EVIDENCE, Evidence, EvidenceKind
--- a/src/rhubarbpaddle/execution/fingerprint.py
+++ b/src/rhubarbpaddle/execution/fingerprint.py
@@ -2,7 +2,8 @@
 
 import hashlib
 
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.bytes_body import BytesBody
 
 _DIGEST_BYTES = 16
 
--- a/src/rhubarbpaddle/execution/gateway.py
+++ b/src/rhubarbpaddle/execution/gateway.py
@@ -9,7 +9,9 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import AcceptedConfiguration, Configuration
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body, BytesBody, rewind_body
+from rhubarbpaddle.execution.body import Body, rewind_body
+from rhubarbpaddle.execution.bytes_body import BytesBody
+from rhubarbpaddle.execution.deadline_refusal import make_deadline_refusal
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
@@ -73,7 +75,7 @@
         history = TryHistory(request.service)
         while True:
             if self._clock.monotonic() >= request.deadline:
-                raise _make_deadline_refusal(history.may_have_run)
+                raise make_deadline_refusal(history.may_have_run)
             candidate = self._choose(cfg, request.service, history)
             history.start(candidate.node_id)
             sent = self._prepare(cfg, request, history)
@@ -200,14 +202,4 @@
             return await stack.enter_async_context(
                 self._dispatcher.dispatch(request, body, candidate)
             )
-        raise _make_deadline_refusal(may_have_run=True)
-
-
-def _make_deadline_refusal(may_have_run: bool) -> RefusedError:
-    return RefusedError(
-        "deadline_exceeded",
-        "the deadline passed without an answer",
-        step="route",
-        status=504,
-        outcome=Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN,
-    )
+        raise make_deadline_refusal(may_have_run=True)
--- a/src/rhubarbpaddle/execution/instance_door.py
+++ b/src/rhubarbpaddle/execution/instance_door.py
@@ -8,7 +8,8 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution.attached_instance import AttachedInstance
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_suspects import CrashSuspects
 from rhubarbpaddle.execution.event_log import EventLog
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -8,7 +8,9 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body, BytesBody, rewind_body
+from rhubarbpaddle.execution.body import Body, rewind_body
+from rhubarbpaddle.execution.bytes_body import BytesBody
+from rhubarbpaddle.execution.deadline_refusal import make_deadline_refusal
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.event_log import EventLog
 from rhubarbpaddle.execution.request import Request
@@ -29,6 +31,8 @@
 # The node beside the instance answers at the deadline; this is for its answer
 # to arrive.
 _DEADLINE_GRACE_SECONDS = 0.03
+# 503 tells callers of routes that the request has not run.
+_NOT_RUN_STATUS = 503
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 
@@ -68,7 +72,9 @@
         record = TryRecord(request.service)
         while True:
             if self._clock.monotonic() >= request.deadline:
-                raise _make_deadline_refusal(record.may_have_run)
+                raise make_deadline_refusal(
+                    record.may_have_run, _NOT_RUN_STATUS
+                )
             candidate, may_queue = self._choose(request, record)
             if candidate is None:
                 raise _conclude(record)
@@ -190,7 +196,7 @@
             return await stack.enter_async_context(
                 self._dispatcher.dispatch(request, body, candidate)
             )
-        raise _make_deadline_refusal(may_have_run=True)
+        raise make_deadline_refusal(may_have_run=True)
 
     def _log_try(
         self,
@@ -222,13 +228,3 @@
     if last.status not in (502, 504):
         last.status = 502
     return last
-
-
-def _make_deadline_refusal(may_have_run: bool) -> RefusedError:
-    return RefusedError(
-        "deadline_exceeded",
-        "the deadline passed without an answer",
-        step="route",
-        status=504 if may_have_run else 503,
-        outcome=Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN,
-    )
--- a/src/rhubarbpaddle/execution/shared_retry_budget.py
+++ b/src/rhubarbpaddle/execution/shared_retry_budget.py
@@ -2,10 +2,9 @@
 
 from collections import defaultdict, deque
 from collections.abc import Callable
-from datetime import timedelta
-from typing import NamedTuple
 
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.execution.retry_terms import RetryTerms
 
 # Nodes do not know each other's counts, and a service receives the calls of
 # repeated runs beside its own retries, so that half is left for those.
@@ -15,20 +14,6 @@
 _REPEATED_RUN_SHARE = 0.2
 
 
-class RetryTerms(NamedTuple):
-    """What all nodes together may repeat.
-
-    Attributes:
-        ratio: Retries for each request.
-        slack: Retries in a window that need no request.
-        window: The span over which both are counted.
-    """
-
-    ratio: float
-    slack: float
-    window: timedelta
-
-
 class SharedRetryBudget:
     """Counts requests and retries of each service over a sliding window."""
 
--- a/src/rhubarbpaddle/execution/sidecar.py
+++ b/src/rhubarbpaddle/execution/sidecar.py
@@ -8,7 +8,8 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.attached_upstream import AttachedUpstream
-from rhubarbpaddle.execution.body import Body, BytesBody
+from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.chain_headers import write_chain_headers
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_suspects import CrashSuspects
--- a/src/rhubarbpaddle/node/log_witness.py
+++ b/src/rhubarbpaddle/node/log_witness.py
@@ -1,12 +1,7 @@
 """Tells whether the log has kept the records that it had."""
 
-from collections.abc import Callable
-from datetime import timedelta
 from typing import Protocol
 
-from rhubarbpaddle.log import LogClient
-from rhubarbpaddle.node.configuration_reader import STREAM
-
 
 class LogWitness(Protocol):
     """Knows records of the log other than those of one stream."""
@@ -17,24 +12,3 @@
         Raises:
             LogUnavailableError: The log did not answer.
         """
-
-
-class ConfigurationWitness:
-    """Compares the end of the `configuration` stream with what was read."""
-
-    def __init__(self, log: LogClient, get_offset: Callable[[], int]) -> None:
-        """Makes a witness.
-
-        Args:
-            log: The platform's log.
-            get_offset: Returns the offset after the last record that was
-                read; 0 if none was.
-        """
-        self._log = log
-        self._get_offset = get_offset
-
-    async def has_lost_records(self) -> bool:
-        """Returns whether the stream ends before what was read of it."""
-        known = self._get_offset()
-        batch = await self._log.read(STREAM, known, 1, timedelta())
-        return known == 0 or batch.end_offset < known
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -6,7 +6,7 @@
 import trio
 from trio import TaskStatus
 
-from rhubarbpaddle.clock import Clock, SystemClock
+from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import AcceptedConfiguration
 from rhubarbpaddle.execution.claim_partition import ClaimPartitions
 from rhubarbpaddle.execution.claim_reporter import ClaimReporter
@@ -23,16 +23,17 @@
     MemberTable,
     Suspicion,
 )
-from rhubarbpaddle.network import Network, TcpNetwork
+from rhubarbpaddle.network import Network
 from rhubarbpaddle.node.admin_handler import AdminHandler
 from rhubarbpaddle.node.claim_owner import ClaimOwner
 from rhubarbpaddle.node.claim_router import ClaimRouter
 from rhubarbpaddle.node.claims_clients import ClaimsClients
 from rhubarbpaddle.node.configuration_follower import ConfigurationFollower
-from rhubarbpaddle.node.log_witness import ConfigurationWitness
+from rhubarbpaddle.node.configuration_witness import ConfigurationWitness
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
 from rhubarbpaddle.node.probe_task import ProbeTask
-from rhubarbpaddle.node.seed_stream import SeedRecord, SeedStream
+from rhubarbpaddle.node.seed_record import SeedRecord
+from rhubarbpaddle.node.seed_stream import SeedStream
 from rhubarbpaddle.node.settings import NodeSettings
 from rhubarbpaddle.node.shutdown import Shutdown
 from rhubarbpaddle.node.signals import run_until_signal
@@ -50,6 +51,8 @@
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.routing import AdaptiveRouter
 from rhubarbpaddle.stream_watch import StreamWatch
+from rhubarbpaddle.system_clock import SystemClock
+from rhubarbpaddle.tcp_network import TcpNetwork
 from rhubarbpaddle.telemetry import Metrics, NodeReadings, get_logger
 
 _log = get_logger("node")
--- a/src/rhubarbpaddle/node/seed_stream.py
+++ b/src/rhubarbpaddle/node/seed_stream.py
@@ -4,11 +4,11 @@
 import random
 from collections.abc import Sequence
 from datetime import timedelta
-from typing import TypedDict
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
 from rhubarbpaddle.log import LogClient
+from rhubarbpaddle.node.seed_record import SeedRecord
 from rhubarbpaddle.telemetry import get_logger
 
 STREAM = "membership"
@@ -23,13 +23,6 @@
 _log = get_logger("membership")
 
 
-class SeedRecord(TypedDict):
-    """A record of the `membership` stream."""
-
-    node_id: str
-    peer_address: str
-
-
 class SeedStream:
     """Writes this node's address to the log and reads those of others."""
 
--- a/src/rhubarbpaddle/peer/listener.py
+++ b/src/rhubarbpaddle/peer/listener.py
@@ -2,12 +2,12 @@
 
 import secrets
 from collections.abc import Mapping
-from typing import Protocol
 
 import trio
 
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.connection_handler import ConnectionHandler
 from rhubarbpaddle.peer.identity import PeerIdentity
 from rhubarbpaddle.peer.messages import Challenge, Hello, Reject, Welcome
 from rhubarbpaddle.telemetry import get_logger
@@ -18,14 +18,6 @@
 _log = get_logger("peer")
 
 
-class ConnectionHandler(Protocol):
-    """Serves one authenticated connection until it ends."""
-
-    async def serve(self, conn: PeerConnection, hello: Hello) -> None:
-        """Serves the connection."""
-        ...
-
-
 class PeerListener:
     """Authenticates each connection and hands it to its purpose's handler."""
 
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -10,7 +10,7 @@
 import trio
 from trio import TaskStatus
 
-from rhubarbpaddle.clock import Clock, SystemClock
+from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import RoutingConfiguration, ServiceLimits
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
@@ -27,7 +27,7 @@
     StoreReaders,
     Suspicion,
 )
-from rhubarbpaddle.network import Network, TcpNetwork, split_address
+from rhubarbpaddle.network import Network, split_address
 from rhubarbpaddle.node.instance_registry import InstanceRegistry
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
 from rhubarbpaddle.node.shutdown import Shutdown
@@ -51,6 +51,8 @@
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
 from rhubarbpaddle.stream_watch import StreamWatch
+from rhubarbpaddle.system_clock import SystemClock
+from rhubarbpaddle.tcp_network import TcpNetwork
 from rhubarbpaddle.telemetry import Metrics, get_logger
 
 _CLUSTER = "platform"
--- a/src/rhubarbpaddle/platform/operator_follower.py
+++ b/src/rhubarbpaddle/platform/operator_follower.py
@@ -8,8 +8,9 @@
 from rhubarbpaddle.configuration import RoutingConfiguration
 from rhubarbpaddle.exceptions import ConfigurationError, RhubarbpaddleError
 from rhubarbpaddle.node.backoff import Backoff
+from rhubarbpaddle.platform.history_lost import HistoryLostError
 from rhubarbpaddle.platform.operator_state import OperatorState
-from rhubarbpaddle.platform.store_client import HistoryLostError, StoreClient
+from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.telemetry import get_logger
 
 _TOPIC = "keyed.op"
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple, Self
 
 from rhubarbpaddle.exceptions import SettingsError
-from rhubarbpaddle.execution.shared_retry_budget import RetryTerms
+from rhubarbpaddle.execution.retry_terms import RetryTerms
 
 SETTINGS_VARIABLE = "RHUBARBPADDLE_SETTINGS"
 _STEP = "load_settings"
--- a/src/rhubarbpaddle/platform/store_client.py
+++ b/src/rhubarbpaddle/platform/store_client.py
@@ -3,7 +3,6 @@
 import base64
 import json
 from datetime import timedelta
-from typing import NamedTuple
 
 import trio
 
@@ -15,11 +14,13 @@
 from rhubarbpaddle.http.client_connection import ClientConnection
 from rhubarbpaddle.http.service_client import ServiceClient
 from rhubarbpaddle.network import Network
+from rhubarbpaddle.platform.history_lost import HistoryLostError
 from rhubarbpaddle.platform.keyed_record import (
     KeyedRecord,
     encode_record,
     parse_read,
 )
+from rhubarbpaddle.platform.newest_records import NewestRecords
 
 # The store takes 4 ms where nothing ails it, and up to 100 times that where
 # it is slow.
@@ -29,24 +30,6 @@
 _REFUSALS = frozenset({400, 403, 404, 412, 413, 429, 503, 507})
 
 
-class NewestRecords(NamedTuple):
-    """The newest record of each key of a topic.
-
-    Attributes:
-        records: The records; keys that were dropped are missing.
-        end: The partition's end when the reading began.
-    """
-
-    records: list[KeyedRecord]
-    end: int
-
-
-class HistoryLostError(LogUnavailableError):
-    """The records that were asked for have been deleted."""
-
-    code = "history_lost"
-
-
 class StoreClient:
     """Reads and writes keyed topics, which have one partition."""
 
--- /dev/null
+++ b/src/rhubarbpaddle/tcp_network.py
@@ -0,0 +1,126 @@
+"""TCP of the operating system."""
+
+import os
+import select
+import socket
+import struct
+
+import trio
+from trio import TaskStatus
+
+from rhubarbpaddle.network import StreamHandler, split_address
+from rhubarbpaddle.remote_state import RemoteState
+from rhubarbpaddle.tcp_stream import TcpStream
+
+_BACKLOG = 1_024
+
+# Unacknowledged data for this long ends a connection whose far side vanished.
+# The kernel also counts the time in which a far side keeps its receive window
+# closed, so this is the time that a slow reader may pause.
+_USER_TIMEOUT_MS = 30_000
+# Idle connections to a host that vanished end after about 30 s.
+_KEEP_ALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 15),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+)
+
+
+class TcpNetwork:
+    """TCP of the operating system."""
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """Connects to `IP:PORT`."""
+        host, port = split_address(address)
+        sock = trio.socket.socket()
+        try:
+            await sock.connect((host, port))
+        except BaseException:
+            sock.close()
+            raise
+        stream = TcpStream(trio.SocketStream(sock))
+        _set_options(stream)
+        return stream
+
+    async def serve(
+        self,
+        address: str,
+        handler: StreamHandler,
+        *,
+        task_status: TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accepts connections at `IP:PORT` and runs a task for each."""
+        host, port = split_address(address)
+        listeners = await trio.open_tcp_listeners(
+            port, host=host, backlog=_BACKLOG
+        )
+
+        async def handle(accepted: trio.SocketStream) -> None:
+            stream = TcpStream(accepted)
+            _set_options(stream)
+            await handler(stream)
+
+        task_status.started()
+        await trio.serve_listeners(handle, listeners)
+
+    def has_input(self, stream: trio.abc.Stream) -> bool:
+        """Returns whether bytes or the end of the stream can be read now."""
+        return _poll(stream, select.POLLIN | select.POLLRDHUP) != 0
+
+    def get_remote_state(self, stream: trio.abc.Stream) -> RemoteState:
+        """Returns what is known of the far side, without reading."""
+        events = _poll(stream, select.POLLRDHUP)
+        if events & (select.POLLERR | select.POLLHUP | select.POLLNVAL):
+            return RemoteState.CLOSED
+        if events & select.POLLRDHUP:
+            return RemoteState.HALF_CLOSED
+        return RemoteState.OPEN
+
+    def get_remote_address(self, stream: trio.abc.Stream) -> str:
+        """Returns the far side's IP number, or `unknown`."""
+        assert isinstance(stream, TcpStream)
+        try:
+            return str(stream.socket.getpeername()[0])
+        except OSError:
+            return "unknown"
+
+    def try_send(self, stream: trio.abc.Stream, data: bytes) -> bool:
+        """Sends a few bytes at once, or none if the stream takes none now."""
+        assert isinstance(stream, TcpStream)
+        descriptor = stream.socket.fileno()
+        if descriptor < 0:
+            return False
+        try:
+            # The descriptor does not block, so this does not wait.
+            return os.write(descriptor, data) == len(data)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
+    def reset_on_close(self, stream: trio.abc.Stream) -> None:
+        """Makes a later close reach the far side as an error, not an end."""
+        assert isinstance(stream, TcpStream)
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+
+
+def _set_options(stream: TcpStream) -> None:
+    stream.socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+    )
+    for level, option, value in _KEEP_ALIVE:
+        stream.socket.setsockopt(level, option, value)
+
+
+def _poll(stream: trio.abc.Stream, events: int) -> int:
+    assert isinstance(stream, TcpStream)
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return select.POLLNVAL
+    poller = select.poll()
+    poller.register(descriptor, events)
+    found = poller.poll(0)
+    return found[0][1] if found else 0
