--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -61,11 +61,11 @@
                     kind = self._rng.choice(self._kinds)
                     host = self._rng.choice(self._world.hosts)
                     if host.name not in self._busy:
+                        self._busy.add(host.name)
                         nursery.start_soon(self._cause, kind, host)
                 await trio.sleep(self._rng.uniform(0.2, 2.0))
 
     async def _cause(self, kind: HostFault, host: SoakHost) -> None:
-        self._busy.add(host.name)
         started = trio.current_time()
         index = len(self._world.faults)
         fault = Fault(
--- a/soak/host.py
+++ b/soak/host.py
@@ -65,6 +65,7 @@
         self._rng = rng
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
+        self._started: list[subprocess.Popen[bytes]] = []
         self._instance_scope = trio.CancelScope()
         self._starts = 0
 
@@ -86,6 +87,7 @@
                 env=environment,
                 cwd=_ROOT,
             )
+        self._started.append(self._process)
 
     def signal(self, signum: signal.Signals) -> None:
         """Sends a signal to the node's process, if it runs."""
@@ -103,10 +105,10 @@
         process.wait()
 
     def kill(self) -> None:
-        """Ends the node's process at once, also a paused one."""
-        if self._process is not None:
-            self._process.kill()
-            self._process.wait()
+        """Ends each process that was started here, also a paused one."""
+        for process in self._started:
+            process.kill()
+            process.wait()
 
     async def start_instance(
         self, nursery: trio.Nursery, is_cold: bool = True
