Call a store that refuses with one task of a starting node

Cause: a node that starts in an outage of the store called it from two tasks; after a herd kill of 46 nodes in an outage of 2.5 s about 400 calls were refused, each of them priced. The directory now waits until the store has answered the configuration's first read.

--- a/features/steps/store_readers_steps.py
+++ b/features/steps/store_readers_steps.py
@@ -97,5 +97,31 @@
     tell(context, work)
 
 
+@when("the store refuses all calls and a node starts")
+def step_refuse(context: Context) -> None:
+    async def work() -> None:
+        world: PlatformWorld = context.world
+        for name in world.nodes:
+            world.fabric.block_both_ways(name, "store")
+        await trio.sleep(2)
+        world.store.status = 503
+        context.calls = world.store.calls
+        await world.start_host("late")
+
+    tell(context, work)
+
+
+@then(
+    "the node has called the store at most {count:d} times after {seconds:d} s"
+)
+def step_calls(context: Context, count: int, seconds: int) -> None:
+    async def work() -> None:
+        await trio.sleep(seconds)
+        calls = context.world.store.calls - context.calls
+        assert 0 < calls <= count, calls
+
+    tell(context, work)
+
+
 def _is_reader(world: PlatformWorld, name: str) -> bool:
     return world.nodes[name].configuration.is_reader()
--- a/features/store_readers.feature
+++ b/features/store_readers.feature
@@ -22,3 +22,10 @@
     When all open connections to the store go silent
     And 0 s later operators change the route's prefix
     Then all 6 nodes serve the new prefix within 4 s
+
+  # Guards against priced calls to a store that refuses them (46 nodes that
+  # restart together in an outage).
+  Scenario: A node that starts in an outage of the store calls it rarely
+    Given 6 nodes in one zone that read the platform's store
+    When the store refuses all calls and a node starts
+    Then the node has called the store at most 8 times after 4 s
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -111,6 +111,7 @@
             clock,
             rng,
             self._get_link_count,
+            self.configuration.answered.wait,
         )
         identity = PeerIdentity(
             _CLUSTER, settings.node_id, incarnation, _SECRET
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -36,6 +36,7 @@
         clock: Clock,
         rng: random.Random,
         get_link_count: Callable[[], int],
+        wait_for_store: Callable[[], Awaitable[None]],
     ) -> None:
         """Makes a directory that knows no other node.
 
@@ -46,7 +47,10 @@
             clock: The source of time.
             rng: The source of jitter.
             get_link_count: Returns how many control links are open.
+            wait_for_store: Waits until the store has answered a read, so that
+                an outage costs the calls of one task only.
         """
+        self._wait_for_store = wait_for_store
         self._get_link_count = get_link_count
         self._node_id = node_id
         self._peer_address = peer_address
@@ -61,6 +65,7 @@
 
     async def run(self) -> None:
         """Enters this node and reads the entries until others are found."""
+        await self._wait_for_store()
         await self._retry(self._enter)
         await self._retry(self._read)
         pause = _FIRST_REPEAT
--- a/src/rhubarbpaddle/platform/operator_follower.py
+++ b/src/rhubarbpaddle/platform/operator_follower.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import trio
+
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration import RoutingConfiguration
 from rhubarbpaddle.exceptions import ConfigurationError, RhubarbpaddleError
@@ -31,6 +33,7 @@
 
     Attributes:
         is_reader: Returns whether this node reads the store for others.
+        answered: Set once the store has answered a read.
         state: What operators have written, or None before the first reading.
     """
 
@@ -56,6 +59,7 @@
         self._clock = clock
         self._on_change = on_change
         self.is_reader = is_reader
+        self.answered = trio.Event()
         self._backoff = Backoff(rng, _BACKOFF_LIMIT)
         self._records: dict[str, bytes] = {}
         self._end: int | None = None
@@ -108,6 +112,7 @@
 
     async def _read_all(self) -> None:
         newest = await self._store.read_newest(_TOPIC)
+        self.answered.set()
         self._records = {record.key: record.value for record in newest.records}
         self._end = newest.end
         self._apply()
