Serve a running instance before its first report to a new process

Instances run on, but a node learned of its instance from the next status report, up to 1.5 s after its start. It now asks the health path at its start, which names the instance, its slots and its cold time; an unhealthy one waits for its report. The first report gives the instance its incarnation and keeps its admission, so that a cold start's count goes on; a departure before it holds.

The scenario "A request reaches an instance beside another node" relied on an idle instance beside the first node; that one is now unhealthy.

--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -43,11 +43,14 @@
     context.configuration = make_configuration()
 
 
-def _run(context: Context, script: Script, report: bool = True) -> None:
+def _run(
+    context: Context, script: Script, report: bool = True, healthy: bool = True
+) -> None:
     async def run(world: PlatformWorld) -> None:
         await world.start_store(context.configuration)
         for name, zone in context.zones.items():
-            await world.start_host(name, zone)
+            # A healthy instance is served before it reports.
+            (await world.start_host(name, zone)).healthy = healthy
         await trio.sleep(SETTLE_SECONDS)
         if report:
             for name in context.zones:
@@ -66,7 +69,7 @@
         await trio.sleep(0.5)
         context.answer = await world.ask(node, "one")
 
-    _run(context, script, report=False)
+    _run(context, script, report=False, healthy=False)
 
 
 @then('the caller gets 200 from the instance of "{name}"')
--- a/src/rhubarbpaddle/http/health_client.py
+++ b/src/rhubarbpaddle/http/health_client.py
@@ -73,4 +73,7 @@
                 self._conn = conn
             else:
                 await conn.aclose()
-        return self._read(response.headers)
+        reading = self._read(response.headers)
+        if reading is None:
+            return None
+        return reading._replace(healthy=response.status_code == 200)
--- a/src/rhubarbpaddle/measuring/instance_reading.py
+++ b/src/rhubarbpaddle/measuring/instance_reading.py
@@ -13,6 +13,8 @@
         slots: Requests that it can run at once.
         pace: How long work takes at this moment, as a multiple of the usual.
         cold_seconds: How long it stays cold, or None if it was not said.
+        healthy: Whether it says that it takes work; an answer to a request
+            says nothing else.
     """
 
     instance: str | None
@@ -21,3 +23,4 @@
     slots: int
     pace: float
     cold_seconds: float | None
+    healthy: bool = True
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -14,6 +14,7 @@
 from rhubarbpaddle.http.upstream_client import HttpUpstreamClient
 from rhubarbpaddle.http.upstream_dialect import UpstreamDialect
 from rhubarbpaddle.measuring.instance_monitor import InstanceMonitor
+from rhubarbpaddle.measuring.instance_reading import InstanceReading
 from rhubarbpaddle.membership import (
     MemberTable,
     UpstreamState,
@@ -27,6 +28,13 @@
 # How soon an instance that was lost is found again if it did not restart.
 _RECHECK = timedelta(milliseconds=200)
 
+# An instance reports within this time after the node's start, if it runs.
+_DISCOVERY = timedelta(seconds=3)
+_DISCOVERY_INTERVAL = timedelta(milliseconds=100)
+# The incarnation of an instance that has not reported yet; a start's time in
+# milliseconds is higher.
+_UNREPORTED = 1
+
 _log = get_logger("instance")
 
 
@@ -87,11 +95,84 @@
             )
             return False
         self._newest = order
+        self._identify(report)
         if (report.instance, report.incarnation) in self._left:
             return True
         self._use_report(report)
         return True
 
+    async def discover(self, service: str) -> None:
+        """Attaches an instance that ran before this process started.
+
+        Until its next report it would stand idle, although its health check
+        tells all that is needed to serve it.
+
+        Args:
+            service: The service of the instance on this host.
+        """
+        until = self._clock.monotonic() + _DISCOVERY.total_seconds()
+        while self._is_unknown() and self._clock.monotonic() < until:
+            limits = self._get_limits(service)
+            if limits is not None:
+                reading = await self._ask_health(limits)
+                if reading is not None and self._is_unknown():
+                    self._attach_unreported(service, limits, reading)
+                    return
+            await self._clock.sleep(_DISCOVERY_INTERVAL)
+
+    def _is_unknown(self) -> bool:
+        return (
+            self._newest == (0, 0)
+            and self._door.attached is None
+            and not self._left
+        )
+
+    async def _ask_health(
+        self, limits: ServiceLimits
+    ) -> InstanceReading | None:
+        """Returns what a healthy instance says, or None."""
+        client = self._make_health_client(limits)
+        monitor = InstanceMonitor(client, self._clock)
+        try:
+            await monitor.refresh(0.0)
+        finally:
+            await client.aclose()
+        reading = monitor.reading
+        if reading is None or reading.instance is None or not reading.healthy:
+            return None
+        return reading
+
+    def _attach_unreported(
+        self, service: str, limits: ServiceLimits, reading: InstanceReading
+    ) -> None:
+        assert reading.instance is not None
+        cold = reading.cold_seconds or 0.0
+        report = InstanceReport(
+            instance=reading.instance,
+            incarnation=_UNREPORTED,
+            sequence=0,
+            service=service,
+            slots=max(1, reading.slots),
+            leaving=False,
+            cold_time=timedelta(seconds=cold),
+        )
+        attached = self._attach(report, limits)
+        attached.admission.set_cold(cold)
+        self._set_state(UpstreamState.COLD if cold > 0 else UpstreamState.WARM)
+
+    def _identify(self, report: InstanceReport) -> None:
+        """Gives an instance that was discovered the incarnation it reports."""
+        attached = self._door.attached
+        if attached is None or not _is_same(
+            attached.summary, report._replace(incarnation=_UNREPORTED)
+        ):
+            return
+        summary = attached.summary._replace(incarnation=report.incarnation)
+        if summary.state is UpstreamState.LEAVING:
+            self._left.add((report.instance, report.incarnation))
+        self._door.attached = attached._replace(summary=summary)
+        self._table.update_own(upstream=summary)
+
     def _use_report(self, report: InstanceReport) -> None:
         attached = self._door.attached
         if attached is None or not _is_same(attached.summary, report):
@@ -133,7 +214,10 @@
                 self._left.add((instance, incarnation))
             return
         current = attached.summary.incarnation
-        if incarnation is not None and incarnation != current:
+        if incarnation is not None and current not in (
+            incarnation,
+            _UNREPORTED,
+        ):
             _log.info(
                 "departure_outdated", instance=instance, incarnation=incarnation
             )
@@ -196,15 +280,7 @@
     def _attach(
         self, report: InstanceReport, limits: ServiceLimits
     ) -> AttachedInstance:
-        monitor = InstanceMonitor(
-            HttpHealthClient(
-                self._network,
-                self._address,
-                limits.health_path,
-                self._dialect.read_load,
-            ),
-            self._clock,
-        )
+        monitor = InstanceMonitor(self._make_health_client(limits), self._clock)
         admission = InstanceAdmission(
             report.slots, limits.cold_rate, monitor, self._clock
         )
@@ -240,6 +316,14 @@
         )
         return attached
 
+    def _make_health_client(self, limits: ServiceLimits) -> HttpHealthClient:
+        return HttpHealthClient(
+            self._network,
+            self._address,
+            limits.health_path,
+            self._dialect.read_load,
+        )
+
     def _set_state(self, state: UpstreamState) -> None:
         attached = self._door.attached
         assert attached is not None
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -217,6 +217,7 @@
             nursery.start_soon(self.overlay.run)
             nursery.start_soon(self._watch.run)
             nursery.start_soon(self.registry.run)
+            nursery.start_soon(self.registry.discover, settings.service)
             nursery.start_soon(self._watch_settings)
             _log.info("node_started", node=settings.node_id)
             task_status.started()
