--- a/features/membership.feature
+++ b/features/membership.feature
@@ -36,6 +36,12 @@
     When one node takes a configuration from the log
     Then it is in force on all nodes within 1 second
 
+  # Guards against a text that crosses each link in both directions.
+  Scenario: A node fetches a configuration once
+    Given 12 nodes that know each other
+    When one node takes a configuration from the log
+    Then its text was sent at most 11 times
+
   Scenario: A stranger without the secret learns nothing
     Given 2 nodes that know each other
     When a stranger with another secret connects
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,4 +1,5 @@
 from collections.abc import Awaitable, Callable
+from unittest.mock import patch
 
 import trio
 from behave import given, then, when
@@ -16,9 +17,13 @@
 from rhubarbpaddle.exceptions import ProtocolError
 from rhubarbpaddle.membership import MemberStatus, Suspicion, choose_neighbours
 from rhubarbpaddle.peer import PeerIdentity
+from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.messages import ConfigurationUpdate
 
 _JOIN_SECONDS = 30.0
+# Several heartbeats, so that late copies would be seen.
+_SPREAD_SECONDS = 3.0
 _TEXT = '{"services": {}, "availability_zones": {"a": {}}}'
 
 Scenario = Callable[[OverlayGroup], Awaitable[None]]
@@ -132,8 +137,24 @@
             await trio.sleep(0.01)
             assert trio.current_time() - started < 30.0
         context.took = trio.current_time() - started
+        await trio.sleep(_SPREAD_SECONDS)
 
-    run_group(context, scenario)
+    send = PeerConnection.send
+    context.texts_sent = 0
+
+    async def count(conn: PeerConnection, *messages: object) -> None:
+        context.texts_sent += sum(
+            isinstance(message, ConfigurationUpdate) for message in messages
+        )
+        await send(conn, *messages)  # type: ignore[arg-type]
+
+    with patch.object(PeerConnection, "send", count):
+        run_group(context, scenario)
+
+
+@then("its text was sent at most {count:d} times")
+def step_texts(context: Context, count: int) -> None:
+    assert 0 < context.texts_sent <= count, context.texts_sent
 
 
 @when("a stranger with another secret connects")
