--- a/features/membership.feature
+++ b/features/membership.feature
@@ -42,6 +42,13 @@
     When one node takes a configuration from the log
     Then its text was sent at most 11 times
 
+  # Guards against an instance that stands idle beside a node that was stopped
+  # and started again in an outage of the store (incident inc-3126: 4.2 s).
+  Scenario: A node that is restarted without the log learns the configuration
+    Given 12 nodes that know each other
+    When each of 4 nodes leaves, ends and starts again 3 s later without seeds
+    Then each has the configuration 1 s after its start
+
   Scenario: A stranger without the secret learns nothing
     Given 2 nodes that know each other
     When a stranger with another secret connects
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -157,6 +157,39 @@
     assert 0 < context.texts_sent <= count, context.texts_sent
 
 
+@when(
+    "each of {count:d} nodes leaves, ends and starts again {pause:d} s later "
+    "without seeds"
+)
+def step_restart(context: Context, count: int, pause: int) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        accepted = AcceptedConfiguration(
+            1, "digest", _TEXT, 0, parse_configuration(_TEXT)
+        )
+        for host in group.hosts.values():
+            host.configuration.accepted = accepted
+        for index in range(count):
+            name = f"n{index + 1}"
+            group.hosts[name].table.update_own(status=MemberStatus.LEAVING)
+            await trio.sleep(0.5)
+            group.kill(name)
+            await trio.sleep(pause)
+            host = group.start(name)
+            started = trio.current_time()
+            while host.configuration.accepted is None:
+                await trio.sleep(0.01)
+                assert trio.current_time() - started < _JOIN_SECONDS
+            context.waits.append(trio.current_time() - started)
+
+    context.waits = []
+    run_group(context, scenario)
+
+
+@then("each has the configuration {seconds:d} s after its start")
+def step_learned(context: Context, seconds: int) -> None:
+    assert max(context.waits) <= seconds, context.waits
+
+
 @when("a stranger with another secret connects")
 def step_stranger(context: Context) -> None:
     async def scenario(group: OverlayGroup) -> None:
