--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -1,22 +1,17 @@
-from collections.abc import Awaitable, Callable
-
 import trio
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.host_network import HostNetwork
+from features.support.platform_scenario import run_on_platform
 from features.support.platform_world import (
-    SETTLE_SECONDS,
     PlatformWorld,
     make_call,
     make_configuration,
-    run_platform_world,
 )
 from rhubarbpaddle.peer import PeerIdentity
 from rhubarbpaddle.peer.connector import PeerConnector
 
-Script = Callable[[PlatformWorld], Awaitable[None]]
-
 
 @given('a platform with hosts "{names}"')
 def step_hosts(context: Context, names: str) -> None:
@@ -43,25 +38,6 @@
     context.configuration = make_configuration()
 
 
-def _run(
-    context: Context, script: Script, report: bool = True, healthy: bool = True
-) -> None:
-    async def run(world: PlatformWorld) -> None:
-        await world.start_store(context.configuration)
-        for name, zone in context.zones.items():
-            # A healthy instance is served before it reports.
-            (await world.start_host(name, zone)).healthy = healthy
-        await trio.sleep(SETTLE_SECONDS)
-        if report:
-            for name in context.zones:
-                assert await world.report(name) == 200
-        await trio.sleep(0.5)
-        context.world = world
-        await script(world)
-
-    run_platform_world(run)
-
-
 @when('the instance of "{name}" reports and a caller asks "{node}"')
 def step_ask(context: Context, name: str, node: str) -> None:
     async def script(world: PlatformWorld) -> None:
@@ -69,7 +45,7 @@
         await trio.sleep(0.5)
         context.answer = await world.ask(node, "one")
 
-    _run(context, script, report=False, healthy=False)
+    run_on_platform(context, script, report=False, healthy=False)
 
 
 @then('the caller gets 200 from the instance of "{name}"')
@@ -96,7 +72,7 @@
         check = await world.send(f"{node}:3", "GET", "/ready", {})
         context.check = check.status
 
-    _run(context, script, report=False)
+    run_on_platform(context, script, report=False)
 
 
 @then("the caller gets 503 with a time to come back and the check gets 503")
@@ -111,7 +87,7 @@
     async def script(world: PlatformWorld) -> None:
         context.answer = await world.ask(node, "one", target)
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then("the caller gets {status:d}")
@@ -131,7 +107,7 @@
             for request_id in (first, second, "three")
         ]
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then("each caller gets its own answer")
@@ -152,7 +128,7 @@
             await world.ask(node, f"r{index}") for index in range(count)
         ]
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then('no request ran at "{name}" and all got 200')
@@ -177,7 +153,7 @@
             context.answer = await world.ask(name, "one")
         context.elapsed = trio.current_time() - started
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then("the answer comes within {seconds:g} s")
@@ -208,7 +184,7 @@
                     nursery.start_soon(ask, index)
                     await trio.sleep(0.02)
 
-    _run(context, script, report=False)
+    run_on_platform(context, script, report=False)
 
 
 @then('the instance of "{name}" ran at most {count:d} requests')
@@ -227,7 +203,7 @@
             for node in ("h1", "h2")
         ]
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then('requests through both nodes run at "{name}" only')
@@ -250,7 +226,7 @@
                 instance.cut_target = "/lanes/cut"
         context.answer = await world.ask("h1", "one", "/lanes/cut", "POST")
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then("the caller gets {status:d} and the request ran once")
@@ -277,7 +253,7 @@
         context.answer = await world.ask("h1", "one", deadline_ms=9000)
         context.elapsed = trio.current_time() - started
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then("the caller gets {status:d} after {seconds:g} s")
@@ -286,59 +262,6 @@
     assert seconds - 0.01 < context.elapsed < seconds + 0.5, context.elapsed
 
 
-@when('operators withdraw zone "{zone}", and later take it back')
-def step_withdraw(context: Context, zone: str) -> None:
-    async def script(world: PlatformWorld) -> None:
-        async def ask_all(prefix: str) -> list[str]:
-            before = len(world.instances["h1"].runs)
-            for index in range(5):
-                answer = await world.ask("h1", f"{prefix}{index}")
-                assert answer.status == 200, answer.status
-            return world.instances["h1"].runs[before:]
-
-        world.store.put("keyed.op", f"evacuate/{zone}", b"{}")
-        await trio.sleep(1)
-        context.during = await ask_all("d")
-        world.store.put("keyed.op", f"evacuate/{zone}", b"")
-        await trio.sleep(1)
-        context.after = await ask_all("a")
-
-    _run(context, script)
-
-
-@then('requests run at "{other}" only, and at "{name}" again in the end')
-def step_withdrawn(context: Context, other: str, name: str) -> None:
-    assert context.during == []
-    assert context.after
-
-
-@when('the store turns "{name}" away and operators change the route\'s prefix')
-def step_turned_away(context: Context, name: str) -> None:
-    async def script(world: PlatformWorld) -> None:
-        world.fabric.block_both_ways(name, "store")
-        world.put_configuration(make_configuration(2, pathPrefix="/new/"))
-        await trio.sleep(2)
-        context.answer = await world.ask(name, "one", "/new/x")
-
-    _run(context, script)
-
-
-@when("the configuration changes and the store forgets its history")
-def step_forget(context: Context) -> None:
-    async def script(world: PlatformWorld) -> None:
-        world.put_configuration(make_configuration(2, pathPrefix="/new/"))
-        world.store.forget("keyed.op")
-        await trio.sleep(2)
-        context.answer = await world.ask("h1", "one", "/new/x")
-
-    _run(context, script)
-
-
-@then('"{name}" serves the new prefix within 2 s')
-def step_new_prefix(context: Context, name: str) -> None:
-    assert context.answer.status == 200, context.answer.status
-
-
 @when("a request cuts and crashes each instance and comes {count:d} times")
 def step_crash(context: Context, count: int) -> None:
     async def script(world: PlatformWorld) -> None:
@@ -353,7 +276,7 @@
             await trio.sleep(0.5)
         context.answer = await world.ask("h2", "other", "/lanes/x")
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then("it has run at most {count:d} times and another request is served")
@@ -385,7 +308,7 @@
             elapsed = trio.current_time() - started
             context.silent.append((answer.status, elapsed))
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then("each idempotent request is answered within {seconds:g} s")
@@ -411,7 +334,7 @@
         await conn.aclose()
         await trio.sleep(1)
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then('the instance of "{name}" has run nothing')
@@ -419,39 +342,6 @@
     assert context.world.instances[name].runs == []
 
 
-@when(
-    'the instance of "{name}" reports and the configuration comes {after:g} s '
-    "later"
-)
-def step_early_report(context: Context, name: str, after: float) -> None:
-    async def script(world: PlatformWorld) -> None:
-        assert await world.report(name) == 200
-        await trio.sleep(after)
-        world.put_configuration(make_configuration())
-        await trio.sleep(1)
-        context.answers = []
-        started = trio.current_time()
-
-        async def ask(index: int) -> None:
-            answer = await world.ask(name, f"r{index}")
-            elapsed = trio.current_time() - started
-            context.answers.append((answer.status, elapsed))
-
-        async with trio.open_nursery() as nursery:
-            for index in range(4):
-                nursery.start_soon(ask, index)
-
-    _run(context, script, report=False)
-
-
-@then("{count:d} requests at once are answered within {seconds:g} s")
-def step_all_soon(context: Context, count: int, seconds: float) -> None:
-    assert len(context.answers) == count
-    for status, elapsed in context.answers:
-        assert status == 200 and elapsed < seconds, context.answers
-    assert context.world.instances["h1"].checks > 0
-
-
 @when(
     '"{name}" is told to stop and {after:g} s later a caller asks "{other}", '
     "whose instance is gone"
@@ -469,7 +359,7 @@
             check = await world.send(f"{name}:3", "GET", "/ready", {})
             context.check = check.status
 
-    _run(context, script)
+    run_on_platform(context, script)
 
 
 @then('the caller gets 200 and the readiness of "{name}" is 503')
