--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -19,6 +19,11 @@
 from rhubarbpaddle.peer.messages import Call
 from rhubarbpaddle.platform.node import PlatformNode
 from rhubarbpaddle.platform.settings import PlatformSettings
+from standins.platform_documents import (
+    make_configuration_document,
+    make_route_entry,
+    make_settings_document,
+)
 from standins.platform_instance import PlatformInstance
 from standins.platform_store import PlatformStore
 
@@ -32,74 +37,24 @@
 
 def make_settings(name: str, zone: str = "a") -> dict[str, Any]:
     """Returns the document of the settings file of a host."""
-    return {
-        "local": {
-            "node": name,
-            "zone": zone,
-            "service": SERVICE,
-            "appAddr": f"{name}:9",
-        },
-        "network": {
-            "listen": {
-                "inbound": f"{name}:1",
-                "outbound": f"{name}:2",
-                "readiness": f"{name}:3",
-                "control": f"{name}:4",
-            },
-            "seeds": [],
-        },
-        "platform": {
-            "heartbeatMs": 1500,
-            "platform": {"address": STORE_ADDRESS},
-        },
-        "terms": {
-            "bounds": {
-                "graceS": 6,
-                "retryBudgetRatio": 0.2,
-                "retryBudgetSlack": 60,
-                "budgetWindowS": 10,
-            }
-        },
+    addresses = {
+        "instance": f"{name}:9",
+        "store": STORE_ADDRESS,
+        "inbound": f"{name}:1",
+        "outbound": f"{name}:2",
+        "readiness": f"{name}:3",
+        "control": f"{name}:4",
     }
+    return make_settings_document(name, zone, SERVICE, addresses, 1500)
 
 
 def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Returns a configuration with one route and one service."""
-    route = {
-        "host": "club.example",
-        "pathPrefix": "/lanes/",
-        "kind": "idempotent",
-        "timeoutMs": 1000,
-        "targetLatencyMs": 400,
-        "priority": 1,
-        "service": SERVICE,
-        "maxAttempts": 2,
-        **changes,
-    }
-    service = {
-        "healthPath": "/health",
-        "maxConnections": 100,
-        "coldStartS": 3.0,
-        "coldPerS": 5.0,
-    }
-    limits = {
-        "maxHeaderBytes": 16384,
-        "maxBodyBytes": 1 << 20,
-        "headerTimeoutMs": 3000,
-        "idleTimeoutMs": 15000,
-    }
-    return {
-        "version": f"r{version}",
-        "resources": [
-            {"entryKind": "routes", "metadata": {"name": "r"}, "spec": route},
-            {
-                "entryKind": "services",
-                "metadata": {"name": SERVICE},
-                "spec": service,
-            },
-            {"entryKind": "limits", "metadata": {}, "spec": limits},
-        ],
-    }
+    kind = changes.pop("kind", "idempotent")
+    route = make_route_entry(
+        "r", "club.example", "/lanes/", kind, SERVICE, **changes
+    )
+    return make_configuration_document(version, [route], SERVICE, 5.0, 3.0)
 
 
 def make_report(instance: str, **changes: Any) -> dict[str, Any]:
--- a/soak/host.py
+++ b/soak/host.py
@@ -14,7 +14,9 @@
 from soak.instance import SoakInstance
 from soak.proxy import LoopbackProxy
 from soak.records import Run
+from standins.platform_documents import make_settings_document
 
+SERVICE = "lanes"
 _EXIT_SECONDS = 8.0
 _ROOT = Path(__file__).parents[1]
 
@@ -122,6 +124,7 @@
             self._runs,
             self._rng,
             is_cold,
+            SERVICE,
         )
         self._instance_scope = trio.CancelScope()
         await nursery.start(self._run_instance, instance)
@@ -144,32 +147,14 @@
         return f"{self._ip}:{port}"
 
     def _make_settings(self) -> dict[str, Any]:
-        return {
-            "local": {
-                "node": self.name,
-                "zone": self.availability_zone,
-                "service": "lanes",
-                "appAddr": self._at(7002),
-            },
-            "network": {
-                "listen": {
-                    "inbound": self._at(7006),
-                    "outbound": self.caller_address,
-                    "readiness": self.readiness_address,
-                    "control": self._at(7005),
-                },
-                "seeds": [],
-            },
-            "platform": {
-                "heartbeatMs": 500,
-                "platform": {"address": self._at(7001)},
-            },
-            "terms": {
-                "bounds": {
-                    "graceS": 6,
-                    "retryBudgetRatio": 0.2,
-                    "retryBudgetSlack": 60,
-                    "budgetWindowS": 10,
-                }
-            },
+        addresses = {
+            "instance": self._at(7002),
+            "store": self._at(7001),
+            "inbound": self._at(7006),
+            "outbound": self.caller_address,
+            "readiness": self.readiness_address,
+            "control": self._at(7005),
         }
+        return make_settings_document(
+            self.name, self.availability_zone, SERVICE, addresses, 500
+        )
--- a/soak/instance.py
+++ b/soak/instance.py
@@ -18,7 +18,7 @@
 
 _REPORT = timedelta(milliseconds=500)
 _ACKNOWLEDGED_WITHIN = 1.0
-_COLD_SECONDS = 2.0
+COLD_SECONDS = 2.0
 _SPELL_SECONDS = 0.3
 _SLOW_SHARE = 0.25
 _SLOW_PACE = 500
@@ -40,6 +40,7 @@
         runs: list[Run],
         rng: random.Random,
         is_cold: bool,
+        service: str,
     ) -> None:
         """Makes an instance that does not serve yet.
 
@@ -50,7 +51,9 @@
             runs: Where it notes what it runs.
             rng: The source of slow spells.
             is_cold: Whether it starts cold.
+            service: Its service.
         """
+        self._service = service
         self.instance = f"i-{host}-{number}"
         self.left_at: float | None = None
         self._host = host
@@ -59,7 +62,7 @@
         self._sequence = 0
         self._born = int(time.time() * 1000)
         self._leaving = False
-        cold = _COLD_SECONDS if is_cold else 0.0
+        cold = COLD_SECONDS if is_cold else 0.0
         self._warm_at = trio.current_time() + cold
         self._server = PlatformInstance(
             self.instance, on_run=self._make_noter(runs)
@@ -110,7 +113,7 @@
         self._sequence += 1
         left = max(0.0, self._warm_at - trio.current_time())
         document = {
-            "service": "lanes",
+            "service": self._service,
             "address": "-",
             "zone": "-",
             "version": "v1",
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,8 +10,13 @@
 
 from demo.process_group import wait_for_http
 from soak.caller import Caller
-from soak.host import SoakHost
+from soak.host import SERVICE, SoakHost
+from soak.instance import COLD_SECONDS
 from soak.records import Fault, Run, SentRequest
+from standins.platform_documents import (
+    make_configuration_document,
+    make_route_entry,
+)
 from standins.platform_store import PlatformStore
 
 ZONES = ("a", "b", "c")
@@ -134,44 +139,12 @@
 def _make_configuration(version: int, prefixes: list[str]) -> dict[str, Any]:
     kinds = {"club.example": "idempotent", "desk.example": "non_idempotent"}
     routes = [
-        {
-            "entryKind": "routes",
-            "metadata": {"name": f"{kind}{prefix}"},
-            "spec": {
-                "host": host,
-                "pathPrefix": prefix,
-                "kind": kind,
-                "timeoutMs": 2000,
-                "targetLatencyMs": 400,
-                "priority": 1,
-                "service": "lanes",
-                "maxAttempts": 2,
-            },
-        }
+        make_route_entry(
+            f"{kind}{prefix}", host, prefix, kind, SERVICE, timeoutMs=2000
+        )
         for prefix in prefixes
         for host, kind in kinds.items()
     ]
-    service = {
-        "healthPath": "/health",
-        "maxConnections": 100,
-        "coldStartS": 2.0,
-        "coldPerS": COLD_PER_SECOND,
-    }
-    limits = {
-        "maxHeaderBytes": 16384,
-        "maxBodyBytes": 1 << 20,
-        "headerTimeoutMs": 3000,
-        "idleTimeoutMs": 15000,
-    }
-    return {
-        "version": f"r{version}",
-        "resources": [
-            *routes,
-            {
-                "entryKind": "services",
-                "metadata": {"name": "lanes"},
-                "spec": service,
-            },
-            {"entryKind": "limits", "metadata": {}, "spec": limits},
-        ],
-    }
+    return make_configuration_document(
+        version, routes, SERVICE, COLD_PER_SECOND, COLD_SECONDS
+    )
