--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -84,8 +84,10 @@
         self._busy.discard(host.name)
 
     async def _stop_node(self, host: SoakHost) -> None:
+        stopped = trio.current_time()
         host.signal(signal.SIGTERM)
-        await host.wait_for_exit()
+        if not await host.wait_for_exit():
+            self._world.late_exits.append((host.name, stopped))
         host.start_node()
 
     async def _reload_node(self, host: SoakHost) -> None:
--- a/soak/host.py
+++ b/soak/host.py
@@ -17,7 +17,7 @@
 from standins.platform_documents import make_settings_document
 
 SERVICE = "lanes"
-_EXIT_SECONDS = 8.0
+GRACE_SECONDS = 6.0
 _ROOT = Path(__file__).parents[1]
 
 
@@ -96,15 +96,20 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(signum)
 
-    async def wait_for_exit(self) -> None:
-        """Waits for the process to end; kills it as the platform does."""
+    async def wait_for_exit(self) -> bool:
+        """Waits for the process to end; kills it as the platform does.
+
+        Returns:
+            Whether it ended by itself within the grace time.
+        """
         process = self._process
         assert process is not None
-        with trio.move_on_after(_EXIT_SECONDS):
+        with trio.move_on_after(GRACE_SECONDS):
             await trio.to_thread.run_sync(process.wait, abandon_on_cancel=True)
-            return
+            return True
         process.kill()
         process.wait()
+        return False
 
     def kill(self) -> None:
         """Ends each process that was started here, also a paused one."""
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -61,6 +61,18 @@
         yield from self._check_withdrawn(withdrawals, zones)
         yield from self._check_cold(cold_bound)
 
+    def iter_late_exits(
+        self, late_exits: Sequence[tuple[str, float]]
+    ) -> Iterator[str]:
+        """Yields a line for each node that outlived its grace time.
+
+        Args:
+            late_exits: Hosts, and when their node was told to stop.
+        """
+        for host, stopped_at in late_exits:
+            if not self._has_fault(stopped_at, stopped_at):
+                yield f"GRACE {host}: killed at the end of its grace time"
+
     def _check_answers(self) -> Iterator[str]:
         known = {request.request_id for request in self._sent}
         for request_id in self._counts.keys() - known:
--- a/soak/run.py
+++ b/soak/run.py
@@ -81,7 +81,7 @@
         seed,
         Counter(request.status for request in world.sent),
         Counter(fault.name for fault in world.faults),
-        [*broken, *unserved],
+        [*broken, *oracle.iter_late_exits(world.late_exits), *unserved],
     )
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -37,6 +37,8 @@
         faults: What the soak has caused.
         left_at: When each leaving instance's departure was acknowledged.
         withdrawals: Zones, and from and until when they are out of service.
+        late_exits: Hosts whose node outlived its grace time, and when it was
+            told to stop.
         rng: The source of all chance.
         nursery: Runs the stand-ins.
     """
@@ -64,6 +66,7 @@
         self.faults: list[Fault] = []
         self.left_at: dict[str, float] = {}
         self.withdrawals: list[tuple[str, float, float]] = []
+        self.late_exits: list[tuple[str, float]] = []
         self._versions: list[tuple[float, str]] = []
         self._store_port = 7000
         self._store_ip = f"127.{os.getpid() % 200 + 20}.255.1"
