Drop an unread field of the soak; share a step's budgets; one-line imports

Found on reading the change again: SentRequest.is_new_connection was written and never read; two steps made the same list of retry budgets; modules that were split kept parentheses around imports of a single name.

--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -19,9 +19,7 @@
 from rhubarbpaddle.configuration import AcceptedConfiguration, Service
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
-from rhubarbpaddle.execution.chain_headers import (
-    write_chain_headers,
-)
+from rhubarbpaddle.execution.chain_headers import write_chain_headers
 from rhubarbpaddle.execution.gateway import Gateway
 from rhubarbpaddle.execution.retry_budget import RetryBudget
 from rhubarbpaddle.http.caller_head import CallerHead
--- a/features/steps/routing_instances_steps.py
+++ b/features/steps/routing_instances_steps.py
@@ -213,18 +213,20 @@
     context.terms = RetryTerms(ratio, slack, timedelta(seconds=window))
 
 
+def _make_budgets(context: Context) -> list[SharedRetryBudget]:
+    return [
+        SharedRetryBudget(context.terms, VirtualClock(), lambda: context.nodes)
+        for _ in range(context.nodes)
+    ]
+
+
 @when(
     "each node gets {rate:d} requests a second for {seconds:d} s and retries "
     "all it may"
 )
 def step_storm(context: Context, rate: int, seconds: int) -> None:
     async def run() -> None:
-        budgets = [
-            SharedRetryBudget(
-                context.terms, VirtualClock(), lambda: context.nodes
-            )
-            for _ in range(context.nodes)
-        ]
+        budgets = _make_budgets(context)
         for _ in range(rate * seconds):
             for budget in budgets:
                 budget.note_request(_SERVICE)
@@ -259,12 +261,7 @@
     context: Context, rate: int, calls: int, seconds: int
 ) -> None:
     async def run() -> None:
-        budgets = [
-            SharedRetryBudget(
-                context.terms, VirtualClock(), lambda: context.nodes
-            )
-            for _ in range(context.nodes)
-        ]
+        budgets = _make_budgets(context)
         for number in range(rate * seconds):
             budget = budgets[number // 3 % context.nodes]
             budget.note_request(_SERVICE)
--- a/features/steps/soak_oracle_steps.py
+++ b/features/steps/soak_oracle_steps.py
@@ -18,7 +18,6 @@
     status=200,
     body=b"one",
     is_signed=True,
-    is_new_connection=False,
 )
 _RUN = Run("one", "h0", "i-1", 10.05, False)
 
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -60,7 +60,6 @@
 
     async def send(self) -> SentRequest | None:
         """Sends one request; returns None if there was no connection."""
-        is_new = self._conn is None
         conn = self._conn or await self._connect()
         if conn is None:
             return None
@@ -94,7 +93,6 @@
             status,
             body,
             signed,
-            is_new,
         )
         self._sent.append(request)
         if status == 0 or not conn.is_reusable():
--- a/soak/records.py
+++ b/soak/records.py
@@ -17,7 +17,6 @@
         status: The answer's status; 0 if there was none.
         body: The answer's body.
         is_signed: Whether the answer bears an instance's signature.
-        is_new_connection: Whether it was the first one of its connection.
     """
 
     request_id: str
@@ -29,7 +28,6 @@
     status: int
     body: bytes
     is_signed: bool
-    is_new_connection: bool
 
 
 class Run(NamedTuple):
--- a/src/rhubarbpaddle/configuration/__init__.py
+++ b/src/rhubarbpaddle/configuration/__init__.py
@@ -1,9 +1,7 @@
 """The operators' text, its check, and which publication is accepted."""
 
 from rhubarbpaddle.configuration.accepted import AcceptedConfiguration
-from rhubarbpaddle.configuration.accepted_publication import (
-    AcceptedPublication,
-)
+from rhubarbpaddle.configuration.accepted_publication import AcceptedPublication
 from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
 from rhubarbpaddle.configuration.checked_text import CheckedText
 from rhubarbpaddle.configuration.checkpoint import Checkpoint
--- a/src/rhubarbpaddle/configuration/history.py
+++ b/src/rhubarbpaddle/configuration/history.py
@@ -1,9 +1,7 @@
 """Which publication is accepted, by replay of the log."""
 
 from rhubarbpaddle.configuration.accepted import AcceptedConfiguration
-from rhubarbpaddle.configuration.accepted_publication import (
-    AcceptedPublication,
-)
+from rhubarbpaddle.configuration.accepted_publication import AcceptedPublication
 from rhubarbpaddle.configuration.checkpoint import Checkpoint
 from rhubarbpaddle.configuration.checkpoint_mark import CheckpointMark
 from rhubarbpaddle.configuration.publication import Publication
--- a/src/rhubarbpaddle/peer/messages/__init__.py
+++ b/src/rhubarbpaddle/peer/messages/__init__.py
@@ -12,9 +12,7 @@
 from rhubarbpaddle.peer.messages.configuration_request import (
     ConfigurationRequest,
 )
-from rhubarbpaddle.peer.messages.configuration_update import (
-    ConfigurationUpdate,
-)
+from rhubarbpaddle.peer.messages.configuration_update import ConfigurationUpdate
 from rhubarbpaddle.peer.messages.heartbeat import Heartbeat
 from rhubarbpaddle.peer.messages.hello import Hello
 from rhubarbpaddle.peer.messages.keep_alive import KeepAlive
--- a/src/rhubarbpaddle/platform/history_lost.py
+++ b/src/rhubarbpaddle/platform/history_lost.py
@@ -1,8 +1,6 @@
 """The error of a read of deleted records."""
 
-from rhubarbpaddle.exceptions import (
-    LogUnavailableError,
-)
+from rhubarbpaddle.exceptions import LogUnavailableError
 
 
 class HistoryLostError(LogUnavailableError):
--- a/src/rhubarbpaddle/platform/newest_records.py
+++ b/src/rhubarbpaddle/platform/newest_records.py
@@ -2,9 +2,7 @@
 
 from typing import NamedTuple
 
-from rhubarbpaddle.platform.keyed_record import (
-    KeyedRecord,
-)
+from rhubarbpaddle.platform.keyed_record import KeyedRecord
 
 
 class NewestRecords(NamedTuple):
