--- a/features/log_output.feature
+++ b/features/log_output.feature
@@ -16,3 +16,9 @@
   Scenario: A reader that does not read loses lines and stops nothing
     When 5000 warnings are written to a pipe that nobody reads
     Then writing them ends, and a later line tells of those that were dropped
+
+  # Guards against a rare event that a frequent one of the same level pushes
+  # out of the log.
+  Scenario: A rare event comes out during a flood of another
+    When 2000 notices of one event and then 1 of another are written
+    Then the notice of the other event comes out
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -88,3 +88,16 @@
     (line,) = _read(context)
     found = _DROPPED.search(line)
     assert found is not None and int(found[1]) == context.dropped, line
+
+
+@when("{count:d} notices of one event and then 1 of another are written")
+def step_rare(context: Context, count: int) -> None:
+    handler = _open(context)
+    _write(handler, logbook.NOTICE, count, "event=frequent request_id=a")
+    _write(handler, logbook.NOTICE, 1, "event=rare request_id=b")
+    context.lines = _read(context)
+
+
+@then("the notice of the other event comes out")
+def step_rare_written(context: Context) -> None:
+    assert context.lines[-1].startswith("event=rare"), context.lines[-1]
--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -114,12 +114,25 @@
                 self._watch.add(conn, conn.scope)
                 try:
                     await self._serve_request(conn, *received)
+                except trio.Cancelled:
+                    if conn.scope.cancel_called:
+                        self._note_left(received[0], "running")
+                    raise
                 finally:
                     self._watch.remove(conn)
                 if not conn.start_next_cycle():
                     await conn.linger()
                     return
 
+    def _note_left(self, head: h11.Request, stage: str) -> None:
+        """Logs that a caller has closed its connection without an answer."""
+        self._metrics.record_caller_left(stage)
+        _log.notice(
+            "caller_left",
+            request_id=self._dialect.get_request_id(head),
+            stage=stage,
+        )
+
     async def _serve_request(
         self, conn: ServerConnection, head: h11.Request, body: EventBody
     ) -> None:
--- a/src/rhubarbpaddle/measuring/__init__.py
+++ b/src/rhubarbpaddle/measuring/__init__.py
@@ -1,5 +1,6 @@
 """Load, latency and health, and what it costs to measure them."""
 
+from rhubarbpaddle.measuring.event_loop_load import EventLoopLoad
 from rhubarbpaddle.measuring.evidence import NO_EVIDENCE, Evidence
 from rhubarbpaddle.measuring.evidence_kind import EvidenceKind
 from rhubarbpaddle.measuring.latency_window import LatencyWindow
@@ -8,6 +9,7 @@
 
 __all__ = [
     "NO_EVIDENCE",
+    "EventLoopLoad",
     "Evidence",
     "EvidenceKind",
     "LatencyWindow",
--- /dev/null
+++ b/src/rhubarbpaddle/measuring/event_loop_load.py
@@ -0,0 +1,53 @@
+"""How busy the event loop of this process is."""
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+
+# Long enough to smooth single passes, short enough to follow a burst.
+_WINDOW_SECONDS = 0.1
+
+
+class EventLoopLoad(trio.abc.Instrument):
+    """Measures the passes of trio's event loop; installed as an instrument.
+
+    A pass runs each ready task once. A task that becomes ready waits for the
+    pass under way, so the length of passes is the delay that this process adds
+    to each step of a request.
+
+    Attributes:
+        idle_share: The part of the last window in which no task was ready,
+            0 to 1.
+        passes: Passes since the start.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Makes a measurement that begins now."""
+        self._clock = clock
+        self.idle_share = 1.0
+        self.passes = 0
+        self._longest = 0.0
+        self._window_start = self._pass_start = clock.monotonic()
+        self._wait_start = self._window_start
+        self._idle = 0.0
+
+    def take_longest_pass(self) -> float:
+        """Returns the seconds of the longest pass since the last call."""
+        longest, self._longest = self._longest, 0.0
+        return longest
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Ends a pass."""
+        now = self._wait_start = self._clock.monotonic()
+        self.passes += 1
+        self._longest = max(self._longest, now - self._pass_start)
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Begins a pass."""
+        now = self._pass_start = self._clock.monotonic()
+        self._idle += now - self._wait_start
+        elapsed = now - self._window_start
+        if elapsed >= _WINDOW_SECONDS:
+            self.idle_share = min(1.0, self._idle / elapsed)
+            self._window_start = now
+            self._idle = 0.0
--- /dev/null
+++ b/src/rhubarbpaddle/node/load_reporter.py
@@ -0,0 +1,39 @@
+"""Tells when the process itself is what delays requests."""
+
+from datetime import timedelta
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.measuring import EventLoopLoad
+from rhubarbpaddle.telemetry import get_logger
+
+_INTERVAL = timedelta(seconds=1)
+# Below this part of idle time, ready tasks wait for one another.
+_BUSY_IDLE_SHARE = 0.2
+# A pass this long is a large part of the 0.25 s in which nodes confirm calls.
+_LONG_PASS_SECONDS = 0.05
+
+_log = get_logger("node")
+
+
+class LoadReporter:
+    """Logs a line for each second in which the event loop was busy."""
+
+    def __init__(self, load: EventLoopLoad, clock: Clock) -> None:
+        self._load = load
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        passes = self._load.passes
+        while True:
+            await self._clock.sleep(_INTERVAL)
+            longest = self._load.take_longest_pass()
+            idle = self._load.idle_share
+            if idle < _BUSY_IDLE_SHARE or longest > _LONG_PASS_SECONDS:
+                _log.notice(
+                    "event_loop_busy",
+                    idle_share=round(idle, 2),
+                    longest_pass_ms=round(longest * 1000),
+                    passes=self._load.passes - passes,
+                )
+            passes = self._load.passes
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -66,17 +66,23 @@
                 if self._watch.is_gone(conn):
                     # The call lay unread, for example while the process was
                     # paused, and the gateway has given it up.
-                    _log.info("call_abandoned", request_id=call.request_id)
+                    _log.notice("call_abandoned", request_id=call.request_id)
                     return
                 self._watch.add(conn, scope)
                 try:
                     with self.work:
                         await conn.send(KeepAlive())
                         await self._serve_call(conn, call)
+                except trio.Cancelled:
+                    if scope.cancel_called:
+                        _log.notice(
+                            "call_cancelled",
+                            request_id=call.request_id,
+                            peer=conn.peer,
+                        )
+                    raise
                 finally:
                     self._watch.remove(conn)
-        if scope.cancelled_caught:
-            _log.info("call_cancelled", peer=conn.peer)
 
     async def _serve_call(self, conn: PeerConnection, call: Call) -> None:
         body: Body
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -20,6 +20,7 @@
 from rhubarbpaddle.http import CallerHandler
 from rhubarbpaddle.http.limits import CallerLimits
 from rhubarbpaddle.http.request_responder import RequestResponder, ShortAnswer
+from rhubarbpaddle.measuring import EventLoopLoad
 from rhubarbpaddle.membership import (
     Member,
     MemberStatus,
@@ -29,6 +30,7 @@
 )
 from rhubarbpaddle.network import Network, split_address
 from rhubarbpaddle.node.instance_registry import InstanceRegistry
+from rhubarbpaddle.node.load_reporter import LoadReporter
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
 from rhubarbpaddle.node.shutdown import Shutdown
 from rhubarbpaddle.node.signals import run_until_signal
@@ -149,7 +151,9 @@
             clock,
             get_logger("gateway"),
         )
+        self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
+        self.metrics.observe_loop(self.load)
         self._watch = StreamWatch(network, clock)
         self._callers = CallerHandler(
             gateway,
@@ -209,7 +213,9 @@
             (settings.readiness_address, readiness.handle),
             (f"{host}:{_METRICS_PORT}", readiness.handle),
         )
+        trio.lowlevel.add_instrument(self.load)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(LoadReporter(self.load, self._clock).run)
             for address, handler in listeners:
                 await nursery.start(self._network.serve, address, handler)
             nursery.start_soon(self.configuration.run)
--- a/src/rhubarbpaddle/telemetry/bounded_handler.py
+++ b/src/rhubarbpaddle/telemetry/bounded_handler.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from collections import Counter
 
 import logbook
 
@@ -11,6 +12,9 @@
 _BURST_LINES = 300
 # Lines of normal operation leave this many for those that explain a failure.
 _RESERVED_LINES = 150
+# Each event has this many lines of its own a second, so that a frequent one
+# does not crowd out a rare one.
+LINES_PER_EVENT_SECOND = 5
 
 
 class BoundedHandler(logbook.Handler):
@@ -34,12 +38,14 @@
         self._descriptor = descriptor
         self._tokens = float(_BURST_LINES)
         self._filled_at = time.monotonic()
+        self._event_second = 0
+        self._event_lines: Counter[str] = Counter()
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes a line, or counts it as dropped."""
         reserved = _RESERVED_LINES if record.level <= logbook.INFO else 0
-        taken = self._take_token(reserved)
+        taken = self._take_event_line(record) or self._take_token(reserved)
         if not taken and record.level < logbook.WARNING:
             self.dropped += 1
             return
@@ -54,6 +60,16 @@
             return
         self.dropped = 0
 
+    def _take_event_line(self, record: logbook.LogRecord) -> bool:
+        second = int(time.monotonic())
+        if second != self._event_second:
+            self._event_second = second
+            self._event_lines.clear()
+        # Messages begin with the event's name, see `format_event`.
+        event = str(record.message).partition(" ")[0]
+        self._event_lines[event] += 1
+        return self._event_lines[event] <= LINES_PER_EVENT_SECOND
+
     def _take_token(self, reserved: int) -> bool:
         now = time.monotonic()
         earned = (now - self._filled_at) * LINES_PER_SECOND
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -10,6 +10,7 @@
     View,
 )
 
+from rhubarbpaddle.measuring import EventLoopLoad
 from rhubarbpaddle.telemetry.node_readings import NodeReadings
 from rhubarbpaddle.telemetry.prometheus_text import PrometheusText
 
@@ -55,6 +56,10 @@
         self._refusals = meter.create_counter(
             "rhubarbpaddle.refusals", description="Refusals by code"
         )
+        self._callers_left = meter.create_counter(
+            "rhubarbpaddle.callers.left",
+            description="Requests whose caller left before the answer",
+        )
         self._probes = meter.create_counter(
             "rhubarbpaddle.probes", description="Probes of the upstream"
         )
@@ -88,6 +93,19 @@
             description="Tries after work that may have been done",
         )
 
+    def observe_loop(self, load: EventLoopLoad) -> None:
+        """Adds gauges of the event loop that are read at each scrape."""
+        self._meter.create_observable_gauge(
+            "rhubarbpaddle.loop.idle_share",
+            [lambda _: [Observation(load.idle_share)]],
+            description="Part of the time in which no task was ready",
+        )
+        self._meter.create_observable_counter(
+            "rhubarbpaddle.loop.passes",
+            [lambda _: [Observation(load.passes)]],
+            description="Passes of the event loop",
+        )
+
     def record_request(
         self, tenant: str, service: str, status: int, seconds: float
     ) -> None:
@@ -113,6 +131,15 @@
             1, {"service": service, "code": code, "outcome": outcome}
         )
 
+    def record_caller_left(self, stage: str) -> None:
+        """Records a request whose caller left before the answer.
+
+        Args:
+            stage: `read` if it had left when the request was read, `running`
+                if it left later.
+        """
+        self._callers_left.add(1, {"stage": stage})
+
     def record_probe(
         self, service: str, target: str, result: str, seconds: float
     ) -> None:
