--- /dev/null
+++ b/features/steps/abandoned_requests_steps.py
@@ -0,0 +1,162 @@
+import logbook
+import trio
+from behave import then, when
+from behave.runner import Context
+
+from features.support.host_network import HostNetwork
+from features.support.memory_stream import MemoryStream
+from features.support.platform_scenario import run_on_platform
+from features.support.platform_world import PlatformWorld, make_call
+from rhubarbpaddle.peer import PeerIdentity
+from rhubarbpaddle.peer.connector import PeerConnector
+
+# The id that `make_call` gives.
+LEFT = "one"
+# One more than the instance has slots.
+_CALLERS = 7
+_WORK_SECONDS = 0.15
+# The watch looks 100 ms after the first request began.
+_AFTER_A_LOOK = 0.11
+
+
+def _make_request(request_id: str) -> bytes:
+    return (
+        "GET /lanes/x HTTP/1.1\r\nhost: club.example\r\n"
+        f"request-id: {request_id}\r\ndeadline-ms: 1000\r\n\r\n"
+    ).encode()
+
+
+async def _send_request(
+    world: PlatformWorld, name: str, request_id: str
+) -> MemoryStream:
+    stream = await world.fabric.connect("caller", f"{name}:2")
+    # Unlike `send_all`, this lets no other task run.
+    assert stream.outgoing.try_write(_make_request(request_id))
+    return stream
+
+
+def _run_and_record(context: Context, script: object) -> None:
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        run_on_platform(context, script)  # type: ignore[arg-type]
+    context.log = [str(record.message) for record in handler.records]
+
+
+@when(
+    'a caller of "{name}" closes its connection before "{same}" has read the '
+    "request"
+)
+def step_read_late(context: Context, name: str, same: str) -> None:
+    async def script(world: PlatformWorld) -> None:
+        stream = await _send_request(world, name, LEFT)
+        stream.outgoing.end()
+        stream.incoming.cut()
+        await trio.sleep(1)
+
+    _run_and_record(context, script)
+
+
+@when("a caller leaves while the first instance loses its request")
+def step_left_during_try(context: Context) -> None:
+    async def script(world: PlatformWorld) -> None:
+        for instance in world.instances.values():
+            instance.cut_target = "/lanes/x"
+        stream = await _send_request(world, "h1", LEFT)
+        await trio.sleep(0.02)
+        await stream.aclose()
+        await trio.sleep(1)
+
+    run_on_platform(context, script)
+
+
+@when("a caller leaves 40 ms before its request gets a slot")
+def step_left_in_queue(context: Context) -> None:
+    async def script(world: PlatformWorld) -> None:
+        world.instances["h1"].work_seconds = _WORK_SECONDS
+        names = [f"r{number}" for number in range(_CALLERS - 1)]
+        for name in names:
+            await _send_request(world, "h1", name)
+        await trio.sleep(0.01)
+        stream = await _send_request(world, "h1", LEFT)
+        await trio.sleep(_AFTER_A_LOOK - 0.01)
+        await stream.aclose()
+        await trio.sleep(1)
+        context.others = names
+
+    run_on_platform(context, script)
+
+
+@when("a gateway closes its connection 40 ms before its call gets a slot")
+def step_given_up_in_queue(context: Context) -> None:
+    async def script(world: PlatformWorld) -> None:
+        node = world.nodes["h1"]
+        world.instances["h1"].work_seconds = _WORK_SECONDS
+        for number in range(_CALLERS - 1):
+            await _send_request(world, "h1", f"r{number}")
+        connector = PeerConnector(
+            HostNetwork(world.fabric, "h2"),
+            PeerIdentity("platform", "h2", 1, b"-"),
+        )
+        conn = await connector.connect(node.settings.peer_address, "exchange")
+        attached = node.door.attached
+        assert attached is not None
+        call = make_call(LEFT, attached.summary, node.settings.service)
+        await conn.send(call)
+        await trio.sleep(_AFTER_A_LOOK)
+        await conn.aclose()
+        await trio.sleep(1)
+
+    run_on_platform(context, script)
+
+
+@when("{count:d} callers leave while another one waits")
+def step_one_stays(context: Context, count: int) -> None:
+    async def script(world: PlatformWorld) -> None:
+        world.instances["h1"].work_seconds = _WORK_SECONDS
+        streams = [
+            await _send_request(world, "h1", f"r{number}")
+            for number in range(count)
+        ]
+
+        async def leave() -> None:
+            await trio.sleep(0.05)
+            for stream in streams:
+                await stream.aclose()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leave)
+            context.answer = await world.ask("h1", "stays")
+
+    run_on_platform(context, script)
+
+
+@then("no instance has run the request of the caller that left")
+def step_not_run(context: Context) -> None:
+    instances = context.world.instances.values()
+    runs = [
+        request_id for instance in instances for request_id in instance.runs
+    ]
+    assert LEFT not in runs, runs
+
+
+@then("the request of the caller that left has run once")
+def step_run_once(context: Context) -> None:
+    instances = context.world.instances.values()
+    runs = [
+        request_id for instance in instances for request_id in instance.runs
+    ]
+    assert runs == [LEFT], runs
+
+
+@then(
+    'the log of "{name}" says that the caller had left when the request was '
+    "read"
+)
+def step_logged(context: Context, name: str) -> None:
+    expected = f"event=caller_left request_id={LEFT} stage=read"
+    assert expected in context.log, context.log
+
+
+@then("the caller that waits gets 200")
+def step_served(context: Context) -> None:
+    assert context.answer.status == 200, context.answer.status
