Begin no step of a request whose caller has left

Cause: the presence of a far side was sampled every 100 ms by the watch and not asked where work begins, so a request was read, sent to the next instance or handed a slot after the close had arrived; between two nodes the delays add up. Ruled out: a longer pause of a process (longest pass 27 ms).

A request now carries the presence of its caller. It is asked when the request is read, before each try, and before it is sent on a connection to the instance, by both gateways and both ways to an instance; the watch still ends what is under way.

--- /dev/null
+++ b/src/rhubarbpaddle/execution/caller_left_refusal.py
@@ -0,0 +1,22 @@
+"""The refusal of a request whose caller has closed its connection."""
+
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.outcome import Outcome
+
+
+def make_caller_left_refusal(
+    step: str, may_have_run: bool = False
+) -> RefusedError:
+    """Returns the refusal, which also ends the tries at other instances.
+
+    Args:
+        step: What would have come next.
+        may_have_run: Whether an instance may have run the request.
+    """
+    return RefusedError(
+        "caller_left",
+        "the caller closed its connection before this step",
+        step=step,
+        status=502 if may_have_run else 503,
+        outcome=Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN,
+    )
--- a/src/rhubarbpaddle/execution/gateway.py
+++ b/src/rhubarbpaddle/execution/gateway.py
@@ -11,6 +11,9 @@
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.body import Body, rewind_body
 from rhubarbpaddle.execution.bytes_body import BytesBody
+from rhubarbpaddle.execution.caller_left_refusal import (
+    make_caller_left_refusal,
+)
 from rhubarbpaddle.execution.deadline_refusal import make_deadline_refusal
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.request import Request
@@ -76,6 +79,8 @@
         while True:
             if self._clock.monotonic() >= request.deadline:
                 raise make_deadline_refusal(history.may_have_run)
+            if request.caller.has_left():
+                raise make_caller_left_refusal("route", history.may_have_run)
             candidate = self._choose(cfg, request.service, history)
             history.start(candidate.node_id)
             sent = self._prepare(cfg, request, history)
--- a/src/rhubarbpaddle/execution/request.py
+++ b/src/rhubarbpaddle/execution/request.py
@@ -3,6 +3,9 @@
 import math
 from typing import NamedTuple
 
+from rhubarbpaddle.execution.caller_presence import CallerPresence
+from rhubarbpaddle.execution.present_caller import PRESENT_CALLER
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -31,6 +34,8 @@
             worth much less; never later than the deadline.
         max_attempts: The instances that it may be sent to at most.
         calling_service: The service on the host where it began.
+        caller: Whether somebody still waits for the answer. Each node asks
+            before it begins a step; it does not travel to other nodes.
     """
 
     request_id: str
@@ -52,3 +57,4 @@
     useful_until: float = math.inf
     max_attempts: int = 1
     calling_service: str = ""
+    caller: CallerPresence = PRESENT_CALLER
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -10,6 +10,9 @@
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.body import Body, rewind_body
 from rhubarbpaddle.execution.bytes_body import BytesBody
+from rhubarbpaddle.execution.caller_left_refusal import (
+    make_caller_left_refusal,
+)
 from rhubarbpaddle.execution.deadline_refusal import make_deadline_refusal
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.event_log import EventLog
@@ -75,6 +78,8 @@
                 raise make_deadline_refusal(
                     record.may_have_run, _NOT_RUN_STATUS
                 )
+            if request.caller.has_left():
+                raise make_caller_left_refusal("route", record.may_have_run)
             candidate, may_queue = self._choose(request, record)
             if candidate is None:
                 raise _conclude(record)
--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -11,6 +11,10 @@
     Headers,
     Response,
 )
+from rhubarbpaddle.execution.caller_left_refusal import (
+    make_caller_left_refusal,
+)
+from rhubarbpaddle.execution.caller_presence import CallerPresence
 from rhubarbpaddle.execution.request_handler import RequestHandler
 from rhubarbpaddle.http.caller_dialect import CallerDialect
 from rhubarbpaddle.http.event_body import EventBody
@@ -111,9 +115,9 @@
             if received is None:
                 return
             with self.work:
-                self._watch.add(conn, conn.scope)
+                presence = self._watch.add(conn, conn.scope)
                 try:
-                    await self._serve_request(conn, *received)
+                    await self._serve_request(conn, *received, presence)
                 except trio.Cancelled:
                     if conn.scope.cancel_called:
                         self._note_left(received[0], "running")
@@ -134,12 +138,19 @@
         )
 
     async def _serve_request(
-        self, conn: ServerConnection, head: h11.Request, body: EventBody
+        self,
+        conn: ServerConnection,
+        head: h11.Request,
+        body: EventBody,
+        presence: CallerPresence,
     ) -> None:
         request_id = self._dialect.get_request_id(head)
         started = self._clock.monotonic()
         service = "-"
         try:
+            if presence.has_left():
+                self._note_left(head, "read")
+                raise make_caller_left_refusal("receive_request")
             if self._draining:
                 raise RefusedError(
                     "node_leaving", "the node shuts down", step="route"
@@ -150,6 +161,7 @@
             # which must wait until an instance has admitted the request.
             expects = conn.h11.they_are_waiting_for_100_continue
             buffered = body if expects else await _buffer_body(body)
+            request = request._replace(caller=presence)
             async with self._gateway.handle(request, buffered) as response:
                 await self._send_response(conn, head.method, response)
             elapsed = self._clock.monotonic() - started
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -154,20 +154,20 @@
             h11.SEND_RESPONSE,
         )
 
-    def get_sign(self, state: RemoteState) -> bytes | None:
+    def is_gone(self, state: RemoteState) -> bool:
+        """Returns whether the caller is known not to wait for an answer."""
+        return state is RemoteState.CLOSED or (
+            state is RemoteState.HALF_CLOSED
+            and not self._limits.keeps_half_closed
+        )
+
+    def get_sign(self, state: RemoteState) -> bytes:
         """Returns what tells a half-closed caller from one that is gone.
 
         Both look the same until bytes are sent: a caller that is gone then
         resets the connection. An interim response is harmless to a caller
         that only closed its sending side.
         """
-        if state is RemoteState.CLOSED:
-            return None
-        if (
-            state is RemoteState.HALF_CLOSED
-            and not self._limits.keeps_half_closed
-        ):
-            return None
         if (
             state is RemoteState.OPEN
             or self._answering
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -17,6 +17,9 @@
     Request,
     Response,
 )
+from rhubarbpaddle.execution.caller_left_refusal import (
+    make_caller_left_refusal,
+)
 from rhubarbpaddle.execution.upload import Upload
 from rhubarbpaddle.http.event_body import EventBody
 from rhubarbpaddle.http.headers import remove_hop_by_hop
@@ -74,6 +77,10 @@
         """Sends a request and returns its answer."""
         await self._acquire_connection(request)
         try:
+            # The waits for a slot and a connection may have outlived the
+            # caller, and a request that was sent can't be taken back.
+            if request.caller.has_left():
+                raise make_caller_left_refusal("send_request")
             conn = await self._connect(request)
             try:
                 yield await self._exchange(conn, request, body)
--- a/src/rhubarbpaddle/peer/connection.py
+++ b/src/rhubarbpaddle/peer/connection.py
@@ -73,10 +73,12 @@
             self._sending = False
             self.broken = self.broken or not completed
 
-    def get_sign(self, state: RemoteState) -> bytes | None:
-        """Returns a `KeepAlive` each second, None once the peer is gone."""
-        if state is not RemoteState.OPEN:
-            return None
+    def is_gone(self, state: RemoteState) -> bool:
+        """Returns whether the peer has closed the connection."""
+        return state is not RemoteState.OPEN
+
+    def get_sign(self, state: RemoteState) -> bytes:
+        """Returns a `KeepAlive` each second."""
         self._checks += 1
         if self._sending or self._checks < _CHECKS_PER_KEEP_ALIVE:
             return b""
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -13,6 +13,7 @@
     RhubarbpaddleError,
 )
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
+from rhubarbpaddle.execution.caller_presence import CallerPresence
 from rhubarbpaddle.execution.lost_body import make_lost_body
 from rhubarbpaddle.execution.upstream_gate import UpstreamGate
 from rhubarbpaddle.peer.call_body import CallBody
@@ -63,16 +64,18 @@
                         step="receive_call",
                         peer=conn.peer,
                     )
-                if self._watch.is_gone(conn):
-                    # The call lay unread, for example while the process was
-                    # paused, and the gateway has given it up.
-                    _log.notice("call_abandoned", request_id=call.request_id)
-                    return
-                self._watch.add(conn, scope)
+                presence = self._watch.add(conn, scope)
                 try:
+                    if presence.has_left():
+                        # The call lay unread, for example while the process
+                        # was paused, and the gateway has given it up.
+                        _log.notice(
+                            "call_abandoned", request_id=call.request_id
+                        )
+                        return
                     with self.work:
                         await conn.send(KeepAlive())
-                        await self._serve_call(conn, call)
+                        await self._serve_call(conn, call, presence)
                 except trio.Cancelled:
                     if scope.cancel_called:
                         _log.notice(
@@ -84,14 +87,16 @@
                 finally:
                     self._watch.remove(conn)
 
-    async def _serve_call(self, conn: PeerConnection, call: Call) -> None:
+    async def _serve_call(
+        self, conn: PeerConnection, call: Call, presence: CallerPresence
+    ) -> None:
         body: Body
         if call.body is None:
             body = CallBody(conn, call.request_id, call.body_length)
         else:
             body = BytesBody(call.body)
         try:
-            await self._answer(conn, call, body)
+            await self._answer(conn, call, body, presence)
         except RhubarbpaddleError as exc:
             conn.broken = True
             _log.warn("call_failed", request_id=call.request_id, error=exc)
@@ -108,9 +113,13 @@
             conn.broken = True
 
     async def _answer(
-        self, conn: PeerConnection, call: Call, body: Body
+        self,
+        conn: PeerConnection,
+        call: Call,
+        body: Body,
+        presence: CallerPresence,
     ) -> None:
-        request = self._to_request(call)
+        request = self._to_request(call, presence)
         try:
             async with self._gate.handle(
                 request, body, call.instance, call.incarnation
@@ -142,7 +151,7 @@
             await conn.send(BodyPart(request_id, part))
         await conn.send(BodyEnd(request_id))
 
-    def _to_request(self, call: Call) -> Request:
+    def _to_request(self, call: Call, presence: CallerPresence) -> Request:
         now = self._clock.monotonic()
         useful_until = math.inf
         if call.useful_left_ms is not None:
@@ -166,6 +175,7 @@
             priority=call.priority,
             useful_until=useful_until,
             calling_service=call.calling_service,
+            caller=presence,
         )
 
     def _to_refusal(self, request_id: str, exc: RefusedError) -> Refusal:
--- a/src/rhubarbpaddle/stream_watch.py
+++ b/src/rhubarbpaddle/stream_watch.py
@@ -1,4 +1,9 @@
-"""Notices far sides that go away while their request runs."""
+"""Notices far sides that go away while their request runs.
+
+The watch ends work that is under way. Work that is about to begin asks the
+presence that `add` returns, since a close that has arrived may be noticed here
+a whole interval later.
+"""
 
 from datetime import timedelta
 
@@ -6,6 +11,7 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.network import Network
+from rhubarbpaddle.stream_presence import StreamPresence
 from rhubarbpaddle.watchable import Watchable
 
 CHECK_INTERVAL = timedelta(milliseconds=100)
@@ -24,25 +30,24 @@
         self._scopes: dict[Watchable, trio.CancelScope] = {}
         self._added = trio.Event()
 
-    def add(self, conn: Watchable, scope: trio.CancelScope) -> None:
+    def add(self, conn: Watchable, scope: trio.CancelScope) -> StreamPresence:
         """Starts to check a connection.
 
         Args:
             conn: The connection.
             scope: What to cancel once its far side is gone.
+
+        Returns:
+            What tells at any moment whether the far side is gone.
         """
         self._scopes[conn] = scope
         self._added.set()
+        return StreamPresence(conn, self._network)
 
     def remove(self, conn: Watchable) -> None:
         """Stops checking a connection."""
         self._scopes.pop(conn, None)
 
-    def is_gone(self, conn: Watchable) -> bool:
-        """Returns whether the far side is known to be gone."""
-        state = self._network.get_remote_state(conn.stream)
-        return conn.get_sign(state) is None
-
     async def run(self) -> None:
         """Checks until cancelled."""
         while True:
@@ -56,7 +61,8 @@
                     scope.cancel()
 
     def _check(self, conn: Watchable) -> bool:
-        sign = conn.get_sign(self._network.get_remote_state(conn.stream))
-        if sign is None:
+        state = self._network.get_remote_state(conn.stream)
+        if conn.is_gone(state):
             return False
+        sign = conn.get_sign(state)
         return not sign or self._network.try_send(conn.stream, sign)
--- a/src/rhubarbpaddle/watchable.py
+++ b/src/rhubarbpaddle/watchable.py
@@ -16,13 +16,18 @@
 
     stream: trio.abc.Stream
 
-    def get_sign(self, state: RemoteState) -> bytes | None:
-        """Returns what to send to the far side at this check.
+    def is_gone(self, state: RemoteState) -> bool:
+        """Returns whether the far side does not wait any more.
 
         Args:
             state: What the network knows of the far side.
+        """
+        ...
+
+    def get_sign(self, state: RemoteState) -> bytes:
+        """Returns what to send to the far side at this check, possibly none.
 
-        Returns:
-            Bytes to send, possibly none, or None if the far side is gone.
+        Args:
+            state: What the network knows of the far side.
         """
         ...
