--- a/features/steps/tcp_network_steps.py
+++ b/features/steps/tcp_network_steps.py
@@ -42,7 +42,7 @@
                 socket.create_connection(split_address(context.address))
                 for _ in range(context.count)
             ]
-            trio.lowlevel.add_instrument(load)
+            load.install()
             while load.passes < passes:
                 await trio.lowlevel.checkpoint()
             context.served = len(served)
--- a/src/rhubarbpaddle/measuring/event_loop_load.py
+++ b/src/rhubarbpaddle/measuring/event_loop_load.py
@@ -9,7 +9,7 @@
 
 
 class EventLoopLoad(trio.abc.Instrument):
-    """Measures the passes of trio's event loop; installed as an instrument.
+    """Measures the passes of trio's event loop once it is installed.
 
     A pass runs each ready task once. A task that becomes ready waits for the
     pass under way, so the length of passes is the delay that this process adds
@@ -18,19 +18,26 @@
     Attributes:
         idle_share: The part of the last window in which no task was ready,
             0 to 1.
-        passes: Passes since the start.
+        passes: Passes since then.
     """
 
     def __init__(self, clock: Clock) -> None:
-        """Makes a measurement that begins now."""
+        """Makes a measurement that has not begun."""
         self._clock = clock
         self.idle_share = 1.0
         self.passes = 0
         self._longest = 0.0
-        self._window_start = self._pass_start = clock.monotonic()
-        self._wait_start = self._window_start
+        self._window_start = 0.0
+        self._pass_start = 0.0
+        self._wait_start = 0.0
         self._idle = 0.0
 
+    def install(self) -> None:
+        """Begins to measure the event loop that runs this task."""
+        now = self._clock.monotonic()
+        self._window_start = self._pass_start = self._wait_start = now
+        trio.lowlevel.add_instrument(self)
+
     def take_longest_pass(self) -> float:
         """Returns the seconds of the longest pass since the last call."""
         longest, self._longest = self._longest, 0.0
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -213,7 +213,7 @@
             (settings.readiness_address, readiness.handle),
             (f"{host}:{_METRICS_PORT}", readiness.handle),
         )
-        trio.lowlevel.add_instrument(self.load)
+        self.load.install()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(LoadReporter(self.load, self._clock).run)
             for address, handler in listeners:
