Accept all connections that wait in one pass of the event loop

What callers saw: on nodes without idle time, requests that took 0.1 to 0.4 s until the node read them, first those whose callers had left. Cause: trio.serve_listeners accepts one connection a pass, so a new connection waits for one pass for each of those before it, and closes that have arrived stay unseen. Ruled out: the backlog, which is 1,024.

--- a/src/rhubarbpaddle/tcp_network.py
+++ b/src/rhubarbpaddle/tcp_network.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import struct
+from collections.abc import Iterator
 
 import trio
 from trio import TaskStatus
@@ -11,8 +12,12 @@
 from rhubarbpaddle.network import StreamHandler, split_address
 from rhubarbpaddle.remote_state import RemoteState
 from rhubarbpaddle.tcp_stream import TcpStream
+from rhubarbpaddle.telemetry import get_logger
 
 _BACKLOG = 1_024
+# Leaves the rest of a flood to the next pass, so that other tasks run too.
+_ACCEPTS_PER_PASS = 256
+_ACCEPT_RETRY_SECONDS = 0.1
 
 # Unacknowledged data for this long ends a connection whose far side vanished.
 # The kernel also counts the time in which a far side keeps its receive window
@@ -26,6 +31,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
 )
 
+_log = get_logger("network")
+
 
 class TcpNetwork:
     """TCP of the operating system."""
@@ -51,18 +58,18 @@
         task_status: TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accepts connections at `IP:PORT` and runs a task for each."""
-        host, port = split_address(address)
-        listeners = await trio.open_tcp_listeners(
-            port, host=host, backlog=_BACKLOG
-        )
-
-        async def handle(accepted: trio.SocketStream) -> None:
-            stream = TcpStream(accepted)
-            _set_options(stream)
-            await handler(stream)
-
-        task_status.started()
-        await trio.serve_listeners(handle, listeners)
+        with _listen(address) as listener:
+            async with trio.open_nursery() as nursery:
+                task_status.started()
+                while True:
+                    await trio.lowlevel.wait_readable(listener)
+                    try:
+                        for accepted in _accept_waiting(listener):
+                            nursery.start_soon(_handle, accepted, handler)
+                    except OSError as exc:
+                        # Descriptors or memory are used up until others close.
+                        _log.warn("accept_failed", address=address, reason=exc)
+                        await trio.sleep(_ACCEPT_RETRY_SECONDS)
 
     def has_input(self, stream: trio.abc.Stream) -> bool:
         """Returns whether bytes or the end of the stream can be read now."""
@@ -107,6 +114,40 @@
         )
 
 
+def _listen(address: str) -> socket.socket:
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.create_server(
+        (host, port), family=family, backlog=_BACKLOG
+    )
+    listener.setblocking(False)
+    return listener
+
+
+def _accept_waiting(listener: socket.socket) -> Iterator[socket.socket]:
+    """Yields the connections that wait, without waiting for others.
+
+    `trio.serve_listeners` accepts one a pass of the event loop. In a busy
+    process the last of many then waits for as many passes as there are others.
+    """
+    for _ in range(_ACCEPTS_PER_PASS):
+        try:
+            accepted, _address = listener.accept()
+        except BlockingIOError:
+            return
+        except ConnectionAbortedError:
+            continue
+        yield accepted
+
+
+async def _handle(accepted: socket.socket, handler: StreamHandler) -> None:
+    accepted.setblocking(False)
+    sock = trio.socket.from_stdlib_socket(accepted)
+    stream = TcpStream(trio.SocketStream(sock))
+    _set_options(stream)
+    await handler(stream)
+
+
 def _set_options(stream: TcpStream) -> None:
     stream.socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
