Let requests wait in line without a look at each of them

What callers saw: under three times the load some nodes had no idle time for seconds, so requests were read and passed on late. Cause: each wake-up of a waiting request ranked all waiting requests up to four times, and late ones behind the first woke every 20 ms, each of them waking the first as well; the cost grew with the square of the line. Ruled out: pauses of the process, the accept queue (accepted in one pass before this change).

The order among requests in time, and among late ones, does not change with time, so two sorted lists a priority hold it. A late request behind the first looks again after half of the time until it would be refused; a wake-up that another one needs is passed on.

--- a/features/steps/instance_admission_steps.py
+++ b/features/steps/instance_admission_steps.py
@@ -1,101 +1,13 @@
-from collections.abc import Awaitable, Callable
-
 import trio
 from behave import given, then, when
 from behave.runner import Context
-from trio.testing import MockClock
-
-from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.admission import Ticket
-from rhubarbpaddle.admission.instance_admission import InstanceAdmission
-from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.measuring import Evidence, EvidenceKind
-from rhubarbpaddle.measuring.instance_monitor import InstanceMonitor
-from rhubarbpaddle.measuring.instance_reading import InstanceReading
-
-_WORK = 0.1
-
-
-class ScriptedHealth:
-    """Answers checks with a pace and a cold time that tests set."""
-
-    def __init__(self, pace: float, cold_seconds: float) -> None:
-        self.pace = pace
-        self.cold_seconds = cold_seconds
-
-    async def check(self) -> InstanceReading:
-        await trio.sleep(0.001)
-        return InstanceReading("i", 0, 0, 6, self.pace, self.cold_seconds)
-
-    async def aclose(self) -> None:
-        return
-
-
-class Bench:
-    """One admission and what became of its requests."""
-
-    def __init__(
-        self, slots: int, pace: float, rate: float, cold: float
-    ) -> None:
-        self.health = ScriptedHealth(pace, cold)
-        clock = VirtualClock()
-        monitor = InstanceMonitor(self.health, clock)
-        self.admission = InstanceAdmission(slots, rate, monitor, clock)
-        self.started: list[tuple[str, float]] = []
-        self.refused: list[tuple[RefusedError, float]] = []
-        self.most = 0
-
-    async def ask(
-        self,
-        name: str = "r",
-        may_queue: bool = True,
-        useful: float = 0.4,
-        deadline: float = 3.0,
-        priority: int = 1,
-        work: float = _WORK,
-        kind: EvidenceKind = EvidenceKind.ANSWERED,
-        crowded_work: float | None = None,
-        slows_all: bool = False,
-        route: str = "r",
-    ) -> None:
-        """Runs one request and notes what became of it."""
-        asked = trio.current_time()
-        ticket = Ticket(
-            "",
-            asked + deadline,
-            may_queue,
-            priority=priority,
-            useful_until=asked + useful,
-            route=route,
-        )
-        try:
-            slot = await self.admission.acquire(ticket)
-        except RefusedError as exc:
-            self.refused.append((exc, trio.current_time() - asked))
-            return
-        self.started.append((name, trio.current_time()))
-        self.most = max(self.most, self.admission.in_flight)
-        is_crowded = self.admission.in_flight > self.admission.limit
-        try:
-            if is_crowded and crowded_work is not None:
-                work = crowded_work
-            await trio.sleep(work)
-            if slows_all and self.admission.in_flight > self.admission.limit:
-                await trio.sleep(work)
-                work *= 2
-        finally:
-            slot.release(Evidence(kind, work))
-
-
-def _run(
-    context: Context, script: Callable[[Bench, trio.Nursery], Awaitable[None]]
-) -> None:
-    async def run() -> None:
-        bench = context.bench = Bench(*context.arguments)
-        async with trio.open_nursery() as nursery:
-            await script(bench, nursery)
 
-    trio.run(run, clock=MockClock(autojump_threshold=0))
+from features.support.admission_bench import (
+    WORK_SECONDS,
+    AdmissionBench,
+    run_admission,
+)
+from rhubarbpaddle.measuring import EvidenceKind
 
 
 @given("an instance with {slots:d} slots at pace {pace:g}")
@@ -112,10 +24,10 @@
 
 @when("a request that may not queue asks")
 def step_ask(context: Context) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         await bench.ask(may_queue=False)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then('it is refused as "{code}" without delay')
@@ -127,13 +39,13 @@
 
 @when("{count:d} requests queue and the pace returns to 1 after {after:g} s")
 def step_spell(context: Context, count: int, after: float) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         for _ in range(count):
             nursery.start_soon(bench.ask)
         await trio.sleep(after)
         bench.health.pace = 1.0
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("all {count:d} start within {seconds:g} s")
@@ -148,10 +60,10 @@
     "deadline queues"
 )
 def step_late(context: Context, useful: float, deadline: float) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         await bench.ask(useful=useful, deadline=deadline)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("it starts after about {seconds:g} s")
@@ -171,15 +83,15 @@
 
 
 def _ask_many(context: Context, count: int, may_queue: bool) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         for _ in range(count):
             nursery.start_soon(_ask, bench, may_queue)
             await trio.sleep(0.002)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
-async def _ask(bench: Bench, may_queue: bool) -> None:
+async def _ask(bench: AdmissionBench, may_queue: bool) -> None:
     await bench.ask(may_queue=may_queue)
 
 
@@ -204,7 +116,7 @@
 
 @when("requests in the last slots take twice as long")
 def step_slower(context: Context) -> None:
-    _use_last_slots(context, crowded_work=2 * _WORK)
+    _use_last_slots(context, crowded_work=2 * WORK_SECONDS)
 
 
 def _use_last_slots(
@@ -212,7 +124,7 @@
     crowded_work: float | None = None,
     slows_all: bool = False,
 ) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         async def ask() -> None:
             await bench.ask(
                 useful=5,
@@ -223,14 +135,14 @@
 
         for _ in range(120):
             nursery.start_soon(ask)
-            await trio.sleep(_WORK / 8)
+            await trio.sleep(WORK_SECONDS / 8)
         bench.most = 0
 
         async with trio.open_nursery() as later:
             for _ in range(24):
                 later.start_soon(ask)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("all {count:d} slots are used while requests wait")
@@ -245,14 +157,14 @@
 
 @when("{count:d} requests with {useful:g} s to their target queue at once")
 def step_overload(context: Context, count: int, useful: float) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         async def ask() -> None:
             await bench.ask(useful=useful)
 
         for _ in range(count):
             nursery.start_soon(ask)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("the refused ones were refused without delay and told when to return")
@@ -265,7 +177,7 @@
 
 @when("requests of priority 2, 1 and 0 queue behind a running one")
 def step_priorities(context: Context) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         async def ask(priority: int) -> None:
             await bench.ask(str(priority), priority=priority, useful=2)
 
@@ -275,7 +187,7 @@
             nursery.start_soon(ask, priority)
             await trio.sleep(0.005)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("they start in the order of priority 0, 1 and 2")
@@ -296,7 +208,7 @@
 def step_in_time(context: Context, useful: float) -> None:
     late_useful, work = context.late
 
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         async def ask(name: str, seconds: float, busy: float) -> None:
             await bench.ask(name, useful=seconds, work=busy)
 
@@ -308,7 +220,7 @@
         await trio.sleep(0.01)
         nursery.start_soon(ask, "in time", useful, 0.01)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("the second starts first")
@@ -319,7 +231,7 @@
 
 @when("{count:d} short requests come within {seconds:g} s")
 def step_many_short(context: Context, count: int, seconds: float) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         async def ask() -> None:
             await bench.ask(work=0.001, useful=1.0)
 
@@ -327,7 +239,7 @@
             nursery.start_soon(ask)
             await trio.sleep(seconds / count)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("no second has more than {count:d} starts")
@@ -340,7 +252,7 @@
 
 @when("{count:d} requests fail and then {others:d} ask within 1 s")
 def step_failing(context: Context, count: int, others: int) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         for _ in range(count):
             await bench.ask(work=0.01, kind=EvidenceKind.FAILED)
         bench.started.clear()
@@ -350,7 +262,7 @@
             )
             await trio.sleep(0.04)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("at most {count:d} of the last ones start")
@@ -360,7 +272,7 @@
 
 @when("a waiting request is cancelled")
 def step_cancelled(context: Context) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         async def ask(name: str) -> None:
             await bench.ask(name, useful=2)
 
@@ -370,13 +282,13 @@
             await bench.ask("cancelled", useful=2)
         nursery.start_soon(ask, "next")
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("the next one starts as soon as the slot is free")
 def step_next(context: Context) -> None:
     assert [name for name, _ in context.bench.started] == ["running", "next"]
-    assert abs(context.bench.started[1][1] - _WORK) < 0.01
+    assert abs(context.bench.started[1][1] - WORK_SECONDS) < 0.01
     assert context.bench.admission.in_flight == 0
 
 
@@ -385,14 +297,14 @@
     "goes on"
 )
 def step_long_spell(context: Context, count: int, useful: float) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         async def ask() -> None:
             await bench.ask(useful=useful)
 
         for _ in range(count):
             nursery.start_soon(ask)
 
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("{count:d} start and none is refused")
@@ -413,7 +325,7 @@
     lookups: int,
     seconds: int,
 ) -> None:
-    async def script(bench: Bench, nursery: trio.Nursery) -> None:
+    async def script(bench: AdmissionBench, nursery: trio.Nursery) -> None:
         async def send(
             name: str, rate: int, work: float, useful: float, deadline: float
         ) -> None:
@@ -432,10 +344,10 @@
         nursery.start_soon(send, "lookup", lookups, lookup, 0.12, 0.6)
 
     context.asked = lookups * seconds
-    _run(context, script)
+    run_admission(context, script)
 
 
 @then("at least {share:d} of 100 lookups run")
-def step_lookups_run(context: Context, share: int) -> None:
+def step_lookupsrun_admission(context: Context, share: int) -> None:
     ran = sum(name == "lookup" for name, _ in context.bench.started)
     assert 100 * ran >= share * context.asked, (ran, context.asked)
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -31,6 +31,8 @@
 READING_SECONDS = 0.025
 # How often the first in the queue looks whether an obstacle has passed.
 _LOOK_SECONDS = 0.02
+# How often late requests behind the first look, at most.
+_LATE_LOOK_SECONDS = 0.1
 # The part of the time to its latency target that a request's work takes, where
 # nothing is known yet; operators set targets of three times the work or more.
 _WORK_SHARE = 1 / 3
@@ -201,15 +203,16 @@
         self._line.add(waiting)
         try:
             while not self._may_start(waiting, ticket, work):
-                self._check_late(waiting, ticket, work)
-                with trio.move_on_after(
-                    self._get_sleep_seconds(waiting, ticket, work)
-                ):
+                start = self._check_late(waiting, ticket, work)
+                was_first = self._is_first(waiting)
+                refused_at = ticket.deadline - work - start
+                seconds = self._get_sleep_seconds(waiting, refused_at)
+                with trio.move_on_after(seconds) as sleep:
                     await waiting.turn.park()
                 if self._is_first(waiting):
                     await self._refresh(_LOOK_SECONDS)
-                else:
-                    # The one that was first may have become late.
+                elif was_first or not sleep.cancelled_caught:
+                    # Another one has become the first meanwhile.
                     self._wake()
         finally:
             self._line.remove(waiting)
@@ -241,7 +244,12 @@
 
     def _check_late(
         self, waiting: WaitingRequest, ticket: Ticket, work: float
-    ) -> None:
+    ) -> float:
+        """Returns the seconds until a request could start.
+
+        Raises:
+            RefusedError: It can't be answered before its deadline.
+        """
         now = self._clock.monotonic()
         start = 0.0
         # A slow instance has room for late requests; a full one has not.
@@ -260,6 +268,7 @@
                 retry_after=max(_LEAST_RETRY_AFTER, timedelta(seconds=start)),
                 report=self.get_report(),
             )
+        return start
 
     def _may_start(
         self, waiting: WaitingRequest, ticket: Ticket, work: float
@@ -278,14 +287,21 @@
         return obstacle is None or obstacle is Obstacle.FAILING
 
     def _get_sleep_seconds(
-        self, waiting: WaitingRequest, ticket: Ticket, work: float
+        self, waiting: WaitingRequest, refused_at: float
     ) -> float:
-        """Returns how long a request sleeps unless its turn comes before."""
+        """Returns how long a request sleeps unless its turn comes before.
+
+        Args:
+            waiting: The request.
+            refused_at: When it would be refused as things are now.
+        """
         if self._is_first(waiting):
             return _LOOK_SECONDS
         now = self._clock.monotonic()
-        until = min(ticket.deadline - work, waiting.latest_start)
-        return max(_LOOK_SECONDS, until - now)
+        if not waiting.is_late(now):
+            return max(_LOOK_SECONDS, waiting.latest_start - now)
+        # The estimate may change, and more so the further away it is.
+        return max(_LATE_LOOK_SECONDS, (refused_at - now) / 2)
 
     def _wake(self) -> None:
         self._line.wake_first(self._clock.monotonic())
--- a/src/rhubarbpaddle/admission/waiting_line.py
+++ b/src/rhubarbpaddle/admission/waiting_line.py
@@ -1,9 +1,11 @@
 """The requests that wait for one instance."""
 
 import itertools
+from collections.abc import Iterator
 
 import trio
 
+from rhubarbpaddle.admission.priority_line import PriorityLine
 from rhubarbpaddle.admission.waiting_request import WaitingRequest
 
 
@@ -11,11 +13,14 @@
     """Orders requests by what is lost if they wait."""
 
     def __init__(self) -> None:
-        self._waiting: list[WaitingRequest] = []
+        self._lines: dict[int, PriorityLine] = {}
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return sum(map(len, self._lines.values()))
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        return itertools.chain.from_iterable(self._lines.values())
 
     def make(
         self, priority: int, latest_start: float, work: float
@@ -31,25 +36,27 @@
 
     def add(self, request: WaitingRequest) -> None:
         """Adds a request."""
-        self._waiting.append(request)
+        line = self._lines.setdefault(request.priority, PriorityLine())
+        line.add(request)
 
     def remove(self, request: WaitingRequest) -> None:
         """Removes a request that no longer waits."""
-        self._waiting.remove(request)
+        line = self._lines[request.priority]
+        line.remove(request)
+        if not line:
+            del self._lines[request.priority]
 
     def count_ahead(self, request: WaitingRequest, now: float) -> int:
         """Returns how many will be served before a request."""
         rank = request.get_lasting_rank(now)
-        return sum(
-            other.get_lasting_rank(now) < rank for other in self._waiting
-        )
+        return sum(other.get_lasting_rank(now) < rank for other in self)
 
     def count_late_ahead(self, request: WaitingRequest, now: float) -> int:
         """Returns how many late requests are served before a late one."""
         rank = request.get_lasting_rank(now)
         return sum(
             other.is_late(now) and other.get_lasting_rank(now) < rank
-            for other in self._waiting
+            for other in self
         )
 
     def get_first(self, now: float) -> WaitingRequest:
@@ -58,7 +65,7 @@
         Raises:
             ValueError: Nobody waits.
         """
-        return min(self._waiting, key=lambda request: request.get_rank(now))
+        return self._lines[min(self._lines)].get_first(now)
 
     def wake_first(self, now: float) -> None:
         """Resumes the task of the request whose turn it is.
@@ -66,5 +73,5 @@
         The others stay asleep: with hundreds of waiting requests, waking all
         at each end of a request takes more time than serving them.
         """
-        if self._waiting:
+        if self._lines:
             self.get_first(now).turn.unpark_all()
--- a/src/rhubarbpaddle/admission/waiting_request.py
+++ b/src/rhubarbpaddle/admission/waiting_request.py
@@ -51,6 +51,14 @@
             self.number,
         )
 
+    def get_urgency_key(self) -> float:
+        """Returns what orders requests of a priority that are not late.
+
+        The lowest is first, as by `get_rank`, at any moment.
+        """
+        work = max(_LEAST_WORK_SECONDS, self.work)
+        return self.latest_start / _SLACK_SECONDS + math.log(work)
+
     def get_lasting_rank(self, now: float) -> tuple[int, float, int]:
         """Returns what orders requests once all of them are urgent."""
         return self.priority, -self._get_worth(now), self.number
