End answers that go on without end

Callers saw nothing of it yet; found by a new test of a new kind of trouble, bytes without end in a head or a body until the other side closes. Interim responses and answers to other requests were read until the deadline, and a body without a length or in chunks was passed on for as long as the caller kept its connection. Four of the eight forms of features/endless_answers.feature failed before; heads, lines and chunk heads without end were already bounded by h11.

16 interim responses, and 4 answers to other requests, are read before the connection is given up. On the platform an answer's body may take until the deadline and 0.4 s more, then the connections are reset. The product's own interface keeps bodies unbounded: its deadline is that of the answer's head.

--- a/src/rhubarbpaddle/http/client_connection.py
+++ b/src/rhubarbpaddle/http/client_connection.py
@@ -9,6 +9,9 @@
 from rhubarbpaddle.http.event_body import EventBody, get_length
 
 _BODY_IDLE_SECONDS = 30.0
+# Interim responses before a final one; a far side in trouble may send them
+# without end.
+_MAX_INTERIM_RESPONSES = 16
 
 
 class ClientConnection(HttpConnection):
@@ -52,12 +55,14 @@
             TruncatedError: The connection ended before a response.
             ProtocolError: The far side does not speak HTTP/1.1.
         """
-        while True:
+        interim = 0
+        while interim <= _MAX_INTERIM_RESPONSES:
             event = self.parse_event()
             if event is h11.NEED_DATA:
                 self.h11.receive_data(await self.receive_bytes())
                 continue
             if isinstance(event, h11.InformationalResponse):
+                interim += 1
                 continue
             if isinstance(event, h11.Response):
                 self._check_length(event)
@@ -70,6 +75,11 @@
                 step="receive_response",
                 peer=self.peer,
             )
+        raise ProtocolError(
+            f"more than {_MAX_INTERIM_RESPONSES} interim responses",
+            step="receive_response",
+            peer=self.peer,
+        )
 
     async def _next_body_event(self) -> object:
         return await self.next_event(_BODY_IDLE_SECONDS)
--- a/src/rhubarbpaddle/http/product_upstream_dialect.py
+++ b/src/rhubarbpaddle/http/product_upstream_dialect.py
@@ -1,5 +1,6 @@
 """The product's own headers towards upstreams."""
 
+import math
 import re
 from datetime import timedelta
 
@@ -19,6 +20,13 @@
         """Returns the request's headers as they are."""
         return list(request.headers)
 
+    def get_body_seconds(self, time_left: float) -> float:
+        """Returns infinity: the deadline is that of the answer's head.
+
+        A caller that does not want the rest of a long answer leaves.
+        """
+        return math.inf
+
     def is_answer(self, request: Request, headers: RawHeaders) -> bool:
         """Returns True; answers of this dialect bear no id."""
         return True
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -9,7 +9,11 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
+from rhubarbpaddle.exceptions import (
+    ProtocolError,
+    RefusedError,
+    RhubarbpaddleError,
+)
 from rhubarbpaddle.execution import (
     Body,
     BytesBody,
@@ -24,6 +28,7 @@
 from rhubarbpaddle.http.event_body import EventBody
 from rhubarbpaddle.http.headers import remove_hop_by_hop
 from rhubarbpaddle.http.product_upstream_dialect import PRODUCT_DIALECT
+from rhubarbpaddle.http.timed_body import TimedBody
 from rhubarbpaddle.http.upstream_connection import UpstreamConnection
 from rhubarbpaddle.http.upstream_dialect import UpstreamDialect
 from rhubarbpaddle.measuring.instance_reading import InstanceReading
@@ -35,6 +40,8 @@
 _MAX_IDLE_SECONDS = 5.0
 # A refusal's body up to this length is read so that its connection stays.
 _REFUSAL_BODY_BYTES = 64 * 1024
+# Answers to earlier requests that are discarded before the request's own.
+_MAX_SKIPPED_ANSWERS = 4
 
 _Answer = tuple[h11.Response, EventBody]
 
@@ -154,7 +161,15 @@
             response, response_body = await _send_and_receive(
                 conn, head, body, time_left
             )
+            skipped = 0
             while not self._dialect.is_answer(request, response.headers):
+                skipped += 1
+                if skipped > _MAX_SKIPPED_ANSWERS:
+                    raise ProtocolError(
+                        f"{skipped} answers to other requests",
+                        step="receive_response",
+                        peer=self._address,
+                    )
                 response, response_body = await _skip_answer(
                     conn, head, response_body, time_left
                 )
@@ -191,10 +206,13 @@
             for key, value in remove_hop_by_hop(response.headers)
             if key != b"content-length"
         ]
+        # The time for the answer counts from the end of an upload.
+        left = self._get_time_left(request) if repeatable else time_left
+        until = self._clock.monotonic() + self._dialect.get_body_seconds(left)
         return Response(
             response.status_code,
             headers,
-            response_body,
+            TimedBody(response_body, until, self._address),
             None,
         )
 
--- a/src/rhubarbpaddle/http/upstream_dialect.py
+++ b/src/rhubarbpaddle/http/upstream_dialect.py
@@ -22,6 +22,14 @@
         """
         ...
 
+    def get_body_seconds(self, time_left: float) -> float:
+        """Returns how long an answer's body may take after its head.
+
+        Args:
+            time_left: Seconds until the request's deadline.
+        """
+        ...
+
     def is_answer(self, request: Request, headers: RawHeaders) -> bool:
         """Returns whether an answer belongs to the request."""
         ...
--- a/src/rhubarbpaddle/platform/upstream_dialect.py
+++ b/src/rhubarbpaddle/platform/upstream_dialect.py
@@ -10,6 +10,8 @@
 from rhubarbpaddle.measuring.instance_reading import InstanceReading
 from rhubarbpaddle.platform import header_names
 
+# Routes promise a final answer this long after their timeout.
+_BODY_GRACE_SECONDS = 0.4
 _RETRY_AFTER = timedelta(milliseconds=100)
 _LOAD = re.compile(r"\s*(\d+)\s*,\s*(\d+)\s*,\s*(\d+)\s*(?:,\s*(\d+)\s*)?")
 _USUAL_PACE = 100.0
@@ -39,6 +41,10 @@
             headers.append((header_names.EXPECTED_INSTANCE, instance.encode()))
         return headers
 
+    def get_body_seconds(self, time_left: float) -> float:
+        """Returns the time to the deadline and a little more."""
+        return time_left + _BODY_GRACE_SECONDS
+
     def is_answer(self, request: Request, headers: RawHeaders) -> bool:
         """Returns whether an answer bears the request's id, or none."""
         request_id = get_header(list(headers), header_names.REQUEST_ID)
--- /dev/null
+++ b/standins/endless_instance.py
@@ -0,0 +1,97 @@
+"""A stand-in for an instance whose answers have no end."""
+
+from collections.abc import Callable
+
+import h11
+import trio
+
+_PIECE_BYTES = 4096
+_PIECE_SECONDS = 0.01
+_STRAY = (
+    b"HTTP/1.1 200 OK\r\nrequest-id: another\r\nserver-signature: s\r\n"
+    b"content-length: 2\r\n\r\nno"
+)
+_HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: one\r\nserver-signature: s\r\n"
+_CHUNK = b"%x\r\n" % _PIECE_BYTES + b"b" * _PIECE_BYTES + b"\r\n"
+
+# What comes first, and what comes again and again after it.
+_FORMS = {
+    "header lines": (_HEAD, (b"x-more: " + b"a" * 100 + b"\r\n") * 40),
+    "a header line": (_HEAD + b"x-long: ", b"a" * _PIECE_BYTES),
+    "bytes without a line": (b"", b"\x00" * _PIECE_BYTES),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "answers to another request": (b"", _STRAY),
+    "a body without a length": (_HEAD + b"\r\n", b"b" * _PIECE_BYTES),
+    "a body of chunks": (
+        _HEAD + b"transfer-encoding: chunked\r\n\r\n",
+        _CHUNK,
+    ),
+    "a chunk's head": (
+        _HEAD + b"transfer-encoding: chunked\r\n\r\n1;",
+        b"a" * _PIECE_BYTES,
+    ),
+}
+
+
+class EndlessInstance:
+    """Sends bytes until the connection is closed.
+
+    Attributes:
+        ended_after: Seconds until the other side closed each connection.
+    """
+
+    def __init__(self, form: str, get_health: Callable[[], bytes]) -> None:
+        """Makes an instance.
+
+        Args:
+            form: What it sends, a key of the forms above.
+            get_health: Returns its answer to a health check.
+        """
+        self._first, self._piece = _FORMS[form]
+        self._get_health = get_health
+        self.ended_after: list[float] = []
+
+    async def handle(self, stream: trio.abc.Stream) -> None:
+        """Serves one connection until it ends."""
+        conn = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                target = await _read_request(stream, conn)
+                if target is None:
+                    return
+                if target != b"/health":
+                    break
+                await stream.send_all(self._get_health())
+                conn = h11.Connection(h11.SERVER)
+            await self._send_endlessly(stream)
+        except trio.BrokenResourceError:
+            return
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _send_endlessly(self, stream: trio.abc.Stream) -> None:
+        started = trio.current_time()
+        try:
+            await stream.send_all(self._first)
+            while True:
+                await stream.send_all(self._piece)
+                await trio.sleep(_PIECE_SECONDS)
+        finally:
+            self.ended_after.append(trio.current_time() - started)
+
+
+async def _read_request(
+    stream: trio.abc.Stream, conn: h11.Connection
+) -> bytes | None:
+    """Returns the target of the next request, None at the end."""
+    target = None
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            conn.receive_data(bytes(await stream.receive_some(1 << 16)))
+        elif isinstance(event, h11.Request):
+            target = event.target
+        elif isinstance(event, h11.EndOfMessage):
+            return target
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
