--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -14,7 +14,7 @@
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.admission.waiting_line import WaitingLine
 from rhubarbpaddle.admission.waiting_request import WaitingRequest
-from rhubarbpaddle.admission.work_times import DEFAULT_SECONDS, WorkTimes
+from rhubarbpaddle.admission.work_forecast import WorkForecast
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, EvidenceKind, LoadReport
@@ -33,9 +33,6 @@
 _LOOK_SECONDS = 0.02
 # How often late requests behind the first look, at most.
 _LATE_LOOK_SECONDS = 0.1
-# The part of the time to its latency target that a request's work takes, where
-# nothing is known yet; operators set targets of three times the work or more.
-_WORK_SHARE = 1 / 3
 _LEAST_RETRY_AFTER = timedelta(milliseconds=100)
 _FAILURES = frozenset(
     {
@@ -72,10 +69,9 @@
         self._monitor = monitor
         self._clock = clock
         self._failures = FailureShare(clock)
-        self._times = WorkTimes()
+        self._forecast = WorkForecast()
         self._crowding = Crowding(self.limit, self.slots)
         self._last_slot_starts = 0
-        self._expected_ends: dict[object, float] = {}
         self._line = WaitingLine()
 
     def set_cold(self, seconds: float) -> None:
@@ -123,16 +119,14 @@
         now = self._clock.monotonic()
         self.window.add(now)
         pace = self._monitor.get_pace(READING_SECONDS * 2)
-        key = object()
-        work = self._get_work(ticket, now)
-        self._expected_ends[key] = now + max(1.0, pace) * work
+        key = self._forecast.begin(ticket, now, max(1.0, pace))
         in_last_slot = self.in_flight > self.limit
         self._last_slot_starts += in_last_slot
         starts_before = self._last_slot_starts
 
         def end(evidence: Evidence) -> None:
             self.in_flight -= 1
-            del self._expected_ends[key]
+            self._forecast.end(key)
             if evidence.kind is EvidenceKind.ANSWERED:
                 self._failures.note(False)
                 if evidence.latency is not None:
@@ -161,9 +155,8 @@
             self._cold_until = self._clock.monotonic() + left
 
     def _note_time(self, route: str, seconds: float, use: SlotUse) -> None:
-        self._crowding.note(seconds / self._times.get(route), use)
-        if use is SlotUse.FIRST or not self._times.knows(route):
-            self._times.note(route, seconds)
+        self._crowding.note(self._forecast.compare(route, seconds), use)
+        self._forecast.note(route, seconds, use is SlotUse.FIRST)
 
     def _find_obstacle(self, limit: int) -> Obstacle | None:
         now = self._clock.monotonic()
@@ -188,7 +181,7 @@
                 or would be late beside too many others that will be late.
         """
         now = self._clock.monotonic()
-        work = self._get_work(ticket, now)
+        work = self._forecast.get_work(ticket, now)
         useful_until = min(ticket.useful_until, ticket.deadline)
         waiting = self._line.make(ticket.priority, useful_until - work, work)
         start = self._estimate_wait(waiting, now)
@@ -220,21 +213,9 @@
 
     def _estimate_wait(self, waiting: WaitingRequest, now: float) -> float:
         """Returns the seconds until a request could start."""
-        limit = self._get_waiting_limit()
         ahead = self._line.count_ahead(waiting, now)
-        if self.in_flight + ahead < limit or self.in_flight == 0:
-            return 0.0
-        turns = ahead + 1 + self.in_flight - limit
-        rounds, place = divmod(max(1, turns) - 1, self.in_flight)
-        ends = sorted(self._expected_ends.values())
-        return max(0.0, ends[place] - now) + rounds * self._times.get_mean()
-
-    def _get_work(self, ticket: Ticket, now: float) -> float:
-        """Returns the seconds that a request will probably take."""
-        if self._times.knows(ticket.route):
-            return self._times.get(ticket.route)
-        left = max(0.0, ticket.useful_until - now)
-        return min(DEFAULT_SECONDS, left * _WORK_SHARE)
+        limit = self._get_waiting_limit()
+        return self._forecast.estimate_wait(ahead, limit, now)
 
     def _get_waiting_limit(self) -> int:
         return self.limit if self._crowding.is_harmful() else self.slots
