Soak: callers that leave, and a check that no work begins for them

The soak's callers always waited for their answers, so it could not see the GONE incident. A tenth of the requests is now given up within 0.2 s, and an instance that begins one of them more than 0.5 s later breaks a promise, away from unplanned faults. The oracle's own test fails without the check.

--- a/features/soak_oracle.feature
+++ b/features/soak_oracle.feature
@@ -18,6 +18,7 @@
       | an instance runs a request after its departure      | DRAIN    |
       | an instance of a withdrawn zone runs a request      | EVAC     |
       | a cold instance gets 13 requests in a second        | FAILBACK |
+      | a request starts a second after its caller has left | GONE     |
 
   # Guards against reports of what faults excuse.
   Scenario Outline: What a fault excuses is not reported
@@ -29,6 +30,12 @@
       | a request that runs is cut                          |
       | an answer comes a second after the deadline         |
       | an instance of a withdrawn zone runs a request      |
+      | a request starts a second after its caller has left |
+
+  # Guards against reports of closes that the node can't have seen yet.
+  Scenario: Work shortly after its caller has left is not reported
+    Given a history in which a request starts 0.4 s after its caller has left
+    Then the oracle reports nothing
 
   Scenario: A history that keeps all promises is not reported
     Given a history in which all is well
--- a/features/steps/soak_oracle_steps.py
+++ b/features/steps/soak_oracle_steps.py
@@ -55,6 +55,14 @@
         [_RUN],
     ),
     "a request that runs is cut": lambda: ([_GOOD._replace(status=0)], [_RUN]),
+    "a request starts a second after its caller has left": lambda: (
+        [_GOOD._replace(status=0, has_left=True)],
+        [_RUN._replace(started_at=11.1)],
+    ),
+    "a request starts 0.4 s after its caller has left": lambda: (
+        [_GOOD._replace(status=0, has_left=True)],
+        [_RUN._replace(started_at=10.5)],
+    ),
     "an instance runs a request after its departure": lambda: (
         [_GOOD],
         [_RUN._replace(instance="i-left")],
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -19,6 +19,9 @@
 PATIENCE_SECONDS = 1.0
 _PAUSE_SECONDS = 0.08
 _CONNECT_SECONDS = 1.0
+# Some callers close their connection before the answer.
+_LEAVING_SHARE = 0.1
+_LEAVE_WITHIN_SECONDS = 0.2
 
 
 class Caller:
@@ -50,16 +53,29 @@
         self._get_prefixes = get_prefixes
         self._sent = sent
         self._rng = rng
+        # Apart from the rest, so that seeds that have failed stay as they were.
+        self._leaving_rng = random.Random(name)
         self._conn: ClientConnection | None = None
 
     async def run(self, stopped: trio.Event) -> None:
         """Sends requests until it is stopped; the last one is ended."""
         while not stopped.is_set():
-            await self.send()
+            await self.send(self._choose_patience())
             await trio.sleep(self._rng.uniform(0, 2 * _PAUSE_SECONDS))
 
-    async def send(self) -> SentRequest | None:
-        """Sends one request; returns None if there was no connection."""
+    def _choose_patience(self) -> float:
+        if self._leaving_rng.random() < _LEAVING_SHARE:
+            return self._leaving_rng.uniform(0, _LEAVE_WITHIN_SECONDS)
+        return DEADLINE_SECONDS + PATIENCE_SECONDS
+
+    async def send(
+        self, patience: float = DEADLINE_SECONDS + PATIENCE_SECONDS
+    ) -> SentRequest | None:
+        """Sends one request; returns None if there was no connection.
+
+        Args:
+            patience: Seconds after which the caller leaves.
+        """
         conn = self._conn or await self._connect()
         if conn is None:
             return None
@@ -71,7 +87,7 @@
         request_id = next(self._ids)
         started = trio.current_time()
         status, body, signed = 0, b"", False
-        with trio.move_on_after(DEADLINE_SECONDS + PATIENCE_SECONDS):
+        with trio.move_on_after(patience) as waiting:
             try:
                 head = self._make_head(request_id, prefix, idempotent)
                 await conn.send_request(head, BytesBody(b""))
@@ -93,6 +109,7 @@
             status,
             body,
             signed,
+            waiting.cancelled_caught and patience < DEADLINE_SECONDS,
         )
         self._sent.append(request)
         if status == 0 or not conn.is_reusable():
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -1,5 +1,6 @@
 """Compares what callers and instances saw with what is promised."""
 
+import math
 from bisect import bisect_right
 from collections import Counter, defaultdict
 from collections.abc import Iterator, Mapping, Sequence
@@ -13,6 +14,7 @@
 # take up to this long after a fault.
 _CONTACT_SECONDS = 3.0
 _ANSWER_SLACK_SECONDS = 0.5
+_LEFT_SLACK_SECONDS = 0.5
 
 
 class Oracle:
@@ -57,6 +59,7 @@
         """
         yield from self._check_answers()
         yield from self._check_times()
+        yield from self._check_left()
         yield from self._check_leaving(left_at)
         yield from self._check_withdrawn(withdrawals, zones)
         yield from self._check_cold(cold_bound)
@@ -97,7 +100,7 @@
 
     def _check_times(self) -> Iterator[str]:
         for request in self._sent:
-            if self._is_harmed(request):
+            if request.has_left or self._is_harmed(request):
                 continue
             elapsed = request.ended_at - request.sent_at
             if elapsed > self._deadline + _ANSWER_SLACK_SECONDS:
@@ -105,6 +108,20 @@
             elif request.status == 0 and self._counts[request.request_id]:
                 yield f"LOST {request.request_id}: ran, and was cut"
 
+    def _check_left(self) -> Iterator[str]:
+        left = {
+            request.request_id: request.ended_at
+            for request in self._sent
+            if request.has_left
+        }
+        for run in self._runs:
+            at = left.get(run.request_id, math.inf)
+            late = run.started_at - at
+            if late > _LEFT_SLACK_SECONDS and not self._has_fault(
+                at, run.started_at
+            ):
+                yield f"GONE {run.request_id}: {late:.2f} s after its caller"
+
     def _is_harmed(self, request: SentRequest) -> bool:
         """Returns whether an unplanned fault may have touched a request."""
         return self._has_fault(request.sent_at, request.ended_at)
--- a/soak/records.py
+++ b/soak/records.py
@@ -17,6 +17,8 @@
         status: The answer's status; 0 if there was none.
         body: The answer's body.
         is_signed: Whether the answer bears an instance's signature.
+        has_left: Whether the caller closed its connection, at `ended_at`,
+            without waiting for the answer.
     """
 
     request_id: str
@@ -28,6 +30,7 @@
     status: int
     body: bytes
     is_signed: bool
+    has_left: bool = False
 
 
 class Run(NamedTuple):
