--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,3 +11,4 @@
       | 4    |
       | 203  |
       | 205  |
+      | 300  |
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -92,6 +92,8 @@
         self._network = network
         self._clock = clock
         self._stopping = False
+        # A change that comes while the node starts is taken over later.
+        self._changed_at = self._read_change_time()
         incarnation = int(clock.now().timestamp() * 1_000_000)
         self.table = MemberTable(_make_own_member(settings, incarnation))
         crashes = CrashLedger(settings.node_id, clock)
@@ -257,12 +259,11 @@
 
     async def _watch_settings(self) -> None:
         """Notices changes of the file that come without a signal."""
-        seen = self._read_change_time()
         while True:
             await self._clock.sleep(_SETTINGS_INTERVAL)
             found = self._read_change_time()
-            if found != seen:
-                seen = found
+            if found != self._changed_at:
+                self._changed_at = found
                 self.reload_settings()
 
     def _read_change_time(self) -> int:
