--- a/features/steps/abandoned_requests_steps.py
+++ b/features/steps/abandoned_requests_steps.py
@@ -5,7 +5,7 @@
 
 from features.support.host_network import HostNetwork
 from features.support.memory_stream import MemoryStream
-from features.support.platform_scenario import run_on_platform
+from features.support.platform_scenario import Script, run_on_platform
 from features.support.platform_world import PlatformWorld, make_call
 from rhubarbpaddle.peer import PeerIdentity
 from rhubarbpaddle.peer.connector import PeerConnector
@@ -35,10 +35,10 @@
     return stream
 
 
-def _run_and_record(context: Context, script: object) -> None:
+def _run_and_record(context: Context, script: Script) -> None:
     handler = logbook.TestHandler()
     with handler.applicationbound():
-        run_on_platform(context, script)  # type: ignore[arg-type]
+        run_on_platform(context, script)
     context.log = [str(record.message) for record in handler.records]
 
 
