--- a/bench/admission/__main__.py
+++ b/bench/admission/__main__.py
@@ -17,7 +17,8 @@
 from bench.admission.ramp import measure_ramp, measure_unannounced_restarts
 from bench.admission.tenants import measure_tenants
 from bench.admission.tracking import measure_tracking
-from rhubarbpaddle.admission import AdaptiveAdmission, Admission
+from rhubarbpaddle.admission.adaptive_admission import AdaptiveAdmission
+from rhubarbpaddle.admission.admission import Admission
 from rhubarbpaddle.clock import Clock
 
 Measurement = Callable[[], Awaitable[list[Figure]]]
--- a/bench/admission/admission_factory.py
+++ b/bench/admission/admission_factory.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from rhubarbpaddle.admission import Admission
+from rhubarbpaddle.admission.admission import Admission
 from rhubarbpaddle.clock import Clock
 
 
--- a/bench/admission/fixed_slots.py
+++ b/bench/admission/fixed_slots.py
@@ -4,9 +4,11 @@
 
 import trio
 
-from rhubarbpaddle.admission import Slot, Ticket
+from rhubarbpaddle.admission.slot import Slot
+from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import Service, Tenant
+from rhubarbpaddle.configuration.service import Service
+from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, LoadReport
 from rhubarbpaddle.membership import UpstreamState
--- a/bench/admission/load_generator.py
+++ b/bench/admission/load_generator.py
@@ -5,7 +5,8 @@
 
 import trio
 
-from rhubarbpaddle.admission import Admission, Ticket
+from rhubarbpaddle.admission.admission import Admission
+from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import NO_EVIDENCE, Evidence, EvidenceKind
 from standins.http_server import StandinRequest
--- a/bench/policy/baseline_router.py
+++ b/bench/policy/baseline_router.py
@@ -3,10 +3,10 @@
 import random
 from collections.abc import Callable, Collection
 
-from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.membership import MemberTable
-from rhubarbpaddle.routing import Candidate
+from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.service_index import ServiceIndex
 
 Pick = Callable[["BaselineRouter", list[Candidate]], Candidate]
--- a/bench/policy/deployment.py
+++ b/bench/policy/deployment.py
@@ -10,13 +10,14 @@
 from bench.policy.fake_upstream import FakeUpstream
 from bench.policy.host import Host
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.admission import AdaptiveAdmission, Admission
-from rhubarbpaddle.configuration import (
+from rhubarbpaddle.admission.adaptive_admission import AdaptiveAdmission
+from rhubarbpaddle.admission.admission import Admission
+from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
-    AvailabilityZone,
-    Configuration,
-    Service,
 )
+from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
+from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.execution.sidecar import AttachedUpstream, Sidecar
 from rhubarbpaddle.membership import (
     Member,
--- a/bench/policy/host.py
+++ b/bench/policy/host.py
@@ -1,7 +1,9 @@
 """A simulated host with a node and an optional upstream."""
 
 from bench.policy.fake_upstream import FakeUpstream
-from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
 from rhubarbpaddle.execution.sidecar import Sidecar
 from rhubarbpaddle.membership import MemberTable
 
--- a/bench/policy/least_loaded_router.py
+++ b/bench/policy/least_loaded_router.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Collection
 
-from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.membership import (
     Member,
--- a/bench/policy/memory_dispatcher.py
+++ b/bench/policy/memory_dispatcher.py
@@ -8,7 +8,7 @@
 from bench.policy.host import Host
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Body, Request, Response
-from rhubarbpaddle.routing import Candidate
+from rhubarbpaddle.routing.candidate import Candidate
 
 # The one-way delay between two hosts of the same zone.
 SAME_ZONE_SECONDS = 0.00005
--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -12,7 +12,8 @@
 from bench.policy.deployment import Deployment
 from bench.policy.host import Host
 from bench.policy.least_loaded_router import LeastLoadedRouter
-from rhubarbpaddle.routing import AdaptiveRouter, Router
+from rhubarbpaddle.routing.adaptive_router import AdaptiveRouter
+from rhubarbpaddle.routing.router import Router
 
 ADAPTIVE = "adaptive"
 OMNISCIENT = "omniscient"
--- a/bench/policy/probe_tasks.py
+++ b/bench/policy/probe_tasks.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from bench.policy.deployment import Deployment
-from rhubarbpaddle.configuration import Service
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.node.probe_task import ProbeTask
 from rhubarbpaddle.telemetry import Metrics
 
--- a/bench/routing_scale.py
+++ b/bench/routing_scale.py
@@ -13,11 +13,9 @@
 
 from bench.policy.least_loaded_router import LeastLoadedRouter
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.configuration import (
-    AvailabilityZone,
-    Configuration,
-    Service,
-)
+from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
+from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.membership import (
     Member,
@@ -26,7 +24,8 @@
     UpstreamState,
     UpstreamSummary,
 )
-from rhubarbpaddle.routing import AdaptiveRouter, Router
+from rhubarbpaddle.routing.adaptive_router import AdaptiveRouter
+from rhubarbpaddle.routing.router import Router
 
 _SIZES = (12, 50, 200, 800)
 _SERVICES = tuple(f"s{index}" for index in range(23))
--- a/features/metrics_text.feature
+++ b/features/metrics_text.feature
@@ -18,3 +18,22 @@
       | # TYPE rhubarbpaddle_probe_time_seconds_total counter                                                 |
       | rhubarbpaddle_probe_time_seconds_total{service="lanes"} 0.5                                           |
       | rhubarbpaddle_upstream_reported_in_flight{service="lanes"} 3.0                                        |
+
+  # Guards against measurements that are lost or counted twice when
+  # OpenTelemetry is loaded, which a node does at its first scrape.
+  Scenario: Measurements from before the first scrape are exported once
+    Given a request that a node recorded before its first scrape
+    When the metrics are rendered, and another request and refusal follow
+    Then the metrics contain these lines without the scope's labels
+      | line                                                                                                  |
+      | rhubarbpaddle_request_duration_seconds_count{service="lanes",status="200",tenant="other"} 2.0         |
+      | rhubarbpaddle_refusals_total{code="busy",outcome="not-run",service="lanes"} 2.0                       |
+
+  # Guards against memory that grows with each request of a node that no one
+  # scrapes: once there are too many values, they go to fixed buckets.
+  Scenario: A node that isn't scraped holds a bounded number of durations
+    Given a node that records 10050 requests and isn't scraped
+    When the metrics are rendered
+    Then the metrics contain these lines without the scope's labels
+      | line                                                                                                  |
+      | rhubarbpaddle_request_duration_seconds_count{service="lanes",status="200",tenant="other"} 10050.0     |
--- a/features/promises/mutants.py
+++ b/features/promises/mutants.py
@@ -12,7 +12,10 @@
 from features.promises.mutant import Mutant
 from features.promises.operation import Operation
 from features.promises.world import NODES, SLOTS
-from rhubarbpaddle.configuration import Configuration, ConfigurationHistory
+from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.configuration_history import (
+    ConfigurationHistory,
+)
 from rhubarbpaddle.execution.claiming_gateway import ClaimingGateway
 from rhubarbpaddle.http import upstream_client
 from rhubarbpaddle.measuring import ProbeBudget
--- a/features/promises/world.py
+++ b/features/promises/world.py
@@ -15,12 +15,13 @@
 from features.support.host_network import HostNetwork
 from features.support.memory_fabric import MemoryFabric
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.configuration import Publication
+from rhubarbpaddle.configuration.publication import Publication
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
 from rhubarbpaddle.log import HttpLogClient
-from rhubarbpaddle.node import Node, NodeSettings
+from rhubarbpaddle.node.node import Node
+from rhubarbpaddle.node.settings import NodeSettings
 from standins.http_server import serve_connection
 from standins.log_server import LogServer
 
--- a/features/steps/abandoned_requests_steps.py
+++ b/features/steps/abandoned_requests_steps.py
@@ -7,8 +7,8 @@
 from features.support.memory_stream import MemoryStream
 from features.support.platform_scenario import PlatformScenario, run_on_platform
 from features.support.platform_world import PlatformWorld, make_call
-from rhubarbpaddle.peer import PeerIdentity
 from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.identity import PeerIdentity
 
 # The id of the request whose caller leaves; `make_call` uses the same one.
 ABANDONED_ID = "one"
--- a/features/steps/admission_limits_steps.py
+++ b/features/steps/admission_limits_steps.py
@@ -11,14 +11,14 @@
 
 from features.support.admission_machine import AdmissionMachine
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.admission import (
-    AdaptiveAdmission,
-    CriticalityTable,
-    Slot,
-    Ticket,
-)
+from rhubarbpaddle.admission.adaptive_admission import AdaptiveAdmission
 from rhubarbpaddle.admission.concurrency_limit import ConcurrencyLimit
-from rhubarbpaddle.configuration import Configuration, Service, Tenant
+from rhubarbpaddle.admission.criticality_table import CriticalityTable
+from rhubarbpaddle.admission.slot import Slot
+from rhubarbpaddle.admission.ticket import Ticket
+from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.service import Service
+from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import NO_EVIDENCE, Evidence, EvidenceKind
 from rhubarbpaddle.membership import UpstreamState
--- a/features/steps/cli_publish_steps.py
+++ b/features/steps/cli_publish_steps.py
@@ -16,7 +16,10 @@
 from rhubarbpaddle.cli.publish_outcome import PublishOutcome
 from rhubarbpaddle.cli.publish_result import PublishResult
 from rhubarbpaddle.cli.publisher import Publisher
-from rhubarbpaddle.configuration import ConfigurationHistory, parse_record
+from rhubarbpaddle.configuration.configuration_history import (
+    ConfigurationHistory,
+)
+from rhubarbpaddle.configuration.records import parse_record
 from rhubarbpaddle.exceptions import LogUnavailableError
 from rhubarbpaddle.log import HttpLogClient
 from standins.http_server import StandinRequest, StandinResponse
--- a/features/steps/configuration_history_steps.py
+++ b/features/steps/configuration_history_steps.py
@@ -16,8 +16,10 @@
     append_publication,
     run_with_log,
 )
-from rhubarbpaddle.configuration import (
+from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
+)
+from rhubarbpaddle.configuration.configuration_history import (
     ConfigurationHistory,
 )
 from rhubarbpaddle.log import HttpLogClient
--- a/features/steps/configuration_text_steps.py
+++ b/features/steps/configuration_text_steps.py
@@ -9,9 +9,12 @@
 from hypothesis import strategies as st
 
 from rhubarbpaddle.cli.client_settings import ClientSettings
-from rhubarbpaddle.configuration import AcceptedConfiguration, check_text
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
+from rhubarbpaddle.configuration.text import check_text
 from rhubarbpaddle.exceptions import ConfigurationError, SettingsError
-from rhubarbpaddle.node import NodeSettings
+from rhubarbpaddle.node.settings import NodeSettings
 
 CONFIGURATION_TEXT = """{
   // The services.
--- a/features/steps/deferred_tls_steps.py
+++ b/features/steps/deferred_tls_steps.py
@@ -6,7 +6,7 @@
 
 _SCRIPT = """
 import sys
-from rhubarbpaddle.cli.startup import defer_tls, prevent_library_search
+from rhubarbpaddle.launch.startup import defer_tls, prevent_library_search
 prevent_library_search()
 defer_tls()
 import rhubarbpaddle.cli.node
--- a/features/steps/http_exchange_steps.py
+++ b/features/steps/http_exchange_steps.py
@@ -14,9 +14,9 @@
 from features.support.memory_pipe import MemoryPipe
 from features.support.memory_stream import MemoryStream
 from rhubarbpaddle.http.server_connection import ServerConnection
-from rhubarbpaddle.peer import PeerIdentity
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.identity import PeerIdentity
 from rhubarbpaddle.peer.messages import BodyChunk, KeepAlive
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.system_clock import SystemClock
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -10,15 +10,15 @@
 from features.support.memory_fabric import MemoryFabric
 from features.support.overlay_group import OverlayGroup, OverlayNode
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.configuration import (
+from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
-    parse_configuration,
 )
+from rhubarbpaddle.configuration.text import parse_configuration
 from rhubarbpaddle.exceptions import ProtocolError
 from rhubarbpaddle.membership import MemberStatus, Suspicion, choose_neighbours
-from rhubarbpaddle.peer import PeerIdentity
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.identity import PeerIdentity
 from rhubarbpaddle.peer.messages import ConfigurationUpdate
 
 _JOIN_SECONDS = 30.0
--- a/features/steps/metrics_text_steps.py
+++ b/features/steps/metrics_text_steps.py
@@ -1,5 +1,6 @@
 import re
 
+import trio
 from behave import given, then, when
 from behave.runner import Context
 
@@ -31,7 +32,7 @@
 
 @when("the metrics are rendered")
 def step_render_metrics(context: Context) -> None:
-    text = context.metrics.render().decode()
+    text = trio.run(context.metrics.render).decode()
     assert text.endswith("\n")
     context.lines = text[:-1].split("\n")
 
@@ -49,3 +50,31 @@
     for row in context.table:
         line = row["line"].replace("ESCAPED", _ESCAPED_TENANT)
         assert line in lines, (line, lines)
+
+
+@given("a request that a node recorded before its first scrape")
+def step_record_before_scrape(context: Context) -> None:
+    context.metrics = Metrics()
+    context.metrics.record_request("other", "lanes", 200, 0.25)
+    context.metrics.record_refusal("lanes", "busy", "not-run")
+
+
+@when("the metrics are rendered, and another request and refusal follow")
+def step_render_then_record(context: Context) -> None:
+    trio.run(context.metrics.render)
+    context.metrics.record_request("other", "lanes", 200, 0.25)
+    context.metrics.record_refusal("lanes", "busy", "not-run")
+    step_render_metrics(context)
+
+
+@given("a node that records {count:d} requests and isn't scraped")
+def step_record_many(context: Context, count: int) -> None:
+    context.metrics = Metrics()
+
+    async def record() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.metrics.run)
+            for _ in range(count):
+                context.metrics.record_request("other", "lanes", 200, 0.25)
+
+    trio.run(record)
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -18,12 +18,10 @@
     make_settings,
     run_platform_world,
 )
-from rhubarbpaddle.configuration import (
-    Route,
-    RouteKind,
-    RouteTable,
-    WeightedService,
-)
+from rhubarbpaddle.configuration.route import Route
+from rhubarbpaddle.configuration.route_kind import RouteKind
+from rhubarbpaddle.configuration.route_table import RouteTable
+from rhubarbpaddle.configuration.weighted_service import WeightedService
 from rhubarbpaddle.exceptions import (
     AppendUnknownError,
     ConfigurationError,
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -9,8 +9,8 @@
     make_call,
     make_configuration,
 )
-from rhubarbpaddle.peer import PeerIdentity
 from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.identity import PeerIdentity
 
 
 @given('a platform with hosts "{names}"')
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -16,7 +16,10 @@
     set_up,
 )
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.configuration import AcceptedConfiguration, Service
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
 from rhubarbpaddle.execution.chain_headers import add_chain_headers
@@ -24,7 +27,7 @@
 from rhubarbpaddle.execution.retry_budget import RetryBudget
 from rhubarbpaddle.http.caller_head import CallerHead
 from rhubarbpaddle.outcome import Outcome
-from rhubarbpaddle.routing import Candidate
+from rhubarbpaddle.routing.candidate import Candidate
 
 _SERVICE = "lanes"
 _TIMEOUT_SECONDS = 1.0
--- a/features/steps/routing_instances_steps.py
+++ b/features/steps/routing_instances_steps.py
@@ -9,7 +9,9 @@
 from trio.testing import MockClock
 
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.configuration import Route, RouteKind, WeightedService
+from rhubarbpaddle.configuration.route import Route
+from rhubarbpaddle.configuration.route_kind import RouteKind
+from rhubarbpaddle.configuration.weighted_service import WeightedService
 from rhubarbpaddle.execution.retry_terms import RetryTerms
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
 from rhubarbpaddle.measuring import LoadReport
@@ -20,7 +22,7 @@
     UpstreamState,
     UpstreamSummary,
 )
-from rhubarbpaddle.routing import Candidate
+from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -10,11 +10,9 @@
 from trio.testing import MockClock
 
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.configuration import (
-    AvailabilityZone,
-    Configuration,
-    Service,
-)
+from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
+from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.membership import (
     Member,
@@ -23,7 +21,8 @@
     UpstreamState,
     UpstreamSummary,
 )
-from rhubarbpaddle.routing import AdaptiveRouter, Candidate
+from rhubarbpaddle.routing.adaptive_router import AdaptiveRouter
+from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.service_index import ServiceIndex
 
 _SERVICE = "lanes"
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -18,7 +18,7 @@
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import BytesBody, Request
 from rhubarbpaddle.membership import MemberStatus
-from rhubarbpaddle.node import Node
+from rhubarbpaddle.node.node import Node
 
 _DOWNLOAD_BYTES = 4_000_000
 _HALF_UPLOAD_BYTES = 20_000
--- a/features/support/admission_machine.py
+++ b/features/support/admission_machine.py
@@ -7,7 +7,9 @@
 from trio.testing import MockClock
 
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.admission import AdaptiveAdmission, Slot, Ticket
+from rhubarbpaddle.admission.adaptive_admission import AdaptiveAdmission
+from rhubarbpaddle.admission.slot import Slot
+from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, EvidenceKind
 from rhubarbpaddle.membership import UpstreamState
--- a/features/support/claims_world.py
+++ b/features/support/claims_world.py
@@ -12,11 +12,11 @@
 from features.support.fake_log import FakeLog
 from features.support.pausable_log import PausableLog
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.configuration import (
+from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
-    Configuration,
-    Service,
 )
+from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
 from rhubarbpaddle.execution.claim_held import ClaimHeld
--- a/features/support/history_machine.py
+++ b/features/support/history_machine.py
@@ -11,12 +11,14 @@
     rule,
 )
 
-from rhubarbpaddle.configuration import (
+from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
-    Checkpoint,
+)
+from rhubarbpaddle.configuration.checkpoint import Checkpoint
+from rhubarbpaddle.configuration.configuration_history import (
     ConfigurationHistory,
-    Publication,
 )
+from rhubarbpaddle.configuration.publication import Publication
 
 LogRecord = Publication | Checkpoint | None
 
--- a/features/support/instance_admission_harness.py
+++ b/features/support/instance_admission_harness.py
@@ -7,8 +7,8 @@
 from trio.testing import MockClock
 
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.admission import Ticket
 from rhubarbpaddle.admission.instance_admission import InstanceAdmission
+from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, EvidenceKind
 from rhubarbpaddle.measuring.instance_monitor import InstanceMonitor
--- a/features/support/overlay_group.py
+++ b/features/support/overlay_group.py
@@ -7,7 +7,9 @@
 from features.support.host_network import HostNetwork
 from features.support.memory_fabric import MemoryFabric
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.membership import (
     Member,
@@ -15,8 +17,10 @@
     MemberTable,
     Suspicion,
 )
-from rhubarbpaddle.peer import Overlay, PeerIdentity, PeerListener
 from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.identity import PeerIdentity
+from rhubarbpaddle.peer.listener import PeerListener
+from rhubarbpaddle.peer.overlay import Overlay
 
 
 class FakeConfiguration:
--- a/src/rhubarbpaddle/admission/adaptive_admission.py
+++ b/src/rhubarbpaddle/admission/adaptive_admission.py
@@ -13,7 +13,8 @@
 from rhubarbpaddle.admission.slot_waiter import SlotWaiter
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import Service, Tenant
+from rhubarbpaddle.configuration.service import Service
+from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, EvidenceKind, LoadReport
 from rhubarbpaddle.membership import UpstreamState
--- a/src/rhubarbpaddle/admission/admission.py
+++ b/src/rhubarbpaddle/admission/admission.py
@@ -5,7 +5,8 @@
 
 from rhubarbpaddle.admission.slot import Slot
 from rhubarbpaddle.admission.ticket import Ticket
-from rhubarbpaddle.configuration import Service, Tenant
+from rhubarbpaddle.configuration.service import Service
+from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.membership import UpstreamState
 
--- a/src/rhubarbpaddle/admission/criticality_table.py
+++ b/src/rhubarbpaddle/admission/criticality_table.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from typing import Self
 
-from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.configuration.configuration import Configuration
 
 
 class CriticalityTable:
--- a/src/rhubarbpaddle/cli/configuration_difference.py
+++ b/src/rhubarbpaddle/cli/configuration_difference.py
@@ -4,11 +4,11 @@
 from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple, Self
 
-from rhubarbpaddle.configuration import (
+from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
-    Configuration,
-    Service,
 )
+from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.service import Service
 
 _EMPTY_CONFIGURATION = Configuration({}, {}, {})
 
--- a/src/rhubarbpaddle/cli/configuration_file.py
+++ b/src/rhubarbpaddle/cli/configuration_file.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from rhubarbpaddle.cli.exit_code import ExitCode
-from rhubarbpaddle.configuration import CheckedText, check_text
+from rhubarbpaddle.configuration.checked_text import CheckedText
+from rhubarbpaddle.configuration.text import check_text
 from rhubarbpaddle.exceptions import ConfigurationError
 
 
--- a/src/rhubarbpaddle/cli/main.py
+++ b/src/rhubarbpaddle/cli/main.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 
 from rhubarbpaddle.cli.exit_code import ExitCode
-from rhubarbpaddle.cli.startup import defer_tls, prevent_library_search
 from rhubarbpaddle.exceptions import SettingsError
+from rhubarbpaddle.launch.startup import defer_tls, prevent_library_search
 
 
 def main(argv: Sequence[str] | None = None) -> None:
--- a/src/rhubarbpaddle/cli/node.py
+++ b/src/rhubarbpaddle/cli/node.py
@@ -9,7 +9,8 @@
 from rhubarbpaddle.cli.exit_code import ExitCode
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.network import split_address
-from rhubarbpaddle.node import Node, NodeSettings
+from rhubarbpaddle.node.node import Node
+from rhubarbpaddle.node.settings import NodeSettings
 from rhubarbpaddle.telemetry import LogOutput
 
 
--- a/src/rhubarbpaddle/cli/platform_node.py
+++ b/src/rhubarbpaddle/cli/platform_node.py
@@ -6,6 +6,7 @@
 
 from rhubarbpaddle.cli.exit_code import ExitCode
 from rhubarbpaddle.exceptions import SettingsError
+from rhubarbpaddle.launch.prepare_import import finish_import
 from rhubarbpaddle.platform.node import PlatformNode
 from rhubarbpaddle.telemetry import LogOutput
 
@@ -25,5 +26,6 @@
     except SettingsError as exc:
         print(f"rhubarbpaddle: {exc.peer}: {exc.detail}", file=sys.stderr)
         return ExitCode.INVALID_SETTINGS
+    finish_import()
     completed = trio.run(node.run_until_signal)
     return ExitCode.SUCCESS if completed else ExitCode.FORCED_STOP
--- a/src/rhubarbpaddle/cli/publish.py
+++ b/src/rhubarbpaddle/cli/publish.py
@@ -23,7 +23,7 @@
 from rhubarbpaddle.cli.publish_outcome import PublishOutcome
 from rhubarbpaddle.cli.publish_result import PublishResult
 from rhubarbpaddle.cli.publisher import Publisher
-from rhubarbpaddle.configuration import AcceptedPublication
+from rhubarbpaddle.configuration.accepted_publication import AcceptedPublication
 from rhubarbpaddle.exceptions import LogUnavailableError, RhubarbpaddleError
 from rhubarbpaddle.log import HttpLogClient
 from rhubarbpaddle.system_clock import SystemClock
--- a/src/rhubarbpaddle/cli/publish_result.py
+++ b/src/rhubarbpaddle/cli/publish_result.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from rhubarbpaddle.cli.publish_outcome import PublishOutcome
-from rhubarbpaddle.configuration import AcceptedPublication
+from rhubarbpaddle.configuration.accepted_publication import AcceptedPublication
 
 
 class PublishResult(NamedTuple):
--- a/src/rhubarbpaddle/cli/publisher.py
+++ b/src/rhubarbpaddle/cli/publisher.py
@@ -8,12 +8,12 @@
 from rhubarbpaddle.cli.publish_outcome import PublishOutcome
 from rhubarbpaddle.cli.publish_result import PublishResult
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import (
-    AcceptedPublication,
-    Checkpoint,
+from rhubarbpaddle.configuration.accepted_publication import AcceptedPublication
+from rhubarbpaddle.configuration.checkpoint import Checkpoint
+from rhubarbpaddle.configuration.configuration_history import (
     ConfigurationHistory,
-    Publication,
 )
+from rhubarbpaddle.configuration.publication import Publication
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
 from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.node.backoff import Backoff
--- a/src/rhubarbpaddle/execution/attached_upstream.py
+++ b/src/rhubarbpaddle/execution/attached_upstream.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from rhubarbpaddle.admission import Admission
+from rhubarbpaddle.admission.admission import Admission
 from rhubarbpaddle.execution.reachability import Reachability
 from rhubarbpaddle.execution.upstream_client import UpstreamClient
 from rhubarbpaddle.membership import UpstreamSummary
--- a/src/rhubarbpaddle/execution/claim_key.py
+++ b/src/rhubarbpaddle/execution/claim_key.py
@@ -4,7 +4,7 @@
 import uuid
 from datetime import datetime, timedelta
 
-from rhubarbpaddle.configuration import Service
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.outcome import Outcome
--- a/src/rhubarbpaddle/execution/claiming_gateway.py
+++ b/src/rhubarbpaddle/execution/claiming_gateway.py
@@ -8,7 +8,10 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import AcceptedConfiguration, Service
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.body import Body
 from rhubarbpaddle.execution.bytes_body import BytesBody
--- a/src/rhubarbpaddle/execution/dispatcher.py
+++ b/src/rhubarbpaddle/execution/dispatcher.py
@@ -6,7 +6,7 @@
 from rhubarbpaddle.execution.body import Body
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
-from rhubarbpaddle.routing import Candidate
+from rhubarbpaddle.routing.candidate import Candidate
 
 
 class Dispatcher(Protocol):
--- a/src/rhubarbpaddle/execution/gateway.py
+++ b/src/rhubarbpaddle/execution/gateway.py
@@ -7,7 +7,10 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import AcceptedConfiguration, Configuration
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
+from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.attempt_history import AttemptHistory
 from rhubarbpaddle.execution.body import Body, rewind_body
@@ -21,7 +24,8 @@
 from rhubarbpaddle.execution.response import Response
 from rhubarbpaddle.execution.retry_policy import RetryPolicy
 from rhubarbpaddle.outcome import Outcome
-from rhubarbpaddle.routing import Candidate, Router
+from rhubarbpaddle.routing.candidate import Candidate
+from rhubarbpaddle.routing.router import Router
 
 # The sidecar enforces the deadline and reports whether the request ran. The
 # gateway waits this much longer for the sidecar's response.
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 from datetime import timedelta
 
-from rhubarbpaddle.admission import Ticket
+from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution.attached_instance import AttachedInstance
--- a/src/rhubarbpaddle/execution/retry_budget.py
+++ b/src/rhubarbpaddle/execution/retry_budget.py
@@ -1,6 +1,6 @@
 """The token bucket that limits the retries of a node."""
 
-from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.configuration.configuration import Configuration
 
 # Permits retries for a service with few calls. Otherwise the capacity is the
 # number of tokens that `_CAPACITY_CALLS` calls earn.
--- a/src/rhubarbpaddle/execution/retry_policy.py
+++ b/src/rhubarbpaddle/execution/retry_policy.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.retry_budget import RetryBudget
--- a/src/rhubarbpaddle/execution/sidecar.py
+++ b/src/rhubarbpaddle/execution/sidecar.py
@@ -4,7 +4,8 @@
 from contextlib import asynccontextmanager
 from datetime import timedelta
 
-from rhubarbpaddle.admission import CriticalityTable, Ticket
+from rhubarbpaddle.admission.criticality_table import CriticalityTable
+from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution.attached_upstream import AttachedUpstream
--- a/src/rhubarbpaddle/http/product_caller_dialect.py
+++ b/src/rhubarbpaddle/http/product_caller_dialect.py
@@ -6,7 +6,9 @@
 import h11
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Headers, Request
 from rhubarbpaddle.http.caller_head import CallerHead
--- /dev/null
+++ b/src/rhubarbpaddle/launch/__init__.py
@@ -0,0 +1,1 @@
+"""Reduces what it costs to start a node process."""
--- a/src/rhubarbpaddle/cli/startup.py
+++ b/src/rhubarbpaddle/launch/startup.py
@@ -5,7 +5,7 @@
 from types import ModuleType
 from typing import cast
 
-from rhubarbpaddle.cli.deferred_module import DeferredModule
+from rhubarbpaddle.launch.deferred_module import DeferredModule
 
 
 def prevent_library_search() -> None:
--- a/src/rhubarbpaddle/measuring/probe_budget.py
+++ b/src/rhubarbpaddle/measuring/probe_budget.py
@@ -3,7 +3,7 @@
 from typing import Self
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import Service
+from rhubarbpaddle.configuration.service import Service
 
 
 class ProbeBudget:
--- a/src/rhubarbpaddle/node/admin_handler.py
+++ b/src/rhubarbpaddle/node/admin_handler.py
@@ -6,7 +6,9 @@
 import msgspec
 import trio
 
-from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
 from rhubarbpaddle.http.request_responder import RequestResponder
 from rhubarbpaddle.node.announcement import Announcement
 from rhubarbpaddle.node.announcement_document import AnnouncementDocument
@@ -50,7 +52,11 @@
                     return 503, b"text/plain", b"no configuration\n"
                 return 200, b"text/plain", b"ready\n"
             case b"GET", b"/metrics":
-                return 200, b"text/plain; version=0.0.4", self._metrics.render()
+                return (
+                    200,
+                    b"text/plain; version=0.0.4",
+                    await self._metrics.render(),
+                )
             case b"GET", b"/status":
                 status = msgspec.json.encode(self._get_status()._asdict())
                 return 200, b"application/json", status
--- a/src/rhubarbpaddle/node/checkpoint_writer.py
+++ b/src/rhubarbpaddle/node/checkpoint_writer.py
@@ -6,9 +6,9 @@
 from datetime import timedelta
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import (
-    Checkpoint,
-    CheckpointMetadata,
+from rhubarbpaddle.configuration.checkpoint import Checkpoint
+from rhubarbpaddle.configuration.checkpoint_metadata import CheckpointMetadata
+from rhubarbpaddle.configuration.configuration_history import (
     ConfigurationHistory,
 )
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
--- a/src/rhubarbpaddle/node/claims_client_cache.py
+++ b/src/rhubarbpaddle/node/claims_client_cache.py
@@ -1,7 +1,7 @@
 """Caches one claims client for each partition owner."""
 
 from rhubarbpaddle.network import Network
-from rhubarbpaddle.peer import ClaimsClient
+from rhubarbpaddle.peer.claims_client import ClaimsClient
 from rhubarbpaddle.peer.connector import PeerConnector
 
 # 16 partitions with 3 candidate owners each, and as many former owners.
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -8,8 +8,10 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import (
+from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
+)
+from rhubarbpaddle.configuration.configuration_history import (
     ConfigurationHistory,
 )
 from rhubarbpaddle.exceptions import LogUnavailableError
--- a/src/rhubarbpaddle/node/configuration_reader.py
+++ b/src/rhubarbpaddle/node/configuration_reader.py
@@ -5,12 +5,12 @@
 
 import trio
 
-from rhubarbpaddle.configuration import (
-    Checkpoint,
+from rhubarbpaddle.configuration.checkpoint import Checkpoint
+from rhubarbpaddle.configuration.configuration_history import (
     ConfigurationHistory,
-    Publication,
-    parse_record,
 )
+from rhubarbpaddle.configuration.publication import Publication
+from rhubarbpaddle.configuration.records import parse_record
 from rhubarbpaddle.exceptions import ConfigurationError, LogUnavailableError
 from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.telemetry import get_logger
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -7,7 +7,7 @@
 
 from rhubarbpaddle.admission.instance_admission import InstanceAdmission
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import ServiceLimits
+from rhubarbpaddle.configuration.service_limits import ServiceLimits
 from rhubarbpaddle.execution.attached_instance import AttachedInstance
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
 from rhubarbpaddle.http.health_client import HttpHealthClient
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -7,7 +7,9 @@
 from trio import TaskStatus
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import AcceptedConfiguration
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
 from rhubarbpaddle.execution.claim_partitions import ClaimPartitions
 from rhubarbpaddle.execution.claim_reporter import ClaimReporter
 from rhubarbpaddle.execution.claiming_gateway import ClaimingGateway
@@ -41,17 +43,15 @@
 from rhubarbpaddle.node.settings import NodeSettings
 from rhubarbpaddle.node.shutdown import Shutdown
 from rhubarbpaddle.node.upstream_registry import UpstreamRegistry
-from rhubarbpaddle.peer import (
-    ClaimsServer,
-    ExchangeServer,
-    Overlay,
-    PeerIdentity,
-    PeerListener,
-    PeerPool,
-    RemoteDispatcher,
-)
+from rhubarbpaddle.peer.claims_server import ClaimsServer
 from rhubarbpaddle.peer.connector import PeerConnector
-from rhubarbpaddle.routing import AdaptiveRouter
+from rhubarbpaddle.peer.exchange_server import ExchangeServer
+from rhubarbpaddle.peer.identity import PeerIdentity
+from rhubarbpaddle.peer.listener import PeerListener
+from rhubarbpaddle.peer.overlay import Overlay
+from rhubarbpaddle.peer.pool import PeerPool
+from rhubarbpaddle.peer.remote_dispatcher import RemoteDispatcher
+from rhubarbpaddle.routing.adaptive_router import AdaptiveRouter
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.system_clock import SystemClock
 from rhubarbpaddle.tcp_network import TcpNetwork
@@ -141,7 +141,7 @@
             clock,
             self.configuration.get_accepted,
         )
-        metrics = Metrics()
+        metrics = self._metrics = Metrics()
         metrics.observe_node(self._read_metrics)
         self._stream_watch = StreamWatch(network, clock)
         self._upstream_registry = UpstreamRegistry(
@@ -221,6 +221,7 @@
             nursery.start_soon(self._stream_watch.run)
             nursery.start_soon(self._upstream_registry.run)
             nursery.start_soon(self._probe_task.run)
+            nursery.start_soon(self._metrics.run)
             _log.info("node_started", node=self.settings.node_id)
             task_status.started()
 
--- a/src/rhubarbpaddle/node/node_dispatcher.py
+++ b/src/rhubarbpaddle/node/node_dispatcher.py
@@ -4,7 +4,7 @@
 
 from rhubarbpaddle.execution import Body, Dispatcher, Request, Response
 from rhubarbpaddle.execution.upstream_proxy import UpstreamProxy
-from rhubarbpaddle.routing import Candidate
+from rhubarbpaddle.routing.candidate import Candidate
 
 
 class NodeDispatcher:
--- a/src/rhubarbpaddle/node/probe_task.py
+++ b/src/rhubarbpaddle/node/probe_task.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from rhubarbpaddle.admission import Ticket
+from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution import BytesBody, Request
--- a/src/rhubarbpaddle/node/upstream_registry.py
+++ b/src/rhubarbpaddle/node/upstream_registry.py
@@ -4,9 +4,13 @@
 
 import trio
 
-from rhubarbpaddle.admission import AdaptiveAdmission, CriticalityTable
+from rhubarbpaddle.admission.adaptive_admission import AdaptiveAdmission
+from rhubarbpaddle.admission.criticality_table import CriticalityTable
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import AcceptedConfiguration, Service
+from rhubarbpaddle.configuration.accepted_configuration import (
+    AcceptedConfiguration,
+)
+from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.execution.attached_upstream import AttachedUpstream
 from rhubarbpaddle.execution.sidecar import Sidecar
 from rhubarbpaddle.http import HttpUpstreamClient
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -29,7 +29,7 @@
 )
 from rhubarbpaddle.peer.pool import PeerPool
 from rhubarbpaddle.peer.remote_response_body import RemoteResponseBody
-from rhubarbpaddle.routing import Candidate
+from rhubarbpaddle.routing.candidate import Candidate
 
 # Three missed `KeepAlive` messages.
 SILENCE_SECONDS = 3.0
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -6,7 +6,10 @@
 import h11
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import RouteKind, RoutingConfiguration
+from rhubarbpaddle.configuration.route_kind import RouteKind
+from rhubarbpaddle.configuration.routing_configuration import (
+    RoutingConfiguration,
+)
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Headers, Request
 from rhubarbpaddle.http.headers import get_header, remove_hop_by_hop
--- a/src/rhubarbpaddle/platform/configuration_document.py
+++ b/src/rhubarbpaddle/platform/configuration_document.py
@@ -5,14 +5,14 @@
 from datetime import timedelta
 from typing import Any
 
-from rhubarbpaddle.configuration import (
-    Route,
-    RouteKind,
-    RouteTable,
+from rhubarbpaddle.configuration.route import Route
+from rhubarbpaddle.configuration.route_kind import RouteKind
+from rhubarbpaddle.configuration.route_table import RouteTable
+from rhubarbpaddle.configuration.routing_configuration import (
     RoutingConfiguration,
-    ServiceLimits,
-    WeightedService,
 )
+from rhubarbpaddle.configuration.service_limits import ServiceLimits
+from rhubarbpaddle.configuration.weighted_service import WeightedService
 from rhubarbpaddle.exceptions import ConfigurationError
 
 
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -11,7 +11,10 @@
 from trio import TaskStatus
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import RoutingConfiguration, ServiceLimits
+from rhubarbpaddle.configuration.routing_configuration import (
+    RoutingConfiguration,
+)
+from rhubarbpaddle.configuration.service_limits import ServiceLimits
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
@@ -34,15 +37,13 @@
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
 from rhubarbpaddle.node.node_runner import run_until_signal
 from rhubarbpaddle.node.shutdown import Shutdown
-from rhubarbpaddle.peer import (
-    ExchangeServer,
-    Overlay,
-    PeerIdentity,
-    PeerListener,
-    PeerPool,
-    RemoteDispatcher,
-)
 from rhubarbpaddle.peer.connector import PeerConnector
+from rhubarbpaddle.peer.exchange_server import ExchangeServer
+from rhubarbpaddle.peer.identity import PeerIdentity
+from rhubarbpaddle.peer.listener import PeerListener
+from rhubarbpaddle.peer.overlay import Overlay
+from rhubarbpaddle.peer.pool import PeerPool
+from rhubarbpaddle.peer.remote_dispatcher import RemoteDispatcher
 from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
 from rhubarbpaddle.platform.node_directory import NodeDirectory
 from rhubarbpaddle.platform.report_handler import ReportHandler
@@ -251,6 +252,7 @@
             nursery.start_soon(self.registry.run)
             nursery.start_soon(self.registry.discover, settings.service)
             nursery.start_soon(self._watch_settings)
+            nursery.start_soon(self.metrics.run)
             _log.info("node_started", node=settings.node_id)
             task_status.started()
 
@@ -309,7 +311,11 @@
         self, head: h11.Request, content: bytes
     ) -> ShortResponse:
         if head.target == b"/metrics":
-            return 200, b"text/plain; version=0.0.4", self.metrics.render()
+            return (
+                200,
+                b"text/plain; version=0.0.4",
+                await self.metrics.render(),
+            )
         if self._stopping:
             return 503, b"text/plain", b"shutting down\n"
         if self.configuration.get_configuration() is None:
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -7,7 +7,9 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.configuration import RoutingConfiguration
+from rhubarbpaddle.configuration.routing_configuration import (
+    RoutingConfiguration,
+)
 from rhubarbpaddle.exceptions import ConfigurationError, RhubarbpaddleError
 from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.platform.history_lost import HistoryLostError
--- a/src/rhubarbpaddle/platform/store_configuration_state.py
+++ b/src/rhubarbpaddle/platform/store_configuration_state.py
@@ -4,7 +4,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple, Self
 
-from rhubarbpaddle.configuration import RoutingConfiguration
+from rhubarbpaddle.configuration.routing_configuration import (
+    RoutingConfiguration,
+)
 from rhubarbpaddle.exceptions import ConfigurationError
 from rhubarbpaddle.platform.configuration_document import (
     parse_configuration_document,
--- a/src/rhubarbpaddle/routing/router.py
+++ b/src/rhubarbpaddle/routing/router.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from typing import Protocol
 
-from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.routing.candidate import Candidate
 
--- a/src/rhubarbpaddle/routing/service_state.py
+++ b/src/rhubarbpaddle/routing/service_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from statistics import median
 
-from rhubarbpaddle.configuration import AvailabilityZone
+from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
 from rhubarbpaddle.routing.instance_load import InstanceLoad
 from rhubarbpaddle.routing.zone_round_trips import ZoneRoundTrips
 
--- a/src/rhubarbpaddle/routing/traffic_split.py
+++ b/src/rhubarbpaddle/routing/traffic_split.py
@@ -2,7 +2,7 @@
 
 import random
 
-from rhubarbpaddle.configuration import Route
+from rhubarbpaddle.configuration.route import Route
 
 
 class TrafficSplit:
--- a/src/rhubarbpaddle/routing/zone_ramp.py
+++ b/src/rhubarbpaddle/routing/zone_ramp.py
@@ -1,6 +1,6 @@
 """The gradual return of availability zones to service."""
 
-from rhubarbpaddle.configuration import Configuration
+from rhubarbpaddle.configuration.configuration import Configuration
 
 # A returning zone starts with a tenth of its weight and reaches its full weight
 # after this time, so that caches fill and connections open gradually.
