Reject odd entries of other writers instead of ending the node

Callers lost their node: an entry of another writer in the directory topic, a configuration, a status report or a peer's message that was nested deeply (RecursionError), held a number too large (OverflowError, ValueError) or a port out of range (OverflowError when dialled, then passed on to all members) ended the process, again at each start. A report with a start or sequence number far too high made all true reports outdated.

Change: JSON from outside is decoded by `json_document.decode_json`, with bounds on depth and numbers; addresses are an IP address and a port from 1 to 65535; member entries and reports are checked before they are stored or passed on. Keys of the store are quoted in the next page's request.

--- a/features/support/host_network.py
+++ b/features/support/host_network.py
@@ -1,5 +1,7 @@
 """The network of one host in a test."""
 
+import re
+
 import trio
 from trio import TaskStatus
 
@@ -7,6 +9,9 @@
 from features.support.memory_stream import MemoryStream
 from rhubarbpaddle.remote_state import RemoteState
 
+# The names of hosts take the place of IP addresses.
+_ADDRESS = re.compile(r"[a-z0-9-]+:([0-9]{1,5})")
+
 
 class HostNetwork:
     """Implements `Network` for one host of a memory fabric."""
@@ -18,6 +23,10 @@
     async def connect(self, address: str) -> trio.abc.Stream:
         return await self._fabric.connect(self._host, address)
 
+    def is_valid_address(self, address: str) -> bool:
+        match = _ADDRESS.fullmatch(address)
+        return match is not None and 0 < int(match[1]) < 65_536
+
     async def serve(
         self,
         address: str,
--- a/features/support/memory_fabric.py
+++ b/features/support/memory_fabric.py
@@ -18,10 +18,12 @@
         blocked: Pairs of hosts. Bytes from the first to the second host are
             dropped. A connection that has lost bytes stays silent, also after
             the pair is removed.
+        attempted: Addresses to which connections were attempted.
     """
 
     def __init__(self) -> None:
         self.blocked: set[tuple[str, str]] = set()
+        self.attempted: set[str] = set()
         self._listeners: dict[str, tuple[str, StreamHandler, trio.Nursery]] = {}
         self._pipes: list[tuple[str, str, MemoryPipe]] = []
 
@@ -42,6 +44,7 @@
     async def connect(self, source: str, address: str) -> MemoryStream:
         """Opens a connection from a host to an address."""
         await trio.lowlevel.checkpoint()
+        self.attempted.add(address)
         if address not in self._listeners:
             raise ConnectionRefusedError(address)
         target, handler, nursery = self._listeners[address]
--- a/src/rhubarbpaddle/cli/fleet_client.py
+++ b/src/rhubarbpaddle/cli/fleet_client.py
@@ -1,7 +1,5 @@
 """Requests the status of all nodes."""
 
-import json
-
 import h11
 import trio
 
@@ -10,6 +8,7 @@
 from rhubarbpaddle.exceptions import ProtocolError, RhubarbpaddleError
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.network import Network
 
 _NODE_TIMEOUT_SECONDS = 2.0
@@ -84,4 +83,4 @@
             await conn.aclose()
         if response.status_code != 200:
             raise ValueError(f"the node responded with {response.status_code}")
-        return NodeReport.from_config(dict(json.loads(bytes(content))))
+        return NodeReport.from_config(dict(decode_json(bytes(content))))
--- a/src/rhubarbpaddle/log/http_log_client.py
+++ b/src/rhubarbpaddle/log/http_log_client.py
@@ -1,7 +1,6 @@
 """HTTP client of the platform's log."""
 
 import base64
-import json
 from datetime import timedelta
 
 import trio
@@ -13,6 +12,7 @@
 )
 from rhubarbpaddle.http.client_connection import ClientConnection
 from rhubarbpaddle.http.service_client import ServiceClient
+from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.log.batch import Batch
 from rhubarbpaddle.log.record import Record
 from rhubarbpaddle.network import Network
@@ -48,7 +48,7 @@
                     conn, "POST", f"/streams/{stream}", payload
                 )
             if status == 200:
-                return int(json.loads(content)["offset"])
+                return int(decode_json(content)["offset"])
         except trio.TooSlowError as exc:
             await self._service.purge()
             raise self._make_unknown_error("no response in time") from exc
@@ -98,7 +98,7 @@
                 conn, "GET", target, b""
             )
             if status == 200:
-                return _parse_batch(json.loads(content))
+                return _parse_batch(decode_json(content))
         except (RhubarbpaddleError, ValueError, KeyError) as exc:
             raise self._make_unavailable_error(str(exc), "read") from exc
         finally:
--- a/src/rhubarbpaddle/network.py
+++ b/src/rhubarbpaddle/network.py
@@ -1,5 +1,6 @@
 """The network interface, which tests implement in memory."""
 
+import re
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -9,6 +10,9 @@
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.remote_state import RemoteState
 
+_PORT = re.compile(r"[0-9]{1,5}")
+_MAX_PORT = 65_535
+
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 
@@ -23,6 +27,13 @@
         """
         ...
 
+    def is_valid_address(self, address: str) -> bool:
+        """Returns whether connections to an address can be attempted.
+
+        An address is an IP address and a port from 1 to 65535.
+        """
+        ...
+
     async def serve(
         self,
         address: str,
@@ -75,8 +86,8 @@
         RhubarbpaddleError: The address is not of this form.
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not _PORT.fullmatch(port) or not 0 <= int(port) <= _MAX_PORT:
         raise RhubarbpaddleError(
-            f"not an IP:PORT address: {address!r}", step="parse_address"
+            f"not an IP:PORT address: {address!r:.100}", step="parse_address"
         )
     return host.strip("[]"), int(port)
--- a/src/rhubarbpaddle/node/admin_handler.py
+++ b/src/rhubarbpaddle/node/admin_handler.py
@@ -67,7 +67,7 @@
     async def _announce(self, content: bytes) -> tuple[int, bytes, bytes]:
         try:
             document = msgspec.json.decode(content, type=AnnouncementDocument)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return 400, b"text/plain", f"{exc}\n".encode()
         accepted = self._get_accepted()
         if accepted is None:
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -8,6 +8,7 @@
 from rhubarbpaddle.admission.instance_admission import InstanceAdmission
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration.service_limits import ServiceLimits
+from rhubarbpaddle.exceptions import ProtocolError
 from rhubarbpaddle.execution.attached_instance import AttachedInstance
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
 from rhubarbpaddle.http.health_client import HttpHealthClient
@@ -22,6 +23,7 @@
 )
 from rhubarbpaddle.network import Network
 from rhubarbpaddle.node.instance_report import InstanceReport
+from rhubarbpaddle.node.report_plausibility import find_report_problem
 from rhubarbpaddle.node.upstream_reachability import UpstreamReachability
 from rhubarbpaddle.telemetry import get_logger
 
@@ -70,6 +72,7 @@
         self._dialect = dialect
         self._get_limits = get_limits
         self._newest_report_key: tuple[int, int] = (0, 0)
+        self._newest_report_at = float("-inf")
         self._departed: set[tuple[str, int]] = set()
         self._went_down = trio.Event()
         self._report_without_service: InstanceReport | None = None
@@ -82,7 +85,21 @@
 
         Returns:
             Whether the report was the newest; an outdated one is ignored.
+
+        Raises:
+            ProtocolError: The report can't be true.
         """
+        now = self._clock.monotonic()
+        problem = find_report_problem(
+            report,
+            self._newest_report_key,
+            now - self._newest_report_at,
+            int(self._clock.now().timestamp() * 1000),
+        )
+        if problem is not None:
+            raise ProtocolError(
+                problem, step="read_report", peer=report.instance
+            )
         report_key = (report.incarnation, report.sequence)
         if report_key <= self._newest_report_key:
             _log.info(
@@ -94,6 +111,7 @@
             )
             return False
         self._newest_report_key = report_key
+        self._newest_report_at = now
         self._adopt_incarnation(report)
         if (report.instance, report.incarnation) in self._departed:
             return True
--- a/src/rhubarbpaddle/node/probe_task.py
+++ b/src/rhubarbpaddle/node/probe_task.py
@@ -152,7 +152,7 @@
     def _read_load(self, upstream: AttachedUpstream, content: bytes) -> None:
         try:
             reading = msgspec.json.decode(content, type=ProbeReading)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             _log.info("load_not_understood", detail=exc)
             return
         if reading.get("state") == UpstreamState.COLD.value:
--- a/src/rhubarbpaddle/node/seed_stream.py
+++ b/src/rhubarbpaddle/node/seed_stream.py
@@ -7,6 +7,7 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
+from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.node.seed_record import SeedRecord
 from rhubarbpaddle.telemetry import get_logger
@@ -77,7 +78,7 @@
         addresses = {}
         for record in batch.records:
             try:
-                document: SeedRecord = json.loads(record.payload)
+                document: SeedRecord = decode_json(record.payload)
                 addresses[document["node_id"]] = document["peer_address"]
             except (ValueError, KeyError, TypeError):
                 _log.warn("seed_record_invalid", offset=record.offset)
--- a/src/rhubarbpaddle/peer/connection.py
+++ b/src/rhubarbpaddle/peer/connection.py
@@ -156,7 +156,7 @@
     def _decode(self, body: bytes) -> Message:
         try:
             return _decoder.decode(body)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             self.broken = True
             raise ProtocolError(
                 str(exc), step="receive_message", peer=self.peer
--- a/src/rhubarbpaddle/peer/connector.py
+++ b/src/rhubarbpaddle/peer/connector.py
@@ -18,6 +18,10 @@
         self._network = network
         self._identity = identity
 
+    def is_valid_address(self, address: str) -> bool:
+        """Returns whether connections to an address can be attempted."""
+        return self._network.is_valid_address(address)
+
     async def connect(self, address: str, purpose: str) -> PeerConnection:
         """Opens a connection and completes the handshake.
 
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -1,5 +1,7 @@
 """Control connection between two neighbours of the overlay."""
 
+from collections.abc import Callable, Iterable
+
 import trio
 
 from rhubarbpaddle.clock import Clock
@@ -7,6 +9,7 @@
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_update import CrashUpdate
 from rhubarbpaddle.membership import Member, MemberTable
+from rhubarbpaddle.membership.member_check import find_member_problem
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
 from rhubarbpaddle.peer.connection import PeerConnection
@@ -47,6 +50,7 @@
         requests: ConfigurationRequests,
         clock: Clock,
         crashes: CrashLedger,
+        is_valid_address: Callable[[str], bool],
     ) -> None:
         self.peer_id = peer_id
         self._conn = conn
@@ -55,6 +59,8 @@
         self._requests = requests
         self._clock = clock
         self._crashes = crashes
+        self._is_valid_address = is_valid_address
+        self._rejected_ids: set[str] = set()
         self._pending: dict[str, Member] = {}
         self._pending_crash_counts = {
             update.fingerprint: update for update in crashes.get_updates()
@@ -139,8 +145,7 @@
                     self._repair_if_different(message)
                     self._request_if_newer(message.configuration_version)
                 case MemberUpdate(members=members):
-                    for member in members:
-                        self._table.merge(member, self.peer_id)
+                    self._merge_members(members)
                 case CrashCounts(updates=updates):
                     for update in updates:
                         self._crashes.merge(update)
@@ -154,6 +159,21 @@
                         message, "control_link"
                     )
 
+    def _merge_members(self, members: Iterable[Member]) -> None:
+        for member in members:
+            problem = find_member_problem(member, self._is_valid_address)
+            if problem is None:
+                self._table.merge(member, self.peer_id)
+            elif member.node_id not in self._rejected_ids:
+                # Neighbours send it again with each repair.
+                self._rejected_ids.add(member.node_id)
+                _log.warn(
+                    "member_invalid",
+                    member=member.node_id,
+                    peer=self.peer_id,
+                    reason=problem,
+                )
+
     def _repair_if_different(self, heartbeat: Heartbeat) -> None:
         """Sends the whole member table if the neighbour's digest differs.
 
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -202,6 +202,7 @@
             self._requests,
             self._clock,
             self._crashes,
+            self._connector.is_valid_address,
         )
         self._links.append(link)
         try:
--- a/src/rhubarbpaddle/platform/configuration_document.py
+++ b/src/rhubarbpaddle/platform/configuration_document.py
@@ -1,6 +1,5 @@
 """Parses the configuration document of the platform."""
 
-import json
 from collections.abc import Iterable
 from datetime import timedelta
 from typing import Any
@@ -14,6 +13,7 @@
 from rhubarbpaddle.configuration.service_limits import ServiceLimits
 from rhubarbpaddle.configuration.weighted_service import WeightedService
 from rhubarbpaddle.exceptions import ConfigurationError
+from rhubarbpaddle.json_document import decode_json
 
 
 def parse_configuration_document(
@@ -29,7 +29,7 @@
         ConfigurationError: A field is missing or has a wrong type or value.
     """
     try:
-        document = json.loads(text)
+        document = decode_json(text)
         entries = document["resources"]
         limits = next(
             entry["spec"] for entry in entries if entry["entryKind"] == "limits"
@@ -59,10 +59,11 @@
         TypeError,
         ValueError,
         AttributeError,
+        OverflowError,
         StopIteration,
     ) as exc:
         raise ConfigurationError(
-            f"invalid configuration document: {exc!r}",
+            [f"invalid configuration document: {exc!r}"],
             step="parse_configuration",
         ) from exc
 
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -130,6 +130,7 @@
             store,
             clock,
             rng,
+            network.is_valid_address,
             self._get_link_count,
             self.configuration.store_responded.wait,
         )
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -7,6 +7,7 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
+from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.telemetry import get_logger
@@ -37,6 +38,7 @@
         store: StoreClient,
         clock: Clock,
         rng: random.Random,
+        is_valid_address: Callable[[str], bool],
         get_link_count: Callable[[], int],
         wait_for_store: Callable[[], Awaitable[None]],
     ) -> None:
@@ -48,12 +50,15 @@
             store: The platform's store.
             clock: The source of time.
             rng: The source of jitter for retries.
+            is_valid_address: Returns whether connections to an address can be
+                attempted; entries with others are ignored.
             get_link_count: Returns the number of open control connections.
             wait_for_store: Waits until the store has responded to a read, so
                 that only one task calls the store during an outage.
         """
         self._wait_for_store = wait_for_store
         self._get_link_count = get_link_count
+        self._is_valid_address = is_valid_address
         self._node_id = node_id
         self._peer_address = peer_address
         self._store = store
@@ -101,8 +106,17 @@
             if record.key == self._node_id:
                 continue
             try:
-                addresses.append(str(json.loads(record.value)["peer_address"]))
-            except (ValueError, KeyError, TypeError):
-                _log.warn("directory_entry_invalid", key=record.key)
+                address = str(decode_json(record.value)["peer_address"])
+            except (ValueError, KeyError, TypeError) as exc:
+                _log.warn("directory_entry_invalid", key=record.key, reason=exc)
+                continue
+            if self._is_valid_address(address):
+                addresses.append(address)
+            else:
+                _log.warn(
+                    "directory_entry_invalid",
+                    key=record.key,
+                    reason="not an IP address and a port",
+                )
         self._addresses = tuple(addresses)
         _log.info("directory_read", nodes=len(addresses))
--- a/src/rhubarbpaddle/platform/report_document.py
+++ b/src/rhubarbpaddle/platform/report_document.py
@@ -1,14 +1,17 @@
 """Parses the status report and the departure notice of an instance."""
 
-import json
 from datetime import timedelta
 from typing import Any
 
 from rhubarbpaddle.exceptions import ProtocolError
+from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.node.instance_report import InstanceReport
 
 _STATES = frozenset({"ready", "draining"})
 _STEP = "read_report"
+# Far more than a cold start takes.
+_MAX_COLD_TIME = timedelta(days=1)
+_MAX_SLOTS = 1_000_000
 
 
 def parse_report(instance: str, content: bytes) -> InstanceReport:
@@ -27,8 +30,13 @@
         if state not in _STATES:
             raise ValueError(f"unknown state {state!r}")
         slots = _get_number(document, "slots")
-        if slots < 1:
-            raise ValueError("slots is less than 1")
+        if not 1 <= slots <= _MAX_SLOTS:
+            raise ValueError(f"slots is {slots}")
+        cold_time = timedelta(
+            milliseconds=_get_number(document, "coldRemainingMs")
+        )
+        if cold_time > _MAX_COLD_TIME:
+            raise ValueError(f"coldRemainingMs is {cold_time}")
         return InstanceReport(
             instance=instance,
             # The start time of the instance in Unix milliseconds.
@@ -37,11 +45,9 @@
             service=_get_string(document, "service"),
             slots=slots,
             leaving=state == "draining",
-            cold_time=timedelta(
-                milliseconds=_get_number(document, "coldRemainingMs")
-            ),
+            cold_time=cold_time,
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, TypeError, ValueError, OverflowError) as exc:
         raise ProtocolError(
             f"a field is missing or invalid: {exc!r}", step=_STEP, peer=instance
         ) from exc
@@ -61,7 +67,7 @@
 
 def _parse_object(content: bytes) -> dict[str, Any]:
     try:
-        document = json.loads(content)
+        document = decode_json(content)
     except ValueError as exc:
         raise ProtocolError(str(exc), step=_STEP) from exc
     if not isinstance(document, dict):
@@ -73,6 +79,8 @@
     value = document[name]
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{name} is not a number")
+    if value < 0:
+        raise ValueError(f"{name} is negative")
     return int(value)
 
 
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -1,6 +1,5 @@
 """The settings file that the platform writes for each process."""
 
-import json
 import math
 from collections.abc import Mapping
 from datetime import timedelta
@@ -9,6 +8,7 @@
 
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.retry_terms import RetryTerms
+from rhubarbpaddle.json_document import decode_json
 
 SETTINGS_VARIABLE = "RHUBARBPADDLE_SETTINGS"
 _STEP = "load_settings"
@@ -61,12 +61,18 @@
                 a wrong type.
         """
         try:
-            document = json.loads(path.read_bytes())
+            document = decode_json(path.read_bytes())
         except (OSError, ValueError) as exc:
             raise SettingsError(str(exc), step=_STEP, peer=str(path)) from exc
         try:
             return cls.from_document(document)
-        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            OverflowError,
+        ) as exc:
             raise SettingsError(
                 f"a field is missing or has a wrong type: {exc!r}",
                 step=_STEP,
--- a/src/rhubarbpaddle/platform/store_client.py
+++ b/src/rhubarbpaddle/platform/store_client.py
@@ -1,8 +1,8 @@
 """The client of the platform's store."""
 
 import base64
-import json
 from datetime import timedelta
+from urllib.parse import quote
 
 import trio
 
@@ -13,6 +13,7 @@
 )
 from rhubarbpaddle.http.client_connection import ClientConnection
 from rhubarbpaddle.http.service_client import ServiceClient
+from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.network import Network
 from rhubarbpaddle.platform.history_lost import HistoryLostError
 from rhubarbpaddle.platform.keyed_record import (
@@ -80,7 +81,7 @@
                     f"status {status}", "read_newest"
                 )
             try:
-                document = json.loads(body)
+                document = decode_json(body)
                 page = [
                     KeyedRecord(
                         str(item["key"]),
@@ -92,14 +93,19 @@
                 if end is None:
                     end = int(document["end"])
                 has_more = bool(document["hasMore"]) and bool(page)
-            except (ValueError, KeyError, TypeError) as exc:
+            except (
+                ValueError,
+                KeyError,
+                TypeError,
+                AttributeError,
+            ) as exc:
                 raise self._make_unavailable_error(
                     f"malformed response: {exc!r}", "read_newest"
                 ) from exc
             records += page
             if not has_more:
                 return NewestRecords(records, end)
-            page_parameter = f"&after={page[-1].key}"
+            page_parameter = f"&after={quote(page[-1].key, safe='')}"
 
     async def read(
         self, topic: str, start: int, wait: timedelta
--- a/src/rhubarbpaddle/platform/store_configuration_state.py
+++ b/src/rhubarbpaddle/platform/store_configuration_state.py
@@ -8,6 +8,7 @@
     RoutingConfiguration,
 )
 from rhubarbpaddle.exceptions import ConfigurationError
+from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.platform.configuration_document import (
     parse_configuration_document,
 )
@@ -48,7 +49,8 @@
         document = records.get(_CONFIGURATION_KEY)
         if document is None:
             raise ConfigurationError(
-                "the store holds no configuration", step="parse_configuration"
+                ["the store holds no configuration"],
+                step="parse_configuration",
             )
         zones = sorted(
             key.removeprefix(_WITHDRAWAL_PREFIX)
@@ -71,12 +73,12 @@
             ConfigurationError: The text is invalid.
         """
         try:
-            document = json.loads(text)
+            document = decode_json(text)
             configuration = document["configuration"]
             zones = document["withdrawn"]
         except (ValueError, KeyError, TypeError) as exc:
             raise ConfigurationError(
-                f"invalid state text: {exc!r}", step="parse_configuration"
+                [f"invalid state text: {exc!r}"], step="parse_configuration"
             ) from exc
         return cls(
             version, text, parse_configuration_document(configuration, zones)
--- a/src/rhubarbpaddle/platform/upstream_dialect.py
+++ b/src/rhubarbpaddle/platform/upstream_dialect.py
@@ -14,7 +14,8 @@
 _BODY_GRACE_SECONDS = 0.4
 _RETRY_AFTER = timedelta(milliseconds=100)
 _LOAD_PATTERN = re.compile(
-    r"\s*(\d+)\s*,\s*(\d+)\s*,\s*(\d+)\s*(?:,\s*(\d+)\s*)?"
+    r"\s*(\d{1,9})\s*,\s*(\d{1,9})\s*,\s*(\d{1,9})\s*(?:,\s*(\d{1,9})\s*)?",
+    re.ASCII,
 )
 _PERCENT_PER_UNIT = 100.0
 _NUMBER = re.compile(r"[0-9]{1,9}")
--- a/src/rhubarbpaddle/tcp_network.py
+++ b/src/rhubarbpaddle/tcp_network.py
@@ -1,5 +1,6 @@
 """The network of a real process."""
 
+import ipaddress
 import os
 import select
 import socket
@@ -9,6 +10,7 @@
 import trio
 from trio import TaskStatus
 
+from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.network import StreamHandler, split_address
 from rhubarbpaddle.remote_state import RemoteState
 from rhubarbpaddle.tcp_stream import TcpStream
@@ -51,6 +53,15 @@
         _set_options(stream)
         return stream
 
+    def is_valid_address(self, address: str) -> bool:
+        """Returns whether an address is an IP address and a port."""
+        try:
+            host, port = split_address(address)
+            ipaddress.ip_address(host)
+        except (RhubarbpaddleError, ValueError):
+            return False
+        return port > 0
+
     async def serve(
         self,
         address: str,
