Believe a refusal only if it belongs to the request

Callers could be told "not run, try again" for a request that an instance was running: a response without a request id was taken for the answer to the current request, also on a reused connection. A faulty instance that wrote an earlier refusal once more, without its id, thus had its runs refused, and such a request could run at a second instance.

Change: on a reused connection a response belongs to a request only if it has the request's id; a connection that carried a refusal is not used again.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -29,6 +29,27 @@
     When the instance of "h1" repeats the response to "one" before that to "two"
     Then each caller gets its own response
 
+  # Guards against a caller that is told "not run, try again" for a request that
+  # runs, because the instance wrote the refusal of an earlier request once more
+  # on a kept connection.
+  Scenario Outline: A refusal that is written once more is not taken for another request's
+    Given a platform with a non-idempotent route and hosts "h1"
+    When the instance of "h1" refuses "one" and writes the refusal <form> before the response to "two"
+    Then the caller of "one" gets 503 and it did not run
+    And the caller of "two" gets 200 and it ran once
+
+    Examples:
+      | form                  |
+      | once more             |
+      | once more without id  |
+
+  # Guards against the same with a refusal that belongs to no request on the
+  # connection, so that only the missing id shows it.
+  Scenario: A refusal without an id on a reused connection is not believed
+    Given a platform with a non-idempotent route and hosts "h1"
+    When the instance of "h1" writes a refusal without id before the response to "two"
+    Then the caller of "two" gets 200 and it ran once
+
   # Guards against requests to an instance that works five times slower than
   # usual.
   Scenario: An instance in a slow period gets no requests
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -114,6 +114,59 @@
     run_on_platform(context, scenario)
 
 
+async def _send_bookings(
+    context: Context, world: PlatformWorld, name: str, *request_ids: str
+) -> None:
+    context.by_id = {
+        request_id: await world.send_request(
+            name, request_id, method="POST", body=b"x"
+        )
+        for request_id in request_ids
+    }
+
+
+@when(
+    'the instance of "{name}" refuses "{refused}" and writes the refusal'
+    ' {form} before the response to "{second}"'
+)
+def step_repeat_refusal(
+    context: Context, name: str, refused: str, form: str, second: str
+) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        instance = world.instances[name]
+        instance.refused_ids = frozenset({refused})
+        instance.repeats_refusals = True
+        instance.names_repeated = "without id" not in form
+        # The connection has served a request, so it is reused.
+        await _send_bookings(context, world, name, "zero", refused, second)
+
+    run_on_platform(context, scenario)
+
+
+@when(
+    'the instance of "{name}" writes a refusal without id before the response'
+    ' to "{second}"'
+)
+def step_extra_refusal(context: Context, name: str, second: str) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        world.instances[name].extra_refusal_id = second
+        await _send_bookings(context, world, name, "zero", second)
+
+    run_on_platform(context, scenario)
+
+
+@then('the caller of "{request_id}" gets {status:d} and it did not run')
+def step_check_not_run(context: Context, request_id: str, status: int) -> None:
+    assert context.by_id[request_id].status == status
+    assert request_id not in context.world.instances["h1"].runs
+
+
+@then('the caller of "{request_id}" gets {status:d} and it ran once')
+def step_check_ran_once(context: Context, request_id: str, status: int) -> None:
+    assert context.by_id[request_id].status == status, context.by_id
+    assert context.world.instances["h1"].runs.count(request_id) == 1
+
+
 @then("each caller gets its own response")
 def step_check_bodies(context: Context) -> None:
     bodies = [response.body for response in context.responses]
--- a/src/rhubarbpaddle/http/product_upstream_dialect.py
+++ b/src/rhubarbpaddle/http/product_upstream_dialect.py
@@ -29,7 +29,9 @@
         """
         return math.inf
 
-    def is_response_to(self, request: Request, headers: RawHeaders) -> bool:
+    def is_response_to(
+        self, request: Request, headers: RawHeaders, *, on_new_connection: bool
+    ) -> bool:
         """Returns True, since responses of this dialect carry no request id."""
         return True
 
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -2,8 +2,6 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from datetime import timedelta
-from typing import NoReturn
 
 import h11
 import trio
@@ -39,9 +37,6 @@
 # A connection that was idle for longer may be dead; a new one takes about
 # 1 ms.
 _MAX_IDLE_SECONDS = 5.0
-# A refusal's body up to this length is read so that its connection can be
-# reused.
-_MAX_REFUSAL_BODY_BYTES = 64 * 1024
 # Limits responses to earlier requests that are discarded on a connection.
 _MAX_SKIPPED_RESPONSES = 4
 
@@ -173,7 +168,11 @@
                 conn, head, body, remaining_seconds
             )
             skipped = 0
-            while not self._dialect.is_response_to(request, response.headers):
+            while not self._dialect.is_response_to(
+                request,
+                response.headers,
+                on_new_connection=conn.last_success is None and not skipped,
+            ):
                 skipped += 1
                 if skipped > _MAX_SKIPPED_RESPONSES:
                     raise ProtocolError(
@@ -207,8 +206,16 @@
             response.status_code, response.headers
         )
         if retry_after is not None:
-            await self._raise_upstream_refused(
-                response_body, retry_after, repeatable
+            # The upstream may send the refusal once more, which must not be
+            # taken for that of a request which follows on the connection.
+            conn.retired = True
+            raise RefusedError(
+                "upstream_refused",
+                "the upstream refused the request before it ran",
+                step="run_request",
+                peer=self._address,
+                retry_after=retry_after,
+                may_retry=repeatable,
             )
         if request.method == "HEAD" or response.status_code in (204, 304):
             await response_body.receive()
@@ -254,26 +261,6 @@
                 reusable_conns.append(conn)
         self._idle = reusable_conns
 
-    async def _raise_upstream_refused(
-        self, body: H11Body, retry_after: timedelta, repeatable: bool
-    ) -> NoReturn:
-        if body.length is not None and body.length <= _MAX_REFUSAL_BODY_BYTES:
-            with trio.move_on_after(_CONNECT_SECONDS):
-                try:
-                    while await body.receive():
-                        pass
-                except RhubarbpaddleError:
-                    # The refusal is valid; the connection is not reused.
-                    pass
-        raise RefusedError(
-            "upstream_refused",
-            "the upstream refused the request before it ran",
-            step="run_request",
-            peer=self._address,
-            retry_after=retry_after,
-            may_retry=repeatable,
-        )
-
     def _get_remaining_seconds(self, request: Request) -> float:
         return max(request.deadline - self._clock.monotonic(), 0)
 
--- a/src/rhubarbpaddle/http/upstream_connection.py
+++ b/src/rhubarbpaddle/http/upstream_connection.py
@@ -15,12 +15,13 @@
     Attributes:
         last_success: Monotonic time in seconds at which its last exchange
             completed, or None before the first.
+        retired: Whether the connection must not carry another exchange.
     """
 
     def __init__(self, stream: trio.abc.Stream, peer: str) -> None:
         super().__init__(stream, peer)
         self.last_success: float | None = None
-        self._restarted = False
+        self.retired = False
 
     def restart_parser(self, head: h11.Request) -> None:
         """Prepares to read another response after one to an earlier request.
@@ -48,12 +49,9 @@
         self.h11.send(h11.EndOfMessage())
         if received:
             self.h11.receive_data(received)
-        self._restarted = True
+        # Further responses to earlier requests may follow.
+        self.retired = True
 
     def is_reusable(self) -> bool:
-        """Returns whether another request can be sent.
-
-        This is not the case after a restart of the parser, since further
-        responses to earlier requests may follow.
-        """
-        return not self._restarted and super().is_reusable()
+        """Returns whether another request can be sent."""
+        return not self.retired and super().is_reusable()
--- a/src/rhubarbpaddle/http/upstream_dialect.py
+++ b/src/rhubarbpaddle/http/upstream_dialect.py
@@ -34,8 +34,17 @@
         """
         ...
 
-    def is_response_to(self, request: Request, headers: RawHeaders) -> bool:
-        """Returns whether a response belongs to the request."""
+    def is_response_to(
+        self, request: Request, headers: RawHeaders, *, on_new_connection: bool
+    ) -> bool:
+        """Returns whether a response belongs to the request.
+
+        Args:
+            request: The request.
+            headers: The response's headers.
+            on_new_connection: Whether the connection has carried no other
+                response, so that this one can't be to an earlier request.
+        """
         ...
 
     def parse_refusal(
--- a/src/rhubarbpaddle/platform/upstream_dialect.py
+++ b/src/rhubarbpaddle/platform/upstream_dialect.py
@@ -53,10 +53,18 @@
         """Returns the time until the deadline plus a grace period."""
         return remaining_seconds + _BODY_GRACE_SECONDS
 
-    def is_response_to(self, request: Request, headers: RawHeaders) -> bool:
-        """Returns whether a response has the request's id, or no id."""
+    def is_response_to(
+        self, request: Request, headers: RawHeaders, *, on_new_connection: bool
+    ) -> bool:
+        """Returns whether a response has the request's id.
+
+        Without an id, a response on a reused connection may be a copy of an
+        earlier one, for example of a refusal.
+        """
         request_id = get_header(list(headers), header_names.REQUEST_ID)
-        return request_id in (None, request.request_id)
+        if request_id is None:
+            return on_new_connection
+        return request_id == request.request_id
 
     def parse_refusal(
         self, status: int, headers: RawHeaders
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -6,6 +6,10 @@
 import trio
 
 _RECEIVE_BYTES = 1 << 16
+_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+)
 
 
 class PlatformInstance:
@@ -24,6 +28,13 @@
         checks: The number of health checks that it responded to.
         repeated_request_id: The id of a request whose response is sent a second
             time just before the next response on the connection.
+        refused_ids: The ids of requests that it refuses as not run.
+        repeats_refusals: Whether it sends each refusal a second time, just
+            before the next response on the connection.
+        extra_refusal_id: The id of a request before whose response a refusal
+            is sent that belongs to no request on the connection.
+        names_repeated: Whether a refusal that is sent a second time carries
+            the id of its request.
         disconnect_target: The connection of a request for this target is closed
             after the request has run, without a response.
     """
@@ -53,6 +64,10 @@
         self.checks = 0
         self.healthy = True
         self.repeated_request_id = ""
+        self.refused_ids: frozenset[str] = frozenset()
+        self.repeats_refusals = False
+        self.extra_refusal_id = ""
+        self.names_repeated = True
         self.disconnect_target = ""
         self._running = 0
 
@@ -68,16 +83,19 @@
                 while isinstance(await _receive_event(stream, conn), h11.Data):
                     pass
                 response = await self._respond(conn, head)
+                request_id = _decode_headers(head).get("request-id", "")
+                if request_id and request_id == self.extra_refusal_id:
+                    repeated = _REFUSAL
                 await stream.send_all(repeated + response)
-                headers = _decode_headers(head)
-                is_repeated = (
-                    headers.get("request-id") == self.repeated_request_id
-                )
-                repeated = (
-                    response
-                    if is_repeated and self.repeated_request_id
-                    else b""
+                is_repeated = request_id and (
+                    request_id == self.repeated_request_id
+                    or (
+                        self.repeats_refusals and request_id in self.refused_ids
+                    )
                 )
+                repeated = response if is_repeated else b""
+                if repeated and not self.names_repeated:
+                    repeated = _REFUSAL
                 conn.start_next_cycle()
         except (trio.BrokenResourceError, h11.ProtocolError):
             return
@@ -100,6 +118,9 @@
             instance = ("instance-id", self.instance)
             return _encode_response(conn, 421, [instance], b"")
         request_id = headers["request-id"]
+        if request_id in self.refused_ids:
+            refusal = [("not-executed", "1"), ("request-id", request_id)]
+            return _encode_response(conn, 503, refusal, b"")
         self.runs.append(request_id)
         if self._on_run is not None:
             self._on_run(request_id)
