Serve a cold instance at its cold speed

Cause: work takes twice as long on a cold instance, which it reports as slowdown factor 2.0 for the whole cold start, and a factor of 2.0 counted as a slow period.

Change: the lowest factor of the last second is the speed of the cold start; a slow period counts relative to it. Queue estimates use the cold speed and the rate limit, so that what can't be served in time is refused at once with the time of its return.

Four new scenarios of features/instance_admission.feature failed before.

--- a/features/instance_admission.feature
+++ b/features/instance_admission.feature
@@ -107,3 +107,34 @@
     Given an instance with 4 slots and slowdown factor 1
     When 40 uploads of 0.14 s and 20 lookups of 0.03 s arrive per second for 5 s
     Then at least 95 of 100 lookups run
+
+  # Guards against an idle instance that is taken to be in a slow period for the
+  # whole of its cold start, while requests wait in its queue until they are
+  # late. On fskoli-mesh trouble-1 none of 243 requests of the 2 s after a power
+  # loss was answered in time.
+  Scenario: A cold instance serves at its cold speed
+    Given a cold instance with 6 slots that sustains 14 requests a second and takes 2 times as long
+    When 12 requests of 0.1 s a second with 0.4 s to their target arrive for 2 s
+    Then all start within 0.1 s of their arrival
+
+  # Guards against starting work in a slow period of a cold instance, which lasts
+  # ten times as long as usual.
+  Scenario: A slow period of a cold instance is waited for
+    Given a cold instance with 6 slots that sustains 14 requests a second and takes 2 times as long
+    When a slow period of 0.2 s with factor 10 begins and a request queues
+    Then it starts after about 0.2 s
+
+  # Guards against taking a slow period at the first reading for the speed of
+  # the cold start.
+  Scenario: A slow period at the start of a cold instance is waited for
+    Given a cold instance with 6 slots that sustains 14 requests a second and takes 10 times as long
+    When its slowdown factor is 2 after 0.15 s and a request queues at once
+    Then it starts after about 0.15 s
+
+  # Guards against requests that wait for the rate limit of a cold instance
+  # although it can't let them start before their deadline; their callers would
+  # learn of it when there is no time left to come back.
+  Scenario: A request beyond the rate of a cold instance is refused at once
+    Given a cold instance with 6 slots that sustains 5 requests a second and takes 2 times as long
+    When 30 requests with 0.4 s to their target and 1 s to their deadline queue at once
+    Then at least 20 are refused without delay and told to return within 3 s
--- a/features/steps/instance_admission_steps.py
+++ b/features/steps/instance_admission_steps.py
@@ -404,3 +404,121 @@
         ran,
         context.lookups_sent,
     )
+
+
+@given(
+    "a cold instance with {slots:d} slots that sustains {rate:d} requests "
+    "a second and takes {factor:g} times as long"
+)
+def step_slow_cold_instance(
+    context: Context, slots: int, rate: int, factor: float
+) -> None:
+    context.arguments = (slots, factor, float(rate), 3.0)
+
+
+@when(
+    "{rate:d} requests of {work:g} s a second with {target:g} s to their target"
+    " arrive for {seconds:g} s"
+)
+def step_arrive_steadily(
+    context: Context, rate: int, work: float, target: float, seconds: float
+) -> None:
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        context.sent_at = []
+        for _ in range(int(rate * seconds)):
+            context.sent_at.append(trio.current_time())
+            nursery.start_soon(_send_for, harness, work, target)
+            await trio.sleep(1 / rate)
+
+    run_scenario(context, scenario)
+
+
+async def _send_for(
+    harness: InstanceAdmissionHarness, work: float, target: float
+) -> None:
+    duration = work * harness.health.slowdown
+    await harness.send_request(work=duration, latency_target=target)
+
+
+@then("all start within {seconds:g} s of their arrival")
+def step_start_soon(context: Context, seconds: float) -> None:
+    starts = sorted(at for _, at in context.harness.started)
+    assert len(starts) == len(context.sent_at), context.harness.refused
+    delays = [
+        at - sent for at, sent in zip(starts, context.sent_at, strict=True)
+    ]
+    assert max(delays) <= seconds, delays
+
+
+@when(
+    "a slow period of {seconds:g} s with factor {factor:g} begins and a request"
+    " queues"
+)
+def step_slow_period_of_cold(
+    context: Context, seconds: float, factor: float
+) -> None:
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        for _ in range(6):
+            nursery.start_soon(harness.send_request, "before")
+            await trio.sleep(0.1)
+        await trio.sleep(0.4)
+        usual, harness.health.slowdown = harness.health.slowdown, factor
+        context.slow_since = trio.current_time()
+        nursery.start_soon(harness.send_request, "r", True, 1.0)
+        await trio.sleep(seconds)
+        harness.health.slowdown = usual
+
+    run_scenario(context, scenario)
+    context.harness.started = [
+        (name, at - context.slow_since)
+        for name, at in context.harness.started
+        if name == "r"
+    ]
+
+
+@when(
+    "its slowdown factor is {factor:g} after {seconds:g} s and a request queues"
+    " at once"
+)
+def step_slow_at_first(context: Context, factor: float, seconds: float) -> None:
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        nursery.start_soon(harness.send_request, "r", True, 1.0)
+        await trio.sleep(seconds)
+        harness.health.slowdown = factor
+
+    run_scenario(context, scenario)
+
+
+@when(
+    "{count:d} requests with {target:g} s to their target and {deadline:g} s to"
+    " their deadline queue at once"
+)
+def step_queue_at_once(
+    context: Context, count: int, target: float, deadline: float
+) -> None:
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        for _ in range(count):
+            nursery.start_soon(
+                harness.send_request, "r", True, target, deadline
+            )
+
+    run_scenario(context, scenario)
+
+
+@then(
+    "at least {count:d} are refused without delay and told to return within"
+    " {seconds:g} s"
+)
+def step_refused_at_once(context: Context, count: int, seconds: float) -> None:
+    at_once = [exc for exc, after in context.harness.refused if after < 0.02]
+    assert len(at_once) >= count, context.harness.refused
+    delays = [exc.retry_after.total_seconds() for exc in at_once]
+    assert 0 < max(delays) <= seconds, delays
--- a/src/rhubarbpaddle/admission/cold_start_rate_limit.py
+++ b/src/rhubarbpaddle/admission/cold_start_rate_limit.py
@@ -25,6 +25,23 @@
         """Records a request that is sent now."""
         self._sent_at.append(now)
 
+    def estimate_wait(self, ahead: int, now: float) -> float:
+        """Returns the expected seconds until a request may be sent.
+
+        Args:
+            ahead: Requests that are sent before it, as soon as they may be.
+            now: Monotonic seconds.
+        """
+        if self.has_capacity(now):
+            free = int(max(1.0, self.limit)) - len(self._sent_at)
+            ahead -= free
+            if ahead < 0:
+                return 0.0
+        if ahead < len(self._sent_at):
+            return self._sent_at[ahead] + PERIOD_SECONDS - now
+        rounds = (ahead - len(self._sent_at)) / max(1.0, self.limit)
+        return PERIOD_SECONDS + rounds
+
     def has_capacity(self, now: float) -> bool:
         """Returns whether one more request may be sent now."""
         while self._sent_at and self._sent_at[0] <= now - PERIOD_SECONDS:
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -100,7 +100,7 @@
             len(self._queue),
             self.regular_slots,
             state,
-            self._monitor.get_slowdown(_CHECK_INTERVAL_SECONDS * 2),
+            self._get_relative_slowdown(_CHECK_INTERVAL_SECONDS * 2),
         )
 
     async def acquire(self, ticket: Ticket) -> InstanceSlot:
@@ -177,7 +177,7 @@
         if self.in_flight >= limit:
             return BlockReason.FULL
         if (
-            self._monitor.get_slowdown(MAX_READING_AGE_SECONDS * 2)
+            self._get_relative_slowdown(MAX_READING_AGE_SECONDS * 2)
             >= SLOWDOWN_THRESHOLD
         ):
             return BlockReason.SLOW
@@ -185,6 +185,15 @@
             return BlockReason.FAILING
         return None
 
+    def _get_cold_factor(self) -> float:
+        """Returns how many times as long work takes because of a cold start."""
+        return self._monitor.get_cold_factor() if self.is_cold() else 1.0
+
+    def _get_relative_slowdown(self, max_age: float) -> float:
+        """Returns the slowdown factor without the part of a cold start."""
+        slowdown = self._monitor.get_slowdown(max_age)
+        return slowdown / self._get_cold_factor()
+
     def _may_start_trial(self, reason: BlockReason) -> bool:
         return (
             reason is BlockReason.FAILING and self._failures.try_start_trial()
@@ -199,7 +208,7 @@
                 are queued before it.
         """
         now = self._clock.monotonic()
-        work = self._estimator.get_work(ticket, now)
+        work = self._estimator.get_work(ticket, now) * self._get_cold_factor()
         useful_until = min(ticket.useful_until, ticket.deadline)
         request = self._queue.create_request(
             ticket.priority, useful_until - work, work
@@ -235,7 +244,11 @@
         """Returns the expected seconds until a request can start."""
         ahead = self._queue.count_ahead(request, now)
         limit = self._get_limit_for_queued()
-        return self._estimator.estimate_wait(ahead, limit, now)
+        wait = self._estimator.estimate_wait(ahead, limit, now)
+        if self.is_cold():
+            cold_wait = self.cold_start_limit.estimate_wait(ahead, now)
+            wait = max(wait, min(cold_wait, self._cold_until - now))
+        return wait
 
     def _get_limit_for_queued(self) -> int:
         return (
@@ -285,7 +298,7 @@
         if reason is BlockReason.SLOW:
             # Waiting for the instance to speed up helps only while the latency
             # target can still be met.
-            slowdown = self._monitor.get_slowdown(MAX_READING_AGE_SECONDS * 2)
+            slowdown = self._get_relative_slowdown(MAX_READING_AGE_SECONDS * 2)
             now = self._clock.monotonic()
             return (
                 now > request.latest_start
--- a/src/rhubarbpaddle/measuring/instance_monitor.py
+++ b/src/rhubarbpaddle/measuring/instance_monitor.py
@@ -6,6 +6,7 @@
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.measuring.health_checker import HealthChecker
 from rhubarbpaddle.measuring.instance_reading import InstanceReading
+from rhubarbpaddle.measuring.slowdown_baseline import SlowdownBaseline
 
 # Several times the duration of a check under load (6 ms), but short enough that
 # a request that waits for a check can still meet its latency target.
@@ -33,6 +34,7 @@
         self._read_at = float("-inf")
         self._failed_at = float("-inf")
         self._running_check: trio.Event | None = None
+        self._baseline = SlowdownBaseline()
         self.reading: InstanceReading | None = None
         self.refused = False
         self.checks = 0
@@ -50,6 +52,7 @@
                 reading = reading._replace(cold_seconds=max(0.0, remaining))
         self.reading = reading
         self._read_at = self._clock.monotonic()
+        self._baseline.record(reading.slowdown, self._read_at)
         self.refused = False
 
     def invalidate(self) -> None:
@@ -71,6 +74,13 @@
             return 1.0
         return self.reading.slowdown
 
+    def get_cold_factor(self) -> float:
+        """Returns how many times as long work takes during a cold start.
+
+        The result is meaningful only while the instance is cold.
+        """
+        return self._baseline.get_cold_factor(self._clock.monotonic())
+
     async def refresh(self, max_age: float) -> None:
         """Checks the instance unless there is a recent reading.
 
