Give a cold instance the rate that operators tolerate

Cause: a cold instance got `coldPerS` requests a second, although operators tolerate `coldMultiplier` times as many.

Change: the limit is `coldPerS` times `coldMultiplier`; `coldSlack` stays unused.

The new scenario of features/discovered_instances.feature failed before (5 of 3 runs permitted).

--- a/features/discovered_instances.feature
+++ b/features/discovered_instances.feature
@@ -22,6 +22,13 @@
     When 10 requests arrive before the first report and 10 after it
     Then it has run at most 5
 
+  # Guards against a cold instance that gets its permitted requests twice within
+  # a second, because the node beside it was killed and started again meanwhile.
+  Scenario: A restarted node counts what the killed one may have sent
+    Given a host whose running instance has been cold for 1.2 s
+    When 20 requests arrive within 0.6 s of the node's start
+    Then it has run at most 3
+
   # Guards against a departure that is ignored because the instance's
   # incarnation is not known yet, and against a late report that reverts it.
   Scenario: A departure before the first report stays in effect
--- a/features/steps/discovered_instances_steps.py
+++ b/features/steps/discovered_instances_steps.py
@@ -7,6 +7,9 @@
 from features.support.deferred_steps import defer_step
 from features.support.platform_world import PlatformWorld, make_configuration
 
+# Instances of the test's configuration are cold for 3 s after their start.
+_COLD_MS = {"is cold": 3000, "has been cold for 1.2 s": 1800}
+
 
 @given("a host whose running instance {state}")
 def step_start_host(context: Context, state: str) -> None:
@@ -15,7 +18,7 @@
         await world.start_store(make_configuration())
         instance = await world.start_host("h1")
         instance.healthy = state != "is leaving"
-        instance.cold_ms = 3000 if state == "is cold" else 0
+        instance.cold_ms = _COLD_MS.get(state, 0)
 
     defer_step(context, run)
 
@@ -42,6 +45,17 @@
     defer_step(context, run)
 
 
+@when("{count:d} requests arrive within {seconds:g} s of the node's start")
+def step_send_at_start(context: Context, count: int, seconds: float) -> None:
+    async def run() -> None:
+        with trio.move_on_after(seconds):
+            # The node attaches the instance within this time.
+            await trio.sleep(seconds / 3)
+            await _send_concurrently(context.world, "s", count)
+
+    defer_step(context, run)
+
+
 async def _send_concurrently(
     world: PlatformWorld, label: str, count: int
 ) -> None:
--- a/src/rhubarbpaddle/admission/cold_start_rate_limit.py
+++ b/src/rhubarbpaddle/admission/cold_start_rate_limit.py
@@ -25,6 +25,18 @@
         """Records a request that is sent now."""
         self._sent_at.append(now)
 
+    def assume_used_until(self, end: float) -> None:
+        """Records that as many requests as permitted were sent until a time.
+
+        Args:
+            end: Monotonic seconds.
+        """
+        count = int(self.limit)
+        self._sent_at = deque(
+            end - PERIOD_SECONDS * (count - 1 - index) / count
+            for index in range(count)
+        )
+
     def estimate_wait(self, ahead: int, now: float) -> float:
         """Returns the expected seconds until a request may be sent.
 
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -41,7 +41,12 @@
 
 
 class InstanceRegistry:
-    """Attaches the instance to its proxy and publishes its state to peers."""
+    """Attaches the instance to its proxy and publishes its state to peers.
+
+    Attributes:
+        process_started_at: Monotonic seconds; an earlier process may have sent
+            requests to the instance before.
+    """
 
     def __init__(
         self,
@@ -71,6 +76,7 @@
         self._clock = clock
         self._dialect = dialect
         self._get_limits = get_limits
+        self.process_started_at = float("-inf")
         self._newest_report_key: tuple[int, int] = (0, 0)
         self._newest_report_at = float("-inf")
         self._departed: set[tuple[str, int]] = set()
@@ -313,6 +319,7 @@
         admission = InstanceAdmission(
             report.slots, limits.cold_rate, monitor, self._clock
         )
+        self._count_earlier_requests(report, limits, admission)
         client = HttpUpstreamClient(
             self._network,
             self._clock,
@@ -345,6 +352,22 @@
         )
         return attached
 
+    def _count_earlier_requests(
+        self,
+        report: InstanceReport,
+        limits: ServiceLimits,
+        admission: InstanceAdmission,
+    ) -> None:
+        """Counts what an earlier process may have sent to a cold instance."""
+        remaining = report.cold_time.total_seconds()
+        cold_since = self._clock.monotonic() - (
+            limits.cold_start.total_seconds() - remaining
+        )
+        if remaining > 0 and cold_since < self.process_started_at:
+            admission.cold_start_limit.assume_used_until(
+                self.process_started_at
+            )
+
     def _create_health_client(self, limits: ServiceLimits) -> HttpHealthClient:
         return HttpHealthClient(
             self._network,
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import time
 from datetime import timedelta
 from pathlib import Path
 from typing import Self
@@ -101,11 +102,23 @@
         network: Network,
         clock: Clock,
         rng: random.Random,
+        age: timedelta = timedelta(),
     ) -> None:
+        """Creates a node that does not run yet.
+
+        Args:
+            path: The settings file.
+            settings: Its content.
+            network: Opens and accepts connections.
+            clock: The source of time.
+            rng: Breaks ties and gives jitter.
+            age: For how long at least the process has run.
+        """
         self._path = path
         self.settings = settings
         self._network = network
         self._clock = clock
+        self._age = age
         self._stopping = False
         # `_watch_settings` compares with this time, so that it also applies a
         # change made while the node starts.
@@ -224,13 +237,19 @@
             )
         path = Path(name)
         settings = PlatformSettings.from_file(path)
-        return cls(path, settings, TcpNetwork(), SystemClock(), random.Random())
+        # A process doesn't run for less time than its processor time.
+        age = timedelta(seconds=time.process_time())
+        network, clock, rng = TcpNetwork(), SystemClock(), random.Random()
+        return cls(path, settings, network, clock, rng, age)
 
     async def run(
         self, *, task_status: TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Runs all tasks until cancelled."""
         settings = self.settings
+        self.registry.process_started_at = (
+            self._clock.monotonic() - self._age.total_seconds()
+        )
         host, _ = split_address(settings.readiness_address)
         reports = RequestResponder(ReportHandler(self.registry).respond)
         readiness = RequestResponder(self._handle_readiness)
@@ -349,7 +368,14 @@
 
     def _get_limits(self, service: str) -> ServiceLimits | None:
         cfg = self.configuration.get_configuration()
-        return cfg.services.get(service) if cfg else None
+        limits = cfg.services.get(service) if cfg else None
+        if limits is None:
+            return None
+        # Operators tolerate this rate within a second. A part of what they
+        # tolerate beyond it (`coldSlack`) stays unused, for requests whose
+        # times of sending and of arrival differ.
+        rate = limits.cold_rate * self.settings.cold_multiplier
+        return limits._replace(cold_rate=rate)
 
     def _get_instance(self) -> str | None:
         attached = self.instance_proxy.attached
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -32,6 +32,8 @@
         report_interval: The platform's `heartbeatMs`.
         shutdown_grace: The platform's `graceS`: from SIGTERM to SIGKILL.
         retry_terms: The retry budget that all nodes share.
+        cold_multiplier: The platform's `coldMultiplier`: how many times its
+            sustained rate a cold instance may get within a second.
         link_rate: The platform's `linkMbps`, in bytes per second; infinite if
             absent.
         seeds: Report addresses of other hosts; may be stale.
@@ -49,6 +51,7 @@
     report_interval: timedelta
     shutdown_grace: timedelta
     retry_terms: RetryTerms
+    cold_multiplier: float
     link_rate: float
     seeds: tuple[str, ...]
 
@@ -110,11 +113,19 @@
                 slack=float(bounds["retryBudgetSlack"]),
                 window=timedelta(seconds=float(bounds["budgetWindowS"])),
             ),
+            cold_multiplier=_parse_cold_multiplier(bounds),
             link_rate=_parse_link_rate(local.get("limits", {})),
             seeds=tuple(map(str, network["seeds"])),
         )
 
 
+def _parse_cold_multiplier(bounds: Mapping[str, Any]) -> float:
+    multiplier = float(bounds.get("coldMultiplier", 1.0))
+    if multiplier < 1:
+        raise ValueError(f"coldMultiplier is {multiplier}")
+    return multiplier
+
+
 def _parse_link_rate(limits: Mapping[str, Any]) -> float:
     megabits = float(limits.get("linkMbps", math.inf))
     if megabits <= 0:
