Serve callers as soon as nodes that start together know each other

A cold instance filled its last slots first, before any sample showed that this slows down all its requests.

Change: a node that has just started holds callers, at most 0.4 s, until each service has an instance; links open as soon as there are seeds or members; the instance is looked for when the configuration arrives; a cold instance uses its regular slots only.

--- a/features/instance_admission.feature
+++ b/features/instance_admission.feature
@@ -138,3 +138,11 @@
     Given a cold instance with 6 slots that sustains 5 requests a second and takes 2 times as long
     When 30 requests with 0.4 s to their target and 1 s to their deadline queue at once
     Then at least 20 are refused without delay and told to return within 3 s
+
+  # Guards against a cold instance that fills its last slots before it is known
+  # that this slows down all its requests. After a power loss that doubled the
+  # time until requests were answered in time again.
+  Scenario: A cold instance leaves its last slots free
+    Given a cold instance with 8 slots that sustains 14 requests a second and takes 2 times as long
+    When 8 requests that may queue arrive one after another
+    Then no more than 6 requests run concurrently
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -251,11 +251,11 @@
         return wait
 
     def _get_limit_for_queued(self) -> int:
-        return (
-            self.regular_slots
-            if self._contention.reduces_throughput()
-            else self.slots
-        )
+        # There are no samples yet at the start of a cold instance, which would
+        # use its last slots first and thereby slow down everything it runs.
+        if self.is_cold() or self._contention.reduces_throughput():
+            return self.regular_slots
+        return self.slots
 
     def _is_first(self, request: QueuedRequest) -> bool:
         return self._queue.get_first(self._clock.monotonic()) is request
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -81,6 +81,7 @@
         self._newest_report_at = float("-inf")
         self._departed: set[tuple[str, int]] = set()
         self._went_down = trio.Event()
+        self._limits_changed = trio.Event()
         self._report_without_service: InstanceReport | None = None
 
     def handle_report(self, report: InstanceReport) -> bool:
@@ -135,13 +136,16 @@
         """
         deadline = self._clock.monotonic() + _DISCOVERY_TIMEOUT.total_seconds()
         while self._has_no_instance() and self._clock.monotonic() < deadline:
+            limits_changed = self._limits_changed
             limits = self._get_limits(service)
             if limits is not None:
                 reading = await self._check_health(limits)
                 if reading is not None and self._has_no_instance():
                     self._attach_unreported(service, limits, reading)
                     return
-            await self._clock.sleep(_DISCOVERY_INTERVAL)
+            # The first configuration usually arrives just after the start.
+            with trio.move_on_after(_DISCOVERY_INTERVAL.total_seconds()):
+                await limits_changed.wait()
 
     def _has_no_instance(self) -> bool:
         return (
@@ -271,6 +275,8 @@
 
         An instance whose service was unknown until now is attached.
         """
+        self._limits_changed.set()
+        self._limits_changed = trio.Event()
         report, self._report_without_service = (
             self._report_without_service,
             None,
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -17,6 +17,7 @@
     Suspicion,
     choose_neighbours,
 )
+from rhubarbpaddle.membership.neighbours import RINGS
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
 from rhubarbpaddle.peer.connection import PeerConnection
@@ -27,6 +28,10 @@
 
 PURPOSE = "control"
 _MAINTENANCE_INTERVAL = timedelta(milliseconds=250)
+# The interval of a node without links, which after a power loss starts at the
+# same time as those that it tries to reach, and the shortest interval.
+_LINKLESS_INTERVAL = timedelta(milliseconds=100)
+_MIN_INTERVAL = timedelta(milliseconds=20)
 _RECONNECT_DELAY = timedelta(milliseconds=250)
 # How often a node that has links connects to dead members and unknown seeds,
 # and how long such a link lasts. Two heartbeats suffice to exchange the member
@@ -63,6 +68,7 @@
         self._links: list[ControlLink] = []
         self._link_scopes: dict[str, trio.CancelScope] = {}
         self._members_changed = True
+        self._wake = trio.Event()
         self._rejoined_at = float("-inf")
         self._crashes = crashes
         table.add_listener(self._broadcast_member)
@@ -91,10 +97,25 @@
                     self._members_changed = False
                     self._update_link_tasks(nursery)
                 self._start_rejoin_links(nursery)
-                await self._clock.sleep(_MAINTENANCE_INTERVAL)
+                await self._wait_for_maintenance()
+
+    def handle_seeds_changed(self) -> None:
+        """Connects to new seeds at once if there are no links."""
+        if not self._links:
+            self._wake.set()
+
+    async def _wait_for_maintenance(self) -> None:
+        interval = _MAINTENANCE_INTERVAL if self._links else _LINKLESS_INTERVAL
+        with trio.move_on_after(interval.total_seconds()):
+            await self._wake.wait()
+            self._wake = trio.Event()
+            await self._clock.sleep(_MIN_INTERVAL)
 
     def _broadcast_member(self, member: Member, source: str | None) -> None:
         self._members_changed = True
+        if len(self._links) < RINGS:
+            # A node that has just started opens its links without delay.
+            self._wake.set()
         for link in self._links:
             if link.peer_id != source:
                 link.enqueue(member)
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -38,6 +38,7 @@
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
 from rhubarbpaddle.node.node_runner import run_until_signal
 from rhubarbpaddle.node.shutdown import Shutdown
+from rhubarbpaddle.node.start_gate import StartGate
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.exchange_server import ExchangeServer
 from rhubarbpaddle.peer.identity import PeerIdentity
@@ -146,6 +147,7 @@
             network.is_valid_address,
             self._get_link_count,
             self.configuration.store_responded.wait,
+            lambda: self.overlay.handle_seeds_changed(),
         )
         identity = PeerIdentity(
             _CLUSTER, settings.node_id, incarnation, _SECRET
@@ -174,8 +176,12 @@
         remote_dispatcher = RemoteDispatcher(
             pool, clock, self.configuration.get_version, settings.link_rate
         )
+        self._router = InstanceRouter(
+            self.table, clock, rng, self._is_in_service
+        )
+        self._start_gate = StartGate(clock, self._has_all_services)
         gateway = RouteGateway(
-            InstanceRouter(self.table, clock, rng, self._is_in_service),
+            self._router,
             NodeDispatcher(
                 settings.node_id, self.instance_proxy, remote_dispatcher
             ),
@@ -256,7 +262,7 @@
         listeners = (
             (settings.peer_address, self._peer_listener.handle),
             (settings.report_address, reports.handle),
-            (settings.caller_address, self._caller_handler.handle),
+            (settings.caller_address, self._handle_caller),
             (settings.readiness_address, readiness.handle),
             (f"{host}:{_METRICS_PORT}", readiness.handle),
         )
@@ -265,6 +271,7 @@
             nursery.start_soon(EventLoopReporter(self.load, self._clock).run)
             for address, handler in listeners:
                 await nursery.start(self._network.serve, address, handler)
+            nursery.start_soon(self._start_gate.run)
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self._directory.run)
             nursery.start_soon(self.overlay.run)
@@ -276,6 +283,17 @@
             _log.info("node_started", node=settings.node_id)
             task_status.started()
 
+    async def _handle_caller(self, stream: trio.abc.Stream) -> None:
+        await self._start_gate.wait()
+        await self._caller_handler.handle(stream)
+
+    def _has_all_services(self) -> bool:
+        """Returns whether each service has an instance that takes requests."""
+        cfg = self.configuration.get_configuration()
+        return cfg is not None and all(
+            self._router.has_instance(service) for service in cfg.services
+        )
+
     async def run_until_signal(self) -> bool:
         """Runs until SIGTERM or SIGINT; see `node_runner.run_until_signal`.
 
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -41,6 +41,7 @@
         is_valid_address: Callable[[str], bool],
         get_link_count: Callable[[], int],
         wait_for_store: Callable[[], Awaitable[None]],
+        on_change: Callable[[], None],
     ) -> None:
         """Creates a directory without addresses of other nodes.
 
@@ -55,8 +56,10 @@
             get_link_count: Returns the number of open control connections.
             wait_for_store: Waits until the store has responded to a read, so
                 that only one task calls the store during an outage.
+            on_change: Called after the entries were read.
         """
         self._wait_for_store = wait_for_store
+        self._on_change = on_change
         self._get_link_count = get_link_count
         self._is_valid_address = is_valid_address
         self._node_id = node_id
@@ -119,4 +122,5 @@
                     reason="not an IP address and a port",
                 )
         self._addresses = tuple(addresses)
+        self._on_change()
         _log.info("directory_read", nodes=len(addresses))
--- a/src/rhubarbpaddle/routing/instance_router.py
+++ b/src/rhubarbpaddle/routing/instance_router.py
@@ -71,6 +71,10 @@
             min(members, key=lambda member: self._get_rank(member, now))
         )
 
+    def has_instance(self, service: str) -> bool:
+        """Returns whether a service has an instance that takes requests."""
+        return next(self._iter_members(service), None) is not None
+
     def is_busy(self, candidate: Candidate) -> bool:
         """Returns whether an instance was full or slow very recently."""
         view = self._views[candidate.node_id]
