--- a/features/membership.feature
+++ b/features/membership.feature
@@ -50,6 +50,14 @@
     When one node reads a configuration from the log
     Then it is in force on all nodes within 1 second
 
+  # Guards against a message for each change and link: when 195 nodes started at
+  # once, these messages took more processor time than the start of a process.
+  Scenario: Changes that come in quick succession are sent together
+    Given 40 nodes that know each other
+    When each node changes its entry twice within 1 s
+    Then no link carries more than 21 messages with entries in a second
+    And all nodes have the newest entries 1 s later
+
   # Guards against sending the text over each link in both directions.
   Scenario: Each node receives the text of a configuration once
     Given 12 nodes that know each other
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,3 +1,4 @@
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from unittest.mock import patch
 
@@ -19,7 +20,7 @@
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.identity import PeerIdentity
-from rhubarbpaddle.peer.messages import ConfigurationUpdate
+from rhubarbpaddle.peer.messages import ConfigurationUpdate, MemberUpdate
 
 _JOIN_SECONDS = 30.0
 # Several heartbeat intervals, so that late copies are counted as well.
@@ -264,3 +265,43 @@
 def step_rejected(context: Context) -> None:
     assert context.rejected
     assert context.members == context.names
+
+
+@when("each node changes its entry twice within {seconds:g} s")
+def step_change_entries(context: Context, seconds: float) -> None:
+    send = PeerConnection.send
+    context.sent_at = defaultdict(list)
+
+    async def send_counted(conn: PeerConnection, *messages: object) -> None:
+        context.sent_at[conn] += [
+            trio.current_time()
+            for message in messages
+            if isinstance(message, MemberUpdate)
+        ]
+        await send(conn, *messages)  # type: ignore[arg-type]
+
+    async def scenario(group: OverlayGroup) -> None:
+        with patch.object(PeerConnection, "send", send_counted):
+            for _ in range(2):
+                for node in group.nodes.values():
+                    node.table.update_own()
+                    await trio.sleep(seconds / 2 / len(group.nodes))
+            await trio.sleep(1.0)
+        context.digests = {n.table.digest for n in group.nodes.values()}
+
+    run_group(context, scenario)
+
+
+@then("no link carries more than {count:d} messages with entries in a second")
+def step_check_rate(context: Context, count: int) -> None:
+    most = max(
+        sum(start <= at < start + 1 for at in times)
+        for times in context.sent_at.values()
+        for start in times
+    )
+    assert 0 < most <= count, most
+
+
+@then("all nodes have the newest entries 1 s later")
+def step_check_newest(context: Context) -> None:
+    assert len(context.digests) == 1, len(context.digests)
--- a/src/rhubarbpaddle/membership/suspicion.py
+++ b/src/rhubarbpaddle/membership/suspicion.py
@@ -75,6 +75,15 @@
                 self._last_raised.pop(node_id, None)
                 self._table.remove(node_id)
 
+    def get_recently_dead(self, seconds: float) -> list[str]:
+        """Returns the ids of nodes that became dead within a time."""
+        oldest = self._clock.monotonic() - seconds
+        return [
+            node_id
+            for node_id, since in self._dead_since.items()
+            if since >= oldest
+        ]
+
     def _on_member_change(self, member: Member, source: str | None) -> None:
         node_id = member.node_id
         if member.status is MemberStatus.SUSPECT:
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -17,7 +17,10 @@
     Suspicion,
     choose_neighbours,
 )
-from rhubarbpaddle.membership.neighbours import RINGS
+from rhubarbpaddle.membership.neighbours import (
+    RINGS,
+    choose_missing_neighbours,
+)
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
 from rhubarbpaddle.peer.connection import PeerConnection
@@ -39,6 +42,11 @@
 _REJOIN_INTERVAL_SECONDS = 5.0
 _REJOIN_LINK_SECONDS = 3.0
 _MAX_REJOIN_LINKS = 3
+# How often a node tries to reach dead nodes that would be its neighbours, and
+# for how long after their death. A node that is started again without the log
+# knows no address, so that it has to wait for such an attempt.
+_RETURN_INTERVAL_SECONDS = 0.5
+_RETURN_SECONDS = 30.0
 
 _log = get_logger("control")
 
@@ -70,6 +78,7 @@
         self._members_changed = True
         self._wake = trio.Event()
         self._rejoined_at = float("-inf")
+        self._returns_tried_at = float("-inf")
         self._crashes = crashes
         table.add_listener(self._broadcast_member)
         crashes.add_listener(self._broadcast_crash_count)
@@ -97,6 +106,7 @@
                     self._members_changed = False
                     self._update_link_tasks(nursery)
                 self._start_rejoin_links(nursery)
+                self._start_return_links(nursery)
                 await self._wait_for_maintenance()
 
     def handle_seeds_changed(self) -> None:
@@ -195,6 +205,26 @@
         for address in chosen:
             nursery.start_soon(self._run_rejoin_link, address)
 
+    def _start_return_links(self, nursery: trio.Nursery) -> None:
+        """Opens short links to dead nodes that have started again."""
+        now = self._clock.monotonic()
+        if now - self._returns_tried_at < _RETURN_INTERVAL_SECONDS:
+            return
+        self._returns_tried_at = now
+        dead_ids = self._suspicion.get_recently_dead(_RETURN_SECONDS)
+        if not dead_ids:
+            return
+        alive_ids = [
+            member.node_id
+            for member in self._table
+            if member.status is not MemberStatus.DEAD
+        ]
+        own_id = self._table.own.node_id
+        for node_id in choose_missing_neighbours(own_id, alive_ids, dead_ids):
+            member = self._table.get(node_id)
+            if member is not None:
+                nursery.start_soon(self._run_rejoin_link, member.peer_address)
+
     async def _run_rejoin_link(self, address: str) -> None:
         try:
             conn = await self._connector.connect(address, PURPOSE)
