Keep an instance departed when its node is started again

Operators reported servers that had left and were in use again after a restart. It can happen here: a killed node had acknowledged a departure, its instance still serves and its health check succeeds, so that the new process attached it and all nodes sent it new requests (the new scenario failed).

Change: a neighbour that is about to replace the entry of a restarted node sends it the entry of the earlier process if its instance was leaving. A node that finds an instance older than itself waits up to 0.3 s for its first neighbour before it attaches the instance; an instance that started with the node, as after a power loss, is attached at once.

--- a/features/discovered_instances.feature
+++ b/features/discovered_instances.feature
@@ -29,6 +29,13 @@
     When 20 requests arrive within 0.6 s of the node's start
     Then it has run at most 3
 
+  # Guards against new work for an instance whose departure the killed process
+  # had acknowledged, because it still serves and its health check succeeds.
+  Scenario: A departed instance stays departed after a restart of its node
+    Given two hosts of which the first one's instance has departed
+    When the node of the first host is killed and started again
+    Then no request of either node reaches the departed instance
+
   # Guards against a departure that is ignored because the instance's
   # incarnation is not known yet, and against a late report that reverts it.
   Scenario: A departure before the first report stays in effect
--- a/features/steps/discovered_instances_steps.py
+++ b/features/steps/discovered_instances_steps.py
@@ -5,7 +5,11 @@
 from behave.runner import Context
 
 from features.support.deferred_steps import defer_step
-from features.support.platform_world import PlatformWorld, make_configuration
+from features.support.platform_world import (
+    SETTLE_SECONDS,
+    PlatformWorld,
+    make_configuration,
+)
 
 # Instances of the test's configuration are cold for 3 s after their start.
 _COLD_MS = {"is cold": 3000, "has been cold for 1.2 s": 1800}
@@ -112,3 +116,47 @@
         assert 0 < len(runs) <= count, runs
 
     defer_step(context, run)
+
+
+@given("two hosts of which the first one's instance has departed")
+def step_start_departed(context: Context) -> None:
+    async def run() -> None:
+        world = context.world = PlatformWorld(context.nursery)
+        await world.start_store(make_configuration())
+        for name in ("h1", "h2"):
+            await world.start_host(name)
+        await trio.sleep(SETTLE_SECONDS)
+        for name in ("h1", "h2"):
+            assert await world.report(name) == 200
+        body = json.dumps({"born": 1_000}).encode()
+        target = "/instances/i-h1/deregister"
+        response = await world.send("h1:4", "POST", target, {}, body)
+        assert response.status == 200
+        await trio.sleep(1)
+
+    defer_step(context, run)
+
+
+@when("the node of the first host is killed and started again")
+def step_restart_node(context: Context) -> None:
+    async def run() -> None:
+        await context.world.stop_node("h1")
+        await trio.sleep(0.5)
+        await context.world.start_node("h1", is_first_start=False)
+
+    defer_step(context, run)
+
+
+@then("no request of either node reaches the departed instance")
+def step_check_departed(context: Context) -> None:
+    async def run() -> None:
+        world: PlatformWorld = context.world
+        runs_before = len(world.instances["h1"].runs)
+        for index in range(20):
+            for name in ("h1", "h2"):
+                await world.send_request(name, f"{name}-{index}")
+            await trio.sleep(0.05)
+        assert len(world.instances["h1"].runs) == runs_before
+        assert world.instances["h2"].runs
+
+    defer_step(context, run)
--- a/src/rhubarbpaddle/membership/member_table.py
+++ b/src/rhubarbpaddle/membership/member_table.py
@@ -17,11 +17,14 @@
     Attributes:
         own: This node's entry.
         digest: A hash of all entries; equal for tables with equal entries.
+        previous_own: The newest entry of an earlier process of this node that
+            a peer has sent, or None.
     """
 
     def __init__(self, own: Member) -> None:
         self.own = own
         self.digest = 0
+        self.previous_own: Member | None = None
         self._members: dict[str, Member] = {}
         self._listeners: list[Listener] = []
         self._store(own, None)
@@ -84,6 +87,11 @@
 
     def _refute(self, entry: Member) -> bool:
         """Refutes a suspicion of this node by a higher version."""
+        if entry.incarnation < self.own.incarnation:
+            previous = self.previous_own
+            if previous is None or entry.supersedes(previous):
+                self.previous_own = entry
+            return False
         if (
             entry.incarnation != self.own.incarnation
             or entry.version < self.own.version
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -1,6 +1,6 @@
 """Tracks the instance on this node's host."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import trio
@@ -57,6 +57,7 @@
         clock: Clock,
         dialect: UpstreamDialect,
         get_limits: Callable[[str], ServiceLimits | None],
+        wait_for_neighbours: Callable[[], Awaitable[None]],
     ) -> None:
         """Creates a registry without an instance.
 
@@ -68,6 +69,8 @@
             clock: The source of time.
             dialect: Maps requests and responses to the instance's headers.
             get_limits: Returns a service's limits, or None if it is unknown.
+            wait_for_neighbours: Waits a short time for what neighbours know of
+                the earlier process of this node.
         """
         self._address = address
         self._instance_proxy = instance_proxy
@@ -76,6 +79,7 @@
         self._clock = clock
         self._dialect = dialect
         self._get_limits = get_limits
+        self._wait_for_neighbours = wait_for_neighbours
         self.process_started_at = float("-inf")
         self._newest_report_key: tuple[int, int] = (0, 0)
         self._newest_report_at = float("-inf")
@@ -135,18 +139,56 @@
             service: The service of the instance on this host.
         """
         deadline = self._clock.monotonic() + _DISCOVERY_TIMEOUT.total_seconds()
+        contacted = False
         while self._has_no_instance() and self._clock.monotonic() < deadline:
             limits_changed = self._limits_changed
             limits = self._get_limits(service)
             if limits is not None:
                 reading = await self._check_health(limits)
-                if reading is not None and self._has_no_instance():
+                if (
+                    reading is not None
+                    and not contacted
+                    and not self._has_started_since(limits, reading)
+                ):
+                    # It may have departed before this process started.
+                    await self._wait_for_neighbours()
+                    contacted = True
+                    continue
+                if (
+                    reading is not None
+                    and self._has_no_instance()
+                    and not self._has_departed(reading.instance)
+                ):
                     self._attach_unreported(service, limits, reading)
                     return
             # The first configuration usually arrives just after the start.
             with trio.move_on_after(_DISCOVERY_INTERVAL.total_seconds()):
                 await limits_changed.wait()
 
+    def _has_started_since(
+        self, limits: ServiceLimits, reading: InstanceReading
+    ) -> bool:
+        """Returns whether an instance is younger than this process."""
+        if not reading.cold_seconds:
+            return False
+        age = limits.cold_start.total_seconds() - reading.cold_seconds
+        return self._clock.monotonic() - age >= self.process_started_at
+
+    def _has_departed(self, instance: str | None) -> bool:
+        """Returns whether a neighbour knows that an instance has departed."""
+        previous = self._table.previous_own
+        if previous is None or previous.upstream is None:
+            return False
+        summary = previous.upstream
+        if (
+            summary.instance != instance
+            or summary.state is not UpstreamState.LEAVING
+        ):
+            return False
+        self._departed.add((summary.instance, summary.incarnation))
+        _log.info("instance_departed_before", instance=instance)
+        return True
+
     def _has_no_instance(self) -> bool:
         return (
             self._newest_report_key == (0, 0)
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -8,7 +8,7 @@
 from rhubarbpaddle.exceptions import ConfigurationError, ProtocolError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_update import CrashUpdate
-from rhubarbpaddle.membership import Member, MemberTable
+from rhubarbpaddle.membership import Member, MemberTable, UpstreamState
 from rhubarbpaddle.membership.member_check import find_member_problem
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
@@ -69,6 +69,7 @@
         self._pending_crash_counts = {
             update.fingerprint: update for update in crashes.get_updates()
         }
+        self._replaced_entries: list[Member] = []
         self._wake = trio.Event()
         self._sent_at = float("-inf")
         self._heartbeat_at = float("-inf")
@@ -130,7 +131,8 @@
     async def _send_pending(self) -> None:
         self._sent_at = self._clock.monotonic()
         pending, self._pending = self._pending, {}
-        members = tuple(pending.values())
+        members = (*self._replaced_entries, *pending.values())
+        self._replaced_entries.clear()
         for start in range(0, len(members), MEMBERS_PER_MESSAGE):
             batch = members[start : start + MEMBERS_PER_MESSAGE]
             await self._conn.send(MemberUpdate(batch))
@@ -188,6 +190,7 @@
                 continue
             problem = find_member_problem(member, self._is_valid_address)
             if problem is None:
+                self._return_departure(member)
                 self._table.merge(member, self.peer_id)
             elif member.node_id not in self._rejected_ids:
                 # Neighbours send it again with each repair.
@@ -199,6 +202,23 @@
                     reason=problem,
                 )
 
+    def _return_departure(self, member: Member) -> None:
+        """Tells a restarted neighbour that its instance has departed.
+
+        The new process can't see this on the instance, which may serve until it
+        exits, and its own entry is about to replace what the table knows.
+        """
+        current = self._table.get(member.node_id)
+        if (
+            member.node_id == self.peer_id
+            and current is not None
+            and current.incarnation < member.incarnation
+            and current.upstream is not None
+            and current.upstream.state is UpstreamState.LEAVING
+        ):
+            self._replaced_entries.append(current)
+            self._wake.set()
+
     def _repair_if_different(self, heartbeat: Heartbeat) -> None:
         """Sends the whole member table if the neighbour's digest differs.
 
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -35,6 +35,10 @@
 # same time as those that it tries to reach, and the shortest interval.
 _LINKLESS_INTERVAL = timedelta(milliseconds=100)
 _MIN_INTERVAL = timedelta(milliseconds=20)
+# How long a node that starts waits for a link, and how long after that for the
+# entries that the neighbour sends first.
+_FIRST_LINK_SECONDS = 0.3
+_FIRST_ENTRIES_DELAY = timedelta(milliseconds=100)
 _RECONNECT_DELAY = timedelta(milliseconds=250)
 # How often a node that has links connects to dead members and unknown seeds,
 # and how long such a link lasts. Two heartbeats suffice to exchange the member
@@ -77,6 +81,7 @@
         self._link_scopes: dict[str, trio.CancelScope] = {}
         self._members_changed = True
         self._wake = trio.Event()
+        self._first_link = trio.Event()
         self._rejoined_at = float("-inf")
         self._returns_tried_at = float("-inf")
         self._crashes = crashes
@@ -88,6 +93,12 @@
         """The number of open links."""
         return len(self._links)
 
+    async def wait_for_first_entries(self) -> None:
+        """Waits until neighbours have sent entries, or for a short time."""
+        with trio.move_on_after(_FIRST_LINK_SECONDS):
+            await self._first_link.wait()
+            await self._clock.sleep(_FIRST_ENTRIES_DELAY)
+
     def announce_configuration(self) -> None:
         """Announces a new configuration to all neighbours immediately."""
         for link in self._links:
@@ -256,6 +267,7 @@
             self._connector.is_valid_address,
         )
         self._links.append(link)
+        self._first_link.set()
         try:
             link.enqueue(self._table.own)
             await link.run()
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -172,6 +172,7 @@
             clock,
             PlatformUpstreamDialect(self._get_instance),
             self._get_limits,
+            self.overlay.wait_for_first_entries,
         )
         pool = PeerPool(network, connector, clock)
         remote_dispatcher = RemoteDispatcher(
