--- a/soak/host.py
+++ b/soak/host.py
@@ -93,6 +93,16 @@
             )
         self._processes.append(self._process)
 
+    @property
+    def node_pid(self) -> int:
+        """The id of the newest node process."""
+        assert self._process is not None
+        return self._process.pid
+
+    def get_check_count(self) -> int:
+        """Returns how many health checks the instance has responded to."""
+        return self.instance.check_count if self.instance else 0
+
     def send_signal(self, signum: signal.Signals) -> None:
         """Sends a signal to the node process if it is running."""
         if self._process is not None and self._process.poll() is None:
--- a/soak/instance.py
+++ b/soak/instance.py
@@ -91,6 +91,11 @@
                     )
                 await trio.sleep(_REPORT_INTERVAL.total_seconds())
 
+    @property
+    def check_count(self) -> int:
+        """The number of health checks that it has responded to."""
+        return self._server.checks
+
     def leave(self) -> None:
         """Makes all further reports state that it is leaving."""
         self._leaving = True
