--- a/bench/claims.py
+++ b/bench/claims.py
@@ -268,6 +268,7 @@
         configuration,
         "--log",
         log_address,
+        "--yes",
     )
     for node in nodes:
         wait_for_http(f"http://{node.admin_address}/readyz", 20.0)
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -21,6 +21,7 @@
   Scenario Outline: An invalid configuration is rejected as a whole
     When a configuration has <fault>
     Then it is rejected with code "invalid_configuration"
+    And the error is one readable line
 
     Examples:
       | fault                  |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -111,6 +111,12 @@
     assert context.error.code == code, context.error.code
 
 
+@then("the error is one readable line")
+def step_check_detail(context: Context) -> None:
+    # The detail was joined letter by letter: "i; n; v; a; l; i; d".
+    assert context.error.detail.startswith("invalid configuration document: ")
+
+
 @when('versions "{first}" and "{second}" are parsed')
 def step_parse_versions(context: Context, first: str, second: str) -> None:
     context.versions = (parse_version(first), parse_version(second))
