Handle any start and sequence number of a report; contain unexpected errors

The check uses integers now, and an unexpected error in the handling of a report, an operator's request or a peer's message is logged and closes that connection only.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -55,8 +55,16 @@
       | 20000 nested lists            |
       | a start in the far future     |
       | a sequence far too high       |
+      | a start of 2^62               |
       | a departure that is nested    |
 
+  # Guards against arithmetic that fails on the time since a report that there
+  # was not.
+  Scenario: A first report with the start 0 is handled
+    Given a node whose instance has not reported
+    When a report with the start 0 arrives
+    Then the report gets 200
+
   # Guards against a forged report after which every true one is outdated, so
   # that the instance's departure would not be followed.
   Scenario Outline: True reports are followed after a forged one
@@ -84,6 +92,13 @@
       | no slots                      |
       | a name of 2000 characters     |
 
+  # Guards against a fault in the handling of one request that ends the node and
+  # with it all its other connections.
+  Scenario: An unexpected error ends one connection only
+    Given a server whose handler fails for one request
+    When that request and another one arrive
+    Then the first connection is closed and the second is answered
+
   # Guards against a number or a nesting that a parser can't hold, in any
   # document that comes from outside.
   Scenario Outline: Each decoder rejects generated documents by its own error
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
+import h11
 import msgspec
 import trio
 from behave import given, then, when
@@ -12,6 +13,7 @@
 from hypothesis import given as generate
 from hypothesis import strategies as st
 
+from features.support.host_network import HostNetwork
 from features.support.platform_world import (
     SETTLE_SECONDS,
     PlatformWorld,
@@ -22,6 +24,10 @@
 )
 from rhubarbpaddle.configuration.records import parse_record
 from rhubarbpaddle.exceptions import RhubarbpaddleError
+from rhubarbpaddle.http.request_responder import (
+    RequestResponder,
+    ShortResponse,
+)
 from rhubarbpaddle.membership import (
     Member,
     MemberStatus,
@@ -175,6 +181,8 @@
             return _NESTED
         case "a start in the far future":
             report["born"] = 2**50
+        case "a start of 2^62":
+            report["born"] = 2**62
         case "a sequence far too high":
             report["seq"] = 2**50
     return json.dumps(report).encode()
@@ -217,6 +225,27 @@
         _send_bodies(context, "heartbeat", _make_odd_report(fault))
 
 
+@given("a node whose instance has not reported")
+def step_unreported(context: Context) -> None:
+    context.status = 0
+
+
+@when("a report with the start 0 arrives")
+def step_report_zero(context: Context) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        await world.start_store(make_configuration())
+        await world.start_host("h1")
+        await trio.sleep(1)
+        context.status = await world.report("h1", born=0)
+
+    run_platform_world(scenario)
+
+
+@then("the report gets {status:d}")
+def step_check_report_status(context: Context, status: int) -> None:
+    assert context.status == status, context.status
+
+
 @given("two hosts of which one got a member entry with {content}")
 def step_odd_member(context: Context, content: str) -> None:
     summary = UpstreamSummary("lanes", "i-h9", 1, UpstreamState.WARM, 6)
@@ -408,3 +437,36 @@
 def step_check_generated(context: Context) -> None:
     # Any other error has ended the step before.
     assert context.decoded > 0
+
+
+@given("a server whose handler fails for one request")
+def step_failing_handler(context: Context) -> None:
+    async def respond(head: h11.Request, content: bytes) -> ShortResponse:
+        if head.target == b"/fails":
+            raise OverflowError("unexpected")
+        return 200, b"text/plain", b"ok"
+
+    context.responder = RequestResponder(respond)
+
+
+@when("that request and another one arrive")
+def step_send_both(context: Context) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        network = HostNetwork(world.fabric, "h1")
+        async with trio.open_nursery() as nursery:
+            await nursery.start(network.serve, "h1:9", context.responder.handle)
+            try:
+                await world.send("h1:9", "GET", "/fails", {})
+            except RhubarbpaddleError as exc:
+                context.error = exc
+            context.response = await world.send("h1:9", "GET", "/works", {})
+            nursery.cancel_scope.cancel()
+
+    context.error = None
+    run_platform_world(scenario)
+
+
+@then("the first connection is closed and the second is answered")
+def step_check_both(context: Context) -> None:
+    assert context.error is not None
+    assert context.response.status == 200
--- a/src/rhubarbpaddle/http/request_responder.py
+++ b/src/rhubarbpaddle/http/request_responder.py
@@ -55,6 +55,9 @@
                         break
         except RhubarbpaddleError as exc:
             _log.debug("admin_connection_ended", error=exc)
+        except Exception as exc:
+            # A fault in the handling of one request must not end the node.
+            _log.error("admin_connection_failed", reason=repr(exc))
         finally:
             await conn.aclose()
 
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -82,7 +82,7 @@
         self._wait_for_neighbours = wait_for_neighbours
         self.process_started_at = float("-inf")
         self._newest_report_key: tuple[int, int] = (0, 0)
-        self._newest_report_at = float("-inf")
+        self._newest_report_at = 0.0
         self._departed: set[tuple[str, int]] = set()
         self._went_down = trio.Event()
         self._limits_changed = trio.Event()
@@ -104,7 +104,7 @@
         problem = find_report_problem(
             report,
             self._newest_report_key,
-            now - self._newest_report_at,
+            int((now - self._newest_report_at) * 1000),
             int(self._clock.now().timestamp() * 1000),
         )
         if problem is not None:
--- a/src/rhubarbpaddle/node/report_plausibility.py
+++ b/src/rhubarbpaddle/node/report_plausibility.py
@@ -1,20 +1,21 @@
 """The check of an instance's reports against what is known of it."""
 
-from datetime import timedelta
-
 from rhubarbpaddle.node.instance_report import InstanceReport
 
 # The time of day may differ between a node and its instance by seconds, and
 # may jump.
-_MAX_CLOCK_DIFFERENCE = timedelta(minutes=1)
+_MAX_CLOCK_DIFFERENCE_MS = 60_000
 # Reports come at intervals of a second or more. Many may be lost, for example
 # while a node is paused.
-_MAX_REPORTS_PER_SECOND = 10
+_MS_PER_REPORT = 100
 _MAX_LOST_REPORTS = 1_000
 
 
 def find_report_problem(
-    report: InstanceReport, newest: tuple[int, int], elapsed: float, now_ms: int
+    report: InstanceReport,
+    newest: tuple[int, int],
+    elapsed_ms: int,
+    now_ms: int,
 ) -> str | None:
     """Returns why a report can't be true, or None.
 
@@ -25,17 +26,19 @@
         report: The report; its incarnation is a start time in milliseconds
             since the epoch.
         newest: Incarnation and sequence number of the newest report so far.
-        elapsed: Seconds since the newest report arrived.
+        elapsed_ms: Milliseconds since the newest report arrived, or since the
+            node started.
         now_ms: The time of day, in milliseconds since the epoch.
     """
-    uptime = timedelta(milliseconds=now_ms - report.incarnation)
-    if uptime < -_MAX_CLOCK_DIFFERENCE:
+    # Integers of any size, since the report may hold any.
+    uptime_ms = now_ms - report.incarnation + _MAX_CLOCK_DIFFERENCE_MS
+    if uptime_ms < 0:
         return "the start is in the future"
     incarnation, sequence = newest
     if incarnation != report.incarnation:
         sequence = 0
-        elapsed = (uptime + _MAX_CLOCK_DIFFERENCE).total_seconds()
-    allowed = _MAX_LOST_REPORTS + int(elapsed * _MAX_REPORTS_PER_SECOND)
+        elapsed_ms = uptime_ms
+    allowed = _MAX_LOST_REPORTS + elapsed_ms // _MS_PER_REPORT
     if report.sequence > sequence + allowed:
         return "the sequence number is far too high"
     return None
--- a/src/rhubarbpaddle/peer/listener.py
+++ b/src/rhubarbpaddle/peer/listener.py
@@ -40,6 +40,9 @@
                 await self._handlers[hello.purpose].serve(conn, hello)
         except RhubarbpaddleError as exc:
             _log.debug("peer_connection_ended", error=exc)
+        except Exception as exc:
+            # A fault in the handling of one message must not end the node.
+            _log.error("peer_connection_failed", reason=repr(exc))
         finally:
             await conn.aclose()
 
