--- a/features/steps/store_readers_steps.py
+++ b/features/steps/store_readers_steps.py
@@ -13,24 +13,8 @@
 
 
 @given("{count:d} nodes in one zone that read the platform's store")
-def step_nodes(context: Context, count: int) -> None:
-    async def run_step() -> None:
-        world = context.world = PlatformWorld(context.nursery)
-        await world.start_store(make_configuration())
-        context.started_nodes = count
-        for index in range(count):
-            await world.start_host(f"h{index}")
-        await trio.sleep(SETTLE_SECONDS)
-        for name in world.nodes:
-            assert await world.report(name) == 200
-        # Wait for the reads that began before the nodes knew each other.
-        await trio.sleep(SETTLE_SECONDS)
-
-    defer_step(context, run_step)
-
-
 @given("{count:d} nodes in {zones:d} zones that read the platform's store")
-def step_nodes_in_zones(context: Context, count: int, zones: int) -> None:
+def step_nodes(context: Context, count: int, zones: int = 1) -> None:
     async def run_step() -> None:
         world = context.world = PlatformWorld(context.nursery)
         await world.start_store(make_configuration())
@@ -40,6 +24,7 @@
         await trio.sleep(SETTLE_SECONDS)
         for name in world.nodes:
             assert await world.report(name) == 200
+        # Wait for the reads that began before the nodes knew each other.
         await trio.sleep(SETTLE_SECONDS)
 
     defer_step(context, run_step)
