Add the command explain, which tells the story of one request

Operators had to search the logs of all nodes for a request and order the lines by hand. `rhubarbpaddle explain ID LOG...` does so for files or standard input, with the calls that the request made and what the logs lack.

--- a/src/rhubarbpaddle/cli/app.py
+++ b/src/rhubarbpaddle/cli/app.py
@@ -11,6 +11,7 @@
 from rhubarbpaddle.cli.client_settings import ClientSettings
 from rhubarbpaddle.cli.configuration_file import load_configuration_file
 from rhubarbpaddle.cli.exit_code import ExitCode
+from rhubarbpaddle.cli.explain import explain_request
 from rhubarbpaddle.cli.publish import PublishOptions, publish_file
 from rhubarbpaddle.cli.status import show_status
 
@@ -48,6 +49,25 @@
     print(f"{text}: valid")
 
 
+@app.command
+def explain(
+    request_id: str,
+    *logs: Path,
+    json: Annotated[bool, Parameter(negative="")] = False,
+) -> None:
+    """Tell the story of one request from the logs of nodes.
+
+    Exit codes: 0 found, 1 no line has this id, 2 a log can't be read.
+
+    Args:
+        request_id: The request's id.
+        logs: Log files of one or several nodes, in any order; standard input
+            if there are none.
+        json: Print JSON.
+    """
+    sys.exit(explain_request(request_id, logs, as_json=json))
+
+
 @app.command
 def publish(
     text: Path,
--- /dev/null
+++ b/src/rhubarbpaddle/explanation/__init__.py
@@ -0,0 +1,1 @@
+"""Tells the story of one request from the logs of nodes."""
