Don't hold requests at an instance that stays slow

Change: a factor that no reading of the last second undercuts lasts. A request that can't be answered at that speed before its deadline is refused at once, so that the gateway can try another queue; one that can starts at once.

--- a/features/instance_admission.feature
+++ b/features/instance_admission.feature
@@ -154,3 +154,19 @@
     Given an instance with 4 slots and slowdown factor 1
     When 40 requests of 0.5 s queue and 40 that may not queue follow
     Then the instance was checked at most 0.6 times for each request
+
+  # Guards against requests that are held in the queue of an instance that has
+  # been slow for seconds and can't answer them before their deadline (incident
+  # inc-1281: three of seven instances with factor 12 for 8 s, idle, with up to
+  # seven queued requests).
+  Scenario: A request that a lastingly slow instance can't answer is refused at once
+    Given an instance with 6 slots and slowdown factor 12
+    When it has been slow for 2 s and a request with 0.3 s to its target and 1 s to its deadline queues
+    Then the request is refused within 0.1 s
+
+  # Guards against a request that waits for the end of a slowdown that lasts for
+  # seconds, at an idle instance that can answer it before its deadline.
+  Scenario: A request starts at once at a lastingly slow instance
+    Given an instance with 6 slots and slowdown factor 4
+    When it has been slow for 2 s and a request with 0.6 s to its target and 2 s to its deadline queues
+    Then it starts within 0.05 s
--- a/features/steps/instance_admission_steps.py
+++ b/features/steps/instance_admission_steps.py
@@ -550,3 +550,36 @@
 def step_check_count(context: Context, ratio: float) -> None:
     checks = context.harness.health.checks
     assert checks <= ratio * context.requests, checks
+
+
+@when(
+    "it has been slow for {seconds:g} s and a request with {target:g} s to its"
+    " target and {deadline:g} s to its deadline queues"
+)
+def step_queue_at_slow(
+    context: Context, seconds: float, target: float, deadline: float
+) -> None:
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        for _ in range(int(seconds / 0.05)):
+            # Each one makes the node read the slowdown factor.
+            await harness.send_request(may_queue=False)
+            await trio.sleep(0.05)
+        harness.refused.clear()
+        context.queued_at = trio.current_time()
+        await harness.send_request("r", True, target, deadline)
+
+    run_scenario(context, scenario)
+
+
+@then("the request is refused within {seconds:g} s")
+def step_check_refused_within(context: Context, seconds: float) -> None:
+    ((_, after),) = context.harness.refused
+    assert after <= seconds, after
+
+
+@then("it starts within {seconds:g} s")
+def step_check_started_within(context: Context, seconds: float) -> None:
+    ((_, at),) = context.harness.started
+    assert at - context.queued_at <= seconds, at - context.queued_at
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -227,6 +227,7 @@
             await self._refresh(MAX_READING_AGE_SECONDS)
         now = self._clock.monotonic()
         work = self._estimator.get_work(ticket, now) * self._get_cold_factor()
+        self._refuse_if_too_slow(ticket, work, now)
         useful_until = min(ticket.useful_until, ticket.deadline)
         request = self._queue.create_request(
             ticket.priority, useful_until - work, work
@@ -243,6 +244,7 @@
         self._queue.add(request)
         try:
             while not self._may_start(request, ticket, work):
+                self._refuse_if_too_slow(ticket, work, self._clock.monotonic())
                 wait = self._check_deadline(request, ticket, work)
                 was_first = self._is_first(request)
                 refused_at = ticket.deadline - work - wait
@@ -258,6 +260,20 @@
             self._queue.remove(request)
             self._wake_first()
 
+    def _refuse_if_too_slow(
+        self, ticket: Ticket, work: float, now: float
+    ) -> None:
+        """Refuses a request that a lasting slowdown doesn't let end in time.
+
+        The end of a slow period would be worth waiting for.
+        """
+        if self.is_cold():
+            # The expected work includes the slowdown.
+            return
+        lasting_work = work * self._monitor.get_lasting_factor()
+        if now + lasting_work > ticket.deadline:
+            raise self._make_refusal(BlockReason.SLOW, lasting_work)
+
     async def _refresh_if_room(self) -> None:
         """Checks the instance for the first queued request.
 
@@ -324,13 +340,14 @@
         reason = self._find_block_reason(self._get_limit_for_queued())
         if reason is BlockReason.SLOW:
             # Waiting for the instance to speed up helps only while the latency
-            # target can still be met.
+            # target can still be met, and only if the slowdown will end soon.
             slowdown = self._get_relative_slowdown(MAX_READING_AGE_SECONDS * 2)
             now = self._clock.monotonic()
+            lasting = self._monitor.get_lasting_factor()
             return (
                 now > request.latest_start
-                and now + work * slowdown <= ticket.deadline
-            )
+                or slowdown < SLOWDOWN_THRESHOLD * lasting
+            ) and now + work * slowdown <= ticket.deadline
         return reason is None or reason is BlockReason.FAILING
 
     def _get_sleep_seconds(
--- a/src/rhubarbpaddle/measuring/instance_monitor.py
+++ b/src/rhubarbpaddle/measuring/instance_monitor.py
@@ -74,6 +74,10 @@
             return 1.0
         return self.reading.slowdown
 
+    def get_lasting_factor(self) -> float:
+        """Returns the slowdown factor if it has lasted for a while, or 1."""
+        return self._baseline.get_lasting_factor(self._clock.monotonic())
+
     def get_cold_factor(self) -> float:
         """Returns how many times as long work takes during a cold start.
 
