--- a/features/explain.feature
+++ b/features/explain.feature
@@ -1,4 +1,4 @@
-Feature: The command explain tells the story of one request
+Feature: The command explain shows what the logs say about one request
 
   # Guards against an operator who has to search the logs of all nodes by hand
   # and to put their lines in order.
@@ -12,7 +12,7 @@
       | +40 ms h2 door: the instance failed with upstream_lost: connection lost                 |
       | call af81.01: status 200 after 20 ms                                                    |
 
-  # Guards against a story that looks complete although lines are missing.
+  # Guards against a report that looks complete although lines are missing.
   Scenario: What the logs lack is said
     Given logs of two hosts with a booking that made a call and was refused
     And the log of the host that took it is missing
--- a/src/rhubarbpaddle/cli/app.py
+++ b/src/rhubarbpaddle/cli/app.py
@@ -55,7 +55,7 @@
     *logs: Path,
     json: Annotated[bool, Parameter(negative="")] = False,
 ) -> None:
-    """Tell the story of one request from the logs of nodes.
+    """Show what the logs of nodes say about one request.
 
     Exit codes: 0 found, 1 no line has this id, 2 a log can't be read.
 
--- a/src/rhubarbpaddle/cli/explain.py
+++ b/src/rhubarbpaddle/cli/explain.py
@@ -8,7 +8,7 @@
 
 from rhubarbpaddle.cli.exit_code import ExitCode
 from rhubarbpaddle.explanation.log_line import LogLine
-from rhubarbpaddle.explanation.story import Story
+from rhubarbpaddle.explanation.request_timeline import RequestTimeline
 from rhubarbpaddle.explanation.text_report import iter_report
 
 
@@ -27,15 +27,15 @@
         FAILURE if no line has this id, USAGE if a file can't be read.
     """
     try:
-        story = Story.from_lines(request_id, _iter_lines(paths))
+        timeline = RequestTimeline.from_lines(request_id, _iter_lines(paths))
     except OSError as exc:
         print(f"rhubarbpaddle: {exc}", file=sys.stderr)
         return ExitCode.USAGE
     if as_json:
-        print(json.dumps(_make_document(story), indent=2))
+        print(json.dumps(_make_document(timeline), indent=2))
     else:
-        print("\n".join(iter_report(story)))
-    return ExitCode.SUCCESS if story.lines else ExitCode.FAILURE
+        print("\n".join(iter_report(timeline)))
+    return ExitCode.SUCCESS if timeline.lines else ExitCode.FAILURE
 
 
 def _iter_lines(paths: Sequence[Path]) -> Iterator[LogLine]:
@@ -53,9 +53,9 @@
             yield line
 
 
-def _make_document(story: Story) -> dict[str, Any]:
+def _make_document(timeline: RequestTimeline) -> dict[str, Any]:
     return {
-        "request_id": story.request_id,
+        "request_id": timeline.request_id,
         "lines": [
             {
                 "time": line.time.isoformat(),
@@ -64,8 +64,8 @@
                 "event": line.event,
                 **line.fields,
             }
-            for line in story.lines
+            for line in timeline.lines
         ],
-        "calls": [_make_document(call) for call in story.calls],
-        "missing": list(story.missing),
+        "calls": [_make_document(call) for call in timeline.calls],
+        "missing": list(timeline.missing),
     }
--- a/src/rhubarbpaddle/explanation/__init__.py
+++ b/src/rhubarbpaddle/explanation/__init__.py
@@ -1,1 +1,1 @@
-"""Tells the story of one request from the logs of nodes."""
+"""Collects what the logs of nodes say about one request."""
--- a/src/rhubarbpaddle/explanation/story.py
+++ b/src/rhubarbpaddle/explanation/request_timeline.py
@@ -1,4 +1,4 @@
-"""The story of one request."""
+"""The log lines of one request in order."""
 
 from collections.abc import Iterable
 from datetime import timedelta
@@ -9,19 +9,19 @@
 _END_EVENTS = frozenset({"request_answered", "request_refused", "caller_left"})
 
 
-class Story(NamedTuple):
+class RequestTimeline(NamedTuple):
     """What the logs say about a request and the calls that it made.
 
     Attributes:
         request_id: The request's id.
         lines: Its own lines, in the order of time.
-        calls: The stories of the calls that its instances made.
+        calls: The timelines of the calls that its instances made.
         missing: What the logs lack, one sentence each.
     """
 
     request_id: str
     lines: tuple[LogLine, ...]
-    calls: tuple["Story", ...]
+    calls: tuple["RequestTimeline", ...]
     missing: tuple[str, ...]
 
     @classmethod
--- a/src/rhubarbpaddle/explanation/text_report.py
+++ b/src/rhubarbpaddle/explanation/text_report.py
@@ -1,9 +1,9 @@
-"""Renders a story as text for operators."""
+"""Renders a timeline as text for operators."""
 
 from collections.abc import Iterator
 
 from rhubarbpaddle.explanation.log_line import LogLine
-from rhubarbpaddle.explanation.story import Story
+from rhubarbpaddle.explanation.request_timeline import RequestTimeline
 
 _ATTEMPT_FIELDS = ("instance", "route", "attempts", "refused", "queued")
 _OUTCOMES = {
@@ -12,23 +12,23 @@
 }
 
 
-def iter_report(story: Story) -> Iterator[str]:
+def iter_report(timeline: RequestTimeline) -> Iterator[str]:
     """Yields the lines of a report."""
-    if not story.lines:
-        yield f"request {story.request_id}: {story.missing[0]}"
+    if not timeline.lines:
+        yield f"request {timeline.request_id}: {timeline.missing[0]}"
         return
-    yield f"request {story.request_id}: {_describe_end(story.end)}"
-    yield from _iter_lines(story, "  ")
-    for call in story.calls:
+    yield f"request {timeline.request_id}: {_describe_end(timeline.end)}"
+    yield from _iter_lines(timeline, "  ")
+    for call in timeline.calls:
         yield f"  call {call.request_id}: {_describe_end(call.end)}"
         yield from _iter_lines(call, "    ")
-    for sentence in story.missing:
+    for sentence in timeline.missing:
         yield f"  missing: {sentence}"
 
 
-def _iter_lines(story: Story, indent: str) -> Iterator[str]:
-    first = story.lines[0].time
-    for line in story.lines:
+def _iter_lines(timeline: RequestTimeline, indent: str) -> Iterator[str]:
+    first = timeline.lines[0].time
+    for line in timeline.lines:
         elapsed = (line.time - first).total_seconds() * 1000
         yield (
             f"{indent}{line.time:%H:%M:%S.%f} +{elapsed:.0f} ms"
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -203,7 +203,7 @@
                 )
 
     def _return_departure(self, member: Member) -> None:
-        """Tells a restarted neighbour that its instance has departed.
+        """Sends a restarted neighbour the departure of its instance.
 
         The new process can't see this on the instance, which may serve until it
         exits, and its own entry is about to replace what the table knows.
