--- a/src/rhubarbpaddle/explanation/request_timeline.py
+++ b/src/rhubarbpaddle/explanation/request_timeline.py
@@ -56,7 +56,7 @@
 
     @property
     def end(self) -> LogLine | None:
-        """The line that tells how the request ended, if there is one."""
+        """The line with the end of the request, if there is one."""
         ends = [line for line in self.lines if line.event in _END_EVENTS]
         return ends[-1] if ends else None
 
