--- a/review/harness/requester.py
+++ b/review/harness/requester.py
@@ -71,14 +71,21 @@
         return answer
 
     async def send_regularly(
-        self, path: str, per_second: float, method: str = "GET"
+        self,
+        path: str,
+        per_second: float,
+        method: str = "GET",
+        body: bytes = b"",
+        chunked: bool = False,
     ) -> None:
         """Sends requests at a rate, answered or not, until cancelled."""
         loop = asyncio.get_running_loop()
         async with asyncio.TaskGroup() as tasks:
             due = loop.time()
             while True:
-                tasks.create_task(self.send(path, method))
+                tasks.create_task(
+                    self.send(path, method, body=body, chunked=chunked)
+                )
                 due += 1 / per_second
                 await asyncio.sleep(max(0.0, due - loop.time()))
 
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -66,6 +66,11 @@
         self._appended.set()
         self._appended = asyncio.Event()
 
+    def serve_all(self) -> None:
+        """Ends the rejection of machines."""
+        self.rejected = frozenset()
+        self._record.say("the store serves all machines")
+
     def close(self) -> None:
         """Stops listening."""
         for server in self._servers:
