Log how long calls to the store take, and who reads it

The lines of a node did not show whether an old configuration is due to a slow detection of a silent store, to readers that can't read, or to the way from the readers to the other nodes. `store_lost` now has the duration of the failed call and whether the node is a reader, `store_regained` the time between, and `configuration_in_force` the duration of the call that brought it; `store_reader_changed` shows who reads.

--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -70,7 +70,9 @@
         self._backoff = Backoff(rng, _BACKOFF_LIMIT)
         self._records: dict[str, bytes] = {}
         self._end_offset: int | None = None
-        self._reachable = True
+        self._unreachable_since: float | None = None
+        self._was_reader = False
+        self._call_started_at = 0.0
         self.state: StoreConfigurationState | None = None
 
     def get_accepted(self) -> StoreConfigurationState | None:
@@ -107,10 +109,12 @@
     async def run(self) -> None:
         """Reads the topic until cancelled."""
         while True:
+            is_reader = self._check_reader()
+            self._call_started_at = self._clock.monotonic()
             try:
                 if self._end_offset is None:
                     await self._read_all()
-                elif not self.is_reader():
+                elif not is_reader:
                     await self._clock.sleep(_READER_CHECK_INTERVAL)
                     continue
                 else:
@@ -124,6 +128,14 @@
                 self._record_reachability(exc)
                 await self._clock.sleep(self._backoff.next_delay())
 
+    def _check_reader(self) -> bool:
+        """Returns whether this node is a reader; logs a change."""
+        is_reader = self.is_reader()
+        if is_reader != self._was_reader:
+            self._was_reader = is_reader
+            _log.info("store_reader_changed", reader=is_reader)
+        return is_reader
+
     async def _read_all(self) -> None:
         newest = await self._store.read_newest(_TOPIC)
         self.store_responded.set()
@@ -189,6 +201,7 @@
             version=cfg.version,
             offset=state.version,
             source=source,
+            call_ms=self._get_call_ms() if source == "store" else 0,
             routes=len(cfg.routes),
             withdrawn_zones=",".join(sorted(cfg.withdrawn_zones)),
         )
@@ -196,10 +209,22 @@
         return True
 
     def _record_reachability(self, exc: RhubarbpaddleError | None) -> None:
+        now = self._clock.monotonic()
         if exc is None:
-            if not self._reachable:
-                _log.info("store_regained")
-            self._reachable = True
-        elif self._reachable:
-            self._reachable = False
-            _log.warn("store_lost", error=exc)
+            if self._unreachable_since is not None:
+                lost_ms = round((now - self._unreachable_since) * 1000)
+                _log.info("store_regained", lost_ms=lost_ms)
+            self._unreachable_since = None
+        elif self._unreachable_since is None:
+            self._unreachable_since = now
+            _log.warn(
+                "store_lost",
+                error=exc,
+                call_ms=self._get_call_ms(),
+                reader=self._was_reader,
+            )
+
+    def _get_call_ms(self) -> int:
+        """Returns how long the current call to the store has taken."""
+        seconds = self._clock.monotonic() - self._call_started_at
+        return round(seconds * 1000)
