Show that a silent store keeps an old configuration in force (known red)

The stand-in of the store can stop responding, which leaves connections that stay silent. A step compares the configuration's version in place of its offset in the store, because a scenario writes a record beside it; both are as strict.

--- a/features/steps/store_readers_steps.py
+++ b/features/steps/store_readers_steps.py
@@ -8,6 +8,7 @@
     PlatformWorld,
     make_configuration,
 )
+from rhubarbpaddle.platform.node import PlatformNode
 
 _CHECK_SECONDS = 0.05
 
@@ -88,6 +89,31 @@
     defer_step(context, run_step)
 
 
+@when("a record ends all polls and then their connections go silent")
+def step_silence_after_record(context: Context) -> None:
+    async def run_step() -> None:
+        world: PlatformWorld = context.world
+        world.store.put("keyed.op", "evacuate/unused", b"{}")
+        await trio.sleep(_CHECK_SECONDS)
+        for name in world.nodes:
+            world.fabric.silence(name, "store")
+
+    defer_step(context, run_step)
+
+
+@when("the store sends no responses until the node has called {count:d} times")
+def step_silent_outage(context: Context, count: int) -> None:
+    async def run_step() -> None:
+        store = context.world.store
+        store.is_silent = True
+        calls_before = store.calls
+        while store.calls < calls_before + count:
+            await store.wait_for_call()
+        store.is_silent = False
+
+    defer_step(context, run_step)
+
+
 @when("operators change the route's prefix")
 @when("{seconds:d} s later operators change the route's prefix")
 def step_change(context: Context, seconds: int = 0) -> None:
@@ -122,9 +148,7 @@
     async def run_step() -> None:
         world: PlatformWorld = context.world
         assert len(world.nodes) == count
-        while {n.configuration.get_version() for n in world.nodes.values()} != {
-            2
-        }:
+        while any(_get_version(node) != 2 for node in world.nodes.values()):
             await trio.sleep(_CHECK_SECONDS)
             elapsed = trio.current_time() - context.changed_at
             assert elapsed < seconds, elapsed
@@ -161,5 +185,12 @@
     defer_step(context, run_step)
 
 
+def _get_version(node: PlatformNode) -> int:
+    """Returns the version of the configuration in force."""
+    cfg = node.configuration.get_configuration()
+    assert cfg is not None
+    return cfg.version
+
+
 def _is_reader(world: PlatformWorld, name: str) -> bool:
     return world.nodes[name].configuration.is_reader()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -34,6 +34,7 @@
     Attributes:
         status: The status of the response to every call, or 0 to serve calls.
         loses_responses: Whether appends take effect but get no response.
+        is_silent: Whether calls that arrive get no response, also later.
         calls: The number of calls that arrived.
         long_polls: The number of these that asked to wait for a record.
         pending_reads: The number of reads that wait for a record.
@@ -42,12 +43,14 @@
     def __init__(self) -> None:
         self.status = 0
         self.loses_responses = False
+        self.is_silent = False
         self.calls = 0
         self.long_polls = 0
         self.pending_reads = 0
         self._records: defaultdict[str, list[StoredRecord]] = defaultdict(list)
         self._first: defaultdict[str, int] = defaultdict(int)
         self._appended = trio.Event()
+        self._called = trio.Event()
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serves one connection until it ends."""
@@ -70,9 +73,17 @@
         """Returns the number of calls other than reads that wait."""
         return self.calls - self.long_polls
 
+    async def wait_for_call(self) -> None:
+        """Waits until the next call arrives."""
+        await self._called.wait()
+
     async def respond(self, request: StandinRequest) -> StandinResponse:
         """Responds to one call."""
         self.calls += 1
+        self._called.set()
+        self._called = trio.Event()
+        if self.is_silent:
+            await trio.sleep_forever()
         if self.status:
             return StandinResponse(self.status, b"{}")
         url = urlsplit(request.target)
