Detect a silent store within the bounds of the platform

Callers saw the older configuration up to 3.5 s after a change, at all nodes at once, if the connections on which readers wait for the store had gone silent.

Cause: the time until a reader gives up a call (1.5 s of long poll and 2.0 s for the response, then a backoff of up to 1 s) was not derived from the bounds, 2 s for a change and 3 s after a disruption. And each record ends the polls of all readers, so that they also began, and failed, together. Class of fault: a time until detection that is the sum of several timeouts, none of which knows the bound.

Fix: the readers' polls end at evenly spaced times, at most configApplyMs - 1.3 s apart, and each lasts at most contactMs - 1.3 s: 1 s for a late response and 0.3 s for a new connection, the read and the way to the other nodes. A call that gets no response is followed at once by one that must not be held, so a call that begins at the end of an outage is given up after 2 s. Opening a connection counts towards these times.

--- a/features/store_readers.feature
+++ b/features/store_readers.feature
@@ -38,7 +38,7 @@
     Given 6 nodes in one zone that read the platform's store
     When all open connections to the store go silent
     And 0 s later operators change the route's prefix
-    Then all 6 nodes serve the new prefix within 4 s
+    Then all 6 nodes serve the new prefix within 2 s
 
   # Guards against metered calls to a store that refuses them, for example when
   # 46 nodes restart together during an outage.
--- a/features/store_silence.feature
+++ b/features/store_silence.feature
@@ -9,6 +9,22 @@
     And 0 s later operators change the route's prefix
     Then all 12 nodes serve the new prefix within 2 s
 
+  # Guards against polls that end together, so that all readers detect a silent
+  # store as late as a single one would.
+  Scenario Outline: The polls of all readers end at evenly spaced times
+    Given bounds of 2000 ms for a change and 3000 ms for contact
+    When <readers> readers poll at times spread over 60 s
+    Then the ends of their polls are at most <spacing> s apart
+    And each poll is held for at most 1.75 s
+
+    Examples:
+      | readers | spacing |
+      | 1       | 0.7     |
+      | 2       | 0.7     |
+      | 3       | 0.6     |
+      | 6       | 0.3     |
+      | 12      | 0.2     |
+
   # Guards against the same in the smallest fleet, in which no other reader
   # detects the silence earlier.
   Scenario: A change comes into force in time if the only reader's poll gets no answer
--- a/src/rhubarbpaddle/membership/__init__.py
+++ b/src/rhubarbpaddle/membership/__init__.py
@@ -4,6 +4,7 @@
 from rhubarbpaddle.membership.member_status import MemberStatus
 from rhubarbpaddle.membership.member_table import MemberTable
 from rhubarbpaddle.membership.neighbours import choose_neighbours
+from rhubarbpaddle.membership.reader_position import ReaderPosition
 from rhubarbpaddle.membership.store_reader_election import StoreReaderElection
 from rhubarbpaddle.membership.suspicion import Suspicion
 from rhubarbpaddle.membership.upstream_state import UpstreamState
@@ -13,6 +14,7 @@
     "Member",
     "MemberStatus",
     "MemberTable",
+    "ReaderPosition",
     "StoreReaderElection",
     "Suspicion",
     "UpstreamState",
--- a/src/rhubarbpaddle/membership/store_reader_election.py
+++ b/src/rhubarbpaddle/membership/store_reader_election.py
@@ -1,12 +1,16 @@
 """The election of the nodes that read the platform's store."""
 
 import hashlib
+from collections import defaultdict
 from collections.abc import Callable
 from functools import lru_cache
+from heapq import nsmallest
+from itertools import chain
 
 from rhubarbpaddle.membership.member import Member
 from rhubarbpaddle.membership.member_status import MemberStatus
 from rhubarbpaddle.membership.member_table import MemberTable
+from rhubarbpaddle.membership.reader_position import ReaderPosition
 
 # Calls to the store are limited, so few nodes make them. The only reader of a
 # fleet could fail, or be refused by the store, and a zone may be cut off from
@@ -16,7 +20,7 @@
 
 
 class StoreReaderElection:
-    """Elects readers among the alive nodes of the local availability zone.
+    """Elects readers among the alive nodes of each availability zone.
 
     The nodes with the lowest hashes of their ids are the readers. The other
     nodes receive the readers' results over control links.
@@ -34,30 +38,35 @@
         self._table = table
         self._get_link_count = get_link_count
 
-    def is_reader(self) -> bool:
-        """Returns whether this node has to read the store itself.
+    def get_position(self) -> ReaderPosition | None:
+        """Returns this node's place among the readers, or None if it is none.
 
         A node without a control link always reads, because it receives nothing
         from others.
         """
         if self._get_link_count() == 0:
-            return True
-        own = self._table.own
-        own_rank = _get_rank(own.node_id)
-        zones = {own.availability_zone}
-        lower_rank_count = 0
+            return ReaderPosition(0, 1)
+        readers = self._elect()
+        own_id = self._table.own.node_id
+        if own_id not in readers:
+            return None
+        return ReaderPosition(readers.index(own_id), len(readers))
+
+    def _elect(self) -> list[str]:
+        """Returns the readers of all zones."""
+        eligible_ids: defaultdict[str, list[str]] = defaultdict(list)
         for member in self._table:
-            if not _is_eligible(member):
-                continue
-            zones.add(member.availability_zone)
-            lower_rank_count += (
-                member.availability_zone == own.availability_zone
-                and _get_rank(member.node_id) < own_rank
-            )
+            if _is_eligible(member):
+                eligible_ids[member.availability_zone].append(member.node_id)
         readers_per_zone = min(
-            _MAX_READERS_PER_ZONE, max(1, _READERS // len(zones))
+            _MAX_READERS_PER_ZONE, max(1, _READERS // max(1, len(eligible_ids)))
+        )
+        return list(
+            chain.from_iterable(
+                nsmallest(readers_per_zone, node_ids, key=_get_rank)
+                for _, node_ids in sorted(eligible_ids.items())
+            )
         )
-        return lower_rank_count < readers_per_zone
 
 
 def _is_eligible(member: Member) -> bool:
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -48,6 +48,7 @@
 from rhubarbpaddle.peer.remote_dispatcher import RemoteDispatcher
 from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
 from rhubarbpaddle.platform.node_directory import NodeDirectory
+from rhubarbpaddle.platform.poll_schedule import PollSchedule
 from rhubarbpaddle.platform.report_handler import ReportHandler
 from rhubarbpaddle.platform.settings import SETTINGS_VARIABLE, PlatformSettings
 from rhubarbpaddle.platform.store_client import StoreClient
@@ -136,7 +137,8 @@
             clock,
             rng,
             self._apply_configuration,
-            StoreReaderElection(self.table, self._get_link_count).is_reader,
+            StoreReaderElection(self.table, self._get_link_count).get_position,
+            PollSchedule.from_config(settings),
         )
         self._directory = NodeDirectory(
             settings.node_id,
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -31,6 +31,10 @@
         store_address: The `IP:PORT` of the platform's store.
         report_interval: The platform's `heartbeatMs`.
         shutdown_grace: The platform's `graceS`: from SIGTERM to SIGKILL.
+        configuration_deadline: The platform's `configApplyMs`: from the
+            acknowledgement of a configuration until it must be in force.
+        contact_time: The platform's `contactMs`: how long after a disruption
+            all bounds hold again.
         retry_terms: The retry budget that all nodes share.
         cold_multiplier: The platform's `coldMultiplier`: how many times its
             sustained rate a cold instance may get within a second.
@@ -52,6 +56,8 @@
     store_address: str
     report_interval: timedelta
     shutdown_grace: timedelta
+    configuration_deadline: timedelta
+    contact_time: timedelta
     retry_terms: RetryTerms
     cold_multiplier: float
     link_rate: float
@@ -111,6 +117,12 @@
                 milliseconds=float(platform["heartbeatMs"])
             ),
             shutdown_grace=timedelta(seconds=float(bounds["graceS"])),
+            configuration_deadline=timedelta(
+                milliseconds=float(bounds.get("configApplyMs", 2000))
+            ),
+            contact_time=timedelta(
+                milliseconds=float(bounds.get("contactMs", 3000))
+            ),
             retry_terms=RetryTerms(
                 ratio=float(bounds["retryBudgetRatio"]),
                 slack=float(bounds["retryBudgetSlack"]),
--- a/src/rhubarbpaddle/platform/store_client.py
+++ b/src/rhubarbpaddle/platform/store_client.py
@@ -22,9 +22,14 @@
     parse_read_response,
 )
 from rhubarbpaddle.platform.newest_records import NewestRecords
+from rhubarbpaddle.platform.store_silent import StoreSilentError
 
 # A healthy store responds in 4 ms, a slow one in up to 100 times as long.
-_RESPONSE_TIMEOUT_SECONDS = 2.0
+_RESPONSE_TIMEOUT = timedelta(seconds=2)
+# How much longer than requested a read may be held. It is shorter than the
+# timeout of other calls, because it adds to the time that a silent connection
+# goes undetected.
+HELD_READ_TIMEOUT = timedelta(seconds=1)
 _CONNECT_TIMEOUT_SECONDS = 1.0
 # Statuses with which the store reports that it appended nothing.
 _REJECTED_STATUSES = frozenset({400, 403, 404, 412, 413, 429, 503, 507})
@@ -47,7 +52,7 @@
         target = f"/log-append?topic={topic}&part=0"
         conn = await self._acquire("append")
         try:
-            with trio.fail_after(_RESPONSE_TIMEOUT_SECONDS):
+            with trio.fail_after(_RESPONSE_TIMEOUT.total_seconds()):
                 status, _ = await self._client.exchange(
                     conn, "POST", target, encode_record(key, value)
                 )
@@ -68,6 +73,7 @@
         """Returns the newest record of each key, read page by page.
 
         Raises:
+            StoreSilentError: The store did not respond within 2 s.
             LogUnavailableError: The store sent no valid response.
         """
         records: list[KeyedRecord] = []
@@ -123,6 +129,8 @@
 
         Raises:
             HistoryLostError: The record at this offset has been deleted.
+            StoreSilentError: The store did not respond within `wait` and
+                another second, or within 2 s if there is no wait.
             LogUnavailableError: The store sent no valid response.
             ProtocolError: The records are malformed.
         """
@@ -145,19 +153,25 @@
         await self._client.purge()
 
     async def _get(self, target: str, wait: timedelta) -> tuple[int, bytes]:
-        conn = await self._acquire("read")
+        timeout = wait + HELD_READ_TIMEOUT if wait else _RESPONSE_TIMEOUT
+        conn: ClientConnection | None = None
         try:
-            with trio.fail_after(
-                wait.total_seconds() + _RESPONSE_TIMEOUT_SECONDS
-            ):
+            with trio.fail_after(timeout.total_seconds()):
+                conn = await self._client.acquire()
                 return await self._client.exchange(conn, "GET", target, b"")
-        except (trio.TooSlowError, RhubarbpaddleError) as exc:
+        except trio.TooSlowError as exc:
+            await self._client.purge()
+            raise StoreSilentError(
+                "no response in time", step="read", peer=self._client.address
+            ) from exc
+        except (OSError, RhubarbpaddleError) as exc:
             await self._client.purge()
             raise self._make_unavailable_error(
                 f"no response: {exc}", "read"
             ) from exc
         finally:
-            await self._client.release(conn)
+            if conn is not None:
+                await self._client.release(conn)
 
     async def _acquire(self, step: str) -> ClientConnection:
         try:
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -11,20 +11,18 @@
     RoutingConfiguration,
 )
 from rhubarbpaddle.exceptions import ConfigurationError, RhubarbpaddleError
+from rhubarbpaddle.membership import ReaderPosition
 from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.platform.history_lost import HistoryLostError
+from rhubarbpaddle.platform.poll_schedule import PollSchedule
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
 )
+from rhubarbpaddle.platform.store_silent import StoreSilentError
 from rhubarbpaddle.telemetry import get_logger
 
 _TOPIC = "keyed.op"
-# How long the store holds a read open. Longer reads mean fewer calls, for which
-# the platform charges. But a silent connection must be detected within 3 s, the
-# time after which a reconnected node counts as in contact again (`contactMs`),
-# and a response may take another second.
-_READ_WAIT = timedelta(seconds=1.5)
 # How often a node checks whether it has to replace a reader that failed.
 _READER_CHECK_INTERVAL = timedelta(milliseconds=250)
 # Half of the 2 s within which an accepted configuration must be in force.
@@ -37,7 +35,6 @@
     """Holds the configuration in force, from the store or from peers.
 
     Attributes:
-        is_reader: Returns whether this node reads the store for other nodes.
         store_responded: Set once the store has responded to a read.
         state: The configuration and withdrawn zones in force, or None before
             the first read.
@@ -49,7 +46,8 @@
         clock: Clock,
         rng: random.Random,
         on_change: Callable[[RoutingConfiguration], None],
-        is_reader: Callable[[], bool],
+        get_position: Callable[[], ReaderPosition | None],
+        schedule: PollSchedule,
     ) -> None:
         """Creates a follower without a configuration.
 
@@ -58,14 +56,16 @@
             clock: The source of time.
             rng: The source of jitter for retries.
             on_change: Called with each configuration that comes into force.
-            is_reader: Returns whether this node reads the store for other
-                nodes. If it returns False, the node reads the store only once
-                and then receives changes from its peers.
+            get_position: Returns this node's place among the nodes that read
+                the store for others. If it returns None, the node reads the
+                store only once and then receives changes from its peers.
+            schedule: Determines how long the store holds reads.
         """
         self._store = store
         self._clock = clock
         self._on_change = on_change
-        self.is_reader = is_reader
+        self._get_position = get_position
+        self._schedule = schedule
         self.store_responded = trio.Event()
         self._backoff = Backoff(rng, _BACKOFF_LIMIT)
         self._records: dict[str, bytes] = {}
@@ -75,6 +75,10 @@
         self._call_started_at = 0.0
         self.state: StoreConfigurationState | None = None
 
+    def is_reader(self) -> bool:
+        """Returns whether this node reads the store for other nodes."""
+        return self._get_position() is not None
+
     def get_accepted(self) -> StoreConfigurationState | None:
         """Returns the state in force, to be sent to peers."""
         return self.state
@@ -109,32 +113,44 @@
     async def run(self) -> None:
         """Reads the topic until cancelled."""
         while True:
-            is_reader = self._check_reader()
+            position = self._get_position()
+            self._log_reader_change(position is not None)
             self._call_started_at = self._clock.monotonic()
             try:
                 if self._end_offset is None:
                     await self._read_all()
-                elif not is_reader:
+                elif position is None:
                     await self._clock.sleep(_READER_CHECK_INTERVAL)
                     continue
                 else:
-                    await self._read_new_records(self._end_offset)
+                    wait = self._choose_wait(position)
+                    await self._read_new_records(self._end_offset, wait)
                 self._record_reachability(None)
                 self._backoff.reset()
             except HistoryLostError:
                 _log.info("configuration_history_lost", offset=self._end_offset)
                 self._end_offset = None
+            except StoreSilentError as exc:
+                # The timeout takes the place of a backoff.
+                self._record_reachability(exc)
             except RhubarbpaddleError as exc:
                 self._record_reachability(exc)
                 await self._clock.sleep(self._backoff.next_delay())
 
-    def _check_reader(self) -> bool:
-        """Returns whether this node is a reader; logs a change."""
-        is_reader = self.is_reader()
+    def _choose_wait(self, position: ReaderPosition) -> timedelta:
+        """Returns how long the store should hold the next read.
+
+        After a failure, a response that may be held can't be told from another
+        failure, so the store has to respond at once.
+        """
+        if self._unreachable_since is not None:
+            return timedelta()
+        return self._schedule.get_wait(position, self._clock.now())
+
+    def _log_reader_change(self, is_reader: bool) -> None:
         if is_reader != self._was_reader:
             self._was_reader = is_reader
             _log.info("store_reader_changed", reader=is_reader)
-        return is_reader
 
     async def _read_all(self) -> None:
         newest = await self._store.read_newest(_TOPIC)
@@ -143,8 +159,8 @@
         self._end_offset = newest.end
         self._apply_records()
 
-    async def _read_new_records(self, start: int) -> None:
-        end, records = await self._store.read(_TOPIC, start, _READ_WAIT)
+    async def _read_new_records(self, start: int, wait: timedelta) -> None:
+        end, records = await self._store.read(_TOPIC, start, wait)
         if self._end_offset != start:
             # A newer state of a peer was adopted during the read; the records
             # that it includes are skipped.
