Read the store when all control links are silent

Callers could see the older configuration up to 2.06 s after a change if all control links of a node had gone silent: the node counted as connected, and so did not read the store, until the links were closed after 2 s without a message.

Fix: a node that has received nothing for 2.5 heartbeats on any link reads the store itself; the links are still closed after 2 s, so a slow node is not suspected earlier.

--- a/features/steps/store_readers_steps.py
+++ b/features/steps/store_readers_steps.py
@@ -116,6 +116,17 @@
     defer_step(context, run_step)
 
 
+@when("{seconds:g} s later all control links go silent")
+def step_silence_links(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        await trio.sleep(seconds)
+        world: PlatformWorld = context.world
+        for first, second in combinations(world.nodes, 2):
+            world.fabric.silence(first, second)
+
+    defer_step(context, run_step)
+
+
 @when('zone "{zone}" is cut off from the others')
 def step_cut_zone(context: Context, zone: str) -> None:
     async def run_step() -> None:
--- a/features/store_readers.feature
+++ b/features/store_readers.feature
@@ -48,6 +48,20 @@
     And 0 s later operators change the route's prefix
     Then all 24 nodes serve the new prefix within 2 s
 
+  # Guards against a change that nodes get only after the 2 s after which a silent
+  # control link ends.
+  Scenario Outline: A change comes into force in time if all control links are silent
+    Given 12 nodes in 3 zones that read the platform's store
+    When <phase> s later all control links go silent
+    And 0 s later operators change the route's prefix
+    Then all 12 nodes serve the new prefix within 2 s
+
+    Examples:
+      | phase |
+      | 0.0   |
+      | 0.16  |
+      | 0.33  |
+
   # Guards against metered calls to a store that refuses them, for example when
   # 46 nodes restart together during an outage.
   Scenario: A node that starts during an outage of the store calls it rarely
--- a/src/rhubarbpaddle/membership/store_reader_election.py
+++ b/src/rhubarbpaddle/membership/store_reader_election.py
@@ -27,24 +27,25 @@
     """
 
     def __init__(
-        self, table: MemberTable, get_link_count: Callable[[], int]
+        self, table: MemberTable, has_active_link: Callable[[], bool]
     ) -> None:
         """Creates the election as computed by one node.
 
         Args:
             table: The members.
-            get_link_count: Returns the number of open control links.
+            has_active_link: Returns whether a neighbour has sent anything very
+                recently.
         """
         self._table = table
-        self._get_link_count = get_link_count
+        self._has_active_link = has_active_link
 
     def get_position(self) -> ReaderPosition | None:
         """Returns this node's place among the readers, or None if it is none.
 
-        A node without a control link always reads, because it receives nothing
-        from others.
+        A node without an active control link always reads, because it receives
+        nothing from others.
         """
-        if self._get_link_count() == 0:
+        if not self._has_active_link():
             return ReaderPosition(0, 1)
         readers = self._elect()
         own_id = self._table.own.node_id
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -43,6 +43,8 @@
 
     Attributes:
         peer_id: The neighbour's node id.
+        received_at: Monotonic time in seconds of the last message, or of the
+            link's start.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         is_valid_address: Callable[[str], bool],
     ) -> None:
         self.peer_id = peer_id
+        self.received_at = clock.monotonic()
         self._conn = conn
         self._table = table
         self._configuration = configuration
@@ -165,6 +168,7 @@
     async def _receive_all(self) -> None:
         while True:
             message = await self._conn.receive_within(SILENCE_SECONDS)
+            self.received_at = self._clock.monotonic()
             match message:
                 case Heartbeat():
                     self._repair_if_different(message)
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -25,7 +25,10 @@
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.connector import PeerConnector
-from rhubarbpaddle.peer.control_link import ControlLink
+from rhubarbpaddle.peer.control_link import (
+    HEARTBEAT_INTERVAL_SECONDS,
+    ControlLink,
+)
 from rhubarbpaddle.peer.messages import Hello
 from rhubarbpaddle.telemetry import get_logger
 
@@ -39,6 +42,9 @@
 # entries that the neighbour sends first.
 _FIRST_LINK_SECONDS = 0.3
 _FIRST_ENTRIES_DELAY = timedelta(milliseconds=100)
+# A link on which two heartbeats are missing may be silent; it is not closed
+# yet, but a change may not arrive over it.
+_ACTIVE_SECONDS = 2.5 * HEARTBEAT_INTERVAL_SECONDS
 _RECONNECT_DELAY = timedelta(milliseconds=250)
 # How often a node that has links connects to dead members and unknown seeds,
 # and how long such a link lasts. Two heartbeats suffice to exchange the member
@@ -93,6 +99,11 @@
         """The number of open links."""
         return len(self._links)
 
+    def has_active_link(self) -> bool:
+        """Returns whether a neighbour has sent anything very recently."""
+        oldest = self._clock.monotonic() - _ACTIVE_SECONDS
+        return any(link.received_at >= oldest for link in self._links)
+
     async def wait_for_first_entries(self) -> None:
         """Waits until neighbours have sent entries, or for a short time."""
         with trio.move_on_after(_FIRST_LINK_SECONDS):
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -137,7 +137,9 @@
             clock,
             rng,
             self._apply_configuration,
-            StoreReaderElection(self.table, self._get_link_count).get_position,
+            StoreReaderElection(
+                self.table, lambda: self.overlay.has_active_link()
+            ).get_position,
             PollSchedule.from_config(settings),
         )
         self._directory = NodeDirectory(
