Test responses that end at each of their bytes

Other operators report callers that got a 200 with an empty or short body when an instance stopped within its response's head.

--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -37,6 +37,9 @@
             the id of its request.
         disconnect_target: The connection of a request for this target is closed
             after the request has run, without a response.
+        truncated_length: How many bytes of each response it sends before it
+            closes the connection; None if it sends all.
+        response_length: The length of its last response to a request.
     """
 
     def __init__(
@@ -69,6 +72,8 @@
         self.extra_refusal_id = ""
         self.names_repeated = True
         self.disconnect_target = ""
+        self.truncated_length: int | None = None
+        self.response_length = 0
         self._running = 0
 
     async def handle(self, stream: trio.abc.Stream) -> None:
@@ -86,6 +91,10 @@
                 request_id = _decode_headers(head).get("request-id", "")
                 if request_id and request_id == self.extra_refusal_id:
                     repeated = _REFUSAL
+                if self.truncated_length is not None and request_id:
+                    self.response_length = len(response)
+                    await stream.send_all(response[: self.truncated_length])
+                    return
                 await stream.send_all(repeated + response)
                 is_repeated = request_id and (
                     request_id == self.repeated_request_id
