Bring deadlines forward to the end of the grace period

Callers of a node that shuts down got no response to requests that it accepted before it drained, queued, and sent to an instance shortly before the end of its grace period.

Cause: a shutdown refused new requests 3 s after SIGTERM, but those accepted until then kept deadlines beyond the process's end, so that they were queued and sent on with half a second left. Class of fault: work is begun without regard to the end of the resource that it needs.

Evidence: a node with 8 callers of non-idempotent requests with 4 s each; one that was accepted 2.6 s after SIGTERM was sent on at 5.0 s and cut at 5.5 s.

Fix: from SIGTERM on, requests of callers and calls of other nodes have at most the time until 0.25 s before the end. The queue refuses what can't start in time, and an instance gets the deadline and responds before the process ends.

--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -15,6 +15,7 @@
     make_caller_left_refusal,
 )
 from rhubarbpaddle.execution.caller_presence import CallerPresence
+from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
 from rhubarbpaddle.execution.request_handler import RequestHandler
 from rhubarbpaddle.http.caller_dialect import CallerDialect
 from rhubarbpaddle.http.h11_body import H11Body
@@ -49,6 +50,7 @@
         dialect: CallerDialect,
         network: Network,
         watch: StreamWatch,
+        deadline_limit: DeadlineLimit,
         limits: CallerLimits = DEFAULT_LIMITS,
     ) -> None:
         self._gateway = gateway
@@ -57,6 +59,7 @@
         self._dialect = dialect
         self._network = network
         self._watch = watch
+        self._deadline_limit = deadline_limit
         self._limits = limits
         self._idle = IdleConnections(limits.idle_connections)
         self._closing = False
@@ -166,6 +169,7 @@
             # it, which must wait until an instance has admitted the request.
             expects_continue = conn.h11.they_are_waiting_for_100_continue
             buffered = body if expects_continue else await _buffer_body(body)
+            request = self._deadline_limit.apply(request)
             request = request._replace(caller=presence)
             async with self._gateway.handle(request, buffered) as response:
                 await self._send_response(conn, head.method, response)
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -14,6 +14,7 @@
 from rhubarbpaddle.execution.claim_reporter import ClaimReporter
 from rhubarbpaddle.execution.claiming_gateway import ClaimingGateway
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
+from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
 from rhubarbpaddle.execution.gateway import Gateway
 from rhubarbpaddle.execution.sidecar import Sidecar
 from rhubarbpaddle.http import CallerHandler
@@ -154,6 +155,7 @@
         self._probe_task = ProbeTask(
             self.sidecar, self._upstream_registry, clock, metrics
         )
+        deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
             claiming_gateway,
             clock,
@@ -161,8 +163,11 @@
             ProductCallerDialect(clock, self.configuration.get_accepted),
             network,
             self._stream_watch,
+            deadline_limit,
+        )
+        exchanges = ExchangeServer(
+            self.sidecar, clock, self._stream_watch, deadline_limit
         )
-        exchanges = ExchangeServer(self.sidecar, clock, self._stream_watch)
         claims = ClaimsServer(self.claims)
         self._peer_listener = PeerListener(
             identity,
@@ -181,6 +186,7 @@
         )
         self._shutdown = Shutdown(
             self._announce_leaving,
+            deadline_limit,
             self._caller_handler.drain,
             {
                 "callers": self._caller_handler.work,
--- a/src/rhubarbpaddle/node/shutdown.py
+++ b/src/rhubarbpaddle/node/shutdown.py
@@ -6,12 +6,15 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
 from rhubarbpaddle.telemetry import get_logger
 from rhubarbpaddle.work_count import WorkCount
 
 # Within this time all gateways must have stopped selecting this node, and the
 # callers' health checks must have detected that it is not ready.
 NOTICE_PERIOD = timedelta(seconds=2)
+# The time after the deadline of a request in which its response is sent.
+_RESPONSE_TIME = timedelta(milliseconds=250)
 
 _log = get_logger("shutdown")
 
@@ -22,6 +25,7 @@
     def __init__(
         self,
         announce_leaving: Callable[[], None],
+        deadline_limit: DeadlineLimit,
         drain_callers: Callable[[], None],
         work: Mapping[str, WorkCount],
         clock: Clock,
@@ -33,6 +37,7 @@
         Args:
             announce_leaving: Announces to peers and callers that the node
                 accepts no new work.
+            deadline_limit: Brought forward to the end of the grace period.
             drain_callers: Closes idle callers' connections and refuses further
                 requests.
             work: Counts of the work that must end before the node exits, by
@@ -44,6 +49,7 @@
         """
         self._notice_period = notice_period
         self._announce_leaving = announce_leaving
+        self._deadline_limit = deadline_limit
         self._drain_callers = drain_callers
         self._work = work
         self._clock = clock
@@ -56,6 +62,9 @@
             Whether all work ended; False if the time limit interrupted some.
         """
         started = self._clock.monotonic()
+        self._deadline_limit.latest = (
+            started + (self._grace - _RESPONSE_TIME).total_seconds()
+        )
         self._announce_leaving()
         with trio.move_on_after(self._grace.total_seconds()) as scope:
             await self._clock.sleep(min(self._notice_period, self._grace / 2))
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -14,6 +14,7 @@
 )
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
 from rhubarbpaddle.execution.caller_presence import CallerPresence
+from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
 from rhubarbpaddle.execution.failed_body_refusal import (
     make_failed_body_refusal,
 )
@@ -48,11 +49,16 @@
     """
 
     def __init__(
-        self, proxy: UpstreamProxy, clock: Clock, watch: StreamWatch
+        self,
+        proxy: UpstreamProxy,
+        clock: Clock,
+        watch: StreamWatch,
+        deadline_limit: DeadlineLimit,
     ) -> None:
         self._proxy = proxy
         self._clock = clock
         self._watch = watch
+        self._deadline_limit = deadline_limit
         self.work = WorkCount()
 
     async def serve(self, conn: PeerConnection, hello: Hello) -> None:
@@ -122,7 +128,7 @@
         body: Body,
         presence: CallerPresence,
     ) -> None:
-        request = self._to_request(call, presence)
+        request = self._deadline_limit.apply(self._to_request(call, presence))
         try:
             async with self._proxy.handle(
                 request, body, call.instance, call.incarnation
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -18,6 +18,7 @@
 from rhubarbpaddle.configuration.service_limits import ServiceLimits
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
+from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
 from rhubarbpaddle.execution.route_gateway import RouteGateway
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
@@ -201,6 +202,7 @@
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
         self._stream_watch = StreamWatch(network, clock)
+        deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
             gateway,
             clock,
@@ -213,18 +215,20 @@
             ),
             network,
             self._stream_watch,
+            deadline_limit,
             CallerLimits(
                 idle_seconds=_IDLE_TIMEOUT_SECONDS, keeps_half_closed=False
             ),
         )
         exchange_server = ExchangeServer(
-            self.instance_proxy, clock, self._stream_watch
+            self.instance_proxy, clock, self._stream_watch, deadline_limit
         )
         self._peer_listener = PeerListener(
             identity, {"exchange": exchange_server, "control": self.overlay}
         )
         self._shutdown = Shutdown(
             self._fail_readiness,
+            deadline_limit,
             self._drain,
             {
                 "callers": self._caller_handler.work,
