Hand the duty of reading the store on to nodes that can read it

Cause: the election went by membership only. A reader that could not read stayed a reader, and the other nodes, which could, did not. Class of fault: a duty is assigned by who is alive, not by who can do it, and a failure stays private.

Fix: a node whose reads fail twice in a row, or once without a response, says so over the control links, in a field that earlier versions ignore. Up to four such nodes of a zone are passed over; for each of them one reader is added, since what rejects one node may reject its replacement, too. A node that was passed over tries again every 2 s, without taking the duty from the others until it succeeds. After a silence a reader tries once more on a new connection, whoever has the duty.

--- a/features/steps/store_readers_steps.py
+++ b/features/steps/store_readers_steps.py
@@ -38,11 +38,9 @@
     async def run_step() -> None:
         world: PlatformWorld = context.world
         name = next(n for n in world.nodes if not _is_reader(world, n))
-        await world.stop_node(name)
-        await trio.sleep(1)
         context.calls_before = world.store.count_calls()
         context.restarted = name
-        await world.start_node(name, is_first_start=False)
+        await _restart(world, name)
 
     defer_step(context, run_step)
 
@@ -72,7 +70,7 @@
 def step_lose_readers(context: Context) -> None:
     async def run_step() -> None:
         world: PlatformWorld = context.world
-        readers = [name for name in world.nodes if _is_reader(world, name)]
+        readers = _list_readers(world)
         assert len(readers) == 2, readers
         for reader in readers:
             del world.nodes[reader]
@@ -127,6 +125,80 @@
     defer_step(context, run_step)
 
 
+@when("the store refuses connections of all its readers")
+def step_refuse_readers(context: Context) -> None:
+    async def run_step() -> None:
+        world: PlatformWorld = context.world
+        context.readers = _list_readers(world)
+        for name in context.readers:
+            world.fabric.refused.add((name, "store"))
+            world.fabric.reset_connections(name, "store")
+
+    defer_step(context, run_step)
+
+
+@when("the store refuses connections of all nodes")
+def step_refuse_all(context: Context) -> None:
+    async def run_step() -> None:
+        world: PlatformWorld = context.world
+        for name in world.nodes:
+            world.fabric.refused.add((name, "store"))
+            world.fabric.reset_connections(name, "store")
+
+    defer_step(context, run_step)
+
+
+@when("{seconds:g} s later it serves one node that is no reader")
+def step_serve_one(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        await trio.sleep(seconds)
+        world: PlatformWorld = context.world
+        name = next(n for n in world.nodes if not _is_reader(world, n))
+        world.fabric.refused.remove((name, "store"))
+
+    defer_step(context, run_step)
+
+
+@when("the store sends no responses to all its readers")
+def step_ignore_readers(context: Context) -> None:
+    async def run_step() -> None:
+        world: PlatformWorld = context.world
+        for name in _list_readers(world):
+            world.fabric.block_both_ways(name, "store")
+
+    defer_step(context, run_step)
+
+
+@when("it serves all nodes again after {seconds:g} s")
+def step_serve_all(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        world: PlatformWorld = context.world
+        await trio.sleep(seconds)
+        assert not set(context.readers) & set(_list_readers(world))
+        world.fabric.refused.clear()
+
+    defer_step(context, run_step)
+
+
+@when("the rejected readers are started again")
+def step_restart_readers(context: Context) -> None:
+    async def run_step() -> None:
+        world: PlatformWorld = context.world
+        for name in context.readers:
+            await _restart(world, name)
+
+    defer_step(context, run_step)
+
+
+@then("the same nodes are readers {seconds:g} s later")
+def step_same_readers(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        await trio.sleep(seconds)
+        assert _list_readers(context.world) == context.readers
+
+    defer_step(context, run_step)
+
+
 @when('zone "{zone}" is cut off from the others')
 def step_cut_zone(context: Context, zone: str) -> None:
     async def run_step() -> None:
@@ -162,7 +234,7 @@
 def step_waiting(context: Context, count: int) -> None:
     async def run_step() -> None:
         world: PlatformWorld = context.world
-        readers = [name for name in world.nodes if _is_reader(world, name)]
+        readers = _list_readers(world)
         assert len(readers) == count, readers
         # The store keeps the open reads of nodes that have lost power.
         lost_nodes = context.started_nodes - len(world.nodes)
@@ -215,6 +287,13 @@
     defer_step(context, run_step)
 
 
+async def _restart(world: PlatformWorld, name: str) -> None:
+    zone = world.nodes[name].settings.availability_zone
+    await world.stop_node(name)
+    await trio.sleep(1)
+    await world.start_node(name, zone, is_first_start=False)
+
+
 def _get_version(node: PlatformNode) -> int:
     """Returns the version of the configuration in force."""
     cfg = node.configuration.get_configuration()
@@ -222,5 +301,9 @@
     return cfg.version
 
 
+def _list_readers(world: PlatformWorld) -> list[str]:
+    return sorted(name for name in world.nodes if _is_reader(world, name))
+
+
 def _is_reader(world: PlatformWorld, name: str) -> bool:
     return world.nodes[name].configuration.is_reader()
--- a/features/store_readers.feature
+++ b/features/store_readers.feature
@@ -62,6 +62,45 @@
       | 0.16  |
       | 0.33  |
 
+  # Guards against readers that can't read the store and stay readers, so that no
+  # other node reads it.
+  Scenario Outline: Other nodes read the store if it rejects its readers
+    Given 18 nodes in 3 zones that read the platform's store
+    When the store <rejects> all its readers
+    And 0 s later operators change the route's prefix
+    Then all 18 nodes serve the new prefix within 2 s
+
+    Examples:
+      | rejects                |
+      | refuses connections of |
+      | sends no responses to  |
+
+  # Guards against nodes that stay out of the election after the store has
+  # rejected them for a time.
+  Scenario: Readers that were rejected read the store again
+    Given 6 nodes in one zone that read the platform's store
+    When the store refuses connections of all its readers
+    And it serves all nodes again after 5 s
+    Then the same nodes are readers 3 s later
+
+  # Guards against a node that could read the store, but doesn't, because its
+  # reads failed while those of all nodes did.
+  Scenario: A node that can read again takes the place of readers that can't
+    Given 6 nodes in one zone that read the platform's store
+    When the store refuses connections of all nodes
+    And 5 s later it serves one node that is no reader
+    And 2 s later operators change the route's prefix
+    Then all 6 nodes serve the new prefix within 2 s
+
+  # Guards against a node that stays out of the election because of what its
+  # earlier process said.
+  Scenario: A rejected reader that is started again reads the store
+    Given 6 nodes in one zone that read the platform's store
+    When the store refuses connections of all its readers
+    And it serves all nodes again after 5 s
+    And the rejected readers are started again
+    Then the same nodes are readers 5 s later
+
   # Guards against metered calls to a store that refuses them, for example when
   # 46 nodes restart together during an outage.
   Scenario: A node that starts during an outage of the store calls it rarely
--- a/features/support/memory_fabric.py
+++ b/features/support/memory_fabric.py
@@ -18,11 +18,14 @@
         blocked: Pairs of hosts. Bytes from the first to the second host are
             dropped. A connection that has lost bytes stays silent, also after
             the pair is removed.
+        refused: Pairs of hosts. The second host refuses new connections from
+            the first.
         attempted: Addresses to which connections were attempted.
     """
 
     def __init__(self) -> None:
         self.blocked: set[tuple[str, str]] = set()
+        self.refused: set[tuple[str, str]] = set()
         self.attempted: set[str] = set()
         self._listeners: dict[str, tuple[str, StreamHandler, trio.Nursery]] = {}
         self._pipes: list[tuple[str, str, MemoryPipe]] = []
@@ -48,6 +51,8 @@
         if address not in self._listeners:
             raise ConnectionRefusedError(address)
         target, handler, nursery = self._listeners[address]
+        if (source, target) in self.refused:
+            raise ConnectionRefusedError(address)
         if {(source, target), (target, source)} & self.blocked:
             await trio.sleep_forever()
         outgoing = self._add_pipe(source, target)
--- a/features/support/overlay_group.py
+++ b/features/support/overlay_group.py
@@ -15,6 +15,7 @@
     Member,
     MemberStatus,
     MemberTable,
+    StoreAccessTable,
     Suspicion,
 )
 from rhubarbpaddle.peer.connector import PeerConnector
@@ -75,6 +76,7 @@
             random.Random(f"{seed} {name} {incarnation}"),
             lambda: seeds,
             CrashLedger(name, clock),
+            StoreAccessTable(self.table),
         )
         self.listener = PeerListener(identity, {"control": self.overlay})
         self.scope = trio.CancelScope()
--- a/src/rhubarbpaddle/membership/__init__.py
+++ b/src/rhubarbpaddle/membership/__init__.py
@@ -5,6 +5,8 @@
 from rhubarbpaddle.membership.member_table import MemberTable
 from rhubarbpaddle.membership.neighbours import choose_neighbours
 from rhubarbpaddle.membership.reader_position import ReaderPosition
+from rhubarbpaddle.membership.store_access import StoreAccess
+from rhubarbpaddle.membership.store_access_table import StoreAccessTable
 from rhubarbpaddle.membership.store_reader_election import StoreReaderElection
 from rhubarbpaddle.membership.suspicion import Suspicion
 from rhubarbpaddle.membership.upstream_state import UpstreamState
@@ -15,6 +17,8 @@
     "MemberStatus",
     "MemberTable",
     "ReaderPosition",
+    "StoreAccess",
+    "StoreAccessTable",
     "StoreReaderElection",
     "Suspicion",
     "UpstreamState",
--- a/src/rhubarbpaddle/membership/store_reader_election.py
+++ b/src/rhubarbpaddle/membership/store_reader_election.py
@@ -11,32 +11,42 @@
 from rhubarbpaddle.membership.member_status import MemberStatus
 from rhubarbpaddle.membership.member_table import MemberTable
 from rhubarbpaddle.membership.reader_position import ReaderPosition
+from rhubarbpaddle.membership.store_access_table import StoreAccessTable
 
 # Calls to the store are limited, so few nodes make them. The only reader of a
 # fleet could fail, or be refused by the store, and a zone may be cut off from
 # the others. With four zones or more, one reader in each is enough.
 _READERS = 6
 _MAX_READERS_PER_ZONE = 2
+# How many nodes of a zone are passed over because their reads fail. No others
+# call a store that fails altogether.
+_MAX_PASSED_OVER = 4
 
 
 class StoreReaderElection:
     """Elects readers among the alive nodes of each availability zone.
 
-    The nodes with the lowest hashes of their ids are the readers. The other
+    The nodes with the lowest hashes of their ids are the readers, except for
+    some whose reads fail. The other
     nodes receive the readers' results over control links.
     """
 
     def __init__(
-        self, table: MemberTable, has_active_link: Callable[[], bool]
+        self,
+        table: MemberTable,
+        access: StoreAccessTable,
+        has_active_link: Callable[[], bool],
     ) -> None:
         """Creates the election as computed by one node.
 
         Args:
             table: The members.
+            access: Which of them can read the store.
             has_active_link: Returns whether a neighbour has sent anything very
                 recently.
         """
         self._table = table
+        self._access = access
         self._has_active_link = has_active_link
 
     def get_position(self) -> ReaderPosition | None:
@@ -64,11 +74,30 @@
         )
         return list(
             chain.from_iterable(
-                nsmallest(readers_per_zone, node_ids, key=_get_rank)
+                self._elect_in_zone(node_ids, readers_per_zone)
                 for _, node_ids in sorted(eligible_ids.items())
             )
         )
 
+    def _elect_in_zone(self, node_ids: list[str], count: int) -> list[str]:
+        """Returns the readers of one zone.
+
+        There is one more for each node that is passed over: what keeps that one
+        from the store may affect its replacement too, and another second would
+        pass until this shows.
+        """
+        candidates = nsmallest(
+            count + _MAX_PASSED_OVER, node_ids, key=_get_rank
+        )
+        failing = [
+            node_id
+            for node_id in candidates
+            if self._access.is_failing(node_id)
+        ]
+        able = [node_id for node_id in candidates if node_id not in failing]
+        readers = able[: count + len(failing)]
+        return readers + failing[: max(0, count - len(readers))]
+
 
 def _is_eligible(member: Member) -> bool:
     return member.status is MemberStatus.ALIVE
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -24,6 +24,7 @@
     Member,
     MemberStatus,
     MemberTable,
+    StoreAccessTable,
     Suspicion,
 )
 from rhubarbpaddle.network import Network
@@ -113,6 +114,7 @@
             rng,
             self._seed_stream.get_addresses,
             self.crashes,
+            StoreAccessTable(self.table),
         )
         pool = PeerPool(network, connector, clock)
         remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -8,7 +8,13 @@
 from rhubarbpaddle.exceptions import ConfigurationError, ProtocolError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_update import CrashUpdate
-from rhubarbpaddle.membership import Member, MemberTable, UpstreamState
+from rhubarbpaddle.membership import (
+    Member,
+    MemberTable,
+    StoreAccess,
+    StoreAccessTable,
+    UpstreamState,
+)
 from rhubarbpaddle.membership.member_check import find_member_problem
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
@@ -57,6 +63,7 @@
         clock: Clock,
         crashes: CrashLedger,
         is_valid_address: Callable[[str], bool],
+        store_access: StoreAccessTable,
     ) -> None:
         self.peer_id = peer_id
         self.received_at = clock.monotonic()
@@ -67,6 +74,10 @@
         self._clock = clock
         self._crashes = crashes
         self._is_valid_address = is_valid_address
+        self._store_access = store_access
+        self._pending_store_access = {
+            entry.node_id: entry for entry in store_access.list_changed()
+        }
         self._rejected_ids: set[str] = set()
         self._pending: dict[str, Member] = {}
         self._pending_crash_counts = {
@@ -92,6 +103,11 @@
         self._pending_crash_counts[update.fingerprint] = update
         self._wake.set()
 
+    def enqueue_store_access(self, entry: StoreAccess) -> None:
+        """Queues a node's access to the store and wakes the sender."""
+        self._pending_store_access[entry.node_id] = entry
+        self._wake.set()
+
     def flush(self) -> None:
         """Sends pending changes without waiting for the next heartbeat."""
         self._wake.set()
@@ -139,6 +155,11 @@
         for start in range(0, len(members), MEMBERS_PER_MESSAGE):
             batch = members[start : start + MEMBERS_PER_MESSAGE]
             await self._conn.send(MemberUpdate(batch))
+        if self._pending_store_access:
+            # Follows the members, because entries of unknown nodes are ignored.
+            entries = tuple(self._pending_store_access.values())
+            self._pending_store_access = {}
+            await self._conn.send(MemberUpdate((), entries))
         if self._pending_crash_counts:
             crash_counts = tuple(self._pending_crash_counts.values())
             self._pending_crash_counts = {}
@@ -173,8 +194,10 @@
                 case Heartbeat():
                     self._repair_if_different(message)
                     self._request_if_newer(message.configuration_version)
-                case MemberUpdate(members=members):
+                case MemberUpdate(members=members, store_access=entries):
                     self._merge_members(members)
+                    for entry in entries:
+                        self._store_access.merge(entry, self.peer_id)
                 case CrashCounts(updates=updates):
                     for update in updates:
                         self._crashes.merge(update)
--- a/src/rhubarbpaddle/peer/messages/member_update.py
+++ b/src/rhubarbpaddle/peer/messages/member_update.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from rhubarbpaddle.membership import Member
+from rhubarbpaddle.membership import Member, StoreAccess
 
 
 class MemberUpdate(msgspec.Struct, array_like=True, tag="member", frozen=True):
@@ -10,9 +10,12 @@
 
     Attributes:
         members: The entries, at most `MEMBERS_PER_MESSAGE`.
+        store_access: Changed entries of the nodes' access to the store. Nodes
+            of versions without this field ignore it.
     """
 
     members: tuple[Member, ...]
+    store_access: tuple[StoreAccess, ...] = ()
 
 
 # With entries of typical length this stays far below the frame limit.
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -14,6 +14,8 @@
     Member,
     MemberStatus,
     MemberTable,
+    StoreAccess,
+    StoreAccessTable,
     Suspicion,
     choose_neighbours,
 )
@@ -74,6 +76,7 @@
         rng: random.Random,
         get_seeds: Callable[[], Sequence[str]],
         crashes: CrashLedger,
+        store_access: StoreAccessTable,
     ) -> None:
         self._connector = connector
         self._table = table
@@ -91,8 +94,10 @@
         self._rejoined_at = float("-inf")
         self._returns_tried_at = float("-inf")
         self._crashes = crashes
+        self._store_access = store_access
         table.add_listener(self._broadcast_member)
         crashes.add_listener(self._broadcast_crash_count)
+        store_access.add_listener(self._broadcast_store_access)
 
     @property
     def link_count(self) -> int:
@@ -156,6 +161,13 @@
         for link in self._links:
             link.enqueue_crash_count(update)
 
+    def _broadcast_store_access(
+        self, entry: StoreAccess, source: str | None
+    ) -> None:
+        for link in self._links:
+            if link.peer_id != source:
+                link.enqueue_store_access(entry)
+
     def _update_link_tasks(self, nursery: trio.Nursery) -> None:
         neighbours = choose_neighbours(
             self._table.own.node_id, self._get_reachable_zones()
@@ -286,6 +298,7 @@
             self._clock,
             self._crashes,
             self._connector.is_valid_address,
+            self._store_access,
         )
         self._links.append(link)
         self._first_link.set()
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -30,6 +30,7 @@
     Member,
     MemberStatus,
     MemberTable,
+    StoreAccessTable,
     StoreReaderElection,
     Suspicion,
 )
@@ -50,6 +51,7 @@
 from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
 from rhubarbpaddle.platform.node_directory import NodeDirectory
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
+from rhubarbpaddle.platform.reader_duty import ReaderDuty
 from rhubarbpaddle.platform.report_handler import ReportHandler
 from rhubarbpaddle.platform.settings import SETTINGS_VARIABLE, PlatformSettings
 from rhubarbpaddle.platform.store_client import StoreClient
@@ -133,14 +135,21 @@
             clock, crash_ledger, self._handle_instance_lost, get_logger("door")
         )
         store = StoreClient(network, settings.store_address)
+        store_access = StoreAccessTable(self.table)
         self.configuration = StoreConfigurationFollower(
             store,
             clock,
             rng,
             self._apply_configuration,
-            StoreReaderElection(
-                self.table, lambda: self.overlay.has_active_link()
-            ).get_position,
+            ReaderDuty(
+                StoreReaderElection(
+                    self.table,
+                    store_access,
+                    lambda: self.overlay.has_active_link(),
+                ),
+                store_access,
+                clock,
+            ),
             PollSchedule.from_config(settings),
         )
         self._directory = NodeDirectory(
@@ -168,6 +177,7 @@
             rng,
             self._directory.get_addresses,
             crash_ledger,
+            store_access,
         )
         self.registry = InstanceRegistry(
             settings.instance_address,
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -15,6 +15,7 @@
 from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.platform.history_lost import HistoryLostError
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
+from rhubarbpaddle.platform.reader_duty import ReaderDuty
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
@@ -46,7 +47,7 @@
         clock: Clock,
         rng: random.Random,
         on_change: Callable[[RoutingConfiguration], None],
-        get_position: Callable[[], ReaderPosition | None],
+        duty: ReaderDuty,
         schedule: PollSchedule,
     ) -> None:
         """Creates a follower without a configuration.
@@ -56,15 +57,15 @@
             clock: The source of time.
             rng: The source of jitter for retries.
             on_change: Called with each configuration that comes into force.
-            get_position: Returns this node's place among the nodes that read
-                the store for others. If it returns None, the node reads the
-                store only once and then receives changes from its peers.
+            duty: Whether this node reads the store for others. If it doesn't,
+                it reads the store only once and then receives changes from its
+                peers.
             schedule: Determines how long the store holds reads.
         """
         self._store = store
         self._clock = clock
         self._on_change = on_change
-        self._get_position = get_position
+        self._duty = duty
         self._schedule = schedule
         self.store_responded = trio.Event()
         self._backoff = Backoff(rng, _BACKOFF_LIMIT)
@@ -72,12 +73,13 @@
         self._end_offset: int | None = None
         self._unreachable_since: float | None = None
         self._was_reader = False
+        self._retries_silence = False
         self._call_started_at = 0.0
         self.state: StoreConfigurationState | None = None
 
     def is_reader(self) -> bool:
         """Returns whether this node reads the store for other nodes."""
-        return self._get_position() is not None
+        return self._duty.get_position() is not None
 
     def get_accepted(self) -> StoreConfigurationState | None:
         """Returns the state in force, to be sent to peers."""
@@ -113,37 +115,41 @@
     async def run(self) -> None:
         """Reads the topic until cancelled."""
         while True:
-            position = self._get_position()
+            position = self._duty.get_position()
             self._log_reader_change(position is not None)
             self._call_started_at = self._clock.monotonic()
             try:
                 if self._end_offset is None:
                     await self._read_all()
-                elif position is None:
+                elif position is None and not (
+                    self._retries_silence or self._duty.is_probe_due()
+                ):
                     await self._clock.sleep(_READER_CHECK_INTERVAL)
                     continue
                 else:
                     wait = self._choose_wait(position)
                     await self._read_new_records(self._end_offset, wait)
-                self._record_reachability(None)
+                self._record_success()
                 self._backoff.reset()
             except HistoryLostError:
                 _log.info("configuration_history_lost", offset=self._end_offset)
                 self._end_offset = None
             except StoreSilentError as exc:
-                # The timeout takes the place of a backoff.
-                self._record_reachability(exc)
+                # The timeout takes the place of a backoff. If only the
+                # connection was silent, a retry is faster than another reader.
+                self._retries_silence = not self._retries_silence
+                self._record_failure(exc)
             except RhubarbpaddleError as exc:
-                self._record_reachability(exc)
+                self._record_failure(exc)
                 await self._clock.sleep(self._backoff.next_delay())
 
-    def _choose_wait(self, position: ReaderPosition) -> timedelta:
+    def _choose_wait(self, position: ReaderPosition | None) -> timedelta:
         """Returns how long the store should hold the next read.
 
         After a failure, a response that may be held can't be told from another
         failure, so the store has to respond at once.
         """
-        if self._unreachable_since is not None:
+        if position is None or self._unreachable_since is not None:
             return timedelta()
         return self._schedule.get_wait(position, self._clock.now())
 
@@ -224,15 +230,18 @@
         self._on_change(cfg)
         return True
 
-    def _record_reachability(self, exc: RhubarbpaddleError | None) -> None:
-        now = self._clock.monotonic()
-        if exc is None:
-            if self._unreachable_since is not None:
-                lost_ms = round((now - self._unreachable_since) * 1000)
-                _log.info("store_regained", lost_ms=lost_ms)
+    def _record_success(self) -> None:
+        self._retries_silence = False
+        self._duty.record_success()
+        if self._unreachable_since is not None:
+            seconds = self._clock.monotonic() - self._unreachable_since
+            _log.info("store_regained", lost_ms=round(seconds * 1000))
             self._unreachable_since = None
-        elif self._unreachable_since is None:
-            self._unreachable_since = now
+
+    def _record_failure(self, exc: RhubarbpaddleError) -> None:
+        self._duty.record_failure(exc)
+        if self._unreachable_since is None:
+            self._unreachable_since = self._clock.monotonic()
             _log.warn(
                 "store_lost",
                 error=exc,
