--- a/features/soak_oracle.feature
+++ b/features/soak_oracle.feature
@@ -32,6 +32,18 @@
       | an instance of a withdrawn zone runs a request      |
       | a run starts a second after its caller disconnected |
 
+  # Guards against silent connections to the store, which the soak causes in most
+  # of its time, that excuse any other failure.
+  Scenario Outline: A failure while connections to the store are silent is reported
+    Given a history in which <event> during a silence of the store
+    Then the oracle reports "<check>" only
+
+    Examples:
+      | event                                          | check  |
+      | the newest path gets 404                       | DENIED |
+      | a request runs but gets no response            | LOST   |
+      | an instance of a withdrawn zone runs a request | EVAC   |
+
   # Guards against reports of runs that start before the node can have noticed
   # that the caller disconnected.
   Scenario: A run shortly after its caller disconnected is not reported
--- a/features/steps/soak_oracle_steps.py
+++ b/features/steps/soak_oracle_steps.py
@@ -55,6 +55,10 @@
         [_REQUEST._replace(status=404)],
         [],
     ),
+    "the newest path gets 404": lambda: (
+        [_REQUEST._replace(status=404, uses_newest_path=True)],
+        [],
+    ),
     "a response arrives a second after the deadline": lambda: (
         [_REQUEST._replace(ended_at=12.5)],
         [_RUN],
@@ -89,6 +93,13 @@
     context.faults = [Fault("crash_instance", "h0", 9.0, 10.0, False)]
 
 
+@given("a history in which {event} during a silence of the store")
+def step_history_during_silence(context: Context, event: str) -> None:
+    context.history = _HISTORIES[event]()
+    fault = Fault("silence_store", "all", 9.0, 10.0, False)
+    context.faults = [fault._replace(permits_failures=False)]
+
+
 @given("a history in which {event}")
 def step_history(context: Context, event: str) -> None:
     context.history = _HISTORIES[event]()
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -1,5 +1,6 @@
 """Injects overlapping random faults."""
 
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -19,13 +20,16 @@
 class FaultSchedule:
     """Injects random faults into a deployment."""
 
-    def __init__(self, deployment: SoakDeployment, planned_only: bool) -> None:
+    def __init__(
+        self, deployment: SoakDeployment, planned_only: bool, seed: int
+    ) -> None:
         """Creates a schedule.
 
         Args:
             deployment: The deployment that receives the faults.
             planned_only: Whether to run only planned operations, during which
                 no request may be lost.
+            seed: The seed of the run.
         """
         self._deployment = deployment
         self._rng = deployment.rng
@@ -52,10 +56,15 @@
         ]
         self._planned_names = {injector.__name__ for injector in planned}
         self._injectors = planned if planned_only else planned + unplanned
+        self._silences_store = not planned_only
+        # The other faults of a seed stay the same.
+        self._silence_rng = random.Random(seed)
 
     async def run(self) -> None:
         """Starts faults at random intervals until cancelled."""
         async with trio.open_nursery() as nursery:
+            if self._silences_store:
+                nursery.start_soon(self._silence_store_repeatedly)
             while True:
                 for _ in range(self._rng.randint(1, _MAX_FAULTS_PER_ROUND)):
                     injector = self._rng.choice(self._injectors)
@@ -65,6 +74,30 @@
                         nursery.start_soon(self._inject, injector, host)
                 await trio.sleep(self._rng.uniform(0.2, 2.0))
 
+    async def _silence_store_repeatedly(self) -> None:
+        """Silences the store's connections of all hosts around changes.
+
+        New connections work, so a change must come into force in time.
+        """
+        deployment = self._deployment
+        while True:
+            await trio.sleep(self._silence_rng.uniform(2.0, 5.0))
+            started_at = trio.current_time()
+            for host in deployment.hosts:
+                host.store_proxy.silence()
+            await trio.sleep(self._silence_rng.uniform(0.0, 0.5))
+            deployment.change_configuration()
+            deployment.faults.append(
+                Fault(
+                    "silence_store",
+                    "all",
+                    started_at,
+                    trio.current_time(),
+                    is_planned=False,
+                    permits_failures=False,
+                )
+            )
+
     async def _inject(self, injector: FaultInjector, host: SoakHost) -> None:
         started_at = trio.current_time()
         index = len(self._deployment.faults)
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -142,6 +142,7 @@
     def _has_unplanned_fault(self, start: float, end: float) -> bool:
         return any(
             not fault.is_planned
+            and fault.permits_failures
             and fault.started_at < end
             and start < fault.ended_at + _RECOVERY_SECONDS
             for fault in self._faults
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -44,6 +44,9 @@
     def reset(self) -> None:
         """Resets all open connections."""
         for stream in self._streams:
+            if stream.socket.fileno() < 0:
+                # The copying task has closed it after an error.
+                continue
             stream.socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER
             )
--- a/soak/records.py
+++ b/soak/records.py
@@ -62,6 +62,8 @@
         ended_at: When it ended.
         is_planned: Whether operators do this on purpose: a stop by SIGTERM,
             a reload, a change of the configuration, a leaving instance.
+        permits_failures: Whether requests may fail, or changes come into force
+            late, because of an unplanned fault.
     """
 
     name: str
@@ -69,3 +71,4 @@
     started_at: float
     ended_at: float
     is_planned: bool
+    permits_failures: bool = True
--- a/soak/run.py
+++ b/soak/run.py
@@ -64,7 +64,7 @@
                 for caller in deployment.make_callers("c"):
                     caller_nursery.start_soon(caller.run, stopped)
                 schedule = FaultSchedule(
-                    deployment, seed % _PLANNED_ONLY_DIVISOR == 0
+                    deployment, seed % _PLANNED_ONLY_DIVISOR == 0, seed
                 )
                 with trio.move_on_after(seconds):
                     await schedule.run()
