Soak: let only a node's own faults excuse an old configuration

A 404 for a path that was added 2 s before is excused only by a fault of the node's own host or of the store, as the platform's rule has it; before, a crash on any host did.

--- a/features/soak_oracle.feature
+++ b/features/soak_oracle.feature
@@ -44,6 +44,11 @@
       | a request runs but gets no response            | LOST   |
       | an instance of a withdrawn zone runs a request | EVAC   |
 
+  # Guards against faults of other hosts that excuse an old configuration.
+  Scenario: An old configuration while another host crashes is reported
+    Given a history in which the newest path gets 404 during a crash of "h1"
+    Then the oracle reports "DENIED" only
+
   # Guards against reports of runs that start before the node can have noticed
   # that the caller disconnected.
   Scenario: A run shortly after its caller disconnected is not reported
--- a/features/steps/soak_oracle_steps.py
+++ b/features/steps/soak_oracle_steps.py
@@ -93,6 +93,14 @@
     context.faults = [Fault("crash_instance", "h0", 9.0, 10.0, False)]
 
 
+@given('a history in which {event} during a crash of "{host}"')
+def step_history_during_other_crash(
+    context: Context, event: str, host: str
+) -> None:
+    context.history = _HISTORIES[event]()
+    context.faults = [Fault("kill_node", host, 9.0, 10.0, False)]
+
+
 @given("a history in which {event} during a silence of the store")
 def step_history_during_silence(context: Context, event: str) -> None:
     context.history = _HISTORIES[event]()
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -14,6 +14,8 @@
 # How long the effects of a fault may last after it: reconnecting, replacing a
 # reader of the store, or receiving a configuration.
 _RECOVERY_SECONDS = 3.0
+# Faults that affect the calls of all hosts to the store.
+_STORE_FAULTS = frozenset({"reject_store_calls", "lose_store_responses"})
 _RESPONSE_SLACK_SECONDS = 0.5
 _DISCONNECT_SLACK_SECONDS = 0.5
 
@@ -101,7 +103,7 @@
             ):
                 yield f"MIXED {request.request_id}: got {request.body!r}"
             if request.status == 404 and not (
-                request.uses_newest_path and self._may_be_affected(request)
+                request.uses_newest_path and self._may_be_outdated(request)
             ):
                 yield f"DENIED {request.request_id}: 404 from {request.host}"
 
@@ -139,13 +141,30 @@
         """Returns whether an unplanned fault may have affected a request."""
         return self._has_unplanned_fault(request.sent_at, request.ended_at)
 
+    def _may_be_outdated(self, request: SentRequest) -> bool:
+        """Returns whether a fault may have kept a change from the node.
+
+        Only faults of the node's own host or of the store may; those of other
+        hosts must not.
+        """
+        return any(
+            (fault.host == request.host or fault.name in _STORE_FAULTS)
+            and self._is_relevant(fault, request.sent_at, request.ended_at)
+            for fault in self._faults
+        )
+
     def _has_unplanned_fault(self, start: float, end: float) -> bool:
         return any(
+            self._is_relevant(fault, start, end) for fault in self._faults
+        )
+
+    def _is_relevant(self, fault: Fault, start: float, end: float) -> bool:
+        """Returns whether a fault permits failures within a time."""
+        return (
             not fault.is_planned
             and fault.permits_failures
             and fault.started_at < end
             and start < fault.ended_at + _RECOVERY_SECONDS
-            for fault in self._faults
         )
 
     def _check_drained(
