--- a/src/rhubarbpaddle/membership/store_reader_election.py
+++ b/src/rhubarbpaddle/membership/store_reader_election.py
@@ -27,8 +27,8 @@
     """Elects readers among the alive nodes of each availability zone.
 
     The nodes with the lowest hashes of their ids are the readers, except for
-    some whose reads fail. The other
-    nodes receive the readers' results over control links.
+    some whose reads fail. The other nodes receive the readers' results over
+    control links.
     """
 
     def __init__(
