Reject reports of instances of another service

An instance that exits when its time is over takes those requests with it.

Cause: the registry compares the start and sequence of every well-formed report with those of the newest one before anything else. A report of another writer with a service that is not the instance's and a later start became the newest one. All true reports were then outdated, and acknowledged.

Evidence: the log of the case has report_outdated for each report of the instance after the odd one, beginning with its draining.

Fix: a report whose service is not that of the host's settings gets 400 before it can change anything. It holds also for a report under the instance's own id, and for one of a service that the configuration names. Nothing else is taken from it, so nothing is acknowledged that isn't applied.

--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -56,6 +56,7 @@
         network: Network,
         clock: Clock,
         dialect: UpstreamDialect,
+        get_service: Callable[[], str],
         get_limits: Callable[[str], ServiceLimits | None],
         wait_for_neighbours: Callable[[], Awaitable[None]],
     ) -> None:
@@ -68,6 +69,7 @@
             network: Opens connections to the instance.
             clock: The source of time.
             dialect: Maps requests and responses to the instance's headers.
+            get_service: Returns the service of the instance on this host.
             get_limits: Returns a service's limits, or None if it is unknown.
             wait_for_neighbours: Waits a short time for what neighbours know of
                 the earlier process of this node.
@@ -78,6 +80,7 @@
         self._network = network
         self._clock = clock
         self._dialect = dialect
+        self._get_service = get_service
         self._get_limits = get_limits
         self._wait_for_neighbours = wait_for_neighbours
         self.process_started_at = float("-inf")
@@ -98,11 +101,13 @@
             Whether the report was the newest; an outdated one is ignored.
 
         Raises:
-            ProtocolError: The report can't be true.
+            ProtocolError: The report can't be true, or is of another instance
+                than the one on this host.
         """
         now = self._clock.monotonic()
         problem = find_report_problem(
             report,
+            self._get_service(),
             self._newest_report_key,
             int((now - self._newest_report_at) * 1000),
             int(self._clock.now().timestamp() * 1000),
--- a/src/rhubarbpaddle/node/report_plausibility.py
+++ b/src/rhubarbpaddle/node/report_plausibility.py
@@ -13,6 +13,7 @@
 
 def find_report_problem(
     report: InstanceReport,
+    service: str,
     newest: tuple[int, int],
     elapsed_ms: int,
     now_ms: int,
@@ -20,16 +21,20 @@
     """Returns why a report can't be true, or None.
 
     A start in the future, or a sequence number that is far too high, would
-    make all true reports outdated.
+    make all true reports outdated. So would one of an instance that does not
+    run on this host.
 
     Args:
         report: The report; its incarnation is a start time in milliseconds
             since the epoch.
+        service: The service of the instance on this host.
         newest: Incarnation and sequence number of the newest report so far.
         elapsed_ms: Milliseconds since the newest report arrived, or since the
             node started.
         now_ms: The time of day, in milliseconds since the epoch.
     """
+    if report.service != service:
+        return "the service is not that of the instance on this host"
     # Integers of any size, since the report may hold any.
     uptime_ms = now_ms - report.incarnation + _MAX_CLOCK_DIFFERENCE_MS
     if uptime_ms < 0:
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -186,6 +186,7 @@
             network,
             clock,
             PlatformUpstreamDialect(self._get_instance),
+            lambda: self.settings.service,
             self._get_limits,
             self.overlay.wait_for_first_entries,
         )
