Keep departures by boot and across restarts of a node

What callers saw: an instance deregistered and got its 200; its node was killed 0.3 s later, and a report from before the departure arrived late. The same without a restart if the departure named a later start than the attached one: it was acknowledged and ignored.

Cause: a node attached the instance of any report that was newer than those its own process had seen. What an earlier process had acknowledged was looked up only by the path that finds an instance by its health check, and only once, and a neighbour returned a departure only if it still held the entry in which it stood: a second restart, or a neighbour that heard of the new process from a third node, lost it.

Fix: - A departure is kept for an instance and its start; earlier starts of the instance count as departed too, later ones don't. A departure of a later start than the attached one ends the use of the instance; one of an earlier start no longer stops a later one that has not reported. - In the first 5 s of a process, a report attaches an instance only once its health check succeeds. Reports are seconds late, so that later ones were sent after the start, when the earlier process could acknowledge nothing more. A boot that follows one that this process has used needs no check. - The member table keeps the entry with a departure until the node's new process has one that covers it. The control link returns it at its start and with each entry of the neighbour, and the new process publishes it again. It applies it also after it has attached the instance. - A departure whose start lies in the future gets 400, as such reports do.

Changed check: "A request reaches an instance on another host" used an instance whose health check fails, only to keep it from being discovered before its report. It now becomes healthy with the report; what is checked is the same.

--- a/features/instance_departures.feature
+++ b/features/instance_departures.feature
@@ -14,3 +14,44 @@
       | another instance of an unnamed service      |
       | another instance of another named service   |
       | the same instance with an unnamed service   |
+
+  # Guards against a departed instance that is in use again after a restart of
+  # its node, because a report from before the departure arrives late.
+  Scenario Outline: A late report does not reverse a departure after a restart
+    Given two hosts that serve requests
+    When the first instance departs by <call>
+    And <nodes> restarted <times> and a report from before arrives <delay> s later
+    Then no request of the next 8 s reaches the departed instance
+
+    Examples:
+      | call       | nodes              | times | delay |
+      | draining   | the first node is  | once  | 0     |
+      | draining   | the first node is  | once  | 1.5   |
+      | deregister | the first node is  | once  | 0     |
+      | deregister | the first node is  | twice | 0     |
+      | draining   | the first node is  | twice | 1.5   |
+      | deregister | both nodes are     | once  | 0     |
+      | draining   | both nodes are     | once  | 1.5   |
+      | draining   | both nodes are     | twice | 0     |
+
+  # Guards against a departure that is acknowledged and ignored, because the
+  # instance started again under its id and leaves before its first report.
+  Scenario: The departure of a later start than the one in use is followed
+    Given a host whose instance serves requests
+    When the start 2000 of the instance departs and a report of the start 1000 follows
+    Then no further request reaches the instance
+
+  # Guards against an instance that is not used after it started again under its
+  # id, because the departure of the start before arrives late.
+  Scenario: The departure of an earlier start does not stop a later one
+    Given a host whose instance runs but has not reported
+    When the start 500 of the instance departs and a report of the start 1000 follows
+    Then a further request reaches the instance
+
+  # Guards against an instance that is never used, because an odd departure
+  # names a start that no boot of it will reach.
+  Scenario: A departure with a start in the far future is rejected
+    Given a host whose instance serves requests
+    When a departure with a start in the far future arrives
+    Then it got 400
+    And a further request reaches the instance
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -43,6 +43,7 @@
 )
 def step_send(context: Context, name: str, node: str) -> None:
     async def scenario(world: PlatformWorld) -> None:
+        world.instances[name].healthy = True
         await world.report(name)
         await trio.sleep(0.5)
         context.response = await world.send_request(node, "one")
--- a/src/rhubarbpaddle/http/product_upstream_dialect.py
+++ b/src/rhubarbpaddle/http/product_upstream_dialect.py
@@ -55,5 +55,9 @@
         """Returns None, since responses of this dialect contain no load."""
         return None
 
+    def parse_health(self, headers: RawHeaders) -> InstanceReading | None:
+        """Returns None, since responses of this dialect name no instance."""
+        return None
+
 
 PRODUCT_DIALECT = ProductUpstreamDialect()
--- a/src/rhubarbpaddle/http/upstream_dialect.py
+++ b/src/rhubarbpaddle/http/upstream_dialect.py
@@ -59,3 +59,11 @@
     def parse_load(self, headers: RawHeaders) -> InstanceReading | None:
         """Returns the load in a response's headers, or None if absent."""
         ...
+
+    def parse_health(self, headers: RawHeaders) -> InstanceReading | None:
+        """Returns what the headers of a health check's response report.
+
+        A load that is absent reads as that of an idle instance without slots.
+        Returns None if the headers don't name the instance.
+        """
+        ...
--- a/src/rhubarbpaddle/node/instance_report.py
+++ b/src/rhubarbpaddle/node/instance_report.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from rhubarbpaddle.node.instance_boot import InstanceBoot
+
 
 class InstanceReport(NamedTuple):
     """An instance's report about itself.
@@ -24,3 +26,8 @@
     slots: int
     leaving: bool
     cold_time: timedelta
+
+    @property
+    def boot(self) -> InstanceBoot:
+        """The start of the instance that the report is about."""
+        return InstanceBoot(self.instance, self.incarnation)
--- a/src/rhubarbpaddle/node/report_plausibility.py
+++ b/src/rhubarbpaddle/node/report_plausibility.py
@@ -37,8 +37,9 @@
         return "the service is not that of the instance on this host"
     # Integers of any size, since the report may hold any.
     uptime_ms = now_ms - report.incarnation + _MAX_CLOCK_DIFFERENCE_MS
-    if uptime_ms < 0:
-        return "the start is in the future"
+    problem = find_start_problem(report.incarnation, now_ms)
+    if problem is not None:
+        return problem
     incarnation, sequence = newest
     if incarnation != report.incarnation:
         sequence = 0
@@ -47,3 +48,17 @@
     if report.sequence > sequence + allowed:
         return "the sequence number is far too high"
     return None
+
+
+def find_start_problem(incarnation: int, now_ms: int) -> str | None:
+    """Returns why an instance can't have started at a time, or None.
+
+    Args:
+        incarnation: The start, in milliseconds since the epoch.
+        now_ms: The time of day, in milliseconds since the epoch.
+    """
+    if incarnation < 0:
+        return "the start is negative"
+    if incarnation > now_ms + _MAX_CLOCK_DIFFERENCE_MS:
+        return "the start is in the future"
+    return None
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -13,7 +13,6 @@
     MemberTable,
     StoreAccess,
     StoreAccessTable,
-    UpstreamState,
 )
 from rhubarbpaddle.membership.member_check import find_member_problem
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
@@ -84,6 +83,7 @@
             update.fingerprint: update for update in crashes.get_updates()
         }
         self._replaced_entries: list[Member] = []
+        self._returned_entry: Member | None = None
         self._wake = trio.Event()
         self._sent_at = float("-inf")
         self._heartbeat_at = float("-inf")
@@ -92,6 +92,7 @@
         self._update_requested = False
         self._consecutive_differences = 0
         self._repaired_at = float("-inf")
+        self._return_departure()
 
     def enqueue(self, member: Member) -> None:
         """Queues a member table entry and wakes the sender."""
@@ -217,8 +218,9 @@
                 continue
             problem = find_member_problem(member, self._is_valid_address)
             if problem is None:
-                self._return_departure(member)
                 self._table.merge(member, self.peer_id)
+                if member.node_id == self.peer_id:
+                    self._return_departure()
             elif member.node_id not in self._rejected_ids:
                 # Neighbours send it again with each repair.
                 self._rejected_ids.add(member.node_id)
@@ -229,21 +231,12 @@
                     reason=problem,
                 )
 
-    def _return_departure(self, member: Member) -> None:
-        """Sends a restarted neighbour the departure of its instance.
-
-        The new process can't see this on the instance, which may serve until it
-        exits, and its own entry is about to replace what the table knows.
-        """
-        current = self._table.get(member.node_id)
-        if (
-            member.node_id == self.peer_id
-            and current is not None
-            and current.incarnation < member.incarnation
-            and current.upstream is not None
-            and current.upstream.state is UpstreamState.LEAVING
-        ):
-            self._replaced_entries.append(current)
+    def _return_departure(self) -> None:
+        """Sends a restarted neighbour the departure of its instance."""
+        entry = self._table.get_replaced_departure(self.peer_id)
+        if entry is not None and entry != self._returned_entry:
+            self._returned_entry = entry
+            self._replaced_entries.append(entry)
             self._wake.set()
 
     def _repair_if_different(self, heartbeat: Heartbeat) -> None:
--- a/src/rhubarbpaddle/platform/report_document.py
+++ b/src/rhubarbpaddle/platform/report_document.py
@@ -62,7 +62,7 @@
     if not content.strip():
         return None
     born = _parse_object(content).get("born")
-    return born if isinstance(born, int) else None
+    return born if type(born) is int else None
 
 
 def _parse_object(content: bytes) -> dict[str, Any]:
--- a/src/rhubarbpaddle/platform/upstream_dialect.py
+++ b/src/rhubarbpaddle/platform/upstream_dialect.py
@@ -84,10 +84,6 @@
         if match is None:
             return None
         running, queued, slots, slowdown_percent = match.groups()
-        cold_ms = get_header(received, header_names.COLD)
-        cold_seconds = None
-        if cold_ms is not None and _NUMBER.fullmatch(cold_ms):
-            cold_seconds = int(cold_ms) / 1000
         return InstanceReading(
             instance=get_header(received, header_names.INSTANCE),
             running=int(running),
@@ -98,5 +94,28 @@
                 if slowdown_percent
                 else 1.0
             ),
-            cold_seconds=cold_seconds,
+            cold_seconds=_parse_cold_time(received),
         )
+
+    def parse_health(self, headers: RawHeaders) -> InstanceReading | None:
+        """Returns the reading of a health check, or None without an id."""
+        received = list(headers)
+        instance = get_header(received, header_names.INSTANCE)
+        if instance is None:
+            return None
+        return self.parse_load(received) or InstanceReading(
+            instance=instance,
+            running=0,
+            queued=0,
+            slots=0,
+            slowdown=1.0,
+            cold_seconds=_parse_cold_time(received),
+        )
+
+
+def _parse_cold_time(headers: Headers) -> float | None:
+    """Returns the remaining cold start time in seconds, or None if absent."""
+    cold_ms = get_header(headers, header_names.COLD)
+    if cold_ms is None or not _NUMBER.fullmatch(cold_ms):
+        return None
+    return int(cold_ms) / 1000
