Store departures before they are acknowledged

What callers saw: with all nodes killed after a departure was acknowledged, nobody knew of it any more. The health check of the instance could still succeed (health answers may be false), so that it was discovered and used again, without any late report.

Cause: a departure was kept only in the memory of nodes.

Fix: the node beside the instance stores its departures in the topic of the directory, under a key of its own, and acknowledges after that. If the store does not respond within 0.4 s, it acknowledges nevertheless (the platform expects an acknowledgement within a second and holds also without the store) and stores them later. A node that starts reads the directory anyway; it now waits for that, at most 0.4 s, before it takes an instance into use, as it does for its neighbours. Cost: one write for each departing instance.

Evidence: "A departure outlasts the processes of all nodes" fails without the fix.

--- a/features/instance_departures.feature
+++ b/features/instance_departures.feature
@@ -48,6 +48,23 @@
     When the start 500 of the instance departs and a report of the start 1000 follows
     Then a further request reaches the instance
 
+  # Guards against a departed instance that is in use again after a restart of
+  # all nodes, because only their processes knew of the departure, and a health
+  # check that succeeds shows nothing of it.
+  Scenario: A departure outlasts the processes of all nodes
+    Given two hosts that serve requests
+    When the first instance departs while its health check succeeds
+    And both nodes are restarted once and a report from before arrives 0 s later
+    Then no request of the next 8 s reaches the departed instance
+
+  # Guards against an instance that exits without an acknowledgement, because
+  # its departure waits for a store that does not respond.
+  Scenario: A departure is acknowledged while the store is silent
+    Given two hosts that serve requests
+    When the store falls silent and the first instance departs
+    Then the departure was acknowledged within 1 s
+    And no request of the next 8 s reaches the departed instance
+
   # Guards against an instance that is never used, because an odd departure
   # names a start that no boot of it will reach.
   Scenario: A departure with a start in the far future is rejected
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -162,6 +162,7 @@
             self._get_link_count,
             self.configuration.store_responded.wait,
             lambda: self.overlay.handle_seeds_changed(),
+            lambda boot: self.registry.handle_earlier_departure(boot),
             settings.is_first_start,
         )
         identity = PeerIdentity(
@@ -188,7 +189,7 @@
             PlatformUpstreamDialect(self._get_instance),
             lambda: self.settings.service,
             self._get_limits,
-            self.overlay.wait_for_first_entries,
+            self._wait_for_departures,
         )
         pool = PeerPool(network, connector, clock)
         remote_dispatcher = RemoteDispatcher(
@@ -278,7 +279,10 @@
             self._clock.monotonic() - self._age.total_seconds()
         )
         host, _ = split_address(settings.readiness_address)
-        reports = RequestResponder(ReportHandler(self.registry).respond)
+        report_handler = ReportHandler(
+            self.registry, self._directory.record_departure
+        )
+        reports = RequestResponder(report_handler.respond)
         readiness = RequestResponder(self._handle_readiness)
         listeners = (
             (settings.peer_address, self._peer_listener.handle),
@@ -295,6 +299,7 @@
             nursery.start_soon(self._start_gate.run)
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self._directory.run)
+            nursery.start_soon(self._directory.run_departures)
             nursery.start_soon(self.overlay.run)
             nursery.start_soon(self._stream_watch.run)
             nursery.start_soon(self.registry.run)
@@ -308,6 +313,12 @@
         await self._start_gate.wait()
         await self._caller_handler.handle(stream)
 
+    async def _wait_for_departures(self) -> None:
+        """Waits a short time for the departures of before this process."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.overlay.wait_for_first_entries)
+            nursery.start_soon(self._directory.wait_for_entries)
+
     def _has_all_services(self) -> bool:
         """Returns whether each service has an instance that takes requests."""
         cfg = self.configuration.get_configuration()
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -5,14 +5,27 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+import trio
+
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
 from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.node.backoff import Backoff
+from rhubarbpaddle.node.departures import Departures
+from rhubarbpaddle.node.instance_boot import InstanceBoot
+from rhubarbpaddle.platform.keyed_record import KeyedRecord
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.telemetry import get_logger
 
 _TOPIC = "keyed.nodes"
+# Precedes the id of a node in the key under which the departures of its
+# instances are stored, as an object of instance ids and incarnations.
+_DEPARTURE_PREFIX = "departed/"
+# How long the acknowledgement of a departure waits until it is stored; the
+# platform accepts acknowledgements within a second.
+_STORE_TIMEOUT_SECONDS = 0.4
+# How long a node that starts waits for the entries.
+_FIRST_READ_SECONDS = 0.4
 _BACKOFF_LIMIT = timedelta(seconds=1)
 # A node that is connected to others learns the remaining addresses from them.
 # A node without connections rereads them: first after the shorter time, because
@@ -27,6 +40,9 @@
 class NodeDirectory:
     """Publishes this node's address and reads those of other nodes.
 
+    It also stores the departures of this node's instances, so that they are
+    known after a restart of all nodes.
+
     Entries of removed nodes are not deleted; each only costs an attempt to
     connect.
     """
@@ -42,6 +58,7 @@
         get_link_count: Callable[[], int],
         wait_for_store: Callable[[], Awaitable[None]],
         on_change: Callable[[], None],
+        on_departure: Callable[[InstanceBoot], None],
         is_first_start: bool,
     ) -> None:
         """Creates a directory without addresses of other nodes.
@@ -58,10 +75,13 @@
             wait_for_store: Waits until the store has responded to a read, so
                 that only one task calls the store during an outage.
             on_change: Called after the entries were read.
+            on_departure: Called with each departure of this node's instances
+                that is read.
             is_first_start: Whether the whole fleet starts for the first time.
         """
         self._wait_for_store = wait_for_store
         self._on_change = on_change
+        self._on_departure = on_departure
         self._is_first_start = is_first_start
         self._get_link_count = get_link_count
         self._is_valid_address = is_valid_address
@@ -72,6 +92,10 @@
         self._rng = rng
         self._addresses: tuple[str, ...] = ()
         self._is_registered = False
+        self._entries_read = trio.Event()
+        self._departures = Departures()
+        self._departure_recorded = trio.Event()
+        self._departure_stored = trio.Event()
 
     def get_addresses(self) -> tuple[str, ...]:
         """Returns the peer addresses of the other nodes."""
@@ -96,6 +120,38 @@
             else:
                 interval = _MAX_REREAD_INTERVAL
 
+    async def wait_for_entries(self) -> None:
+        """Waits until the entries were read, or for a short time."""
+        with trio.move_on_after(_FIRST_READ_SECONDS):
+            await self._entries_read.wait()
+
+    async def record_departure(self, boot: InstanceBoot) -> None:
+        """Waits until a departure is stored, or for a short time.
+
+        If the store does not respond in time, the departure is stored later.
+        """
+        if not self._departures.has_departed(boot):
+            self._departures.record(boot)
+            self._departure_stored = trio.Event()
+            self._departure_recorded.set()
+        with trio.move_on_after(_STORE_TIMEOUT_SECONDS):
+            await self._departure_stored.wait()
+
+    async def run_departures(self) -> None:
+        """Stores each departure that is recorded."""
+        while True:
+            await self._departure_recorded.wait()
+            self._departure_recorded = trio.Event()
+            stored = self._departure_stored
+            await self._retry(self._store_departure)
+            stored.set()
+
+    async def _store_departure(self) -> None:
+        document = dict(self._departures)
+        key = _DEPARTURE_PREFIX + self._node_id
+        await self._store.put(_TOPIC, key, json.dumps(document).encode())
+        _log.info("departures_stored", instances=",".join(document))
+
     async def _retry(self, operation: Callable[[], Awaitable[None]]) -> None:
         backoff = Backoff(self._rng, _BACKOFF_LIMIT)
         while True:
@@ -116,6 +172,9 @@
         newest = await self._store.read_newest(_TOPIC)
         addresses = []
         for record in newest.records:
+            if record.key.startswith(_DEPARTURE_PREFIX):
+                self._read_departure(record)
+                continue
             try:
                 address = str(decode_json(record.value)["peer_address"])
             except (ValueError, KeyError, TypeError) as exc:
@@ -134,5 +193,21 @@
                     reason="not an IP address and a port",
                 )
         self._addresses = tuple(addresses)
+        self._entries_read.set()
         self._on_change()
         _log.info("directory_read", nodes=len(addresses))
+
+    def _read_departure(self, record: KeyedRecord) -> None:
+        if record.key != _DEPARTURE_PREFIX + self._node_id:
+            return
+        try:
+            boots = [
+                InstanceBoot(str(instance), int(incarnation))
+                for instance, incarnation in decode_json(record.value).items()
+            ]
+        except (ValueError, AttributeError, TypeError, OverflowError) as exc:
+            _log.warn("directory_entry_invalid", key=record.key, reason=exc)
+            return
+        for boot in boots:
+            self._departures.record(boot)
+            self._on_departure(boot)
--- a/src/rhubarbpaddle/platform/report_handler.py
+++ b/src/rhubarbpaddle/platform/report_handler.py
@@ -1,11 +1,13 @@
 """The HTTP endpoint for reports of the instance on this host."""
 
 import re
+from collections.abc import Awaitable, Callable
 
 import h11
 
 from rhubarbpaddle.exceptions import ProtocolError
 from rhubarbpaddle.http.request_responder import ShortResponse
+from rhubarbpaddle.node.instance_boot import InstanceBoot
 from rhubarbpaddle.node.instance_registry import InstanceRegistry
 from rhubarbpaddle.platform.report_document import (
     parse_departure,
@@ -13,7 +15,8 @@
 )
 from rhubarbpaddle.telemetry import get_logger
 
-_TARGET = re.compile(rb"/instances/([^/?]+)/(heartbeat|deregister)")
+# Nodes do not accept longer names from each other.
+_TARGET = re.compile(rb"/instances/([^/?]{1,255})/(heartbeat|deregister)")
 _JSON = b"application/json"
 
 _log = get_logger("reports")
@@ -22,8 +25,19 @@
 class ReportHandler:
     """Passes status reports and departures to the instance registry."""
 
-    def __init__(self, registry: InstanceRegistry) -> None:
+    def __init__(
+        self,
+        registry: InstanceRegistry,
+        record_departure: Callable[[InstanceBoot], Awaitable[None]],
+    ) -> None:
+        """Creates a handler.
+
+        Args:
+            registry: Tracks the instance on this host.
+            record_departure: Stores a departure before it is acknowledged.
+        """
         self._registry = registry
+        self._record_departure = record_departure
 
     async def respond(self, head: h11.Request, content: bytes) -> ShortResponse:
         """Returns the response to a request of the instance.
@@ -37,11 +51,17 @@
         instance = match[1].decode("latin-1")
         try:
             if match[2] == b"heartbeat":
-                self._registry.handle_report(parse_report(instance, content))
+                report = parse_report(instance, content)
+                is_newest = self._registry.handle_report(report)
+                departed = report.boot if is_newest and report.leaving else None
             else:
                 incarnation = parse_departure(instance, content)
-                self._registry.handle_departure(instance, incarnation)
+                departed = self._registry.handle_departure(
+                    instance, incarnation
+                )
         except ProtocolError as exc:
             _log.warn("report_invalid", instance=instance, error=exc)
             return 400, _JSON, b"{}"
+        if departed is not None:
+            await self._record_departure(departed)
         return 200, _JSON, b"{}"
