Send a request again only with its whole body

With a body of more than 16 KiB of known length the second instance got it cut. In the other direction, the caller of such a request got 502, or 503 after a refusal as not run, though a sound instance was free.

Cause: whether a request may be sent again depended on the node beside the instance, which reports only what it saw of its own part. The gateway, which has the body, sent what was left of it. One refusal (the response's body could not be read) allowed it for each request, the others never for a streamed one.

Fix: the gateway keeps a streamed body of at most 64 KiB while it passes by, at most 4 MiB for all requests of a node, and decides itself: a request is sent again only if the node beside the instance permits it, and the body has not been read or is kept. It then starts at its first byte. The refusal between nodes has a new last field, `may_resend`, for requests that may be sent again if the whole body can be; nodes of earlier versions skip it, and their `may_retry` is no longer taken for a promise about the body.

--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -192,6 +192,7 @@
         method: str = "GET",
         deadline_ms: int = 1000,
         body: bytes = b"",
+        chunked: bool = False,
     ) -> PlatformResponse:
         """Sends a caller's request to a node."""
         headers = {
@@ -199,7 +200,9 @@
             "request-id": request_id,
             "deadline-ms": str(deadline_ms),
         }
-        return await self.send(f"{name}:2", method, target, headers, body)
+        return await self.send(
+            f"{name}:2", method, target, headers, body, chunked
+        )
 
     async def send(
         self,
@@ -208,11 +211,14 @@
         target: str,
         headers: dict[str, str],
         body: bytes = b"",
+        chunked: bool = False,
     ) -> PlatformResponse:
         """Sends one request on a new connection."""
         network = HostNetwork(self.fabric, address.partition(":")[0])
         conn = ClientConnection(await network.connect(address), address)
         length = {"content-length": str(len(body))} if body else {}
+        if chunked:
+            length = {"transfer-encoding": "chunked"}
         head = h11.Request(
             method=method,
             target=target,
--- a/src/rhubarbpaddle/exceptions/refused.py
+++ b/src/rhubarbpaddle/exceptions/refused.py
@@ -19,6 +19,9 @@
         outcome: Whether it is certain that the request did not run.
         retry_after: After how long the caller may send the request again.
         may_retry: Whether another attempt may be made on another instance.
+            The request's body has not been read, or is in memory.
+        may_resend: Whether another attempt may be made if the whole body can
+            be sent once more.
         report: The load of the instance that refused, if it reported it.
     """
 
@@ -33,6 +36,7 @@
         outcome: Outcome = Outcome.NOT_RUN,
         retry_after: timedelta = timedelta(seconds=1),
         may_retry: bool = False,
+        may_resend: bool = False,
         report: "LoadReport | None" = None,
     ) -> None:
         super().__init__(detail, step=step, peer=peer)
@@ -41,4 +45,5 @@
         self.outcome = outcome
         self.retry_after = retry_after
         self.may_retry = may_retry
+        self.may_resend = may_retry or may_resend
         self.report = report
--- a/src/rhubarbpaddle/execution/dispatcher.py
+++ b/src/rhubarbpaddle/execution/dispatcher.py
@@ -17,9 +17,9 @@
     ) -> AbstractAsyncContextManager[Response]:
         """Sends a request and returns its response.
 
-        The body is read only after the instance has admitted the request, so
-        that after a refusal with `may_retry` it is complete for the next
-        attempt.
+        The body is read only after the instance has admitted the request.
+        After a refusal with `may_resend`, another attempt is possible if the
+        body can be sent again from its beginning.
 
         Args:
             request: The request.
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -140,7 +140,10 @@
                     )
                     response_body = ObservedBody(response.body)
                     yield response._replace(
-                        body=await _buffer_if_short(response_body),
+                        body=await _buffer_if_short(
+                            response_body,
+                            may_retry=isinstance(body, BytesBody),
+                        ),
                         report=attached.admission.get_report(),
                     )
                 self.crashes.record_response(fingerprint)
@@ -235,9 +238,13 @@
         return attached
 
 
-async def _buffer_if_short(body: ObservedBody) -> Body:
+async def _buffer_if_short(body: ObservedBody, *, may_retry: bool) -> Body:
     """Reads a short body into memory and leaves a longer one streamed.
 
+    Args:
+        body: The body of the response.
+        may_retry: Whether the body of the request is still in memory.
+
     Raises:
         RefusedError: The body could not be read; the request has run at least
             in part.
@@ -259,7 +266,8 @@
             peer=exc.peer,
             status=502,
             outcome=Outcome.UNKNOWN,
-            may_retry=True,
+            may_retry=may_retry,
+            may_resend=True,
         ) from exc
     return BytesBody(bytes(content))
 
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -2,13 +2,14 @@
 
 import math
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
 
 import trio
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.execution.body import Body, rewind_body
+from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.body_memory import BodyMemory
 from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.caller_left_refusal import (
     make_caller_left_refusal,
@@ -16,6 +17,7 @@
 from rhubarbpaddle.execution.deadline_refusal import make_deadline_refusal
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.event_log import EventLog
+from rhubarbpaddle.execution.kept_body import KeptBody
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
 from rhubarbpaddle.execution.route_attempt_history import (
@@ -59,6 +61,7 @@
         self._dispatcher = dispatcher
         self._budget = budget
         self._clock = clock
+        self._body_memory = BodyMemory()
 
     @asynccontextmanager
     async def handle(
@@ -71,11 +74,20 @@
                 request may have run.
         """
         self._budget.record_request(request.service)
-        async with AsyncExitStack() as stack:
-            yield await self._get_response(stack, request, body)
+        # The body is discarded after the exchange, which may still read it.
+        with ExitStack() as kept_bodies:
+            if not isinstance(body, BytesBody):
+                body = kept_bodies.enter_context(
+                    KeptBody.keep(body, self._body_memory)
+                )
+            async with AsyncExitStack() as stack:
+                yield await self._get_response(stack, request, body)
 
     async def _get_response(
-        self, stack: AsyncExitStack, request: Request, body: Body
+        self,
+        stack: AsyncExitStack,
+        request: Request,
+        body: BytesBody | KeptBody,
     ) -> Response:
         history = RouteAttemptHistory(request.service)
         while True:
@@ -88,17 +100,18 @@
             candidate, may_queue = self._choose_candidate(request, history)
             if candidate is None:
                 raise _make_final_refusal(history)
+            body.rewind()
             try:
                 response = await self._send_attempt(
                     stack,
                     request._replace(may_queue=may_queue),
-                    rewind_body(body),
+                    body,
                     candidate,
                 )
             except RefusedError as exc:
                 history.record_failure(candidate.node_id, exc, may_queue)
                 self._log_failed_attempt(request, candidate, history, exc)
-                if not self._may_retry(request, history, exc):
+                if not self._may_retry(request, body, history, exc):
                     raise _make_final_refusal(history) from exc
                 continue
             if not self._may_retry_response(request, body, response, history):
@@ -147,9 +160,13 @@
         return self._router.choose(request.service, excluded), True
 
     def _may_retry(
-        self, request: Request, history: RouteAttemptHistory, exc: RefusedError
+        self,
+        request: Request,
+        body: BytesBody | KeptBody,
+        history: RouteAttemptHistory,
+        exc: RefusedError,
     ) -> bool:
-        if not exc.may_retry:
+        if not exc.may_resend or not body.can_rewind():
             return False
         if never_reached_instance(exc):
             return True
@@ -164,7 +181,7 @@
     def _may_retry_response(
         self,
         request: Request,
-        body: Body,
+        body: BytesBody | KeptBody,
         response: Response,
         history: RouteAttemptHistory,
     ) -> bool:
@@ -172,7 +189,7 @@
         return (
             response.status in _RETRYABLE_STATUSES
             and request.idempotent
-            and isinstance(body, BytesBody)
+            and body.can_rewind()
             and history.attempts + 1 < request.max_attempts
             and self._clock.monotonic() < request.useful_until
             and self._budget.try_spend(request.service, may_have_run=True)
--- a/src/rhubarbpaddle/http/upstream_client.py
+++ b/src/rhubarbpaddle/http/upstream_client.py
@@ -196,7 +196,12 @@
             raise
         except RhubarbpaddleError as exc:
             raise _make_unknown_outcome_refusal(
-                "upstream_lost", str(exc), self._address, 502, repeatable
+                "upstream_lost",
+                str(exc),
+                self._address,
+                502,
+                may_retry=repeatable,
+                may_resend=True,
             ) from exc
         if self._record_load is not None:
             reading = self._dialect.parse_load(response.headers)
@@ -216,6 +221,7 @@
                 peer=self._address,
                 retry_after=retry_after,
                 may_retry=repeatable,
+                may_resend=True,
             )
         if request.method == "HEAD" or response.status_code in (204, 304):
             await response_body.receive()
@@ -350,7 +356,13 @@
 
 
 def _make_unknown_outcome_refusal(
-    code: str, detail: str, address: str, status: int, may_retry: bool = False
+    code: str,
+    detail: str,
+    address: str,
+    status: int,
+    *,
+    may_retry: bool = False,
+    may_resend: bool = False,
 ) -> RefusedError:
     return RefusedError(
         code,
@@ -360,4 +372,5 @@
         status=status,
         outcome=Outcome.UNKNOWN,
         may_retry=may_retry,
+        may_resend=may_resend,
     )
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -198,6 +198,7 @@
             retry_after_ms=exc.retry_after // timedelta(milliseconds=1),
             may_retry=exc.may_retry,
             report=self._proxy.get_report(),
+            may_resend=exc.may_resend,
         )
 
 
--- a/src/rhubarbpaddle/peer/messages/refusal.py
+++ b/src/rhubarbpaddle/peer/messages/refusal.py
@@ -19,6 +19,8 @@
         retry_after_ms: Milliseconds to wait before a retry.
         may_retry: Whether the gateway may try another instance.
         report: The load of the instance, or None if not known.
+        may_resend: Whether the gateway may try another instance if it can send
+            the whole body once more. Nodes of earlier versions omit it.
     """
 
     request_id: str
@@ -30,3 +32,4 @@
     retry_after_ms: int
     may_retry: bool
     report: LoadReport | None
+    may_resend: bool = False
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -146,6 +146,7 @@
                 status=502,
                 outcome=Outcome.UNKNOWN,
                 may_retry=isinstance(body, BytesBody),
+                may_resend=True,
             ) from exc
         return response
 
@@ -263,5 +264,6 @@
         outcome=refusal.outcome,
         retry_after=timedelta(milliseconds=refusal.retry_after_ms),
         may_retry=refusal.may_retry,
+        may_resend=refusal.may_resend,
         report=refusal.report,
     )
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -38,7 +38,13 @@
         disconnect_target: The connection of a request for this target is closed
             after the request has run, without a response.
         truncated_length: How many bytes of each response it sends before it
-            closes the connection; None if it sends all.
+            closes the connection; None if it sends all. Negative numbers
+            count from the end.
+        garbage: Bytes that it sends in place of each response to a request.
+        refuses_all: Whether it refuses all requests as not run.
+        arrivals: The ids of the requests that arrived, in order, including
+            those that it refused.
+        bodies: The bodies of the requests that it ran, in order.
         response_length: The length of its last response to a request.
     """
 
@@ -74,6 +80,10 @@
         self.disconnect_target = ""
         self.truncated_length: int | None = None
         self.response_length = 0
+        self.garbage = b""
+        self.refuses_all = False
+        self.arrivals: list[str] = []
+        self.bodies: list[bytes] = []
         self._running = 0
 
     async def handle(self, stream: trio.abc.Stream) -> None:
@@ -85,12 +95,18 @@
                 head = await _receive_event(stream, conn)
                 if not isinstance(head, h11.Request):
                     return
-                while isinstance(await _receive_event(stream, conn), h11.Data):
-                    pass
-                response = await self._respond(conn, head)
+                body = bytearray()
+                while isinstance(
+                    event := await _receive_event(stream, conn), h11.Data
+                ):
+                    body += event.data
+                response = await self._respond(conn, head, bytes(body))
                 request_id = _decode_headers(head).get("request-id", "")
                 if request_id and request_id == self.extra_refusal_id:
                     repeated = _REFUSAL
+                if self.garbage and request_id:
+                    await stream.send_all(self.garbage)
+                    return
                 if self.truncated_length is not None and request_id:
                     self.response_length = len(response)
                     await stream.send_all(response[: self.truncated_length])
@@ -111,7 +127,9 @@
         finally:
             await trio.aclose_forcefully(stream)
 
-    async def _respond(self, conn: h11.Connection, head: h11.Request) -> bytes:
+    async def _respond(
+        self, conn: h11.Connection, head: h11.Request, body: bytes
+    ) -> bytes:
         headers = _decode_headers(head)
         load = f"{self._running},0,{self.slots},{self.slowdown_percent}"
         load_headers = [("server-load", load)]
@@ -127,10 +145,12 @@
             instance = ("instance-id", self.instance)
             return _encode_response(conn, 421, [instance], b"")
         request_id = headers["request-id"]
-        if request_id in self.refused_ids:
+        self.arrivals.append(request_id)
+        if self.refuses_all or request_id in self.refused_ids:
             refusal = [("not-executed", "1"), ("request-id", request_id)]
             return _encode_response(conn, 503, refusal, b"")
         self.runs.append(request_id)
+        self.bodies.append(body)
         if self._on_run is not None:
             self._on_run(request_id)
         self.heads.append(headers)
