Bound the memory of the retry budget

What happened: the times of a service's requests were discarded only when one of them was to be retried. A node whose requests never fail kept each of them: 643 KB after 1,000 s at 20 requests a second, without bound.

Fix: recording a request discards those that are older than the window.

Evidence: "A budget without retries keeps the requests of its window only" fails before (643,240 bytes, the bound is 20,000).

--- a/features/routing_instances.feature
+++ b/features/routing_instances.feature
@@ -59,3 +59,10 @@
     Given 12 nodes that share a budget of 60 retries and 0.2 per request in 10 s
     When for 20 s a third of 300 requests per second run and fail, and each run makes 2 calls that are refused as not run
     Then the called service gets no more than 60 repeated calls plus 0.2 per call in any period of 10 s
+
+  # Guards against memory that grows with each request of a service whose
+  # requests are never retried.
+  Scenario: A budget without retries keeps the requests of its window only
+    Given 1 nodes that share a budget of 60 retries and 0.2 per request in 10 s
+    When the node gets 20 requests per second for 1000 s and retries none
+    Then its budget occupies at most 20000 bytes
--- a/features/steps/routing_instances_steps.py
+++ b/features/steps/routing_instances_steps.py
@@ -1,4 +1,6 @@
+import gc
 import random
+import tracemalloc
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -307,3 +309,33 @@
         requests = sum(first <= at < first + window for at in context.requests)
         allowed = slack + ratio * requests
         assert repeated_calls <= allowed, (first, repeated_calls, allowed)
+
+
+@when(
+    "the node gets {rate:d} requests per second for {seconds:d} s and retries"
+    " none"
+)
+def step_request_without_retries(
+    context: Context, rate: int, seconds: int
+) -> None:
+    (budget,) = _make_budgets(context)
+
+    async def run() -> None:
+        for _ in range(rate * seconds):
+            budget.record_request(_SERVICE)
+            await trio.sleep(1 / rate)
+
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    context.bytes = after - before
+
+
+@then("its budget occupies at most {count:d} bytes")
+def step_check_budget_memory(context: Context, count: int) -> None:
+    assert context.bytes <= count, context.bytes
--- a/src/rhubarbpaddle/execution/shared_retry_budget.py
+++ b/src/rhubarbpaddle/execution/shared_retry_budget.py
@@ -36,7 +36,10 @@
 
     def record_request(self, service: str) -> None:
         """Records a request before its first attempt."""
-        self._requests[service].append(self._clock.monotonic())
+        times = self._requests[service]
+        times.append(self._clock.monotonic())
+        # Retries, which count the requests, may be rare.
+        self._discard_old(times)
 
     def try_spend(self, service: str, *, may_have_run: bool) -> bool:
         """Takes a retry from the budget if there is one.
@@ -72,7 +75,10 @@
         return self._count_in_window(retry_times) + 1 <= allowed
 
     def _count_in_window(self, times: deque[float]) -> int:
+        self._discard_old(times)
+        return len(times)
+
+    def _discard_old(self, times: deque[float]) -> None:
         oldest = self._clock.monotonic() - self._terms.window.total_seconds()
         while times and times[0] < oldest:
             times.popleft()
-        return len(times)
