Keep the count of cold requests across boots of an instance

Cause: the node takes the returned instance into use by its health check, still under its earlier incarnation. The first report names the new one, for which the admission was created anew, with an empty count.

Fix: the count goes on for an instance with the same id. The requests of the last second before a crash count too, which the new boot did not get; it serves its first ones up to a second later in return.

"A restarted instance's first report keeps the count of requests" fails before (10 requests, the bound is 5).

--- a/features/discovered_instances.feature
+++ b/features/discovered_instances.feature
@@ -42,3 +42,10 @@
     Given a host whose running instance reports later
     When it departs and a late report that it is ready follows
     Then a request is refused as not run
+
+  # Guards against an instance that returns cold under its id and gets its
+  # permitted requests twice, before and after its first report.
+  Scenario: A restarted instance's first report keeps the count of requests
+    Given a host whose running instance reports later
+    When it reports, crashes and returns cold, and 10 requests arrive before and 10 after its next report
+    Then it has run at most 5 since its return
--- a/features/steps/discovered_instances_steps.py
+++ b/features/steps/discovered_instances_steps.py
@@ -5,6 +5,7 @@
 from behave.runner import Context
 
 from features.support.deferred_steps import defer_step
+from features.support.host_network import HostNetwork
 from features.support.platform_world import (
     SETTLE_SECONDS,
     PlatformWorld,
@@ -160,3 +161,39 @@
         assert world.instances["h2"].runs
 
     defer_step(context, run)
+
+
+@when(
+    "it reports, crashes and returns cold, and {before:d} requests arrive"
+    " before and {after:d} after its next report"
+)
+def step_return_cold(context: Context, before: int, after: int) -> None:
+    async def run() -> None:
+        world: PlatformWorld = context.world
+        await trio.sleep(1)
+        assert await world.report("h1") == 200
+        await trio.sleep(2)
+        world.fabric.stop_listening("h1:9")
+        world.nodes["h1"].registry.handle_connection_loss()
+        await trio.sleep(1)
+        instance = world.instances["h1"]
+        instance.cold_ms = 3000
+        network = HostNetwork(world.fabric, "h1")
+        await context.nursery.start(network.serve, "h1:9", instance.handle)
+        context.runs_before = len(instance.runs)
+        # Until the node has found that it serves again.
+        await trio.sleep(0.3)
+        await _send_concurrently(world, "b", before)
+        await world.report("h1", born=2_000, coldRemainingMs=2500)
+        await _send_concurrently(world, "a", after)
+
+    defer_step(context, run)
+
+
+@then("it has run at most {count:d} since its return")
+def step_check_runs_since(context: Context, count: int) -> None:
+    async def run() -> None:
+        runs = context.world.instances["h1"].runs[context.runs_before :]
+        assert 0 < len(runs) <= count, runs
+
+    defer_step(context, run)
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -504,6 +504,15 @@
         admission = InstanceAdmission(
             report.slots, limits.cold_rate, monitor, self._clock
         )
+        previous = self._instance_proxy.attached
+        if (
+            previous is not None
+            and previous.summary.instance == report.instance
+        ):
+            # An instance that started again may have got requests before it
+            # reported its new incarnation.
+            admission.cold_start_limit = previous.admission.cold_start_limit
+            admission.cold_start_limit.limit = limits.cold_rate
         self._count_earlier_requests(report, limits, admission)
         client = HttpUpstreamClient(
             self._network,
