Check whether an instance without a slowdown factor became cold

Cause: only a health check tells how long an instance stays cold. For one without `Server-Load` its response was not parsed at all. For one whose load has no slowdown factor, each response to a request counted as a fresh reading, so that above 40 requests a second no check was sent.

Fix: the cold time and the id are read from health checks without a load, and a reading without a slowdown factor is recent only for 50 ms after a health check.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -64,6 +64,20 @@
     When the instance of "h1" is slow for 0.15 s while a request waits
     Then the response arrives within 0.4 s
 
+  # Guards against a cold instance that gets its usual load until its next
+  # report, because its responses don't show that it has become cold.
+  Scenario Outline: An instance that becomes cold between reports gets its cold rate
+    Given a platform with hosts "h1"
+    When the instance of "h1" reports a load of <figures> figures and becomes cold while it gets <rate> requests a second
+    Then it ran at most 12 requests in each second since then
+
+    Examples:
+      | figures | rate |
+      | 0       | 60   |
+      | 3       | 60   |
+      | 3       | 120  |
+      | 4       | 120  |
+
   # Guards against a cold instance that gets its permitted rate from each of
   # several nodes.
   Scenario: All nodes together do not exceed the rate of a cold instance
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -225,6 +225,45 @@
     assert context.elapsed < seconds, context.elapsed
 
 
+@when(
+    'the instance of "{name}" reports a load of {figures:d} figures and becomes'
+    " cold while it gets {rate:d} requests a second"
+)
+def step_become_cold(
+    context: Context, name: str, figures: int, rate: int
+) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        instance = world.instances[name]
+        instance.load_figures = figures
+        instance.work_seconds = 0.01
+        async with trio.open_nursery() as nursery:
+            for index in range(3 * rate):
+                if index == rate:
+                    instance.cold_ms = 5000
+                    # As long as work takes in the platform's cold starts.
+                    instance.slowdown_percent = 200
+                    context.cold_since = trio.current_time()
+                nursery.start_soon(
+                    world.send_request, name, f"r{index}", "/lanes/x", "GET", 50
+                )
+                await trio.sleep(1 / rate)
+
+    run_on_platform(context, scenario)
+
+
+@then("it ran at most {count:d} requests in each second since then")
+def step_check_cold_rate(context: Context, count: int) -> None:
+    runs_at = [
+        time
+        for time in context.world.instances["h1"].runs_at
+        if time >= context.cold_since
+    ]
+    most = max(
+        sum(start <= time < start + 1 for time in runs_at) for start in runs_at
+    )
+    assert most <= count, most
+
+
 @when(
     'the instance of "{name}", the only one that reports, is cold and gets '
     "{count:d} requests in 1 s"
--- a/src/rhubarbpaddle/measuring/instance_monitor.py
+++ b/src/rhubarbpaddle/measuring/instance_monitor.py
@@ -14,6 +14,9 @@
 # Minimum time after a failed check until the next one, so that an instance that
 # doesn't respond is not checked before each request.
 _RETRY_DELAY_SECONDS = 0.1
+# Only a health check reports that an instance has become cold if its responses
+# contain no slowdown factor.
+_MAX_COLD_TIME_AGE_SECONDS = 0.05
 
 
 class InstanceMonitor:
@@ -33,6 +36,7 @@
         self._clock = clock
         self._read_at = float("-inf")
         self._failed_at = float("-inf")
+        self._checked_at = float("-inf")
         self._running_check: trio.Event | None = None
         self._baseline = SlowdownBaseline()
         self.reading: InstanceReading | None = None
@@ -59,6 +63,7 @@
         """Forces a check at the next `refresh`, as after a lost connection."""
         self._read_at = float("-inf")
         self._failed_at = float("-inf")
+        self._checked_at = float("-inf")
 
     def get_age(self) -> float:
         """Returns the age of the newest reading in seconds."""
@@ -93,7 +98,7 @@
         Args:
             max_age: The maximum age of the reading in seconds.
         """
-        if self.get_age() <= max_age:
+        if self._is_recent(max_age):
             return
         if self._clock.monotonic() - self._failed_at < _RETRY_DELAY_SECONDS:
             return
@@ -107,6 +112,13 @@
             self._running_check.set()
             self._running_check = None
 
+    def _is_recent(self, max_age: float) -> bool:
+        reading = self.reading
+        if reading is None or reading.has_slowdown or not max_age:
+            return self.get_age() <= max_age
+        age = self._clock.monotonic() - self._checked_at
+        return age <= _MAX_COLD_TIME_AGE_SECONDS
+
     async def aclose(self) -> None:
         """Closes the connection for health checks."""
         await self._checker.aclose()
@@ -125,6 +137,7 @@
             else:
                 if reading is not None:
                     self.record_reading(reading)
+                    self._checked_at = self._clock.monotonic()
                     return
                 self.refused = False
         self._failed_at = self._clock.monotonic()
--- a/src/rhubarbpaddle/measuring/instance_reading.py
+++ b/src/rhubarbpaddle/measuring/instance_reading.py
@@ -17,6 +17,8 @@
             reported.
         healthy: Whether the instance reports that it accepts requests; always
             true in a response to a request.
+        has_slowdown: Whether the slowdown factor was reported; otherwise it is
+            1.
     """
 
     instance: str | None
@@ -26,3 +28,4 @@
     slowdown: float
     cold_seconds: float | None
     healthy: bool = True
+    has_slowdown: bool = True
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -304,12 +304,7 @@
         self, limits: ServiceLimits
     ) -> InstanceReading | None:
         """Returns the reading of a health check, or None if it is unhealthy."""
-        client = HttpHealthClient(
-            self._network,
-            self._address,
-            limits.health_path,
-            self._dialect.parse_health,
-        )
+        client = self._create_health_client(limits)
         reading = None
         try:
             with trio.move_on_after(_HEALTH_TIMEOUT_SECONDS):
@@ -567,7 +562,7 @@
             self._network,
             self._address,
             limits.health_path,
-            self._dialect.parse_load,
+            self._dialect.parse_health,
         )
 
     def _apply_cold_time(
--- a/src/rhubarbpaddle/platform/upstream_dialect.py
+++ b/src/rhubarbpaddle/platform/upstream_dialect.py
@@ -95,21 +95,27 @@
                 else 1.0
             ),
             cold_seconds=_parse_cold_time(received),
+            has_slowdown=slowdown_percent is not None,
         )
 
     def parse_health(self, headers: RawHeaders) -> InstanceReading | None:
-        """Returns the reading of a health check, or None without an id."""
+        """Returns the reading of a health check, or None without an id.
+
+        The id is not required if the load is reported.
+        """
         received = list(headers)
+        reading = self.parse_load(received)
         instance = get_header(received, header_names.INSTANCE)
-        if instance is None:
-            return None
-        return self.parse_load(received) or InstanceReading(
+        if reading is not None or instance is None:
+            return reading
+        return InstanceReading(
             instance=instance,
             running=0,
             queued=0,
             slots=0,
             slowdown=1.0,
             cold_seconds=_parse_cold_time(received),
+            has_slowdown=False,
         )
 
 
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -41,9 +41,12 @@
             closes the connection; None if it sends all. Negative numbers
             count from the end.
         garbage: Bytes that it sends in place of each response to a request.
+        load_figures: The number of figures of the load that it reports, 3 or 4,
+            or 0 for none.
         refuses_all: Whether it refuses all requests as not run.
         arrivals: The ids of the requests that arrived, in order, including
             those that it refused.
+        runs_at: The times at which these began, in seconds of trio's clock.
         bodies: The bodies of the requests that it ran, in order.
         body_parts: The number of parts in which the body of each request
             arrived, in order.
@@ -83,8 +86,10 @@
         self.truncated_length: int | None = None
         self.response_length = 0
         self.garbage = b""
+        self.load_figures = 4
         self.refuses_all = False
         self.arrivals: list[str] = []
+        self.runs_at: list[float] = []
         self.bodies: list[bytes] = []
         self.body_parts: list[int] = []
         self._running = 0
@@ -136,8 +141,9 @@
         self, conn: h11.Connection, head: h11.Request, body: bytes
     ) -> bytes:
         headers = _decode_headers(head)
-        load = f"{self._running},0,{self.slots},{self.slowdown_percent}"
-        load_headers = [("server-load", load)]
+        figures = (self._running, 0, self.slots, self.slowdown_percent)
+        load = ",".join(map(str, figures[: self.load_figures]))
+        load_headers = [("server-load", load)] if load else []
         if head.target == b"/health":
             self.checks += 1
             cold = ("cold-ms", str(self.cold_ms))
@@ -155,6 +161,7 @@
             refusal = [("not-executed", "1"), ("request-id", request_id)]
             return _encode_response(conn, 503, refusal, b"")
         self.runs.append(request_id)
+        self.runs_at.append(trio.current_time())
         self.bodies.append(body)
         if self._on_run is not None:
             self._on_run(request_id)
