Soak: departures around restarts, odd reports, truncated and endless responses

Instances now depart around one or two restarts of their node, with a late report from before; return cold under their id; truncate their responses or send chunks of a few bytes without end; and another writer sends odd reports. Idempotent requests may have a body in chunks, which each run is compared with.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -12,3 +12,4 @@
       | 203  |
       | 205  |
       | 300  |
+      | 1502 |
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -23,6 +23,9 @@
 # the response.
 _ABANDON_PROBABILITY = 0.1
 _MAX_ABANDON_SECONDS = 0.2
+# The share of idempotent requests that have a body, which is sent in chunks.
+_BODY_PROBABILITY = 0.3
+_MAX_BODY_BYTES = 100_000
 
 
 class Caller:
@@ -58,6 +61,7 @@
         # A separate generator, so that seeds that failed before this choice was
         # added keep their other choices.
         self._abandon_rng = random.Random(name)
+        self._body_rng = random.Random(f"body-{name}")
         self._conn: ClientConnection | None = None
 
     async def run(self, stopped: trio.Event) -> None:
@@ -88,12 +92,15 @@
         prefix = newest_prefix if uses_newest_path else permanent_prefix
         idempotent = self._rng.random() < 0.5
         request_id = next(self._ids)
+        request_body = self._make_body() if idempotent else b""
         started_at = trio.current_time()
         status, body, is_signed = 0, b"", False
         with trio.move_on_after(timeout) as scope:
             try:
-                head = self._make_head(request_id, prefix, idempotent)
-                await conn.send_request(head, BytesBody(b""))
+                head = self._make_head(
+                    request_id, prefix, idempotent, bool(request_body)
+                )
+                await conn.send_request(head, BytesBody(request_body))
                 response, response_body = await conn.receive_response()
                 while chunk := await response_body.receive():
                     body += chunk
@@ -113,6 +120,7 @@
             body,
             is_signed,
             scope.cancelled_caught and timeout < DEADLINE_SECONDS,
+            request_body,
         )
         self._sent.append(request)
         if status == 0 or not conn.is_reusable():
@@ -122,18 +130,31 @@
             conn.h11.start_next_cycle()
         return request
 
+    def _make_body(self) -> bytes:
+        if self._body_rng.random() >= _BODY_PROBABILITY:
+            return b""
+        # Many short ones, and some that are too long to be sent again.
+        size = int(_MAX_BODY_BYTES ** self._body_rng.random())
+        return self._body_rng.randbytes(size)
+
     def _make_head(
-        self, request_id: str, prefix: str, idempotent: bool
+        self, request_id: str, prefix: str, idempotent: bool, has_body: bool
     ) -> h11.Request:
         host = "club.example" if idempotent else "desk.example"
+        method = "PUT" if has_body else "GET"
+        framing = (
+            ("transfer-encoding", "chunked")
+            if has_body
+            else ("content-length", "0")
+        )
         return h11.Request(
-            method="GET" if idempotent else "POST",
+            method=method if idempotent else "POST",
             target=f"{prefix}x",
             headers=[
                 ("host", host),
                 ("request-id", request_id),
                 ("deadline-ms", str(int(DEADLINE_SECONDS * 1000))),
-                ("content-length", "0"),
+                framing,
             ],
         )
 
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -8,6 +8,7 @@
 
 from soak.deployment import CONFIGURATION_DELAY_SECONDS, ZONES, SoakDeployment
 from soak.host import SoakHost
+from soak.instance_faults import InstanceFaults
 from soak.records import Fault
 
 _DRAIN_SECONDS = 2.0
@@ -56,15 +57,19 @@
         ]
         self._planned_names = {injector.__name__ for injector in planned}
         self._injectors = planned if planned_only else planned + unplanned
-        self._silences_store = not planned_only
+        self._has_unplanned = not planned_only
         # The other faults of a seed stay the same.
         self._silence_rng = random.Random(seed)
+        self._instance_faults = InstanceFaults(
+            deployment, self._busy_hosts, seed
+        )
 
     async def run(self) -> None:
         """Starts faults at random intervals until cancelled."""
         async with trio.open_nursery() as nursery:
-            if self._silences_store:
+            if self._has_unplanned:
                 nursery.start_soon(self._silence_store_repeatedly)
+                nursery.start_soon(self._instance_faults.run)
             while True:
                 for _ in range(self._rng.randint(1, _MAX_FAULTS_PER_ROUND)):
                     injector = self._rng.choice(self._injectors)
--- a/soak/host.py
+++ b/soak/host.py
@@ -130,10 +130,14 @@
             process.wait()
 
     async def start_instance(
-        self, nursery: trio.Nursery, is_cold: bool = True
+        self,
+        nursery: trio.Nursery,
+        is_cold: bool = True,
+        *,
+        keeps_id: bool = False,
     ) -> None:
-        """Starts an instance with a new id."""
-        self._instance_starts += 1
+        """Starts an instance, with a new id unless it keeps the last one."""
+        self._instance_starts += not keeps_id
         instance = self.instance = SoakInstance(
             self.name,
             self._instance_starts,
--- a/soak/instance.py
+++ b/soak/instance.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Any
 
 import h11
 import trio
@@ -30,6 +31,7 @@
 
     Attributes:
         instance_id: The id of the instance.
+        server: Serves its requests and health checks.
         departure_acknowledged_at: When its departure was acknowledged, or None.
     """
 
@@ -63,9 +65,10 @@
         self._sequence = 0
         self._started_ms = int(time.time() * 1000)
         self._leaving = False
+        self._is_reporting = True
         cold_seconds = COLD_SECONDS if is_cold else 0.0
         self._warm_at = trio.current_time() + cold_seconds
-        self._server = PlatformInstance(
+        self.server = PlatformInstance(
             self.instance_id, on_run=self._make_recorder(runs)
         )
 
@@ -80,12 +83,16 @@
         listeners = await trio.open_tcp_listeners(int(port), host=host)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                trio.serve_listeners, self._server.handle, listeners
+                trio.serve_listeners, self.server.handle, listeners
             )
             nursery.start_soon(self._vary_slowdown)
             task_status.started()
             while True:
-                if await self._report() and self._leaving:
+                if (
+                    self._is_reporting
+                    and await self.send("heartbeat", self.make_report())
+                    and self._leaving
+                ):
                     self.departure_acknowledged_at = (
                         self.departure_acknowledged_at or trio.current_time()
                     )
@@ -94,7 +101,7 @@
     @property
     def check_count(self) -> int:
         """The number of health checks that it has responded to."""
-        return self._server.checks
+        return self.server.checks
 
     def leave(self) -> None:
         """Makes all further reports state that it is leaving."""
@@ -105,7 +112,14 @@
             now = trio.current_time()
             is_cold = now < self._warm_at
             runs.append(
-                Run(request_id, self._host, self.instance_id, now, is_cold)
+                Run(
+                    request_id,
+                    self._host,
+                    self.instance_id,
+                    now,
+                    is_cold,
+                    self.server.bodies[-1],
+                )
             )
 
         return record
@@ -113,20 +127,18 @@
     async def _vary_slowdown(self) -> None:
         while True:
             is_slow = self._rng.random() < _SLOW_PROBABILITY
-            self._server.slowdown_percent = (
-                _SLOWDOWN_PERCENT if is_slow else 100
-            )
+            self.server.slowdown_percent = _SLOWDOWN_PERCENT if is_slow else 100
             remaining = max(0.0, self._warm_at - trio.current_time())
-            self._server.cold_ms = int(remaining * 1000)
+            self.server.cold_ms = int(remaining * 1000)
             await trio.sleep(
                 self._rng.uniform(0.3, 1.0) * _MAX_SLOWDOWN_PERIOD_SECONDS
             )
 
-    async def _report(self) -> bool:
-        """Sends a report and returns whether it was acknowledged."""
+    def make_report(self) -> dict[str, Any]:
+        """Returns the next status report."""
         self._sequence += 1
         remaining = max(0.0, self._warm_at - trio.current_time())
-        document = {
+        return {
             "service": self._service,
             "address": "-",
             "zone": "-",
@@ -137,10 +149,36 @@
             "seq": self._sequence,
             "born": self._started_ms,
         }
+
+    async def depart(self, *, deregisters: bool) -> bool:
+        """Announces the departure and sends no more reports.
+
+        Args:
+            deregisters: Whether it deregisters or reports that it is draining.
+
+        Returns:
+            Whether the departure was acknowledged.
+        """
+        self._leaving = True
+        self._is_reporting = False
+        if deregisters:
+            return await self.send("deregister", {"born": self._started_ms})
+        return await self.send("heartbeat", self.make_report())
+
+    async def send(
+        self, call: str, document: dict[str, Any], name: str = ""
+    ) -> bool:
+        """Sends a call to the node and returns whether it was acknowledged.
+
+        Args:
+            call: `heartbeat` or `deregister`.
+            document: The body.
+            name: The instance in the path, if it is another one.
+        """
         body = json.dumps(document).encode()
         head = h11.Request(
             method="POST",
-            target=f"/instances/{self.instance_id}/heartbeat",
+            target=f"/instances/{name or self.instance_id}/{call}",
             headers=[("host", "-"), ("content-length", str(len(body)))],
         )
         with trio.move_on_after(_REPORT_TIMEOUT_SECONDS):
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -85,6 +85,12 @@
         sent_ids = {request.request_id for request in self._sent}
         for request_id in self._run_counts.keys() - sent_ids:
             yield f"UNASKED {request_id}: ran, but no caller sent it"
+        bodies = {
+            request.request_id: request.request_body for request in self._sent
+        }
+        for run in self._runs:
+            if run.body != bodies.get(run.request_id, run.body):
+                yield f"UNASKED {run.request_id}: ran with another body"
         for request in self._sent:
             run_count = self._run_counts[request.request_id]
             if not request.idempotent and run_count > 1:
--- a/soak/records.py
+++ b/soak/records.py
@@ -20,6 +20,7 @@
         is_signed: Whether the response has an instance's signature.
         is_abandoned: Whether the caller closed its connection, at `ended_at`,
             without waiting for the response.
+        request_body: The body that was sent with the request.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     body: bytes
     is_signed: bool
     is_abandoned: bool = False
+    request_body: bytes = b""
 
 
 class Run(NamedTuple):
@@ -43,6 +45,7 @@
         instance: The instance's id.
         started_at: When it started, in seconds.
         is_cold: Whether the instance was in its cold start.
+        body: The body of the request.
     """
 
     request_id: str
@@ -50,6 +53,7 @@
     instance: str
     started_at: float
     is_cold: bool
+    body: bytes = b""
 
 
 class Fault(NamedTuple):
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -6,6 +6,7 @@
 import trio
 
 _RECEIVE_BYTES = 1 << 16
+_ENDLESS_CHUNKS = 1000
 _REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"not-executed: 1\r\ncontent-length: 0\r\n\r\n"
@@ -43,6 +44,8 @@
         garbage: Bytes that it sends in place of each response to a request.
         load_figures: The number of figures of the load that it reports, 3 or 4,
             or 0 for none.
+        endless_chunk: A chunk that it sends without end in place of the body of
+            each response to a request, or no bytes.
         refuses_all: Whether it refuses all requests as not run.
         arrivals: The ids of the requests that arrived, in order, including
             those that it refused.
@@ -86,6 +89,7 @@
         self.truncated_length: int | None = None
         self.response_length = 0
         self.garbage = b""
+        self.endless_chunk = b""
         self.load_figures = 4
         self.refuses_all = False
         self.arrivals: list[str] = []
@@ -114,6 +118,9 @@
                 request_id = _decode_headers(head).get("request-id", "")
                 if request_id and request_id == self.extra_refusal_id:
                     repeated = _REFUSAL
+                if self.endless_chunk and request_id:
+                    await self._send_endlessly(stream, request_id)
+                    return
                 if self.garbage and request_id:
                     await stream.send_all(self.garbage)
                     return
@@ -137,6 +144,16 @@
         finally:
             await trio.aclose_forcefully(stream)
 
+    async def _send_endlessly(
+        self, stream: trio.abc.Stream, request_id: str
+    ) -> None:
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nserver-signature: s\r\nrequest-id: %b\r\n"
+            b"transfer-encoding: chunked\r\n\r\n" % request_id.encode()
+        )
+        while self.endless_chunk:
+            await stream.send_all(self.endless_chunk * _ENDLESS_CHUNKS)
+
     async def _respond(
         self, conn: h11.Connection, head: h11.Request, body: bytes
     ) -> bytes:
