--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -9,13 +9,17 @@
 from rhubarbpaddle.cli.exit_code import ExitCode
 
 _SOURCE_DIR = Path(__file__).parents[2] / "src"
-# Sends SIGHUP to its own process when the largest library is imported.
+_LARGEST_LIBRARY = "trio"
+_FIRST_MODULE = "rhubarbpaddle.launch"
+# Sends SIGHUP to its own process when it imports the module that is named.
 _SCRIPT = """
 import os, runpy, signal, sys
 
+module = sys.argv[1]
+
 class SignallingFinder:
     def find_spec(self, name, path=None, target=None):
-        if name == "trio":
+        if name == module:
             os.kill(os.getpid(), signal.SIGHUP)
         return None
 
@@ -26,11 +30,21 @@
 
 
 @when("SIGHUP arrives while the process imports its libraries")
-def step_start_with_signal(context: Context) -> None:
+def step_signal_during_imports(context: Context) -> None:
+    context.process = _start_with_signal(_LARGEST_LIBRARY)
+
+
+@when("SIGHUP arrives before the process imports a module of its own")
+def step_signal_before_imports(context: Context) -> None:
+    context.process = _start_with_signal(_FIRST_MODULE)
+
+
+def _start_with_signal(module: str) -> "subprocess.CompletedProcess[str]":
+    """Starts a process that gets SIGHUP when it imports a module."""
     environment = {**os.environ, "PYTHONPATH": str(_SOURCE_DIR)}
     environment.pop("RHUBARBPADDLE_SETTINGS", None)
-    context.process = subprocess.run(
-        [sys.executable, "-c", _SCRIPT],
+    return subprocess.run(
+        [sys.executable, "-c", _SCRIPT, module],
         env=environment,
         capture_output=True,
         text=True,
--- a/src/rhubarbpaddle/launch/prepare_import.py
+++ b/src/rhubarbpaddle/launch/prepare_import.py
@@ -1,7 +1,6 @@
 """Prepares a process for the imports of a node on the platform."""
 
 import gc
-import signal
 
 from rhubarbpaddle.launch.archive_finder import ArchiveFinder
 from rhubarbpaddle.launch.archive_path import get_archive_path
@@ -9,14 +8,7 @@
 
 
 def prepare_import() -> None:
-    """Makes the imports that follow cheap and safe from signals.
-
-    `finish_import` ends what concerns the imports only.
-    """
-    # The platform sends SIGHUP whenever the settings change. By default the
-    # signal terminates the process, which would happen if it arrived during
-    # the imports; the node installs its handler afterwards.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    """Makes the imports that follow cheap until `finish_import`."""
     # Almost nothing that an import creates is garbage; looking for it takes a
     # tenth of the imports' processor time.
     gc.disable()
