Check for lost records at an owner that started during an outage

What callers saw: a keyed request could run twice after the log had lost its records, if the second claim went to an owner of the partition that had started while the log was away, for example because the first one seemed to be gone (the product's own interface; claims are off on the platform).

Cause: an empty stream after an outage is checked against the configuration stream only by an owner that had read it before. One that had not took it for a stream that never had claims.

Fix: the check depends on the outage only.

Evidence: "An owner that started during an outage does not grant a key from before" fails before (the key ran twice). The known red "The log restarts without its records" has the same picture; that this is its cause is not shown, so its entry stays. A wider check, at each first read, was tried and dropped: it refuses the first keys of a new deployment.

--- a/features/claims_owners.feature
+++ b/features/claims_owners.feature
@@ -74,6 +74,22 @@
     And the results of key 1 are "200, claim_unknown"
     And the results of key 2 are "200"
 
+  # Guards against the same at an owner that started during the outage, when
+  # another node seemed to be gone. It has read nothing of the stream.
+  Scenario: An owner that started during an outage does not grant a key from before
+    Given 3 owners of one partition
+    When key 1 is claimed at owner 0 with a request that would succeed
+    And the log becomes unavailable
+    And owner 1 is replaced
+    And 2 s goes by
+    And the log returns without its records
+    And key 1 is claimed at owner 1 with a request that would succeed
+    And 10 s goes by
+    And key 2 is claimed at owner 1 with a request that would succeed
+    Then key 1 ran 1 time
+    And the results of key 1 are "200, claim_unknown"
+    And the results of key 2 are "200"
+
   # Guards against a second run of a request whose claim was lost with the log's
   # records, at an owner that had read earlier records of the stream.
   Scenario: An owner notices that the log has fewer records than it has read
--- a/src/rhubarbpaddle/node/claim_partition_task.py
+++ b/src/rhubarbpaddle/node/claim_partition_task.py
@@ -294,8 +294,7 @@
         """
         if end_offset < self._next_offset:
             return True
-        is_after_outage = self.replayed and self._outage_started_at is not None
-        if end_offset > 0 or not is_after_outage:
+        if end_offset > 0 or self._outage_started_at is None:
             return False
         return await self._loss_detector.has_lost_records()
 
@@ -312,6 +311,7 @@
         )
         self._next_offset = 0
         self._history_start_ms = now_ms
+        self.replayed = True
         self._record_success()
 
     async def _get_claim_result(self, record: ClaimRecord) -> ClaimHeld | None:
