Store only departures of the instance in use; split the registry

Found by reading the diff of the departures, each with a test that fails before: the departure of any instance that another writer made up cost a call to the store, and a departure that an earlier process had stored delayed a repeated acknowledgement by 0.4 s.

InstanceFactory creates what is needed to use an instance and checks its health; the registry keeps its state.

--- a/features/instance_departures.feature
+++ b/features/instance_departures.feature
@@ -72,3 +72,20 @@
     When a departure with a start in the far future arrives
     Then it got 400
     And a further request reaches the instance
+
+  # Guards against calls to the store, each of which has a price, for departures
+  # that another writer makes up.
+  Scenario: Departures of instances that are not in use are not stored
+    Given a host whose instance serves requests
+    When 20 departures of other instances arrive
+    Then the store got no call
+    And a further request reaches the instance
+
+  # Guards against an acknowledgement that waits for a departure which an earlier
+  # process has stored.
+  Scenario: A departure that is stored already is acknowledged at once
+    Given two hosts that serve requests
+    When the first instance departs by draining
+    And the first node is restarted once and a report from before arrives 1 s later
+    And the first instance reports once more that it is draining
+    Then the departure was acknowledged within 0.1 s
--- a/features/steps/instance_departures_steps.py
+++ b/features/steps/instance_departures_steps.py
@@ -261,3 +261,37 @@
         assert context.status == status, context.status
 
     defer_step(context, run)
+
+
+@when("{count:d} departures of other instances arrive")
+def step_depart_others(context: Context, count: int) -> None:
+    async def run() -> None:
+        world: PlatformWorld = context.world
+        context.calls_before = world.store.calls
+        for index in range(count):
+            instance = f"i-other-{index}"
+            document = {"born": _LATER_MS}
+            status = await _call(world, instance, "deregister", document)
+            assert status == 200
+
+    defer_step(context, run)
+
+
+@then("the store got no call")
+def step_check_no_call(context: Context) -> None:
+    async def run() -> None:
+        assert context.world.store.calls == context.calls_before
+
+    defer_step(context, run)
+
+
+@when("the first instance reports once more that it is draining")
+def step_drain_again(context: Context) -> None:
+    async def run() -> None:
+        world: PlatformWorld = context.world
+        started_at = trio.current_time()
+        status = await world.report("h1", seq=8, state="draining")
+        assert status == 200
+        context.elapsed = trio.current_time() - started_at
+
+    defer_step(context, run)
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -6,16 +6,11 @@
 
 import trio
 
-from rhubarbpaddle.admission.instance_admission import InstanceAdmission
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration.service_limits import ServiceLimits
-from rhubarbpaddle.exceptions import ProtocolError, RhubarbpaddleError
+from rhubarbpaddle.exceptions import ProtocolError
 from rhubarbpaddle.execution.attached_instance import AttachedInstance
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
-from rhubarbpaddle.http.health_client import HttpHealthClient
-from rhubarbpaddle.http.upstream_client import HttpUpstreamClient
-from rhubarbpaddle.http.upstream_dialect import UpstreamDialect
-from rhubarbpaddle.measuring.instance_monitor import InstanceMonitor
 from rhubarbpaddle.measuring.instance_reading import InstanceReading
 from rhubarbpaddle.membership import (
     Member,
@@ -23,15 +18,14 @@
     UpstreamState,
     UpstreamSummary,
 )
-from rhubarbpaddle.network import Network
 from rhubarbpaddle.node.departures import Departures
 from rhubarbpaddle.node.instance_boot import InstanceBoot
+from rhubarbpaddle.node.instance_factory import InstanceFactory
 from rhubarbpaddle.node.instance_report import InstanceReport
 from rhubarbpaddle.node.report_plausibility import (
     find_report_problem,
     find_start_problem,
 )
-from rhubarbpaddle.node.upstream_reachability import UpstreamReachability
 from rhubarbpaddle.telemetry import get_logger
 
 # How often an instance that is down, but did not restart, is checked again.
@@ -40,8 +34,6 @@
 # A running instance sends its first report to a new node within this time.
 _DISCOVERY_SECONDS = 3.0
 _DISCOVERY_INTERVAL = timedelta(milliseconds=100)
-# A health check that takes longer is repeated on a new connection.
-_HEALTH_TIMEOUT_SECONDS = 0.1
 # The platform delivers some reports seconds late.
 _MAX_REPORT_DELAY_SECONDS = 5.0
 # Represents the incarnation of an instance that has not reported yet. Real
@@ -61,12 +53,10 @@
 
     def __init__(
         self,
-        address: str,
+        factory: InstanceFactory,
         instance_proxy: InstanceProxy,
         table: MemberTable,
-        network: Network,
         clock: Clock,
-        dialect: UpstreamDialect,
         get_service: Callable[[], str],
         get_limits: Callable[[str], ServiceLimits | None],
         wait_for_departures: Callable[[], Awaitable[None]],
@@ -74,23 +64,19 @@
         """Creates a registry without an instance.
 
         Args:
-            address: The instance's `IP:PORT`.
+            factory: Creates what is needed to use the instance.
             instance_proxy: Forwards requests to the instance.
             table: The member table; this node's entry describes the instance.
-            network: Opens connections to the instance.
             clock: The source of time.
-            dialect: Maps requests and responses to the instance's headers.
             get_service: Returns the service of the instance on this host.
             get_limits: Returns a service's limits, or None if it is unknown.
             wait_for_departures: Waits a short time until departures that the
                 earlier process of this node has acknowledged are known.
         """
-        self._address = address
+        self._factory = factory
         self._instance_proxy = instance_proxy
         self._table = table
-        self._network = network
         self._clock = clock
-        self._dialect = dialect
         self._get_service = get_service
         self._get_limits = get_limits
         self._wait_for_departures = wait_for_departures
@@ -152,7 +138,7 @@
 
     def handle_departure(
         self, instance: str, incarnation: int | None = None
-    ) -> InstanceBoot:
+    ) -> InstanceBoot | None:
         """Handles the announcement of an instance that it is about to stop.
 
         Args:
@@ -160,8 +146,9 @@
             incarnation: Its incarnation, or None if it was not announced.
 
         Returns:
-            The boot that departs. Without an announced incarnation it is the
-            one that is known, otherwise any that has started until now.
+            The boot that departs, or None if another instance is in use.
+            Without an announced incarnation it is the one that is known,
+            otherwise any that has started until now.
 
         Raises:
             ProtocolError: The incarnation can't be true.
@@ -187,6 +174,8 @@
             self._publish_departure(boot)
         elif attached.summary.instance == instance:
             self._apply_departure(attached, boot)
+        else:
+            return None
         return boot
 
     def handle_earlier_departure(self, boot: InstanceBoot) -> None:
@@ -268,7 +257,7 @@
         limits = self._get_limits(service)
         if limits is None:
             return
-        reading = await self._check_health(limits)
+        reading = await self._factory.check_health(limits)
         if reading is None:
             return
         if not self._waited_for_departures and not self._has_started_since(
@@ -276,7 +265,7 @@
         ):
             await self._wait_for_departures()
             self._waited_for_departures = True
-            reading = await self._check_health(limits)
+            reading = await self._factory.check_health(limits)
             if reading is None:
                 return
         report = self._pending_report
@@ -300,21 +289,6 @@
         age = limits.cold_start.total_seconds() - reading.cold_seconds
         return self._clock.monotonic() - age >= self.process_started_at
 
-    async def _check_health(
-        self, limits: ServiceLimits
-    ) -> InstanceReading | None:
-        """Returns the reading of a health check, or None if it is unhealthy."""
-        client = self._create_health_client(limits)
-        reading = None
-        try:
-            with trio.move_on_after(_HEALTH_TIMEOUT_SECONDS):
-                reading = await client.check()
-        except (OSError, RhubarbpaddleError) as exc:
-            _log.debug("discovery_check_failed", reason=exc)
-        finally:
-            await client.aclose()
-        return reading if reading is not None and reading.healthy else None
-
     def _attach_unreported(
         self, service: str, limits: ServiceLimits, reading: InstanceReading
     ) -> None:
@@ -493,42 +467,11 @@
     def _attach(
         self, report: InstanceReport, limits: ServiceLimits
     ) -> AttachedInstance:
-        monitor = InstanceMonitor(
-            self._create_health_client(limits), self._clock
-        )
-        admission = InstanceAdmission(
-            report.slots, limits.cold_rate, monitor, self._clock
-        )
-        previous = self._instance_proxy.attached
-        if (
-            previous is not None
-            and previous.summary.instance == report.instance
-        ):
-            # An instance that started again may have got requests before it
-            # reported its new incarnation.
-            admission.cold_start_limit = previous.admission.cold_start_limit
-            admission.cold_start_limit.limit = limits.cold_rate
-        self._count_earlier_requests(report, limits, admission)
-        client = HttpUpstreamClient(
-            self._network,
-            self._clock,
-            self._address,
-            limits.connections,
-            self._dialect,
-            monitor.record_reading,
-        )
-        attached = AttachedInstance(
-            UpstreamSummary(
-                service=report.service,
-                instance=report.instance,
-                incarnation=report.incarnation,
-                state=UpstreamState.DOWN,
-                slots=report.slots,
-            ),
-            admission,
-            monitor,
-            client,
-            UpstreamReachability(self._network, self._address),
+        attached = self._factory.create(
+            report,
+            limits,
+            self._instance_proxy.attached,
+            self.process_started_at,
         )
         self._instance_proxy.attach(attached)
         _log.info(
@@ -541,30 +484,6 @@
         )
         return attached
 
-    def _count_earlier_requests(
-        self,
-        report: InstanceReport,
-        limits: ServiceLimits,
-        admission: InstanceAdmission,
-    ) -> None:
-        """Counts what an earlier process may have sent to a cold instance."""
-        remaining = report.cold_time.total_seconds()
-        cold_since = self._clock.monotonic() - (
-            limits.cold_start.total_seconds() - remaining
-        )
-        if remaining > 0 and cold_since < self.process_started_at:
-            admission.cold_start_limit.assume_used_until(
-                self.process_started_at
-            )
-
-    def _create_health_client(self, limits: ServiceLimits) -> HttpHealthClient:
-        return HttpHealthClient(
-            self._network,
-            self._address,
-            limits.health_path,
-            self._dialect.parse_health,
-        )
-
     def _apply_cold_time(
         self, attached: AttachedInstance, seconds: float
     ) -> None:
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -36,6 +36,7 @@
 )
 from rhubarbpaddle.network import Network, split_address
 from rhubarbpaddle.node.event_loop_reporter import EventLoopReporter
+from rhubarbpaddle.node.instance_factory import InstanceFactory
 from rhubarbpaddle.node.instance_registry import InstanceRegistry
 from rhubarbpaddle.node.node_dispatcher import NodeDispatcher
 from rhubarbpaddle.node.node_runner import run_until_signal
@@ -181,12 +182,15 @@
             store_access,
         )
         self.registry = InstanceRegistry(
-            settings.instance_address,
+            InstanceFactory(
+                settings.instance_address,
+                network,
+                clock,
+                PlatformUpstreamDialect(self._get_instance),
+            ),
             self.instance_proxy,
             self.table,
-            network,
             clock,
-            PlatformUpstreamDialect(self._get_instance),
             lambda: self.settings.service,
             self._get_limits,
             self._wait_for_departures,
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -96,6 +96,7 @@
         self._departures = Departures()
         self._departure_recorded = trio.Event()
         self._departure_stored = trio.Event()
+        self._departure_stored.set()
 
     def get_addresses(self) -> tuple[str, ...]:
         """Returns the peer addresses of the other nodes."""
