--- a/features/steps/instance_departures_steps.py
+++ b/features/steps/instance_departures_steps.py
@@ -7,7 +7,6 @@
 
 from features.support.deferred_steps import defer_step
 from features.support.platform_world import (
-    SETTLE_SECONDS,
     PlatformWorld,
     make_configuration,
     make_report,
@@ -38,9 +37,7 @@
             {**entry, "metadata": {"name": "courts"}} for entry in services
         ]
         await world.start_store(configuration)
-        await world.start_host("h1")
-        await trio.sleep(SETTLE_SECONDS)
-        assert await world.report("h1", seq=5) == 200
+        await world.start_serving("h1")
         assert (await world.send_request("h1", "first")).status == 200
 
     defer_step(context, run)
@@ -114,12 +111,7 @@
     async def run() -> None:
         world = context.world = PlatformWorld(context.nursery)
         await world.start_store(make_configuration())
-        for name in _HOSTS:
-            await world.start_host(name)
-        await trio.sleep(SETTLE_SECONDS)
-        for name in _HOSTS:
-            assert await world.report(name, seq=5) == 200
-        await trio.sleep(1)
+        await world.start_serving(*_HOSTS)
 
     defer_step(context, run)
 
--- a/features/steps/resent_bodies_steps.py
+++ b/features/steps/resent_bodies_steps.py
@@ -6,7 +6,6 @@
 
 from features.support.deferred_steps import defer_step
 from features.support.platform_world import (
-    SETTLE_SECONDS,
     PlatformWorld,
     make_configuration,
 )
@@ -22,12 +21,7 @@
     async def run() -> None:
         world = context.world = PlatformWorld(context.nursery)
         await world.start_store(make_configuration())
-        for name in _HOSTS:
-            await world.start_host(name)
-        await trio.sleep(SETTLE_SECONDS)
-        for name in _HOSTS:
-            assert await world.report(name) == 200
-        await trio.sleep(1)
+        await world.start_serving(*_HOSTS)
         instance = world.instances["h1"]
         match disturbs:
             case "truncates its responses by their last byte":
--- a/features/steps/small_chunks_steps.py
+++ b/features/steps/small_chunks_steps.py
@@ -13,7 +13,6 @@
 
 from features.support.deferred_steps import defer_step
 from features.support.platform_world import (
-    SETTLE_SECONDS,
     PlatformWorld,
     make_configuration,
 )
@@ -49,9 +48,7 @@
     async def run() -> None:
         world = context.world = PlatformWorld(context.nursery)
         await world.start_store(make_configuration())
-        await world.start_host("h1")
-        await trio.sleep(SETTLE_SECONDS)
-        assert await world.report("h1") == 200
+        await world.start_serving("h1")
 
     defer_step(context, run)
 
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -145,6 +145,15 @@
         await self._nursery.start(network.serve, f"{name}:9", instance.handle)
         return instance
 
+    async def start_serving(self, *names: str) -> None:
+        """Starts hosts, and waits until their instances have reported."""
+        for name in names:
+            await self.start_host(name)
+        await trio.sleep(SETTLE_SECONDS)
+        for name in names:
+            assert await self.report(name, seq=5) == 200
+        await trio.sleep(1)
+
     async def start_node(
         self, name: str, zone: str = "a", is_first_start: bool = True
     ) -> None:
