Rename tenants to organisations in the code

Cause: the code called a customer of the operators a tenant, while the users' words, which the code is to use, are host, availability zone, organisation and upstream.

Change: identifiers, docstrings, comments and steps say organisation. Names that leave the process do not change: the header Rhubarbpaddle-Tenant, the key `tenants` of the configuration text, the label `tenant` of metrics and of `publish`.

--- a/bench/admission/__main__.py
+++ b/bench/admission/__main__.py
@@ -13,9 +13,9 @@
 
 from bench.admission.figure import Figure
 from bench.admission.fixed_slots import FixedSlots
+from bench.admission.organisations import measure_organisations
 from bench.admission.probes import measure_probes
 from bench.admission.ramp import measure_ramp, measure_unannounced_restarts
-from bench.admission.tenants import measure_tenants
 from bench.admission.tracking import measure_tracking
 from rhubarbpaddle.admission.adaptive_admission import AdaptiveAdmission
 from rhubarbpaddle.admission.admission import Admission
@@ -68,7 +68,7 @@
                 )
         yield partial(measure_unannounced_restarts, create_admission, jitter)
     yield partial(measure_ramp, create_admission, 15.0, None, 0.2, False)
-    yield partial(measure_tenants, create_admission)
+    yield partial(measure_organisations, create_admission)
     for callers in (0, 4):
         yield partial(measure_probes, callers)
 
--- a/bench/admission/fixed_slots.py
+++ b/bench/admission/fixed_slots.py
@@ -7,8 +7,8 @@
 from rhubarbpaddle.admission.slot import Slot
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration.organisation import Organisation
 from rhubarbpaddle.configuration.service import Service
-from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, LoadReport
 from rhubarbpaddle.membership import UpstreamState
@@ -47,9 +47,9 @@
         """Does nothing, because cold upstreams are not treated differently."""
 
     def configure(
-        self, service: Service, tenants: Mapping[str, Tenant]
+        self, service: Service, organisations: Mapping[str, Organisation]
     ) -> None:
-        """Does nothing, because tenants have no weights."""
+        """Does nothing, because organisations have no weights."""
 
     def get_report(self) -> LoadReport:
         """Returns the current load."""
--- a/bench/admission/load_generator.py
+++ b/bench/admission/load_generator.py
@@ -19,7 +19,7 @@
     """Runs requests as the sidecar does, without a network.
 
     Attributes:
-        latencies: Seconds from each request to its response, by tenant.
+        latencies: Seconds from each request to its response, by organisation.
         outcomes: The number of requests by refusal code or kind of evidence.
     """
 
@@ -29,32 +29,34 @@
         self._admission = admission
         self._upstream = upstream
 
-    async def run_closed_loop(self, tenant: str, count: int) -> None:
+    async def run_closed_loop(self, organisation: str, count: int) -> None:
         """Keeps a number of requests in flight until cancelled."""
 
         async def repeat() -> None:
             while True:
-                if not await self.send(tenant, 1.0):
+                if not await self.send(organisation, 1.0):
                     await trio.sleep(0.01)
 
         async with trio.open_nursery() as nursery:
             for _ in range(count):
                 nursery.start_soon(repeat)
 
-    async def run_open_loop(self, tenant: str, rate: float, seed: int) -> None:
+    async def run_open_loop(
+        self, organisation: str, rate: float, seed: int
+    ) -> None:
         """Sends requests as a Poisson process until cancelled."""
         rng = random.Random(seed)
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(rng.expovariate(rate))
-                nursery.start_soon(self.send, tenant, 1.0)
+                nursery.start_soon(self.send, organisation, 1.0)
 
-    async def send(self, tenant: str, timeout: float) -> bool:
+    async def send(self, organisation: str, timeout: float) -> bool:
         """Sends one request and returns whether it succeeded."""
         started_at = trio.current_time()
         try:
             slot = await self._admission.acquire(
-                Ticket(tenant, started_at + timeout, True)
+                Ticket(organisation, started_at + timeout, True)
             )
         except RefusedError as exc:
             self.outcomes[exc.code] += 1
@@ -73,7 +75,7 @@
         self.outcomes[evidence.kind.value] += 1
         if evidence.kind is not EvidenceKind.RESPONDED:
             return False
-        self.latencies[tenant].append(trio.current_time() - started_at)
+        self.latencies[organisation].append(trio.current_time() - started_at)
         return True
 
 
--- a/bench/admission/tenants.py
+++ b/bench/admission/organisations.py
@@ -1,4 +1,4 @@
-"""Measures how a noisy tenant affects the latency of a quiet one."""
+"""Measures how a noisy organisation affects the latency of a quiet one."""
 
 import trio
 
@@ -15,14 +15,16 @@
 _QUIET_RATE = 40.0
 
 
-async def measure_tenants(create_admission: AdmissionFactory) -> list[Figure]:
+async def measure_organisations(
+    create_admission: AdmissionFactory,
+) -> list[Figure]:
     """Compares 40 requests/s alone and beside 100 in a closed loop."""
     alone = await _measure(create_admission, noisy=False)
     contended = await _measure(create_admission, noisy=True)
     return [
-        Figure("quiet tenant alone: p99", f"{alone * 1000:.1f} ms"),
+        Figure("quiet organisation alone: p99", f"{alone * 1000:.1f} ms"),
         Figure(
-            "quiet tenant beside a noisy one: p99",
+            "quiet organisation beside a noisy one: p99",
             f"{contended * 1000:.1f} ms",
             "<= 2 x alone",
             contended <= 2 * alone,
--- a/bench/transport_call.py
+++ b/bench/transport_call.py
@@ -8,7 +8,7 @@
 
 CALL = Call(
     request_id="0123456789abcdef",
-    tenant="club",
+    organisation="club",
     service="lanes",
     instance="lanes-a",
     incarnation=1,
--- a/features/admission_limits.feature
+++ b/features/admission_limits.feature
@@ -27,18 +27,18 @@
     When a request of criticality 2 arrives
     Then a queued request of criticality 0 is shed instead
 
-  # Guards against a tenant that fills the queue and thereby shuts out others.
-  Scenario: A full queue sheds requests of the tenant that exceeds its share
+  # Guards against an organisation that fills the queue and thereby shuts out others.
+  Scenario: A full queue sheds requests of the organisation that exceeds its share
     Given admission control with 1 slot in use
     And the queue is full of requests of criticality 2
-    When a request of another tenant arrives with criticality 0
+    When a request of another organisation arrives with criticality 0
     Then a queued request of criticality 2 is shed instead
 
-  # Guards against a tenant that gets less than its share of the slots while
-  # another tenant's requests are queued.
-  Scenario: Tenants are served in proportion to their weights
+  # Guards against an organisation that gets less than its share of the slots while
+  # another organisation's requests are queued.
+  Scenario: Organisations are served in proportion to their weights
     Given admission control with 1 slot in use
-    And tenants "club" and "parish" with weights 3 and 1 queue 8 requests each
+    And organisations "club" and "parish" with weights 3 and 1 queue 8 requests each
     When slots become free 8 times
     Then "club" was served 6 times and "parish" 2 times
 
--- a/features/claims_requests.feature
+++ b/features/claims_requests.feature
@@ -57,11 +57,11 @@
     Then "second" is the response of "first", replayed
     And "POST /book" ran 1 time
 
-  # Guards against a tenant that gets the stored response of another tenant,
+  # Guards against an organisation that gets the stored response of another organisation,
   # because both have used the same key.
-  Scenario: The same key of another tenant is a different key
+  Scenario: The same key of another organisation is a different key
     When "POST /book" is sent to "a1" with key K as "first"
-    And "POST /book" is sent to "b1" with key K for tenant "parish" as "second"
+    And "POST /book" is sent to "b1" with key K for organisation "parish" as "second"
     Then "second" gets status 200
     And "POST /book" ran 2 times
 
--- a/features/http_callers.feature
+++ b/features/http_callers.feature
@@ -70,8 +70,8 @@
       | a1   |
       | b1   |
 
-  # Guards against metrics that grow with each tenant name that a caller
+  # Guards against metrics that grow with each organisation name that a caller
   # invents.
-  Scenario: Tenants that the configuration does not list
-    When callers of tenants "club, invented-1, invented-2" send requests
-    Then the metrics have the tenant labels "club, other"
+  Scenario: Organisations that the configuration does not list
+    When callers of organisations "club, invented-1, invented-2" send requests
+    Then the metrics have the organisation labels "club, other"
--- a/features/metrics_text.feature
+++ b/features/metrics_text.feature
@@ -3,7 +3,7 @@
   # Guards against a label value that is not escaped, which makes the whole
   # scrape fail.
   Scenario: Every line follows the text format, whatever a label contains
-    Given a request of a tenant whose name contains a quote, a backslash and a line break
+    Given a request of an organisation whose name contains a quote, a backslash and a line break
     When the metrics are rendered
     Then every line follows the text format
     And the metrics contain these lines without the scope's labels
--- a/features/promises/mutants.py
+++ b/features/promises/mutants.py
@@ -46,7 +46,9 @@
 def _without_cold_start():  # type: ignore[no-untyped-def]
     return mock.patch(
         "rhubarbpaddle.node.upstream_registry.AdaptiveAdmission.from_config",
-        lambda service, tenants, clock, baseline: FixedSlots(SLOTS, clock),
+        lambda service, organisations, clock, baseline: FixedSlots(
+            SLOTS, clock
+        ),
     )
 
 
--- a/features/steps/admission_limits_steps.py
+++ b/features/steps/admission_limits_steps.py
@@ -17,8 +17,8 @@
 from rhubarbpaddle.admission.slot import Slot
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.organisation import Organisation
 from rhubarbpaddle.configuration.service import Service
-from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import NO_EVIDENCE, Evidence, EvidenceKind
 from rhubarbpaddle.membership import UpstreamState
@@ -39,9 +39,9 @@
         self.refusals: list[tuple[Ticket, RefusedError]] = []
 
     async def send_request(
-        self, tenant: str, remaining: float, **fields: int
+        self, organisation: str, remaining: float, **fields: int
     ) -> None:
-        ticket = Ticket(tenant, trio.current_time() + remaining, True)
+        ticket = Ticket(organisation, trio.current_time() + remaining, True)
         ticket = ticket._replace(**fields)  # type: ignore[arg-type]
         self.nursery.start_soon(self._acquire, ticket)
         await trio.testing.wait_all_tasks_blocked()
@@ -112,15 +112,21 @@
     context.actions.append(fill_queue)
 
 
-@given('tenants "club" and "parish" with weights 3 and 1 queue 8 requests each')
+@given(
+    'organisations "club" and "parish" with weights 3 and 1 queue 8 requests'
+    " each"
+)
 def step_weights(context: Context) -> None:
     async def queue_requests(harness: AdmissionHarness) -> None:
         harness.admission._queue_length = 16
-        tenants = {"club": Tenant("club", 3), "parish": Tenant("parish", 1)}
-        harness.admission.configure(Service("lanes", slots=1), tenants)
-        for tenant in tenants:
+        organisations = {
+            "club": Organisation("club", 3),
+            "parish": Organisation("parish", 1),
+        }
+        harness.admission.configure(Service("lanes", slots=1), organisations)
+        for organisation in organisations:
             for _ in range(8):
-                await harness.send_request(tenant, 100)
+                await harness.send_request(organisation, 100)
 
     context.actions.append(queue_requests)
 
@@ -151,8 +157,8 @@
     _run(context)
 
 
-@when("a request of another tenant arrives with criticality 0")
-def step_other_tenant(context: Context) -> None:
+@when("a request of another organisation arrives with criticality 0")
+def step_other_organisation(context: Context) -> None:
     context.actions.append(lambda harness: harness.send_request("parish", 100))
     _run(context)
 
@@ -190,13 +196,13 @@
 def step_shed(context: Context, criticality: int) -> None:
     [(ticket, refusal)] = context.harness.refusals
     assert refusal.code == "queue_full"
-    assert (ticket.tenant, ticket.criticality) == ("club", criticality)
+    assert (ticket.organisation, ticket.criticality) == ("club", criticality)
     assert context.report.queued == 4
 
 
 @then('"club" was served {first:d} times and "parish" {second:d} times')
 def step_served(context: Context, first: int, second: int) -> None:
-    served = [ticket.tenant for ticket, _ in context.harness.slots[1:]]
+    served = [ticket.organisation for ticket, _ in context.harness.slots[1:]]
     assert served.count("club") == first, served
     assert served.count("parish") == second, served
 
--- a/features/steps/claims_requests_steps.py
+++ b/features/steps/claims_requests_steps.py
@@ -163,15 +163,16 @@
 
 
 @when(
-    '"{line}" is sent to "{node}" with key K for tenant "{tenant}" as "{name}"'
+    '"{line}" is sent to "{node}" with key K for organisation'
+    ' "{organisation}" as "{name}"'
 )
-def step_send_tenant(
-    context: Context, line: str, node: str, tenant: str, name: str
+def step_send_organisation(
+    context: Context, line: str, node: str, organisation: str, name: str
 ) -> None:
     async def work() -> None:
         headers = {
             "idempotency-key": context.key,
-            "rhubarbpaddle-tenant": tenant,
+            "rhubarbpaddle-tenant": organisation,
         }
         await send(context, line, node, name, headers)
 
--- a/features/steps/http_callers_steps.py
+++ b/features/steps/http_callers_steps.py
@@ -214,12 +214,12 @@
     assert context.response.headers["via"] == "1.1 rhubarbpaddle"
 
 
-@when('callers of tenants "{tenants}" send requests')
-def step_tenants(context: Context, tenants: str) -> None:
+@when('callers of organisations "{organisations}" send requests')
+def step_organisations(context: Context, organisations: str) -> None:
     async def run_scenario(world: HttpWorld) -> str:
-        for tenant in tenants.split(", "):
+        for organisation in organisations.split(", "):
             await world.request(
-                make_request("GET", "/x", Rhubarbpaddle_Tenant=tenant)
+                make_request("GET", "/x", Rhubarbpaddle_Tenant=organisation)
             )
         response = await world.cluster.request(
             "b1:3", "GET", "/metrics", {"host": "b1"}, b""
@@ -229,7 +229,7 @@
     context.metrics = run_http_world(run_scenario)
 
 
-@then('the metrics have the tenant labels "{tenants}"')
-def step_tenant_labels(context: Context, tenants: str) -> None:
+@then('the metrics have the organisation labels "{organisations}"')
+def step_organisation_labels(context: Context, organisations: str) -> None:
     names = set(re.findall(r'tenant="([^"]*)"', context.metrics))
-    assert names == set(tenants.split(", ")), names
+    assert names == set(organisations.split(", ")), names
--- a/features/steps/metrics_text_steps.py
+++ b/features/steps/metrics_text_steps.py
@@ -14,18 +14,18 @@
     rf"|{_NAME}\{{(?:{_LABEL}(?:,{_LABEL})*)?\}} {_NUMBER}"
 )
 _SCOPE_LABELS = re.compile(r'otel_scope_[a-z_]+="[^"]*",')
-_TENANT = 'a"b\\c\nd'
-_ESCAPED_TENANT = r"a\"b\\c\nd"
+_ORGANISATION = 'a"b\\c\nd'
+_ESCAPED_ORGANISATION = r"a\"b\\c\nd"
 
 
 @given(
-    "a request of a tenant whose name contains a quote, a backslash and a line"
-    " break"
+    "a request of an organisation whose name contains a quote, a backslash and"
+    " a line break"
 )
 def step_record_requests(context: Context) -> None:
     context.metrics = Metrics()
     for seconds in (0.25, 30):
-        context.metrics.record_request(_TENANT, "lanes", 200, seconds)
+        context.metrics.record_request(_ORGANISATION, "lanes", 200, seconds)
     context.metrics.record_probe("lanes", "load", "ok", 0.5)
     context.metrics.record_reported_load("lanes", 3)
 
@@ -48,7 +48,7 @@
 def step_contains_lines(context: Context) -> None:
     lines = {_SCOPE_LABELS.sub("", line) for line in context.lines}
     for row in context.table:
-        line = row["line"].replace("ESCAPED", _ESCAPED_TENANT)
+        line = row["line"].replace("ESCAPED", _ESCAPED_ORGANISATION)
         assert line in lines, (line, lines)
 
 
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -258,7 +258,7 @@
     """Calls the sidecar of node `b1`; returns its refusal, if any."""
     request = Request(
         request_id="r",
-        tenant="default",
+        organisation="default",
         service="lanes",
         method=b"GET",
         target=b"/x",
--- a/features/support/admission_machine.py
+++ b/features/support/admission_machine.py
@@ -26,16 +26,20 @@
         self.events: list[tuple[str, object]] = []
 
     @rule(
-        tenant=st.sampled_from("abc"),
+        organisation=st.sampled_from("abc"),
         remaining=st.sampled_from([0.05, 1.0, 50.0]),
         may_queue=st.booleans(),
         criticality=st.integers(0, 2),
     )
     def acquire(
-        self, tenant: str, remaining: float, may_queue: bool, criticality: int
+        self,
+        organisation: str,
+        remaining: float,
+        may_queue: bool,
+        criticality: int,
     ) -> None:
         self.events.append(
-            ("acquire", (tenant, remaining, may_queue, criticality))
+            ("acquire", (organisation, remaining, may_queue, criticality))
         )
 
     @rule(
@@ -108,9 +112,9 @@
         self, nursery: trio.Nursery, name: str, argument: object
     ) -> None:
         match name, argument:
-            case "acquire", (tenant, remaining, may_queue, criticality):
+            case "acquire", (organisation, remaining, may_queue, criticality):
                 ticket = Ticket(
-                    tenant,
+                    organisation,
                     trio.current_time() + remaining,
                     may_queue,
                     criticality,
--- a/features/support/claims_world.py
+++ b/features/support/claims_world.py
@@ -124,7 +124,7 @@
         )
         request = Request(
             request_id="r",
-            tenant="default",
+            organisation="default",
             service="lanes",
             method="POST",
             target="/book",
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -78,7 +78,7 @@
     """Returns a call, as a gateway sends it."""
     return Call(
         request_id=request_id,
-        tenant="",
+        organisation="",
         service=service,
         instance=summary.instance,
         incarnation=summary.incarnation,
--- a/src/rhubarbpaddle/admission/adaptive_admission.py
+++ b/src/rhubarbpaddle/admission/adaptive_admission.py
@@ -13,8 +13,8 @@
 from rhubarbpaddle.admission.slot_waiter import SlotWaiter
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration.organisation import Organisation
 from rhubarbpaddle.configuration.service import Service
-from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, EvidenceKind, LoadReport
 from rhubarbpaddle.membership import UpstreamState
@@ -93,13 +93,13 @@
     def from_config(
         cls,
         service: Service,
-        tenants: Mapping[str, Tenant],
+        organisations: Mapping[str, Organisation],
         clock: Clock,
         baseline: float | None = None,
     ) -> Self:
         """Creates the admission control for an instance of a service."""
         admission = cls(service.slots, clock, baseline=baseline)
-        admission.configure(service, tenants)
+        admission.configure(service, organisations)
         return admission
 
     async def acquire(self, ticket: Ticket) -> Slot:
@@ -165,11 +165,12 @@
             self._start_ramp()
 
     def configure(
-        self, service: Service, tenants: Mapping[str, Tenant]
+        self, service: Service, organisations: Mapping[str, Organisation]
     ) -> None:
-        """Applies changed limits and tenant weights."""
+        """Applies changed limits and organisation weights."""
         self._queue.weights = {
-            tenant.name: tenant.weight for tenant in tenants.values()
+            organisation.name: organisation.weight
+            for organisation in organisations.values()
         }
         if service.slots != self._slots:
             self._slots = service.slots
--- a/src/rhubarbpaddle/admission/admission.py
+++ b/src/rhubarbpaddle/admission/admission.py
@@ -5,8 +5,8 @@
 
 from rhubarbpaddle.admission.slot import Slot
 from rhubarbpaddle.admission.ticket import Ticket
+from rhubarbpaddle.configuration.organisation import Organisation
 from rhubarbpaddle.configuration.service import Service
-from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.membership import UpstreamState
 
@@ -37,9 +37,9 @@
         ...
 
     def configure(
-        self, service: Service, tenants: Mapping[str, Tenant]
+        self, service: Service, organisations: Mapping[str, Organisation]
     ) -> None:
-        """Applies changed limits and tenant weights."""
+        """Applies changed limits and organisation weights."""
         ...
 
     def get_report(self) -> LoadReport:
--- a/src/rhubarbpaddle/admission/fair_queue.py
+++ b/src/rhubarbpaddle/admission/fair_queue.py
@@ -1,4 +1,4 @@
-"""A queue that shares its capacity fairly between tenants."""
+"""A queue that shares its capacity fairly between organisations."""
 
 from collections import deque
 
@@ -6,13 +6,13 @@
 
 
 class FairQueue:
-    """Serves tenants by deficit round robin with a cost of 1 per request.
+    """Serves organisations by deficit round robin with a cost of 1 per request.
 
-    A tenant's requests are served by descending criticality, then in order of
-    arrival.
+    An organisation's requests are served by descending criticality, then in
+    order of arrival.
 
     Attributes:
-        weights: The weights of the tenants by name; 1 for others.
+        weights: The weights of the organisations by name; 1 for others.
     """
 
     def __init__(self) -> None:
@@ -26,13 +26,13 @@
         return self._count
 
     def push(self, waiter: SlotWaiter) -> None:
-        """Adds a waiter behind those of its tenant and criticality."""
-        tenant = waiter.ticket.tenant
-        if tenant not in self._queues:
-            self._queues[tenant] = []
-            self._rotation.append(tenant)
-            self._deficits[tenant] = 0
-        queue = self._queues[tenant]
+        """Adds a waiter behind those of its organisation and criticality."""
+        organisation = waiter.ticket.organisation
+        if organisation not in self._queues:
+            self._queues[organisation] = []
+            self._rotation.append(organisation)
+            self._deficits[organisation] = 0
+        queue = self._queues[organisation]
         index = len(queue) - self._count_less_critical(waiter)
         queue.insert(index, waiter)
         self._count += 1
@@ -43,74 +43,74 @@
         Raises:
             IndexError: The queue is empty.
         """
-        tenant = self._rotation[0]
-        if self._deficits[tenant] < 1:
-            self._deficits[tenant] += self._get_weight(tenant)
-        self._deficits[tenant] -= 1
-        waiter = self._queues[tenant][0]
+        organisation = self._rotation[0]
+        if self._deficits[organisation] < 1:
+            self._deficits[organisation] += self._get_weight(organisation)
+        self._deficits[organisation] -= 1
+        waiter = self._queues[organisation][0]
         self.remove(waiter)
-        if tenant in self._queues and self._deficits[tenant] < 1:
+        if organisation in self._queues and self._deficits[organisation] < 1:
             self._rotation.rotate(-1)
         return waiter
 
     def remove(self, waiter: SlotWaiter) -> None:
         """Removes a waiter from any position in the queue."""
-        tenant = waiter.ticket.tenant
-        self._queues[tenant].remove(waiter)
+        organisation = waiter.ticket.organisation
+        self._queues[organisation].remove(waiter)
         self._count -= 1
-        if not self._queues[tenant]:
-            del self._queues[tenant], self._deficits[tenant]
-            self._rotation.remove(tenant)
+        if not self._queues[organisation]:
+            del self._queues[organisation], self._deficits[organisation]
+            self._rotation.remove(organisation)
 
     def count_ahead(self, waiter: SlotWaiter) -> int:
         """Returns how many waiters would be served before a new one."""
-        tenant = waiter.ticket.tenant
-        own_tenant_count = len(
-            self._queues.get(tenant, ())
+        organisation = waiter.ticket.organisation
+        own_organisation_count = len(
+            self._queues.get(organisation, ())
         ) - self._count_less_critical(waiter)
-        rounds = (own_tenant_count + 1) / self._get_weight(tenant)
-        other_tenants_count = sum(
+        rounds = (own_organisation_count + 1) / self._get_weight(organisation)
+        other_organisations_count = sum(
             min(len(queue), round(rounds * self._get_weight(name)))
             for name, queue in self._queues.items()
-            if name != tenant
+            if name != organisation
         )
-        return own_tenant_count + other_tenants_count
+        return own_organisation_count + other_organisations_count
 
     def choose_request_to_shed(self, incoming: SlotWaiter) -> SlotWaiter:
         """Returns the waiter to refuse so that the queue does not grow.
 
-        Only tenants that hold more than their share of the queue lose a
-        request. The least critical request of these tenants is chosen, and
-        between equally critical ones the newest request of the tenant
+        Only organisations that hold more than their share of the queue lose a
+        request. The least critical request of these organisations is chosen,
+        and between equally critical ones the newest request of the organisation
         furthest above its share.
 
         Args:
             incoming: The waiter to add, which may itself be refused.
         """
         counts = {name: len(queue) for name, queue in self._queues.items()}
-        tenant = incoming.ticket.tenant
-        counts[tenant] = counts.get(tenant, 0) + 1
+        organisation = incoming.ticket.organisation
+        counts[organisation] = counts.get(organisation, 0) + 1
         total = sum(map(self._get_weight, counts))
         # The counts include the incoming waiter and add up to one more than
-        # this, so at least one tenant is above its share.
+        # this, so at least one organisation is above its share.
         queued = self._count
-        tenants_over_share = [
+        organisations_over_share = [
             name
             for name, count in counts.items()
             if count * total > queued * self._get_weight(name)
         ]
         candidates = [
             incoming
-            if name == tenant and not self._count_less_critical(incoming)
+            if name == organisation and not self._count_less_critical(incoming)
             else self._queues[name][-1]
-            for name in tenants_over_share
+            for name in organisations_over_share
         ]
         return min(
             candidates,
             key=lambda waiter: (
                 waiter.ticket.criticality,
-                -counts[waiter.ticket.tenant]
-                / self._get_weight(waiter.ticket.tenant),
+                -counts[waiter.ticket.organisation]
+                / self._get_weight(waiter.ticket.organisation),
             ),
         )
 
@@ -123,11 +123,11 @@
         self._count = 0
         return waiters
 
-    def _get_weight(self, tenant: str) -> int:
-        return max(1, self.weights.get(tenant, 1))
+    def _get_weight(self, organisation: str) -> int:
+        return max(1, self.weights.get(organisation, 1))
 
     def _count_less_critical(self, waiter: SlotWaiter) -> int:
-        """Returns how many waiters of its tenant are less critical."""
+        """Returns how many waiters of its organisation are less critical."""
         criticality = waiter.ticket.criticality
-        queue = self._queues.get(waiter.ticket.tenant, ())
+        queue = self._queues.get(waiter.ticket.organisation, ())
         return sum(w.ticket.criticality < criticality for w in queue)
--- a/src/rhubarbpaddle/admission/ticket.py
+++ b/src/rhubarbpaddle/admission/ticket.py
@@ -8,7 +8,7 @@
     """A request for a slot.
 
     Attributes:
-        tenant: The tenant that the request belongs to.
+        organisation: The organisation that the request belongs to.
         deadline: Monotonic seconds after which a response is useless.
         may_queue: False if it is to be refused rather than queued.
         criticality: The number of services that depend on the response, as
@@ -20,7 +20,7 @@
         route: The request's route, or the empty string.
     """
 
-    tenant: str
+    organisation: str
     deadline: float
     may_queue: bool
     criticality: int = 0
--- a/src/rhubarbpaddle/cli/configuration_difference.py
+++ b/src/rhubarbpaddle/cli/configuration_difference.py
@@ -19,7 +19,7 @@
     Attributes:
         lines: A unified diff of the configuration texts.
         summary: One line for each semantic change, the most severe first:
-            availability zones, then services, then tenants.
+            availability zones, then services, then organisations.
     """
 
     lines: tuple[str, ...]
@@ -50,7 +50,9 @@
         summary = (
             *_compare_zones(before, configuration),
             *_compare("service", before.services, configuration.services),
-            *_compare("tenant", before.tenants, configuration.tenants),
+            *_compare(
+                "tenant", before.organisations, configuration.organisations
+            ),
         )
         return cls(tuple(lines), summary or ("makes no semantic change",))
 
--- a/src/rhubarbpaddle/configuration/configuration.py
+++ b/src/rhubarbpaddle/configuration/configuration.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from rhubarbpaddle.configuration.availability_zone import AvailabilityZone
+from rhubarbpaddle.configuration.organisation import Organisation
 from rhubarbpaddle.configuration.service import Service
-from rhubarbpaddle.configuration.tenant import Tenant
 
 
 class Configuration(NamedTuple):
@@ -14,12 +14,12 @@
     Attributes:
         services: The services by name.
         availability_zones: The availability zones by name.
-        tenants: The tenants by name.
+        organisations: The organisations by name.
     """
 
     services: Mapping[str, Service]
     availability_zones: Mapping[str, AvailabilityZone]
-    tenants: Mapping[str, Tenant]
+    organisations: Mapping[str, Organisation]
 
     def is_in_service(self, availability_zone: str) -> bool:
         """Returns whether a zone may get new requests; False if unknown."""
--- a/src/rhubarbpaddle/configuration/text.py
+++ b/src/rhubarbpaddle/configuration/text.py
@@ -5,10 +5,10 @@
 from rhubarbpaddle.configuration.configuration import Configuration
 from rhubarbpaddle.configuration.dependency_graph import DependencyGraph
 from rhubarbpaddle.configuration.diagnostic_collector import DiagnosticCollector
+from rhubarbpaddle.configuration.organisation import Organisation
 from rhubarbpaddle.configuration.section import HOST_LABEL, Section
 from rhubarbpaddle.configuration.service import Service
 from rhubarbpaddle.configuration.service_reader import read_service
-from rhubarbpaddle.configuration.tenant import Tenant
 from rhubarbpaddle.configuration.text_scanner import TextScanner
 from rhubarbpaddle.exceptions import ConfigurationError
 
@@ -77,7 +77,7 @@
     configuration = Configuration(
         services=_read_services(root),
         availability_zones=_read_zones(root),
-        tenants=_read_tenants(root),
+        organisations=_read_organisations(root),
     )
     root.finish()
     return configuration
@@ -116,15 +116,17 @@
     return zones
 
 
-def _read_tenants(root: Section) -> dict[str, Tenant]:
+def _read_organisations(root: Section) -> dict[str, Organisation]:
     section = root.read_section("tenants")
-    tenants: dict[str, Tenant] = {}
+    organisations: dict[str, Organisation] = {}
     if section is None:
-        return tenants
+        return organisations
     for name, entry in section.read_named_sections("tenant"):
-        tenants[name] = Tenant(name, entry.read_int("weight", 1, 1, 1_000))
+        organisations[name] = Organisation(
+            name, entry.read_int("weight", 1, 1, 1_000)
+        )
         entry.finish()
-    return tenants
+    return organisations
 
 
 def _check_region(region: str) -> str | None:
--- a/src/rhubarbpaddle/execution/claim_key.py
+++ b/src/rhubarbpaddle/execution/claim_key.py
@@ -73,14 +73,14 @@
 
 
 def make_scoped_key(request: Request) -> bytes:
-    """Returns the 16-byte digest of tenant, service and key.
+    """Returns the 16-byte digest of organisation, service and key.
 
     All spellings of a UUID that RFC 9562 permits give the same digest.
     """
     key = request.key
     if parse_key_date(key) is not None:
         key = str(uuid.UUID(key))
-    scoped = "\0".join((request.tenant, request.service, key))
+    scoped = "\0".join((request.organisation, request.service, key))
     return hashlib.blake2b(scoped.encode(), digest_size=16).digest()
 
 
--- a/src/rhubarbpaddle/execution/claim_outcome.py
+++ b/src/rhubarbpaddle/execution/claim_outcome.py
@@ -9,7 +9,7 @@
     """Records the complete response to a claimed request.
 
     Attributes:
-        key: 16-byte digest of tenant, service and idempotency key.
+        key: 16-byte digest of organisation, service and idempotency key.
         claim_id: Identifies the claim.
         status: The HTTP status.
         headers: End-to-end headers, with names in lower case.
--- a/src/rhubarbpaddle/execution/claim_record.py
+++ b/src/rhubarbpaddle/execution/claim_record.py
@@ -7,7 +7,7 @@
     """Claims a key; the first record of a key in log order holds it.
 
     Attributes:
-        key: 16-byte digest of tenant, service and idempotency key.
+        key: 16-byte digest of organisation, service and idempotency key.
         claim_id: 16 random bytes that identify this claim.
         fingerprint: 16-byte digest of the request.
         key_ms: Date of the key in ms since the epoch, or 0 if undated.
--- a/src/rhubarbpaddle/execution/claim_release.py
+++ b/src/rhubarbpaddle/execution/claim_release.py
@@ -7,7 +7,7 @@
     """Releases a claim whose request did not run and never will.
 
     Attributes:
-        key: 16-byte digest of tenant, service and idempotency key.
+        key: 16-byte digest of organisation, service and idempotency key.
         claim_id: Identifies the claim.
     """
 
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -274,7 +274,7 @@
 
 def _make_ticket(request: Request) -> Ticket:
     return Ticket(
-        request.tenant,
+        request.organisation,
         request.deadline,
         request.may_queue,
         priority=request.priority,
--- a/src/rhubarbpaddle/execution/request.py
+++ b/src/rhubarbpaddle/execution/request.py
@@ -16,7 +16,7 @@
 
     Attributes:
         request_id: Identifies the request in the logs of every node.
-        tenant: The tenant that the request belongs to.
+        organisation: The organisation that the request belongs to.
         service: The service that must run the request.
         method: The HTTP method.
         target: The HTTP request target.
@@ -46,7 +46,7 @@
     """
 
     request_id: str
-    tenant: str
+    organisation: str
     service: str
     method: str
     target: str
--- a/src/rhubarbpaddle/execution/sidecar.py
+++ b/src/rhubarbpaddle/execution/sidecar.py
@@ -175,7 +175,7 @@
             if name == CALLING_SERVICE_HEADER:
                 calling_service = value.decode("latin-1")
         return Ticket(
-            request.tenant,
+            request.organisation,
             request.deadline,
             request.may_queue,
             self.criticality.get(request.service, calling_service),
--- a/src/rhubarbpaddle/http/caller_head.py
+++ b/src/rhubarbpaddle/http/caller_head.py
@@ -32,7 +32,7 @@
 
     Attributes:
         service: The service's name.
-        tenant: The tenant's name.
+        organisation: The organisation's name.
         method: The HTTP method.
         target: The request target in origin form, or `*`.
         headers: The headers to forward, names in lower case.
@@ -45,7 +45,7 @@
     """
 
     service: str
-    tenant: str
+    organisation: str
     method: str
     target: str
     headers: Headers
@@ -89,7 +89,9 @@
             )
         return cls(
             service=service,
-            tenant=_parse_name(received, b"rhubarbpaddle-tenant", "default"),
+            organisation=_parse_name(
+                received, b"rhubarbpaddle-tenant", "default"
+            ),
             method=head.method.decode("ascii"),
             target=target,
             headers=_add_forwarding_headers(received, address),
--- a/src/rhubarbpaddle/http/product_caller_dialect.py
+++ b/src/rhubarbpaddle/http/product_caller_dialect.py
@@ -16,7 +16,7 @@
 from rhubarbpaddle.http.problem import make_problem
 
 _REQUEST_ID_BYTES = 8
-_OTHER_TENANT = "other"
+_OTHER_ORGANISATION = "other"
 
 
 class ProductCallerDialect:
@@ -57,7 +57,7 @@
         )
         return Request(
             request_id=request_id,
-            tenant=caller_head.tenant,
+            organisation=caller_head.organisation,
             service=caller_head.service,
             method=caller_head.method,
             target=caller_head.target,
@@ -79,14 +79,17 @@
         return exc.status, headers, content
 
     def get_metrics_label(self, request: Request) -> str:
-        """Returns the tenant, or `other` for tenants not configured.
+        """Returns the organisation, or `other` if it is not configured.
 
         This bounds the number of labels, since callers choose the names.
         """
         accepted = self._get_accepted()
-        if accepted and request.tenant in accepted.configuration.tenants:
-            return request.tenant
-        return _OTHER_TENANT
+        if (
+            accepted
+            and request.organisation in accepted.configuration.organisations
+        ):
+            return request.organisation
+        return _OTHER_ORGANISATION
 
     def get_response_headers(self) -> Headers:
         """Returns the `Via` header."""
--- a/src/rhubarbpaddle/node/probe_task.py
+++ b/src/rhubarbpaddle/node/probe_task.py
@@ -93,7 +93,7 @@
         service = upstream.summary.service
         request = Request(
             request_id=secrets.token_hex(8),
-            tenant="-",
+            organisation="-",
             service=service,
             method="GET",
             target=target,
@@ -101,7 +101,7 @@
             deadline=started + _PROBE_TIMEOUT_SECONDS,
             idempotent=True,
         )
-        ticket = Ticket(request.tenant, request.deadline, may_queue=False)
+        ticket = Ticket(request.organisation, request.deadline, may_queue=False)
         try:
             slot = await upstream.admission.acquire(ticket)
         except RefusedError:
--- a/src/rhubarbpaddle/node/upstream_registry.py
+++ b/src/rhubarbpaddle/node/upstream_registry.py
@@ -92,7 +92,7 @@
         return True
 
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
-        """Applies the limits, tenants' weights and dependencies.
+        """Applies the limits, organisations' weights and dependencies.
 
         Args:
             accepted: The new configuration in force.
@@ -106,7 +106,7 @@
         if service is None:
             return
         self.service = service
-        attached.admission.configure(service, configuration.tenants)
+        attached.admission.configure(service, configuration.organisations)
         if service.slots != attached.summary.slots:
             summary = attached.summary._replace(slots=service.slots)
             self._sidecar.upstream = attached._replace(summary=summary)
@@ -160,7 +160,7 @@
         if previous is not None and previous.summary.service == service.name:
             baseline = previous.admission.get_baseline()
         admission = AdaptiveAdmission.from_config(
-            service, accepted.configuration.tenants, self._clock, baseline
+            service, accepted.configuration.organisations, self._clock, baseline
         )
         admission.set_state(summary.state)
         client = HttpUpstreamClient(
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -167,7 +167,7 @@
             useful_until = now + call.latency_target_ms / 1000
         return Request(
             request_id=call.request_id,
-            tenant=call.tenant,
+            organisation=call.organisation,
             service=call.service,
             method=call.method,
             target=call.target,
--- a/src/rhubarbpaddle/peer/messages/call.py
+++ b/src/rhubarbpaddle/peer/messages/call.py
@@ -8,7 +8,7 @@
 
     Attributes:
         request_id: Identifies the request in the logs of all nodes.
-        tenant: The request's tenant.
+        organisation: The request's organisation.
         service: The requested service.
         instance: The chosen instance.
         incarnation: The incarnation of the upstream that was chosen.
@@ -34,7 +34,7 @@
     """
 
     request_id: str
-    tenant: str
+    organisation: str
     service: str
     instance: str
     incarnation: int
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -217,7 +217,7 @@
             latency_target_ms = int((request.useful_until - now) * 1000)
         return Call(
             request_id=request.request_id,
-            tenant=request.tenant,
+            organisation=request.organisation,
             service=request.service,
             instance=candidate.instance,
             incarnation=candidate.incarnation,
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -95,7 +95,7 @@
         useful_seconds = min(timeout, route.latency_target.total_seconds())
         return Request(
             request_id=request_id,
-            tenant="",
+            organisation="",
             service=self._split.choose(route),
             method=head.method.decode("ascii"),
             target=target,
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -62,13 +62,14 @@
         )
 
     def record_request(
-        self, tenant: str, service: str, status: int, seconds: float
+        self, organisation: str, service: str, status: int, seconds: float
     ) -> None:
         """Records a completed request.
 
         Args:
-            tenant: A tenant of the configuration, or `other`; names invented
-                by callers would make the number of time series unbounded.
+            organisation: An organisation of the configuration, or `other`;
+                names invented by callers would make the number of time series
+                unbounded.
             service: A service of the configuration.
             status: The HTTP status.
             seconds: Time from the request's head to the response's end.
@@ -76,7 +77,11 @@
         self._sink.record(
             "request.duration",
             seconds,
-            (("tenant", tenant), ("service", service), ("status", status)),
+            (
+                ("tenant", organisation),
+                ("service", service),
+                ("status", status),
+            ),
         )
         if self._pending.value_count >= _MAX_PENDING_VALUES:
             self._is_full.set()
