Serve organisations with keys, and large responses

Cause: callers of a deployment with organisations got 503 for every request. The kind `download` was unknown, so its configuration was refused as a whole; keys and organisations did not exist on the platform.

Change: the configuration holds organisations with their keys, priority and usage cap. The gateway looks a key up in one step, refuses a request without a known key with 401 before its body is read, unless the route is public, and tells the instance the organisation's name. The key and a header of the same name that the caller sent are not passed on. An organisation's priority precedes that of the route. Routes of kind `download` are idempotent. A configuration in which two organisations share a key is refused. Without organisations a request is treated as before.

--- /dev/null
+++ b/features/organisations.feature
@@ -0,0 +1,80 @@
+Feature: Organisations and their keys on the users' platform
+
+  # Guards against a request that an instance takes for another organisation's
+  # because its caller set the header, and against a key that instances see.
+  Scenario: An instance learns the organisation and not the key
+    Given a platform with organisations and hosts "h1, h2"
+    When a request with key "key-club" and the header of "parish" is sent to "h1"
+    Then the request gets status 200
+    And the instance gets the organisation "club" and no key
+
+  # Guards against a configuration of large responses that is refused as a
+  # whole, so that no request is served.
+  Scenario: A route with large responses is served
+    Given a platform with organisations and hosts "h1"
+    When a request with key "key-club" is sent for "/maps/x"
+    Then the request gets status 200
+
+  # Guards against requests that run for a caller whom no organisation knows,
+  # and against two keys of which each node may choose another.
+  Scenario Outline: A request without a known key gets 401
+    Given a platform with organisations and hosts "h1"
+    When a request with <authorization> is sent
+    Then the request gets status 401 and nothing ran
+
+    Examples:
+      | authorization                            |
+      | no authorization                         |
+      | authorization "Token key-unknown"        |
+      | authorization "Token"                    |
+      | authorization "Basic key-club"           |
+      | authorization "key-club"                 |
+      | authorization "Token key-club key-club"  |
+      | authorization "Token KEY-CLUB"           |
+      | authorization "Token key-club\xff"       |
+      | a key of 8000 bytes                      |
+      | two authorization lines                  |
+
+  # Guards against a public route that asks for a key, and against an
+  # organisation on it that the caller made up.
+  Scenario Outline: A public route needs no key
+    Given a platform with organisations and hosts "h1"
+    When a request with <authorization> and the header of "parish" is sent for "/public/x"
+    Then the request gets status 200
+    And the instance gets the organisation "<organisation>" and no key
+
+    Examples:
+      | authorization                     | organisation |
+      | no authorization                  |              |
+      | authorization "Token key-unknown" |              |
+      | authorization "Token key-club"    | club         |
+
+  # Guards against a key that was taken away and is still accepted on a
+  # connection that was open before.
+  Scenario: A key that is taken away is refused on open connections
+    Given a platform with organisations and hosts "h1"
+    When the key "key-club" is taken away while a connection is open
+    Then the requests on the connection get 200 before and 401 after
+
+  # Guards against one key that identifies two organisations, of which each node
+  # may take another.
+  Scenario Outline: A configuration with unclear organisations is refused as a whole
+    When a configuration is read in which <fault>
+    Then it is refused with "<reason>"
+
+    Examples:
+      | fault                        | reason                            |
+      | two organisations share a key | have the same key                 |
+      | an organisation occurs twice | two organisations                 |
+      | a key is not a string        | a key is not a token              |
+      | a key contains a space       | a key is not a token              |
+      | a rate is negative           | ratePerS is -1                    |
+      | a rate is infinite           | ratePerS is inf                   |
+      | a name contains a line break | is not the name of an organisation |
+
+  # Guards against an organisation's urgent requests that are treated like those
+  # of the route.
+  Scenario: An organisation's priority precedes that of the route
+    Given a platform with organisations and hosts "h1"
+    When heads with the keys of both organisations are read
+    Then the priorities are 0 for "club" and 1 for "parish"
--- /dev/null
+++ b/features/steps/organisations_steps.py
@@ -0,0 +1,262 @@
+import json
+import random
+from typing import Any
+
+import h11
+import trio
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.host_network import HostNetwork
+from features.support.platform_scenario import run_on_platform
+from features.support.platform_world import (
+    SERVICE,
+    PlatformWorld,
+    make_configuration,
+)
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.exceptions import ConfigurationError
+from rhubarbpaddle.execution import BytesBody
+from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
+from rhubarbpaddle.platform.configuration_document import (
+    parse_configuration_document,
+)
+from rhubarbpaddle.routing.traffic_split import TrafficSplit
+from standins.platform_documents import (
+    make_organisation_entry,
+    make_route_entry,
+)
+
+Entry = dict[str, Any]
+
+
+def make_document(version: int = 1, club_keys: Any = ("key-club",)) -> Entry:
+    document = make_configuration(version)
+    document["resources"] += [
+        make_route_entry("maps", "club.example", "/maps/", "download", SERVICE),
+        make_route_entry(
+            "public",
+            "club.example",
+            "/public/",
+            "idempotent",
+            SERVICE,
+            public=True,
+        ),
+        make_organisation_entry("club", club_keys, priority=0),
+        make_organisation_entry("parish", ["key-parish"]),
+    ]
+    return document
+
+
+def make_headers(request_id: str, *lines: tuple[str, str]) -> Any:
+    return [
+        ("host", "club.example"),
+        ("request-id", request_id),
+        ("deadline-ms", "1000"),
+        *lines,
+    ]
+
+
+async def exchange(
+    conn: ClientConnection, target: str, headers: Any
+) -> tuple[int, bytes]:
+    encoded = [(name, value.encode("latin-1")) for name, value in headers]
+    head = h11.Request(method="GET", target=target, headers=encoded)
+    await conn.send_request(head, BytesBody(b""))
+    response, content = await conn.receive_response()
+    received = b""
+    while chunk := await content.receive():
+        received += chunk
+    if conn.is_reusable():
+        conn.h11.start_next_cycle()
+    return response.status_code, received
+
+
+async def connect(world: PlatformWorld, name: str) -> ClientConnection:
+    address = f"{name}:2"
+    network = HostNetwork(world.fabric, name)
+    return ClientConnection(await network.connect(address), address)
+
+
+def send(
+    context: Context,
+    *lines: tuple[str, str],
+    name: str = "h1",
+    target: str = "/lanes/x",
+) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        conn = await connect(world, name)
+        headers = make_headers("one", *lines)
+        context.status, _ = await exchange(conn, target, headers)
+        await conn.aclose()
+
+    run_on_platform(context, scenario)
+
+
+def parse_authorization(text: str) -> list[tuple[str, str]]:
+    match text.split(" ", 1):
+        case ["no", _]:
+            return []
+        case ["two", _]:
+            return [("authorization", "Token key-club")] * 2
+        case ["a", _]:
+            return [("authorization", "Token " + "k" * 8000)]
+        case [_, value]:
+            unescaped = value.strip('"').encode().decode("unicode_escape")
+            return [("authorization", unescaped)]
+    raise ValueError(text)
+
+
+@given('a platform with organisations and hosts "{names}"')
+def step_create_platform(context: Context, names: str) -> None:
+    context.zones = dict.fromkeys(names.split(", "), "a")
+    context.configuration = make_document()
+
+
+@when(
+    'a request with key "{key}" and the header of "{other}" is sent to "{name}"'
+)
+def step_send_key(context: Context, key: str, other: str, name: str) -> None:
+    authorization = ("authorization", f"Token {key}")
+    send(context, authorization, ("tenant-id", other), name=name)
+
+
+@when('a request with key "{key}" is sent for "{target}"')
+def step_send_key_for(context: Context, key: str, target: str) -> None:
+    send(context, ("authorization", f"Token {key}"), target=target)
+
+
+@when("a request with {authorization} is sent")
+def step_send_authorization(context: Context, authorization: str) -> None:
+    send(context, *parse_authorization(authorization))
+
+
+@when(
+    'a request with {authorization} and the header of "{other}" is sent for'
+    ' "{target}"'
+)
+def step_send_public(
+    context: Context, authorization: str, other: str, target: str
+) -> None:
+    lines = parse_authorization(authorization)
+    send(context, *lines, ("tenant-id", other), target=target)
+
+
+@when('the key "{key}" is taken away while a connection is open')
+def step_take_key(context: Context, key: str) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        conn = await connect(world, "h1")
+        authorization = ("authorization", f"Token {key}")
+        context.statuses = []
+        for version in (1, 2):
+            headers = make_headers(f"r{version}", authorization)
+            status, _ = await exchange(conn, "/lanes/x", headers)
+            context.statuses.append(status)
+            world.put_configuration(make_document(2, ["key-new"]))
+            await trio.sleep(2)
+
+    run_on_platform(context, scenario)
+
+
+@when("a configuration is read in which {fault}")
+def step_read_configuration(context: Context, fault: str) -> None:
+    document = make_document()
+    club = document["resources"][-2]
+    spec = club["spec"]
+    match fault:
+        case "two organisations share a key":
+            spec["apiKeys"] = ["key-parish"]
+        case "an organisation occurs twice":
+            club["metadata"]["name"] = "parish"
+        case "a key is not a string":
+            spec["apiKeys"] = [17]
+        case "a key contains a space":
+            spec["apiKeys"] = ["key club"]
+        case "a rate is negative":
+            spec["ratePerS"] = -1
+        case "a rate is infinite":
+            spec["ratePerS"] = "inf"
+        case "a name contains a line break":
+            club["metadata"]["name"] = "club\r\nx-y: z"
+        case _:
+            raise ValueError(fault)
+    context.error = ""
+    try:
+        parse_configuration_document(json.dumps(document))
+    except ConfigurationError as exc:
+        context.error = str(exc)
+
+
+@when("heads with the keys of both organisations are read")
+def step_read_heads(context: Context) -> None:
+    cfg = parse_configuration_document(json.dumps(make_document()))
+    dialect = PlatformCallerDialect(
+        lambda: SERVICE,
+        VirtualClock(),
+        TrafficSplit(random.Random(1)),
+        lambda: cfg,
+    )
+
+    async def read(key: str) -> int:
+        authorization = ("authorization", f"Token {key}")
+        head = h11.Request(
+            method="GET",
+            target="/lanes/x",
+            headers=make_headers("one", authorization),
+        )
+        return dialect.make_request(head, "-", "one").priority
+
+    context.priorities = {
+        name: trio.run(read, f"key-{name}") for name in ("club", "parish")
+    }
+
+
+@then("the request gets status {status:d}")
+def step_check_status(context: Context, status: int) -> None:
+    assert context.status == status, context.status
+
+
+@then('the instance gets the organisation "{name}" and no key')
+def step_check_organisation(context: Context, name: str) -> None:
+    check_organisation(context, name)
+
+
+@then('the instance gets the organisation "" and no key')
+def step_check_no_organisation(context: Context) -> None:
+    check_organisation(context, None)
+
+
+def check_organisation(context: Context, name: str | None) -> None:
+    heads = [
+        head
+        for instance in context.world.instances.values()
+        for head in instance.heads
+    ]
+    assert len(heads) == 1
+    assert heads[0].get("tenant-id") == name, heads
+    assert "authorization" not in heads[0]
+    assert not any("key-club" in value for value in heads[0].values())
+
+
+@then("the request gets status 401 and nothing ran")
+def step_check_unauthorized(context: Context) -> None:
+    assert context.status == 401, context.status
+    instances = context.world.instances.values()
+    assert not any(instance.arrivals for instance in instances)
+
+
+@then("the requests on the connection get 200 before and 401 after")
+def step_check_taken(context: Context) -> None:
+    assert context.statuses == [200, 401], context.statuses
+
+
+@then('it is refused with "{reason}"')
+def step_check_refused(context: Context, reason: str) -> None:
+    assert reason in context.error, context.error
+    assert "key-" not in context.error, context.error
+
+
+@then('the priorities are {club:d} for "club" and {parish:d} for "parish"')
+def step_check_priorities(context: Context, club: int, parish: int) -> None:
+    assert context.priorities == {"club": club, "parish": parish}
--- a/src/rhubarbpaddle/configuration/route.py
+++ b/src/rhubarbpaddle/configuration/route.py
@@ -22,6 +22,7 @@
         priority: The priority of its requests, 0 for the most urgent.
         max_attempts: The largest number of instances that one request may be
             sent to.
+        public: Whether its requests need no key of an organisation.
     """
 
     name: str
@@ -33,3 +34,4 @@
     latency_target: timedelta
     priority: int
     max_attempts: int
+    public: bool = False
--- a/src/rhubarbpaddle/configuration/route_kind.py
+++ b/src/rhubarbpaddle/configuration/route_kind.py
@@ -9,3 +9,9 @@
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
     UPLOAD = "upload"
+    DOWNLOAD = "download"
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self in (RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD)
--- a/src/rhubarbpaddle/configuration/routing_configuration.py
+++ b/src/rhubarbpaddle/configuration/routing_configuration.py
@@ -4,6 +4,10 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from rhubarbpaddle.configuration.organisation_table import (
+    NO_ORGANISATIONS,
+    OrganisationTable,
+)
 from rhubarbpaddle.configuration.route_table import RouteTable
 from rhubarbpaddle.configuration.service_limits import ServiceLimits
 
@@ -21,6 +25,8 @@
         idle_timeout: The time after which an idle caller's connection is
             closed.
         withdrawn_zones: Availability zones that get no new requests.
+        organisations: The organisations whose keys callers have to send; empty
+            if callers need no keys.
     """
 
     version: int
@@ -31,6 +37,7 @@
     head_timeout: timedelta
     idle_timeout: timedelta
     withdrawn_zones: frozenset[str] = frozenset()
+    organisations: OrganisationTable = NO_ORGANISATIONS
 
     def is_in_service(self, availability_zone: str) -> bool:
         """Returns whether a zone may get new requests."""
--- a/src/rhubarbpaddle/execution/request.py
+++ b/src/rhubarbpaddle/execution/request.py
@@ -41,6 +41,9 @@
         max_attempts: The maximum number of instances that the request may be
             sent to.
         calling_service: The service on the host where the request originated.
+        large_response: Whether its response is expected to be large.
+        usage_ratio: The organisation's recent requests at all nodes relative to
+            its usage cap, or 0 if unknown.
         caller: Detects whether the sender has disconnected. Each node checks
             this before it begins a step. It is not sent to other nodes.
     """
@@ -64,4 +67,6 @@
     useful_until: float = math.inf
     max_attempts: int = 1
     calling_service: str = ""
+    large_response: bool = False
+    usage_ratio: float = 0.0
     caller: CallerPresence = ALWAYS_CONNECTED_CALLER
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -184,6 +184,7 @@
             priority=call.priority,
             useful_until=useful_until,
             calling_service=call.calling_service,
+            usage_ratio=call.usage_ratio,
             caller=presence,
         )
 
--- a/src/rhubarbpaddle/peer/messages/call.py
+++ b/src/rhubarbpaddle/peer/messages/call.py
@@ -31,6 +31,8 @@
         latency_target_ms: Milliseconds until the latency target, or None if
             there is none before the deadline.
         calling_service: The service on the host where the request originated.
+        usage_ratio: The organisation's recent requests relative to its usage
+            cap, or 0 if unknown.
     """
 
     request_id: str
@@ -56,3 +58,4 @@
     priority: int = 0
     latency_target_ms: int | None = None
     calling_service: str = ""
+    usage_ratio: float = 0.0
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -239,6 +239,7 @@
             priority=request.priority,
             latency_target_ms=latency_target_ms,
             calling_service=request.calling_service,
+            usage_ratio=request.usage_ratio,
         )
 
 
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -6,6 +6,8 @@
 import h11
 
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration.organisation import Organisation
+from rhubarbpaddle.configuration.route import Route
 from rhubarbpaddle.configuration.route_kind import RouteKind
 from rhubarbpaddle.configuration.routing_configuration import (
     RoutingConfiguration,
@@ -26,8 +28,12 @@
         header_names.CALLING_SERVICE,
         header_names.DEADLINE,
         header_names.EXPECTED_INSTANCE,
+        header_names.ORGANISATION,
     }
 )
+# Instances must not see the keys of organisations.
+_REPLACED_WITH_KEYS = _REPLACED_HEADERS | {header_names.AUTHORIZATION}
+_KEY = re.compile(rb"token +([!-~]+) *", re.IGNORECASE)
 _NUMBER = re.compile(r"[0-9]{1,9}")
 # Callers take these to mean that the request has not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -85,6 +91,10 @@
                 step="route",
                 status=404,
             )
+        organisation = _find_organisation(cfg, route, head)
+        replaced = (
+            _REPLACED_WITH_KEYS if cfg.organisations else _REPLACED_HEADERS
+        )
         now = self._clock.monotonic()
         timeout = route.timeout.total_seconds()
         deadline_ms = get_header(received, header_names.DEADLINE)
@@ -95,20 +105,19 @@
         useful_seconds = min(timeout, route.latency_target.total_seconds())
         return Request(
             request_id=request_id,
-            organisation="",
+            organisation=organisation.name if organisation else "",
             service=self._split.choose(route),
             method=head.method.decode("ascii"),
             target=target,
-            headers=[
-                item for item in received if item[0] not in _REPLACED_HEADERS
-            ],
+            headers=[item for item in received if item[0] not in replaced],
             deadline=now + timeout,
-            idempotent=route.kind is RouteKind.IDEMPOTENT,
+            idempotent=route.kind.is_idempotent,
             route=route.name,
-            priority=route.priority,
+            priority=_get_priority(route, organisation),
             useful_until=now + useful_seconds,
             max_attempts=route.max_attempts,
             calling_service=self._get_service(),
+            large_response=route.kind is RouteKind.DOWNLOAD,
         )
 
     def make_refusal(
@@ -125,6 +134,8 @@
         headers: Headers = []
         if request_id != "-":
             headers.append((header_names.REQUEST_ID, request_id.encode()))
+        if status == 401:
+            headers.append((b"www-authenticate", b"Token"))
         if status in (429, 503):
             seconds = exc.retry_after.total_seconds()
             headers.append((b"retry-after", b"%.3f" % seconds))
@@ -137,3 +148,45 @@
     def get_response_headers(self) -> Headers:
         """Returns no headers: responses are forwarded unchanged."""
         return []
+
+
+def _find_organisation(
+    cfg: RoutingConfiguration, route: Route, head: h11.Request
+) -> Organisation | None:
+    """Returns the organisation whose key a request carries.
+
+    Returns:
+        None if callers need no keys, or the route is public and the request
+        has no known key.
+
+    Raises:
+        RefusedError: The route needs a key, and the request does not carry
+            exactly one that an organisation holds.
+    """
+    if not cfg.organisations:
+        return None
+    values = [
+        value
+        for name, value in head.headers
+        if name == header_names.AUTHORIZATION
+    ]
+    match = _KEY.fullmatch(values[0]) if len(values) == 1 else None
+    organisation = (
+        cfg.organisations.find_by_key(match[1].decode("ascii"))
+        if match
+        else None
+    )
+    if organisation is None and not route.public:
+        raise RefusedError(
+            "unknown_key",
+            "no organisation holds the key of the request",
+            step="authorize",
+            status=401,
+        )
+    return organisation
+
+
+def _get_priority(route: Route, organisation: Organisation | None) -> int:
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return organisation.priority
--- a/src/rhubarbpaddle/platform/configuration_document.py
+++ b/src/rhubarbpaddle/platform/configuration_document.py
@@ -1,9 +1,13 @@
 """Parses the configuration document of the platform."""
 
+import math
+import re
 from collections.abc import Iterable
 from datetime import timedelta
 from typing import Any
 
+from rhubarbpaddle.configuration.organisation import Organisation
+from rhubarbpaddle.configuration.organisation_table import OrganisationTable
 from rhubarbpaddle.configuration.route import Route
 from rhubarbpaddle.configuration.route_kind import RouteKind
 from rhubarbpaddle.configuration.route_table import RouteTable
@@ -15,6 +19,9 @@
 from rhubarbpaddle.exceptions import ConfigurationError
 from rhubarbpaddle.json_document import decode_json
 
+# Names and keys are sent in header fields, whose values have no spaces here.
+_HEADER_VALUE = re.compile(r"[!-~]{1,255}")
+
 
 def parse_configuration_document(
     text: bytes | str, withdrawn_zones: Iterable[str] = ()
@@ -53,6 +60,11 @@
             head_timeout=_parse_ms(limits["headerTimeoutMs"]),
             idle_timeout=_parse_ms(limits["idleTimeoutMs"]),
             withdrawn_zones=frozenset(withdrawn_zones),
+            organisations=OrganisationTable.from_entries(
+                _parse_organisation(entry["metadata"]["name"], entry["spec"])
+                for entry in entries
+                if entry["entryKind"] == "tenants"
+            ),
         )
     except (
         KeyError,
@@ -101,9 +113,40 @@
         latency_target=_parse_ms(spec["targetLatencyMs"]),
         priority=int(spec["priority"]),
         max_attempts=int(spec["maxAttempts"]),
+        public=bool(spec.get("public", False)),
     )
 
 
+def _parse_organisation(
+    name: str, spec: dict[str, Any]
+) -> tuple[Organisation, list[str]]:
+    """Returns an organisation and its keys."""
+    if not isinstance(name, str) or not _HEADER_VALUE.fullmatch(name):
+        raise ValueError(f"{name!r} is not the name of an organisation")
+    keys = spec["apiKeys"]
+    if not isinstance(keys, list) or not all(map(_is_key, keys)):
+        raise ValueError(f"organisation {name}: a key is not a token")
+    priority = spec.get("priority")
+    return Organisation(
+        name=name,
+        priority=None if priority is None else int(priority),
+        rate=_parse_amount(name, spec, "ratePerS"),
+        burst=_parse_amount(name, spec, "burst"),
+    ), keys
+
+
+def _is_key(key: object) -> bool:
+    return isinstance(key, str) and bool(_HEADER_VALUE.fullmatch(key))
+
+
+def _parse_amount(name: str, spec: dict[str, Any], field: str) -> float:
+    """Returns a number that is not negative; 0 if it is absent."""
+    value = float(spec.get(field) or 0)
+    if not 0 <= value < math.inf:
+        raise ValueError(f"organisation {name}: {field} is {value}")
+    return value
+
+
 def _parse_limits(name: str, spec: dict[str, Any]) -> ServiceLimits:
     return ServiceLimits(
         service=str(name),
--- a/src/rhubarbpaddle/platform/header_names.py
+++ b/src/rhubarbpaddle/platform/header_names.py
@@ -1,5 +1,9 @@
 """Names of the platform's HTTP headers, in lower case."""
 
+# The caller's key of an organisation, after the scheme `Token`.
+AUTHORIZATION = b"authorization"
+# The organisation that a request belongs to.
+ORGANISATION = b"tenant-id"
 # Identifies a request; each attempt of a caller has its own id.
 REQUEST_ID = b"request-id"
 # Milliseconds for which the sender waits for the response.
--- a/src/rhubarbpaddle/platform/upstream_dialect.py
+++ b/src/rhubarbpaddle/platform/upstream_dialect.py
@@ -44,6 +44,10 @@
             ),
             (header_names.CALLING_SERVICE, request.calling_service.encode()),
         ]
+        if request.organisation:
+            headers.append(
+                (header_names.ORGANISATION, request.organisation.encode())
+            )
         instance = self._get_instance()
         if instance is not None:
             headers.append((header_names.EXPECTED_INSTANCE, instance.encode()))
--- a/standins/platform_documents.py
+++ b/standins/platform_documents.py
@@ -67,6 +67,14 @@
     return {"entryKind": "routes", "metadata": {"name": name}, "spec": spec}
 
 
+def make_organisation_entry(
+    name: str, keys: Iterable[str], **changes: Any
+) -> dict[str, Any]:
+    """Returns the configuration entry of an organisation without a cap."""
+    spec = {"apiKeys": list(keys), **changes}
+    return {"entryKind": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
 def make_configuration_document(
     version: int,
     routes: Iterable[dict[str, Any]],
