Refuse keys that were not confirmed in time, where operators ask for it

Cause: a node that learns of no new configuration accepts keys that were taken away. Settings with `failClosed` ask for the opposite.

Change: readers confirm the configuration with each read, and heartbeats of control links carry the age of the last confirmation, so that a node without access to the store is served by its neighbours. Beyond `revokeMs` routes that need a key get 503. Without `failClosed` no heartbeat grows and nothing is refused.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -78,3 +78,26 @@
     Given a platform with organisations and hosts "h1"
     When heads with the keys of both organisations are read
     Then the priorities are 0 for "club" and 1 for "parish"
+
+  # Guards against a key that was taken away and is accepted for as long as a
+  # node can't learn of it, where operators ask for the opposite.
+  Scenario Outline: Nodes that can't confirm the configuration
+    Given a platform with organisations and hosts "h1, h2"
+    And keys are <policy> while the configuration can't be confirmed
+    When the store is unreachable for <cut> for <seconds> s and requests are sent to "h1"
+    Then the requests get <statuses>
+
+    Examples:
+      | policy   | cut         | seconds | statuses      |
+      | refused  | all         | 4       | 200, 200      |
+      | refused  | all         | 8       | 200, 503      |
+      | refused  | "h1"        | 8       | 200, 200      |
+      | accepted | all         | 8       | 200, 200      |
+
+  # Guards against public routes that are refused for the sake of keys, and
+  # against nodes that stay closed after the store is back.
+  Scenario: Keys are accepted again once the configuration is confirmed
+    Given a platform with organisations and hosts "h1, h2"
+    And keys are refused while the configuration can't be confirmed
+    When the store comes back after 8 s without it
+    Then public requests get 200 all the time and those with keys get 503, then 200
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -1,5 +1,6 @@
 import json
 import random
+from collections.abc import Iterable
 from typing import Any
 
 import h11
@@ -260,3 +261,65 @@
 @then('the priorities are {club:d} for "club" and {parish:d} for "parish"')
 def step_check_priorities(context: Context, club: int, parish: int) -> None:
     assert context.priorities == {"club": club, "parish": parish}
+
+
+@given("keys are {policy} while the configuration can't be confirmed")
+def step_set_policy(context: Context, policy: str) -> None:
+    context.bounds = {"failClosed": policy == "refused", "revokeMs": 5000}
+
+
+@when(
+    "the store is unreachable for {cut} for {seconds:d} s and requests are sent"
+    ' to "h1"'
+)
+def step_cut_store(context: Context, cut: str, seconds: int) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        context.statuses = [await send_with_key(world, "/lanes/x")]
+        block_store(world, context.zones if cut == "all" else ["h1"])
+        await trio.sleep(seconds)
+        context.statuses.append(await send_with_key(world, "/lanes/x"))
+
+    run_on_platform(context, scenario)
+
+
+@when("the store comes back after {seconds:d} s without it")
+def step_return_store(context: Context, seconds: int) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        context.statuses = {"/public/x": [], "/lanes/x": []}
+        block_store(world, context.zones)
+        for _ in range(2):
+            await trio.sleep(seconds)
+            for target, statuses in context.statuses.items():
+                statuses.append(await send_with_key(world, target))
+            world.fabric.blocked.clear()
+
+    run_on_platform(context, scenario)
+
+
+def block_store(world: PlatformWorld, names: Iterable[str]) -> None:
+    for name in names:
+        world.fabric.block_both_ways(name, "store")
+
+
+async def send_with_key(world: PlatformWorld, target: str) -> int:
+    conn = await connect(world, "h1")
+    headers = make_headers("one", ("authorization", "Token key-club"))
+    status, _ = await exchange(conn, target, headers)
+    await conn.aclose()
+    return status
+
+
+@then("the requests get {statuses}")
+def step_check_statuses(context: Context, statuses: str) -> None:
+    expected = [int(status) for status in statuses.split(", ")]
+    assert context.statuses == expected, context.statuses
+
+
+@then(
+    "public requests get 200 all the time and those with keys get 503, then 200"
+)
+def step_check_returned(context: Context) -> None:
+    assert context.statuses == {
+        "/public/x": [200, 200],
+        "/lanes/x": [503, 200],
+    }, context.statuses
--- a/features/support/platform_scenario.py
+++ b/features/support/platform_scenario.py
@@ -30,6 +30,7 @@
     """
 
     async def run(world: PlatformWorld) -> None:
+        world.bounds = getattr(context, "bounds", {})
         await world.start_store(context.configuration)
         for name, zone in context.zones.items():
             # A healthy instance gets requests even before it reports.
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -1,5 +1,6 @@
 """Control connection between two neighbours of the overlay."""
 
+import math
 from collections.abc import Callable, Iterable
 
 import trio
@@ -14,6 +15,9 @@
     StoreAccess,
     StoreAccessTable,
 )
+from rhubarbpaddle.membership.configuration_currency import (
+    ConfigurationCurrency,
+)
 from rhubarbpaddle.membership.member_check import find_member_problem
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
@@ -63,6 +67,7 @@
         crashes: CrashLedger,
         is_valid_address: Callable[[str], bool],
         store_access: StoreAccessTable,
+        currency: ConfigurationCurrency | None = None,
     ) -> None:
         self.peer_id = peer_id
         self.received_at = clock.monotonic()
@@ -74,6 +79,7 @@
         self._crashes = crashes
         self._is_valid_address = is_valid_address
         self._store_access = store_access
+        self._currency = currency
         self._pending_store_access = {
             entry.node_id: entry for entry in store_access.list_changed()
         }
@@ -185,7 +191,16 @@
         ):
             self._heartbeat_at = now
             self._announced_version = version
-            await self._conn.send(Heartbeat(self._table.digest, version))
+            await self._conn.send(
+                Heartbeat(self._table.digest, version, self._get_age_ms())
+            )
+
+    def _get_age_ms(self) -> int | None:
+        """Returns how long ago the configuration was confirmed, if known."""
+        if self._currency is None:
+            return None
+        age = self._currency.get_age()
+        return None if math.isinf(age) else math.ceil(age * 1000)
 
     async def _receive_all(self) -> None:
         while True:
@@ -195,6 +210,7 @@
                 case Heartbeat():
                     self._repair_if_different(message)
                     self._request_if_newer(message.configuration_version)
+                    self._confirm(message)
                 case MemberUpdate(members=members, store_access=entries):
                     self._merge_members(members)
                     for entry in entries:
@@ -272,6 +288,19 @@
             self._version_to_request = version
             self._wake.set()
 
+    def _confirm(self, heartbeat: Heartbeat) -> None:
+        """Applies the neighbour's confirmation of the configuration.
+
+        One of a version that this node doesn't hold yet says nothing about the
+        version that it holds.
+        """
+        if (
+            self._currency is not None
+            and heartbeat.configuration_age_ms is not None
+            and heartbeat.configuration_version <= self._get_own_version()
+        ):
+            self._currency.confirm(heartbeat.configuration_age_ms / 1000)
+
     def _adopt_configuration(self, update: ConfigurationUpdate) -> None:
         if self._get_own_version() >= update.version:
             return
--- a/src/rhubarbpaddle/peer/messages/heartbeat.py
+++ b/src/rhubarbpaddle/peer/messages/heartbeat.py
@@ -10,7 +10,10 @@
         members_digest: The digest of the sender's member table.
         configuration_version: The version in force at the sender, or 0 if it
             has no configuration.
+        configuration_age_ms: How long ago that version was known to be the
+            newest, or None if the sender doesn't know or nobody asks for it.
     """
 
     members_digest: int
     configuration_version: int
+    configuration_age_ms: int | None = None
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -19,6 +19,9 @@
     Suspicion,
     choose_neighbours,
 )
+from rhubarbpaddle.membership.configuration_currency import (
+    ConfigurationCurrency,
+)
 from rhubarbpaddle.membership.neighbours import (
     RINGS,
     choose_missing_neighbours,
@@ -77,6 +80,7 @@
         get_seeds: Callable[[], Sequence[str]],
         crashes: CrashLedger,
         store_access: StoreAccessTable,
+        currency: ConfigurationCurrency | None = None,
     ) -> None:
         self._connector = connector
         self._table = table
@@ -95,6 +99,7 @@
         self._returns_tried_at = float("-inf")
         self._crashes = crashes
         self._store_access = store_access
+        self._currency = currency
         table.add_listener(self._broadcast_member)
         crashes.add_listener(self._broadcast_crash_count)
         store_access.add_listener(self._broadcast_store_access)
@@ -299,6 +304,7 @@
             self._crashes,
             self._connector.is_valid_address,
             self._store_access,
+            self._currency,
         )
         self._links.append(link)
         self._first_link.set()
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from datetime import timedelta
 
 import h11
 
@@ -35,6 +36,8 @@
 _REPLACED_WITH_KEYS = _REPLACED_HEADERS | {header_names.AUTHORIZATION}
 _KEY = re.compile(rb"token +([!-~]+) *", re.IGNORECASE)
 _NUMBER = re.compile(r"[0-9]{1,9}")
+# About the time that another reader takes to confirm the configuration.
+_KEYS_RETRY_AFTER = timedelta(seconds=1)
 # Callers take these to mean that the request has not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -48,6 +51,7 @@
         clock: Clock,
         split: TrafficSplit,
         get_configuration: Callable[[], RoutingConfiguration | None],
+        may_accept_keys: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the dialect of one host.
 
@@ -56,11 +60,14 @@
             clock: The source of time.
             split: Chooses one of a route's services by weight.
             get_configuration: Returns the configuration in force.
+            may_accept_keys: Returns whether its keys may be accepted although
+                later versions may have taken them away.
         """
         self._get_service = get_service
         self._clock = clock
         self._split = split
         self._get_configuration = get_configuration
+        self._may_accept_keys = may_accept_keys
 
     def get_request_id(self, head: h11.Request) -> str:
         """Returns the request id that the caller sent, or `-`."""
@@ -92,6 +99,13 @@
                 status=404,
             )
         organisation = _find_organisation(cfg, route, head)
+        if cfg.organisations and not (route.public or self._may_accept_keys()):
+            raise RefusedError(
+                "keys_unconfirmed",
+                "the configuration's keys were not confirmed in time",
+                step="authorize",
+                retry_after=_KEYS_RETRY_AFTER,
+            )
         replaced = (
             _REPLACED_WITH_KEYS if cfg.organisations else _REPLACED_HEADERS
         )
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -34,6 +34,9 @@
     StoreReaderElection,
     Suspicion,
 )
+from rhubarbpaddle.membership.configuration_currency import (
+    ConfigurationCurrency,
+)
 from rhubarbpaddle.network import Network, split_address
 from rhubarbpaddle.node.event_loop_reporter import EventLoopReporter
 from rhubarbpaddle.node.instance_factory import InstanceFactory
@@ -137,6 +140,7 @@
         )
         store = StoreClient(network, settings.store_address)
         store_access = StoreAccessTable(self.table)
+        self._currency = ConfigurationCurrency(clock)
         self.configuration = StoreConfigurationFollower(
             store,
             clock,
@@ -152,6 +156,7 @@
                 clock,
             ),
             PollSchedule.from_config(settings),
+            self._currency,
         )
         self._directory = NodeDirectory(
             settings.node_id,
@@ -180,6 +185,7 @@
             self._directory.get_addresses,
             crash_ledger,
             store_access,
+            self._currency if settings.revocation_deadline else None,
         )
         self.registry = InstanceRegistry(
             InstanceFactory(
@@ -228,6 +234,7 @@
                 clock,
                 TrafficSplit(rng),
                 self.configuration.get_configuration,
+                self._may_accept_keys,
             ),
             network,
             self._stream_watch,
@@ -420,6 +427,14 @@
         cfg = self.configuration.get_configuration()
         return cfg is None or cfg.is_in_service(availability_zone)
 
+    def _may_accept_keys(self) -> bool:
+        """Returns whether the keys of the configuration may still be valid."""
+        deadline = self.settings.revocation_deadline
+        return (
+            deadline is None
+            or self._currency.get_age() <= deadline.total_seconds()
+        )
+
     def _get_limits(self, service: str) -> ServiceLimits | None:
         cfg = self.configuration.get_configuration()
         limits = cfg.services.get(service) if cfg else None
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -42,6 +42,9 @@
             absent.
         is_first_start: The platform's `bootstrap`: whether the whole fleet
             starts for the first time.
+        revocation_deadline: The platform's `revokeMs` if `failClosed` is set:
+            how old the last confirmation of the configuration may be while
+            keys are accepted. None if they are accepted at any age.
         seeds: Report addresses of other hosts; may be stale.
     """
 
@@ -62,6 +65,7 @@
     cold_multiplier: float
     link_rate: float
     is_first_start: bool
+    revocation_deadline: timedelta | None
     seeds: tuple[str, ...]
 
     @classmethod
@@ -131,6 +135,7 @@
             cold_multiplier=_parse_cold_multiplier(bounds),
             link_rate=_parse_link_rate(local.get("limits", {})),
             is_first_start=bool(local.get("bootstrap", True)),
+            revocation_deadline=_parse_revocation_deadline(bounds),
             seeds=tuple(map(str, network["seeds"])),
         )
 
@@ -142,6 +147,12 @@
     return multiplier
 
 
+def _parse_revocation_deadline(bounds: Mapping[str, Any]) -> timedelta | None:
+    if not bounds.get("failClosed", False):
+        return None
+    return timedelta(milliseconds=float(bounds["revokeMs"]))
+
+
 def _parse_link_rate(limits: Mapping[str, Any]) -> float:
     megabits = float(limits.get("linkMbps", math.inf))
     if megabits <= 0:
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -12,6 +12,9 @@
 )
 from rhubarbpaddle.exceptions import ConfigurationError, RhubarbpaddleError
 from rhubarbpaddle.membership import ReaderPosition
+from rhubarbpaddle.membership.configuration_currency import (
+    ConfigurationCurrency,
+)
 from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.platform.history_lost import HistoryLostError
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
@@ -49,6 +52,7 @@
         on_change: Callable[[RoutingConfiguration], None],
         duty: ReaderDuty,
         schedule: PollSchedule,
+        currency: ConfigurationCurrency,
     ) -> None:
         """Creates a follower without a configuration.
 
@@ -61,12 +65,14 @@
                 it reads the store only once and then receives changes from its
                 peers.
             schedule: Determines how long the store holds reads.
+            currency: Learns of each read by which the state is the newest.
         """
         self._store = store
         self._clock = clock
         self._on_change = on_change
         self._duty = duty
         self._schedule = schedule
+        self._currency = currency
         self.store_responded = trio.Event()
         self._backoff = Backoff(rng, _BACKOFF_LIMIT)
         self._records: dict[str, bytes] = {}
@@ -233,6 +239,7 @@
     def _record_success(self) -> None:
         self._retries_silence = False
         self._duty.record_success()
+        self._currency.confirm()
         if self._unreachable_since is not None:
             seconds = self._clock.monotonic() - self._unreachable_since
             _log.info("store_regained", lost_ms=round(seconds * 1000))
