Share a host's link among all large bodies, responses included

Cause: only uploads were paced, each at a fixed fraction of the link, so that more than three of them filled it, and a response of 90 to 540 KB from the node beside an instance occupied the link without a pause.

Change: one `LinkPacer` for each host serves the uploads of `RemoteDispatcher` and the responses of `ExchangeServer`. Each body (`LinkTransfer`) gets the rate that its latency target needs; what is left of 90 % of the link is divided equally, up to 30 % of the link for each. Bodies that do not ask for their next turn do not count. The chunks of all bodies take turns, so that a short message waits for one chunk (2.5 ms of the link, at least 4 KiB). The steps of the old scenario use the new interface with the same figures.

--- a/features/steps/link_pacing_steps.py
+++ b/features/steps/link_pacing_steps.py
@@ -4,9 +4,11 @@
 from trio.testing import MockClock
 
 from features.support.virtual_clock import VirtualClock
-from rhubarbpaddle.peer.link_pacer import PACED_CHUNK_BYTES, LinkPacer
+from rhubarbpaddle.peer.link_pacer import LinkPacer
 
 _BYTES_PER_KB = 1000
+# As `RemoteDispatcher` has it.
+_UPLOAD_FRACTION = 0.25
 
 
 @given("a network link of {rate:d} kB/s")
@@ -22,10 +24,13 @@
     async def run() -> None:
         pacer = LinkPacer(context.rate, VirtualClock())
         remaining = length * _BYTES_PER_KB
-        rate = pacer.get_rate(remaining, trio.current_time() + seconds)
-        while remaining > 0:
-            await pacer.wait(PACED_CHUNK_BYTES, rate)
-            remaining -= PACED_CHUNK_BYTES
+        useful_until = trio.current_time() + seconds
+        with pacer.transfer(remaining, useful_until, _UPLOAD_FRACTION) as body:
+            while remaining > 0:
+                await body.wait_turn(pacer.chunk_bytes)
+                remaining -= pacer.chunk_bytes
+            # The time of the last chunk counts as well.
+            await body.wait_turn(1)
         context.transfer_seconds = trio.current_time()
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -1,5 +1,6 @@
 """Assembles a node and runs its tasks."""
 
+import math
 import random
 from typing import Self
 
@@ -49,6 +50,7 @@
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.exchange_server import ExchangeServer
 from rhubarbpaddle.peer.identity import PeerIdentity
+from rhubarbpaddle.peer.link_pacer import LinkPacer
 from rhubarbpaddle.peer.listener import PeerListener
 from rhubarbpaddle.peer.overlay import Overlay
 from rhubarbpaddle.peer.pool import PeerPool
@@ -117,7 +119,11 @@
             StoreAccessTable(self.table),
         )
         pool = PeerPool(network, connector, clock)
-        remote = RemoteDispatcher(pool, clock, self.configuration.get_version)
+        # The settings specify no link rate, so bodies are not paced.
+        pacer = LinkPacer(math.inf, clock)
+        remote = RemoteDispatcher(
+            pool, clock, self.configuration.get_version, pacer
+        )
         self._router = AdaptiveRouter(self.table, rng, clock)
         gateway = self._gateway = Gateway(
             self._router,
@@ -168,7 +174,7 @@
             deadline_limit,
         )
         exchanges = ExchangeServer(
-            self.sidecar, clock, self._stream_watch, deadline_limit
+            self.sidecar, clock, self._stream_watch, deadline_limit, pacer
         )
         claims = ClaimsServer(self.claims)
         self._peer_listener = PeerListener(
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -20,6 +20,7 @@
 )
 from rhubarbpaddle.execution.upstream_proxy import UpstreamProxy
 from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.link_pacer import LinkPacer
 from rhubarbpaddle.peer.messages import (
     BodyChunk,
     BodyEnd,
@@ -36,7 +37,9 @@
 
 # Bodies up to this length are sent in the same message as their head.
 INLINE_BODY_BYTES = 16 * 1024
-CHUNK_BYTES = 64 * 1024
+# Fraction of the time until the latency target that the transfer of a response
+# may take. Nothing but the caller's own connection follows it.
+_TIME_FRACTION = 0.5
 
 _log = get_logger("peer")
 
@@ -54,8 +57,10 @@
         clock: Clock,
         watch: StreamWatch,
         deadline_limit: DeadlineLimit,
+        pacer: LinkPacer,
     ) -> None:
         self._proxy = proxy
+        self._pacer = pacer
         self._clock = clock
         self._watch = watch
         self._deadline_limit = deadline_limit
@@ -133,12 +138,18 @@
             async with self._proxy.handle(
                 request, body, call.instance, call.incarnation
             ) as response:
-                await self._send_response(conn, call.request_id, response)
+                await self._send_response(
+                    conn, call.request_id, response, request.useful_until
+                )
         except RefusedError as exc:
             await conn.send(self._to_refusal(call.request_id, exc))
 
     async def _send_response(
-        self, conn: PeerConnection, request_id: str, response: Response
+        self,
+        conn: PeerConnection,
+        request_id: str,
+        response: Response,
+        useful_until: float,
     ) -> None:
         length = response.body.length
         inline = None
@@ -156,8 +167,14 @@
         )
         if inline is not None:
             return
-        async for chunk in _iter_chunks(response.body):
-            await conn.send(BodyChunk(request_id, chunk))
+        with self._pacer.transfer(
+            length, useful_until, _TIME_FRACTION
+        ) as transfer:
+            async for chunk in _iter_chunks(
+                response.body, self._pacer.chunk_bytes
+            ):
+                await transfer.wait_turn(len(chunk))
+                await conn.send(BodyChunk(request_id, chunk))
         await conn.send(BodyEnd(request_id))
 
     def _to_request(self, call: Call, presence: CallerPresence) -> Request:
@@ -221,7 +238,9 @@
     return bytes(content)
 
 
-async def _iter_chunks(body: Body) -> AsyncIterator[bytes]:
+async def _iter_chunks(
+    body: Body, max_chunk_bytes: int
+) -> AsyncIterator[bytes]:
     while chunk := await body.receive():
-        for start in range(0, len(chunk), CHUNK_BYTES):
-            yield chunk[start : start + CHUNK_BYTES]
+        for start in range(0, len(chunk), max_chunk_bytes):
+            yield chunk[start : start + max_chunk_bytes]
--- a/src/rhubarbpaddle/peer/link_pacer.py
+++ b/src/rhubarbpaddle/peer/link_pacer.py
@@ -1,25 +1,42 @@
 """Paces large bodies on slow network links."""
 
 import math
-from datetime import timedelta
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import trio
 
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.peer.link_share import get_level
+from rhubarbpaddle.peer.link_transfer import LinkTransfer
 
-# Fraction of the link's rate for one body if its latency target allows it.
-# Three concurrent bodies nearly fill the link.
-_LINK_FRACTION = 0.3
-# Fraction of the time until the latency target that the transfer may take.
-_TIME_FRACTION = 0.25
-# Other messages wait for at most one chunk per body: 3 ms at 10 Mbit/s.
-PACED_CHUNK_BYTES = 4 * 1024
-_MIN_SECONDS = 0.001
+# Fraction of the link's rate for all bodies together if their latency targets
+# allow it; the rest is left to short messages.
+_SHARED_FRACTION = 0.9
+# Fraction of the link's rate for one body if its latency target allows it. The
+# hosts that receive bodies have links of the same rate, and receive them from
+# several hosts at once.
+_MAX_BODY_FRACTION = 0.3
+# A short message waits for one chunk: 3 ms at 10 Mbit/s.
+_CHUNK_SECONDS = 0.0025
+# Smaller chunks cost more processor time than the bytes in them.
+_MIN_CHUNK_BYTES = 4 * 1024
+_MAX_CHUNK_BYTES = 64 * 1024
 
 
 class LinkPacer:
-    """Limits the rate of each body so that short messages are not delayed.
+    """Shares a host's outgoing link among large bodies and short messages.
+
+    Links of small hosts carry 6 to 100 Mbit/s. Sending a body of 60 KiB without
+    pauses occupies a link of 10 Mbit/s for 50 ms and delays all other messages.
 
-    Links of small hosts carry 5 to 10 Mbit/s. Sending a body of 60 KiB without
-    pauses occupies such a link for 50 ms or more and delays all other messages.
+    Attributes:
+        link_rate: The link's capacity in bytes per second; infinite if bodies
+            are not paced.
+        chunk_bytes: The size of the chunks in which bodies are sent.
+        turn: Held by the body that may send its next chunk.
+        free_at: Monotonic time in seconds at which the link has sent all chunks
+            so far.
     """
 
     def __init__(self, link_rate: float, clock: Clock) -> None:
@@ -30,32 +47,62 @@
                 disables pacing.
             clock: The source of time.
         """
-        self._link_rate = link_rate
+        self.link_rate = link_rate
+        self.chunk_bytes = int(
+            min(
+                max(link_rate * _CHUNK_SECONDS, _MIN_CHUNK_BYTES),
+                _MAX_CHUNK_BYTES,
+            )
+        )
+        self.turn = trio.Lock()
+        self.free_at = 0.0
         self._clock = clock
+        self._transfers: set[LinkTransfer] = set()
 
-    def get_rate(self, length: int | None, useful_until: float) -> float:
-        """Returns the rate for sending a body, in bytes per second.
+    @contextmanager
+    def transfer(
+        self, length: int | None, useful_until: float, time_fraction: float
+    ) -> Iterator[LinkTransfer]:
+        """Adds a body to those that share the link, until the context ends.
 
         Args:
             length: The body's length in bytes, or None if not known.
             useful_until: Monotonic time in seconds of the request's latency
                 target; infinite if it has none.
+            time_fraction: Fraction of the time until the latency target that
+                the transfer may take.
         """
-        min_rate = self._link_rate * _LINK_FRACTION
-        if length is None or math.isinf(useful_until):
-            return min_rate
-        seconds = (useful_until - self._clock.monotonic()) * _TIME_FRACTION
-        return max(min_rate, length / max(seconds, _MIN_SECONDS))
+        now = self._clock.monotonic()
+        finish_by = math.inf
+        if math.isfinite(useful_until):
+            finish_by = now + (useful_until - now) * time_fraction
+        transfer = LinkTransfer(self, self._clock, length, finish_by)
+        self._transfers.add(transfer)
+        try:
+            yield transfer
+        finally:
+            self._transfers.discard(transfer)
 
-    async def wait(self, sent_bytes: int, rate: float) -> None:
-        """Waits until the next chunk may be sent.
+    def get_rate(self, transfer: LinkTransfer) -> float:
+        """Returns the present rate of a body in bytes per second.
 
-        Pauses shorter than a millisecond are skipped.
-
-        Args:
-            sent_bytes: The size of the chunk that was just sent.
-            rate: The body's rate in bytes per second.
+        Each body gets at least the rate that it needs, and bodies that need
+        little get equal rates. If the link can't carry what all of them need,
+        each gets the same part of it.
         """
-        seconds = sent_bytes / rate
-        if seconds >= _MIN_SECONDS:
-            await self._clock.sleep(timedelta(seconds=seconds))
+        now = self._clock.monotonic()
+        needed_rates = {
+            other: other.get_needed_rate(now)
+            for other in self._transfers
+            if other is transfer or other.is_active(now)
+        }
+        total = sum(needed_rates.values())
+        if total > self.link_rate:
+            return needed_rates[transfer] * self.link_rate / total
+        level = get_level(
+            needed_rates.values(), self.link_rate * _SHARED_FRACTION
+        )
+        return max(
+            needed_rates[transfer],
+            min(level, self.link_rate * _MAX_BODY_FRACTION),
+        )
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -16,8 +16,8 @@
 from rhubarbpaddle.execution.upload import Upload
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.peer.connection import PeerConnection
-from rhubarbpaddle.peer.exchange_server import CHUNK_BYTES, INLINE_BODY_BYTES
-from rhubarbpaddle.peer.link_pacer import PACED_CHUNK_BYTES, LinkPacer
+from rhubarbpaddle.peer.exchange_server import INLINE_BODY_BYTES
+from rhubarbpaddle.peer.link_pacer import LinkPacer
 from rhubarbpaddle.peer.messages import (
     Admitted,
     BodyChunk,
@@ -38,6 +38,9 @@
 CONFIRMATION_SECONDS = 0.25
 # Opening a connection takes three round trips, 0.17 s between regions.
 _ACQUIRE_SECONDS = 0.3
+# Fraction of the time until the latency target that an upload may take. The
+# rest is left to the instance.
+_TIME_FRACTION = 0.25
 
 
 class RemoteDispatcher:
@@ -48,7 +51,7 @@
         pool: PeerPool,
         clock: Clock,
         get_version: Callable[[], int],
-        link_rate: float = math.inf,
+        pacer: LinkPacer,
     ) -> None:
         """Creates a dispatcher.
 
@@ -56,10 +59,9 @@
             pool: Connections to other nodes.
             clock: The source of time.
             get_version: Returns the version of the configuration in force.
-            link_rate: The capacity of the host's link in bytes per second;
-                infinite disables pacing.
+            pacer: Paces bodies on the host's link.
         """
-        self._pacer = LinkPacer(link_rate, clock)
+        self._pacer = pacer
         self._pool = pool
         self._clock = clock
         self._get_version = get_version
@@ -180,14 +182,13 @@
         self, conn: PeerConnection, request: Request, body: Body
     ) -> ResponseHead | Refusal:
         """Sends the body while waiting for the response."""
-        rate = self._pacer.get_rate(body.length, request.useful_until)
-        max_chunk_bytes = CHUNK_BYTES if math.isinf(rate) else PACED_CHUNK_BYTES
+        max_chunk_bytes = self._pacer.chunk_bytes
 
         async def send_chunk(chunk: bytes) -> None:
             for start in range(0, len(chunk), max_chunk_bytes):
                 content = chunk[start : start + max_chunk_bytes]
+                await transfer.wait_turn(len(content))
                 await conn.send(BodyChunk(request.request_id, content))
-                await self._pacer.wait(len(content), rate)
             if not chunk:
                 await conn.send(BodyEnd(request.request_id))
 
@@ -197,7 +198,10 @@
             lambda: self._receive(conn, request),
             _is_rejection,
         )
-        response = await upload.run(math.inf)
+        with self._pacer.transfer(
+            body.length, request.useful_until, _TIME_FRACTION
+        ) as transfer:
+            response = await upload.run(math.inf)
         if not upload.complete:
             conn.broken = True
         if isinstance(response, Admitted):
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -45,6 +45,7 @@
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.exchange_server import ExchangeServer
 from rhubarbpaddle.peer.identity import PeerIdentity
+from rhubarbpaddle.peer.link_pacer import LinkPacer
 from rhubarbpaddle.peer.listener import PeerListener
 from rhubarbpaddle.peer.overlay import Overlay
 from rhubarbpaddle.peer.pool import PeerPool
@@ -196,8 +197,9 @@
             self._wait_for_departures,
         )
         pool = PeerPool(network, connector, clock)
+        pacer = LinkPacer(settings.link_rate, clock)
         remote_dispatcher = RemoteDispatcher(
-            pool, clock, self.configuration.get_version, settings.link_rate
+            pool, clock, self.configuration.get_version, pacer
         )
         self._router = InstanceRouter(
             self.table, clock, rng, self._is_in_service
@@ -237,7 +239,11 @@
             ),
         )
         exchange_server = ExchangeServer(
-            self.instance_proxy, clock, self._stream_watch, deadline_limit
+            self.instance_proxy,
+            clock,
+            self._stream_watch,
+            deadline_limit,
+            pacer,
         )
         self._peer_listener = PeerListener(
             identity, {"exchange": exchange_server, "control": self.overlay}
