Ask a second instance for a large response until its first byte was sent

Cause: a response over 64 KiB whose instance failed after the head gave the caller an error or a truncated response, although nothing or little had been passed on. Pacing also kept the slot at the instance occupied while a finished response was sent.

Change: `HeldBody` reads the first part of a body ahead in a limited memory. The node beside the instance reads bodies of known length up to 256 KiB completely if the instance sends them within 20 ms, and releases the slot once the body is in memory. A failed body still counts as evidence of a lost instance.

Result: features/large_responses.feature, 21 scenarios.

--- /dev/null
+++ b/features/large_responses.feature
@@ -0,0 +1,101 @@
+Feature: Large responses on slow links
+
+  # Guards against a large response that occupies the link between two hosts
+  # for as long as it takes, and against one that pacing makes late.
+  Scenario Outline: A response from another host is paced and in time
+    Given hosts with links of <mbps> Mbit/s, and instances that respond with <length> bytes
+    When a caller of a host without an instance requests one, with a latency target of <target> ms
+    Then the response is complete after <least> to <most> ms
+
+    Examples:
+      | mbps | length | target | least | most |
+      | 12   | 90000  | 400    | 170   | 270  |
+      | 12   | 540000 | 900    | 380   | 540  |
+      | 100  | 540000 | 900    | 110   | 200  |
+      | 6    | 20000  | 400    | 60    | 130  |
+
+  # Guards against an error for a request that another instance could have
+  # answered, since no byte of the first response had been sent to the caller.
+  Scenario Outline: An instance fails after the head of its response
+    Given hosts with links of 100 Mbit/s, and instances that respond with <length> bytes <framing>
+    And the instance of "h1" fails after <bytes> bytes of each body
+    When callers of "h1" and of a host without an instance send 3 requests each
+    Then all responses are complete
+    And the instance of "h1" has run 1 request or more
+
+    Examples:
+      | length | framing   | bytes |
+      | 90000  | unchunked | 0     |
+      | 250000 | unchunked | 1     |
+      | 250000 | unchunked | 240000 |
+      | 540000 | unchunked | 0     |
+      | 540000 | unchunked | 20000 |
+      | 540000 | in chunks | 20000 |
+
+  # Guards against an error for a request whose response was lost on the way,
+  # although nothing of it had been sent to the caller.
+  Scenario: The node beside the instance is lost at the start of a response
+    Given hosts with links of 6 Mbit/s, and instances that respond with 540000 bytes
+    When the node that sends a response is lost after 50 ms
+    Then all responses are complete
+    And 2 instances have run the request
+
+  # Guards against the start of one response that is followed by another one,
+  # and against a truncated response that looks complete.
+  Scenario Outline: An instance fails when bytes have been sent to the caller
+    Given hosts with links of 100 Mbit/s, and instances that respond with 540000 bytes <framing>
+    And the instance of "h1" fails after 400000 bytes of each body
+    When callers of "h1" and of a host without an instance send 3 requests each
+    Then each response is complete, or ends without appearing complete
+    And no request has run twice
+    And 1 response or more is incomplete
+
+    Examples:
+      | framing   |
+      | unchunked |
+      | in chunks |
+
+  # Guards against nodes that collect a response for a caller that reads slowly,
+  # and against other callers that wait for it.
+  Scenario: A caller does not read its response
+    Given hosts with links of 12 Mbit/s, and instances that respond with 8000000 bytes
+    When a caller does not read its response while 5 others request 90000 bytes
+    Then the instance has sent at most 900000 bytes of the unread response
+    And the others have complete responses within 400 ms
+
+  # Guards against instances that keep working for callers that have left.
+  Scenario: A caller leaves in the middle of a response
+    Given hosts with links of 12 Mbit/s, and instances that respond with 8000000 bytes
+    When a caller leaves while its response is paced
+    Then the connection to the instance ends within 500 ms
+
+  # Guards against slots that stay occupied while finished responses are paced,
+  # which takes up to half of the latency target.
+  Scenario: A paced response does not occupy the instance
+    Given hosts with links of 6 Mbit/s, and instances that respond with 200000 bytes
+    And instances with 1 slot
+    When 2 callers of a host without an instance request them at the same time
+    Then the second one has started within 150 ms of the first
+
+  # Guards against responses that exhaust the memory of a node.
+  Scenario Outline: Bodies that are read ahead share a limited memory
+    Given a memory of 100000 bytes for bodies that are read ahead
+    When <count> bodies of <length> bytes are read ahead up to 64000 bytes
+    Then at most <held> bytes are held, and all memory is unused at the end
+
+    Examples:
+      | count | length | held   |
+      | 1     | 540000 | 80000  |
+      | 10    | 540000 | 280000 |
+      | 10    | 1000   | 10000  |
+
+  # Guards against a planned stop that cuts off a paced response.
+  Scenario Outline: A node shuts down while it sends a paced response
+    Given hosts with links of 6 Mbit/s, and instances that respond with 540000 bytes
+    When the <node> shuts down in the middle of a response
+    Then the response is complete and the shutdown reports no interrupted work
+
+    Examples:
+      | node                     |
+      | node beside the instance |
+      | gateway                  |
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -111,12 +111,18 @@
 
 
 class PlatformWorld:
-    """Starts nodes and instances and sends the requests of callers."""
+    """Starts nodes and instances and sends the requests of callers.
+
+    Attributes:
+        link_mbps: The rate of the links of hosts that are started from now on;
+            None if their settings have none. The fabric itself has no limit.
+    """
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.fabric = MemoryFabric()
         self.clock = VirtualClock()
         self.store = PlatformStore()
+        self.link_mbps: float | None = None
         self.nodes: dict[str, PlatformNode] = {}
         self.instances: dict[str, PlatformInstance] = {}
         self._nursery = nursery
@@ -160,6 +166,8 @@
         """Starts a node on a host on which none runs."""
         document = make_settings(name, zone)
         document["local"]["bootstrap"] = is_first_start
+        if self.link_mbps is not None:
+            document["local"]["limits"] = {"linkMbps": self.link_mbps}
         settings = PlatformSettings.from_document(document)
         network = HostNetwork(self.fabric, name)
         node = PlatformNode(
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -1,7 +1,7 @@
 """The proxy for an instance that reports its slots and slowdown factor."""
 
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from datetime import timedelta
 
 from rhubarbpaddle.admission.ticket import Ticket
@@ -9,6 +9,7 @@
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution.attached_instance import AttachedInstance
 from rhubarbpaddle.execution.body import Body
+from rhubarbpaddle.execution.body_memory import BodyMemory
 from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_suspects import CrashSuspects
@@ -18,6 +19,7 @@
     classify_response,
 )
 from rhubarbpaddle.execution.fingerprint import make_fingerprint
+from rhubarbpaddle.execution.held_body import HeldBody
 from rhubarbpaddle.execution.observed_body import ObservedBody
 from rhubarbpaddle.execution.prefixed_body import PrefixedBody
 from rhubarbpaddle.execution.request import Request
@@ -36,6 +38,13 @@
 # on, so that a lost connection gives an error response instead of a truncated
 # one.
 _MAX_BUFFERED_BYTES = 64 * 1024
+# A longer body of known length up to this one is read completely if the
+# instance has it ready, so that it has no request running while the body is
+# paced on the host's link.
+_MAX_HELD_BYTES = 256 * 1024
+# An instance sends a body of this length over the host's loopback interface
+# within a few milliseconds. A body that takes longer is streamed.
+_HOLD_SECONDS = 0.02
 
 
 class InstanceProxy:
@@ -74,6 +83,7 @@
         self._suspects = CrashSuspects(crashes, clock)
         self._clock = clock
         self._on_instance_gone = on_instance_gone
+        self._response_memory = BodyMemory()
 
     def attach(self, attached: AttachedInstance) -> None:
         """Replaces the instance that receives requests.
@@ -139,19 +149,30 @@
                         response, request_body, elapsed
                     )
                     response_body = ObservedBody(response.body)
-                    yield response._replace(
-                        body=await _buffer_if_short(
-                            response_body,
-                            may_retry=isinstance(body, BytesBody),
-                        ),
-                        report=attached.admission.get_report(),
+                    may_retry = isinstance(body, BytesBody)
+                    passed_body = await _buffer_if_short(
+                        response_body, may_retry=may_retry
                     )
+                    with ExitStack() as held_bodies:
+                        passed_body = await self._read_ahead(
+                            held_bodies, passed_body, may_retry=may_retry
+                        )
+                        report = attached.admission.get_report()
+                        if _is_in_memory(passed_body):
+                            # A slow link or caller must not occupy a slot.
+                            slot.release(evidence)
+                        yield response._replace(body=passed_body, report=report)
                 self.crashes.record_response(fingerprint)
             except RefusedError as exc:
                 if evidence is NO_EVIDENCE:
                     evidence = classify_error(exc, request_body)
                     self._log_failure(request, exc)
                     await self._detect_crash(attached, evidence, fingerprint)
+                elif response_body is not None and _has_lost_rest(
+                    response_body
+                ):
+                    evidence = Evidence(EvidenceKind.LOST)
+                    await self._detect_crash(attached, evidence, fingerprint)
                 raise
             except BaseException:
                 if response_body is not None and response_body.failed:
@@ -161,6 +182,32 @@
         finally:
             slot.release(evidence)
 
+    async def _read_ahead(
+        self, stack: ExitStack, body: Body, *, may_retry: bool
+    ) -> Body:
+        """Reads a long body into memory if the instance has it ready.
+
+        Args:
+            stack: Holds the memory of the body.
+            body: The body.
+            may_retry: Whether the body of the request is still in memory.
+
+        Raises:
+            RefusedError: The body could not be read; the request has run at
+                least in part.
+        """
+        if not _may_hold(body):
+            return body
+        held_body = stack.enter_context(
+            HeldBody.hold(body, self._response_memory)
+        )
+        until = self._clock.monotonic() + _HOLD_SECONDS
+        try:
+            await held_body.read_ahead(_MAX_HELD_BYTES, until, self._clock)
+        except RhubarbpaddleError as exc:
+            raise _make_lost_refusal(exc, may_retry=may_retry) from exc
+        return held_body
+
     def _log_failure(self, request: Request, exc: RefusedError) -> None:
         self._log.notice(
             "instance_failed",
@@ -238,6 +285,30 @@
         return attached
 
 
+def _may_hold(body: Body) -> bool:
+    """Returns whether a body is read ahead that is not in memory yet."""
+    return (
+        not isinstance(body, BytesBody)
+        and body.length is not None
+        and body.length <= _MAX_HELD_BYTES
+    )
+
+
+def _has_lost_rest(body: ObservedBody) -> bool:
+    """Returns whether a body that is too long to be buffered has failed."""
+    return (
+        body.failed
+        and body.length is not None
+        and body.length > _MAX_BUFFERED_BYTES
+    )
+
+
+def _is_in_memory(body: Body) -> bool:
+    return isinstance(body, BytesBody) or (
+        isinstance(body, HeldBody) and body.complete
+    )
+
+
 async def _buffer_if_short(body: ObservedBody, *, may_retry: bool) -> Body:
     """Reads a short body into memory and leaves a longer one streamed.
 
@@ -259,19 +330,25 @@
             if len(content) > _MAX_BUFFERED_BYTES:
                 return PrefixedBody(bytes(content), body)
     except RhubarbpaddleError as exc:
-        raise RefusedError(
-            "upstream_lost",
-            f"the response's body failed: {exc.detail}",
-            step="run_request",
-            peer=exc.peer,
-            status=502,
-            outcome=Outcome.UNKNOWN,
-            may_retry=may_retry,
-            may_resend=True,
-        ) from exc
+        raise _make_lost_refusal(exc, may_retry=may_retry) from exc
     return BytesBody(bytes(content))
 
 
+def _make_lost_refusal(
+    exc: RhubarbpaddleError, *, may_retry: bool
+) -> RefusedError:
+    return RefusedError(
+        "upstream_lost",
+        f"the response's body failed: {exc.detail}",
+        step="run_request",
+        peer=exc.peer,
+        status=502,
+        outcome=Outcome.UNKNOWN,
+        may_retry=may_retry,
+        may_resend=True,
+    )
+
+
 def _make_ticket(request: Request) -> Ticket:
     return Ticket(
         request.organisation,
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -7,7 +7,7 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution.body import Body
 from rhubarbpaddle.execution.body_memory import BodyMemory
 from rhubarbpaddle.execution.bytes_body import BytesBody
@@ -17,6 +17,10 @@
 from rhubarbpaddle.execution.deadline_refusal import make_deadline_refusal
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.event_log import EventLog
+from rhubarbpaddle.execution.failed_body_refusal import (
+    make_failed_body_refusal,
+)
+from rhubarbpaddle.execution.held_body import HeldBody
 from rhubarbpaddle.execution.kept_body import KeptBody
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
@@ -42,6 +46,10 @@
 _DEADLINE_GRACE_SECONDS = 0.03
 # Status 503 means to callers of routes that the request has not run.
 _NOT_RUN_STATUS = 503
+# How much of a large response is read before its first byte is passed on, so
+# that the request can still be sent to another instance. Callers are on the
+# gateway's host, so this delays the end of a response by less than 1 ms.
+_HELD_RESPONSE_BYTES = 64 * 1024
 _RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
 
@@ -62,6 +70,7 @@
         self._budget = budget
         self._clock = clock
         self._body_memory = BodyMemory()
+        self._response_memory = BodyMemory()
 
     @asynccontextmanager
     async def handle(
@@ -107,6 +116,7 @@
                     request._replace(may_queue=may_queue),
                     body,
                     candidate,
+                    may_retry=history.attempts + 1 < request.max_attempts,
                 )
             except RefusedError as exc:
                 history.record_failure(candidate.node_id, exc, may_queue)
@@ -199,18 +209,42 @@
         self,
         stack: AsyncExitStack,
         request: Request,
-        body: Body,
+        body: BytesBody | KeptBody,
         candidate: Candidate,
+        *,
+        may_retry: bool,
     ) -> Response:
         self._router.record_start(candidate)
+        held_body: HeldBody | None = None
         try:
-            response = await self._dispatch(stack, request, body, candidate)
+            async with AsyncExitStack() as attempt:
+                response = await self._dispatch(
+                    attempt, request, body, candidate
+                )
+                if (
+                    request.large_response
+                    and may_retry
+                    and body.can_rewind()
+                    and not isinstance(response.body, BytesBody)
+                ):
+                    held_body = attempt.enter_context(
+                        HeldBody.hold(response.body, self._response_memory)
+                    )
+                    await held_body.read_ahead(
+                        _HELD_RESPONSE_BYTES, request.useful_until, self._clock
+                    )
+                    response = response._replace(body=held_body)
+                stack.push_async_exit(attempt.pop_all())
         except RefusedError as exc:
             self._router.record_end(candidate, exc.report, exc.code)
             raise
-        except BaseException:
-            self._router.record_end(candidate, None)
-            raise
+        except BaseException as exc:
+            refusal = _make_lost_response_refusal(held_body, exc)
+            if refusal is None:
+                self._router.record_end(candidate, None)
+                raise
+            self._router.record_end(candidate, None, refusal.code)
+            raise refusal from exc
         stack.callback(self._router.record_end, candidate, response.report)
         return response
 
@@ -251,6 +285,21 @@
         )
 
 
+def _make_lost_response_refusal(
+    held_body: HeldBody | None, exc: BaseException
+) -> RefusedError | None:
+    """Returns the refusal if a response failed while it was read ahead."""
+    if (
+        held_body is None
+        or not held_body.failed
+        or not isinstance(exc, RhubarbpaddleError)
+    ):
+        return None
+    refusal = make_failed_body_refusal(exc)
+    refusal.may_resend = True
+    return refusal
+
+
 def _make_final_refusal(history: RouteAttemptHistory) -> RefusedError:
     """Returns the final refusal, whose outcome covers all attempts."""
     refusal = history.refusal
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -5,8 +5,11 @@
 import h11
 import trio
 
+from standins.large_response import LargeResponse
+
 _RECEIVE_BYTES = 1 << 16
 _ENDLESS_CHUNKS = 1000
+_PART_BYTES = 16 * 1024
 _REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"not-executed: 1\r\ncontent-length: 0\r\n\r\n"
@@ -54,6 +57,11 @@
         body_parts: The number of parts in which the body of each request
             arrived, in order.
         response_length: The length of its last response to a request.
+        large_response: What it responds to requests in place of their id, if
+            not None.
+        sent_bytes: The number of bytes that it sent of these bodies.
+        broken_at: When sending such a body failed because the connection was
+            closed, in seconds of trio's clock; None if none failed.
     """
 
     def __init__(
@@ -96,6 +104,9 @@
         self.runs_at: list[float] = []
         self.bodies: list[bytes] = []
         self.body_parts: list[int] = []
+        self.large_response: LargeResponse | None = None
+        self.sent_bytes = 0
+        self.broken_at: float | None = None
         self._running = 0
 
     async def handle(self, stream: trio.abc.Stream) -> None:
@@ -121,6 +132,12 @@
                 if self.endless_chunk and request_id:
                     await self._send_endlessly(stream, request_id)
                     return
+                if self.large_response is not None and request_id:
+                    await self._send_large(
+                        stream, request_id, self.large_response
+                    )
+                    conn.start_next_cycle()
+                    continue
                 if self.garbage and request_id:
                     await stream.send_all(self.garbage)
                     return
@@ -144,6 +161,39 @@
         finally:
             await trio.aclose_forcefully(stream)
 
+    async def _send_large(
+        self, stream: trio.abc.Stream, request_id: str, large: LargeResponse
+    ) -> None:
+        framing = (
+            b"transfer-encoding: chunked"
+            if large.chunked
+            else b"content-length: %d" % large.length
+        )
+        head = (
+            b"HTTP/1.1 200 OK\r\nserver-signature: s\r\nrequest-id: %b\r\n"
+            b"%b\r\n\r\n" % (request_id.encode(), framing)
+        )
+        body = large.make_body()[: large.fails_after]
+        try:
+            await stream.send_all(head)
+            for start in range(0, len(body), _PART_BYTES):
+                part = body[start : start + _PART_BYTES]
+                content = (
+                    b"%x\r\n%b\r\n" % (len(part), part)
+                    if large.chunked
+                    else part
+                )
+                await stream.send_all(content)
+                self.sent_bytes += len(part)
+                await trio.sleep(large.pause_seconds)
+            if large.fails_after is not None:
+                raise trio.BrokenResourceError
+            if large.chunked:
+                await stream.send_all(b"0\r\n\r\n")
+        except trio.BrokenResourceError:
+            self.broken_at = trio.current_time()
+            raise
+
     async def _send_endlessly(
         self, stream: trio.abc.Stream, request_id: str
     ) -> None:
