--- a/src/rhubarbpaddle/http/limits.py
+++ b/src/rhubarbpaddle/http/limits.py
@@ -18,6 +18,12 @@
         discard_bytes: How many bytes of unread input are discarded at most.
         keeps_half_closed: Whether a caller that has closed its sending side
             is still considered to wait for its response.
+        requests_ahead: The maximum number of requests of a connection that are
+            read before the one in front of them was answered.
+        bytes_ahead: No further head is read ahead while those of a connection
+            have this size or more.
+        node_requests_ahead: The maximum number of requests of all connections
+            that run ahead. Further ones wait for their turn.
     """
 
     head_bytes: int = 16 * 1024
@@ -28,6 +34,9 @@
     discard_seconds: float = 2.0
     discard_bytes: int = 1 << 20
     keeps_half_closed: bool = True
+    requests_ahead: int = 8
+    bytes_ahead: int = 32 * 1024
+    node_requests_ahead: int = 64
 
 
 DEFAULT_LIMITS = CallerLimits()
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -1,6 +1,7 @@
 """Server side of an HTTP/1.1 connection."""
 
 import math
+from typing import Self
 
 import h11
 import trio
@@ -39,6 +40,7 @@
         scope: Encloses all use of the connection. Its deadline limits the wait
             for a head, and cancelling it closes the connection.
         receiving_head: Whether part of a head has arrived.
+        head_bytes: The size of the last head without the empty line.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.scope = trio.CancelScope()
         self._limits = limits
         self.receiving_head = False
+        self.head_bytes = 0
         self._response_started = False
         self._accepts_interim = False
         self._chunked = False
@@ -81,13 +84,41 @@
         if not isinstance(event, h11.Request):
             return None
         check_head(event)
-        self.start_body(event.headers)
-        self._accepts_interim = event.http_version != b"1.0"
-        self._chunked = _is_chunked(event)
-        length = get_length(event.headers)
+        return event, self.start_request(event)
+
+    def start_request(self, head: h11.Request) -> H11Body:
+        """Prepares to answer the request whose head was parsed.
+
+        Returns:
+            The request's body.
+        """
+        self.start_body(head.headers)
+        self._accepts_interim = head.http_version != b"1.0"
+        self._chunked = _is_chunked(head)
+        length = get_length(head.headers)
         if length is None and not self._chunked:
             length = 0
-        return event, H11Body(self._next_body_event, length, self.peer)
+        return H11Body(self._next_body_event, length, self.peer)
+
+    def make_reader(self, unparsed: bytes) -> Self:
+        """Returns an object that reads the next request of the same stream.
+
+        Args:
+            unparsed: The bytes that were received behind the last request.
+        """
+        reader = type(self)(self.stream, self.peer, self._limits)
+        reader.unparsed = unparsed
+        return reader
+
+    def continue_with(self, state: h11.Connection) -> None:
+        """Continues with a request that a reader has received.
+
+        Args:
+            state: The state machine of the reader.
+        """
+        self.h11 = state
+        self._response_started = False
+        self._half_closed_checks = 0
 
     def parse_event(self) -> object:
         """Parses buffered bytes; returns an event or `h11.NEED_DATA`.
@@ -258,6 +289,7 @@
             if not received:
                 return False
             raise make_bad_request("the connection ended within the head")
+        self.head_bytes = end
         if end > limits.head_bytes:
             raise make_bad_request("the head is too long", 431)
         check_raw_head(received[: end + len(HEAD_END)])
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -76,6 +76,11 @@
                     "",
                     "Requests whose caller left before the answer",
                 ),
+                (
+                    "requests.pipelined",
+                    "",
+                    "Requests read before the answers to those before them",
+                ),
                 ("probes", "", "Probes of the upstream"),
                 ("probe.time", "s", "The upstream's time that probes took"),
             )
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -109,6 +109,15 @@
         """
         self._sink.add("callers.left", 1, (("stage", stage),))
 
+    def record_pipelined(self, result: str, count: int = 1) -> None:
+        """Records requests that were read before their turn.
+
+        Args:
+            result: `answered`, or `discarded` if the connection ended before.
+            count: The number of requests.
+        """
+        self._sink.add("requests.pipelined", count, (("result", result),))
+
     def record_probe(
         self, service: str, target: str, result: str, seconds: float
     ) -> None:
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -26,6 +26,7 @@
             down.
         cold_ms: For how long it reports that it remains cold.
         work_seconds: How long a request takes without a slowdown.
+        work_seconds_by_id: The same for single requests, by id.
         runs: The ids of the requests that it ran, in order.
         heads: The headers of the requests that it ran, in order.
         healthy: Whether its health check succeeds.
@@ -84,6 +85,7 @@
         self.slowdown_percent = 100
         self.cold_ms = 0
         self.work_seconds = 0.05
+        self.work_seconds_by_id: dict[str, float] = {}
         self.runs: list[str] = []
         self.heads: list[dict[str, str]] = []
         self.checks = 0
@@ -235,7 +237,10 @@
         self.heads.append(headers)
         self._running += 1
         try:
-            await trio.sleep(self.work_seconds * self.slowdown_percent / 100)
+            work_seconds = self.work_seconds_by_id.get(
+                request_id, self.work_seconds
+            )
+            await trio.sleep(work_seconds * self.slowdown_percent / 100)
         finally:
             self._running -= 1
         if (
