Give each organisation its part of the retry budget

Cause: the retry budget of a service was common to all organisations. One whose requests fail, or that sends many, could spend all retries of a gateway.

Change: SharedRetryBudget counts requests and retries by organisation (EventWindow) and limits the retries of an organisation to its part of the service's requests.

--- a/features/routing_instances.feature
+++ b/features/routing_instances.feature
@@ -66,3 +66,10 @@
     Given 1 nodes that share a budget of 60 retries and 0.2 per request in 10 s
     When the node gets 20 requests per second for 1000 s and retries none
     Then its budget occupies at most 20000 bytes
+
+  # Guards against one organisation's failures that use up the retries of all,
+  # or of its own later requests.
+  Scenario: The retries of one organisation leave the others their part
+    Given 1 nodes that share a budget of 20 retries and 0.2 per request in 10 s
+    When 150 requests of "hot" and then 50 of "quiet" fail, twice within 11 s
+    Then "hot" gets 22 retries and "quiet" gets 7, each time
--- a/features/steps/routing_instances_steps.py
+++ b/features/steps/routing_instances_steps.py
@@ -339,3 +339,47 @@
 @then("its budget occupies at most {count:d} bytes")
 def step_check_budget_memory(context: Context, count: int) -> None:
     assert context.bytes <= count, context.bytes
+
+
+@when(
+    '{count:d} requests of "{first}" and then {others:d} of "{second}" fail,'
+    " twice within {seconds:d} s"
+)
+def step_failures(
+    context: Context,
+    count: int,
+    first: str,
+    others: int,
+    second: str,
+    seconds: int,
+) -> None:
+    names = [first] * count + [second] * others
+
+    async def run() -> None:
+        (budget,) = _make_budgets(context)
+        for _ in range(2):
+            for name in names:
+                budget.record_request(_SERVICE, name)
+            context.retries.append(
+                Counter(
+                    name
+                    for name in names
+                    if budget.try_spend(
+                        _SERVICE, may_have_run=False, organisation=name
+                    )
+                )
+            )
+            await trio.sleep(seconds)
+
+    context.retries = []
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then(
+    '"{first}" gets {count:d} retries and "{second}" gets {others:d}, each time'
+)
+def step_retries(
+    context: Context, first: str, count: int, second: str, others: int
+) -> None:
+    expected = {first: count, second: others}
+    assert context.retries == [expected] * 2, context.retries
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -73,7 +73,7 @@
             RefusedError: There is no response; `outcome` shows whether the
                 request may have run.
         """
-        self._budget.record_request(request.service)
+        self._budget.record_request(request.service, request.organisation)
         # The body is discarded after the exchange, which may still read it.
         with ExitStack() as kept_bodies:
             if not isinstance(body, BytesBody):
@@ -174,7 +174,9 @@
             return False
         return history.attempts < request.max_attempts and (
             self._budget.try_spend(
-                request.service, may_have_run=history.may_have_run
+                request.service,
+                may_have_run=history.may_have_run,
+                organisation=request.organisation,
             )
         )
 
@@ -192,7 +194,11 @@
             and body.can_rewind()
             and history.attempts + 1 < request.max_attempts
             and self._clock.monotonic() < request.useful_until
-            and self._budget.try_spend(request.service, may_have_run=True)
+            and self._budget.try_spend(
+                request.service,
+                may_have_run=True,
+                organisation=request.organisation,
+            )
         )
 
     async def _send_attempt(
