Queue organisations fairly at each instance

Cause: an organisation that sends many times its usual demand took the capacity of the others in proportion to its requests, and with a higher priority all of it.

Change: the node beside an instance compares the usage ratios that its requests carried within 2 s. Requests of an organisation whose ratio exceeds 1.4 times the median of the others for 0.3 s yield to others of their priority, until it is below 1.2 times; one in n of them does not, for a ratio of n times the median, and at least one in three.

Why it works: capacity is shared in proportion to the usage caps. The median does not follow up to half of the organisations and rises in a burst of all. The position is a part of the key of the sorted lists, so that the first request is still found without evaluating every request.

--- /dev/null
+++ b/features/steps/fair_queueing_steps.py
@@ -0,0 +1,293 @@
+import random
+from unittest import mock
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+from trio.testing import MockClock
+
+from features.support.instance_admission_harness import (
+    InstanceAdmissionHarness,
+    run_scenario,
+)
+from features.support.organisation_load import OrganisationLoad, send_load
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.admission.fair_share import FairShare
+from rhubarbpaddle.admission.queued_request import QueuedRequest
+from rhubarbpaddle.admission.request_queue import RequestQueue
+from rhubarbpaddle.admission.share_change import ShareChange
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution import BytesBody, Request
+from rhubarbpaddle.execution.crash_ledger import CrashLedger
+from rhubarbpaddle.execution.instance_proxy import InstanceProxy
+from rhubarbpaddle.execution.route_gateway import RouteGateway
+from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
+from rhubarbpaddle.membership import UpstreamState, UpstreamSummary
+
+_SLOTS = 4
+_RATE = 3.0
+_SEED = 1
+_USUAL_RATIO = 0.6
+
+
+@given(
+    "{quiet:d} organisations with usual demand and {hot:d} with {surge:g}"
+    " times, of priority {priority:d}"
+)
+def step_loads(
+    context: Context, quiet: int, hot: int, surge: float, priority: int
+) -> None:
+    context.loads = [
+        *(OrganisationLoad(f"quiet-{n}", _RATE) for n in range(quiet)),
+        *(
+            OrganisationLoad(f"hot-{n}", 2 * _RATE, surge, priority)
+            for n in range(hot)
+        ),
+    ]
+
+
+def _send(context: Context, ratios_known: bool) -> None:
+    context.arguments = (_SLOTS, 1.0, 1000.0, 0.0)
+
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        context.rates = await send_load(
+            harness, context.loads, _SEED, ratios_known
+        )
+
+    run_scenario(context, scenario)
+
+
+@when("they send to an instance that serves 40 requests a second")
+def step_send(context: Context) -> None:
+    _send(context, ratios_known=True)
+
+
+@when("they send without usage ratios")
+def step_send_unknown(context: Context) -> None:
+    _send(context, ratios_known=False)
+
+
+@then(
+    "at least {percent:d} of 100 requests of those with usual demand are served"
+)
+def step_quiet_served(context: Context, percent: int) -> None:
+    quiet = [
+        rate
+        for name, rate in context.rates.by_organisation.items()
+        if name.startswith("quiet")
+    ]
+    assert 100 * sum(quiet) / len(quiet) >= percent, context.rates
+
+
+@then(
+    "no tenth of the organisations is served less than a quarter as often as"
+    " all"
+)
+def step_worst_tenth(context: Context) -> None:
+    worst = context.rates.get_worst_tenth()
+    assert worst >= context.rates.total / 4, context.rates
+
+
+@then("no organisation counts as above its share")
+def step_none_above(context: Context) -> None:
+    codes = {exc.code for exc, _ in context.harness.refused}
+    assert "instance_full" in codes, codes
+    assert "organisation_above_share" not in codes
+    assert not context.harness.share_changes, context.harness.share_changes
+
+
+@when("these requests queue behind a running one")
+def step_queue_table(context: Context) -> None:
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        await _show_ratios(harness, "above share", 5.0)
+        harness.started.clear()
+        nursery.start_soon(harness.send_request, "running")
+        await trio.sleep(0.01)
+        for row in context.table:
+            ratio = float(row["usage ratio"])
+            nursery.start_soon(
+                lambda row=row, ratio=ratio: harness.send_request(
+                    row["name"],
+                    latency_target=5.0,
+                    deadline=6.0,
+                    priority=int(row["priority"]),
+                    organisation="above share" if ratio > 1 else "usual-0",
+                    usage_ratio=ratio,
+                )
+            )
+            await trio.sleep(0.001)
+
+    run_scenario(context, scenario)
+
+
+async def _show_ratios(
+    harness: InstanceAdmissionHarness, above_share: str, ratio: float
+) -> None:
+    """Sends requests until an organisation counts as above its share.
+
+    The next two that it queues are not within its share.
+    """
+    for _ in range(6):
+        for number in range(3):
+            await harness.send_request(
+                organisation=f"usual-{number}",
+                usage_ratio=_USUAL_RATIO,
+                work=0.01,
+            )
+        await harness.send_request(
+            organisation=above_share, usage_ratio=ratio, work=0.1
+        )
+
+
+@then('they start in the order "{names}"')
+def step_order(context: Context, names: str) -> None:
+    started = [name for name, _ in context.harness.started]
+    assert started == ["running", *names.split(", ")], started
+
+
+@when("an organisation above its share is refused and pauses as long as told")
+def step_pause(context: Context) -> None:
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        ratio = 7 * _USUAL_RATIO
+        await _show_ratios(harness, "hot", ratio)
+        while not harness.refused:
+            nursery.start_soon(
+                lambda: harness.send_request(
+                    organisation="hot", usage_ratio=ratio
+                )
+            )
+            await trio.sleep(0.005)
+        ((exc, _),) = harness.refused
+        context.pause = exc.retry_after.total_seconds()
+        await trio.sleep(context.pause)
+        # The requests of the last second, less those that were not sent.
+        ratio *= 1 - context.pause
+        await harness.send_request(
+            "after", organisation="hot", usage_ratio=max(ratio, 0.1)
+        )
+
+    run_scenario(context, scenario)
+
+
+@then("it was told to pause between {low:g} s and {high:g} s")
+def step_pause_length(context: Context, low: float, high: float) -> None:
+    codes = {exc.code for exc, _ in context.harness.refused}
+    assert codes == {"organisation_above_share"}, context.harness.refused
+    assert low <= context.pause <= high, context.pause
+
+
+@then("its next request starts before its latency target")
+def step_started_after(context: Context) -> None:
+    assert context.harness.started[-1][0] == "after"
+
+
+@when(
+    "the usage ratios of an organisation, relative to the others, are"
+    ' "{factors}"'
+)
+def step_ratios(context: Context, factors: str) -> None:
+    changes: list[ShareChange] = []
+    share = FairShare(changes.append)
+    context.above = []
+    now = 0.0
+    for factor in factors.split():
+        for _ in range(10):
+            now += 0.05
+            for name in ("a", "b", "c"):
+                share.record(name, _USUAL_RATIO, now)
+            share.record("d", _USUAL_RATIO * float(factor), now)
+        if changes and changes[-1].is_above_share:
+            context.above.append(factor)
+    assert len(changes) == 2, changes
+
+
+@then('it is above its share for "{factors}"')
+def step_above(context: Context, factors: str) -> None:
+    assert context.above == factors.split(), context.above
+
+
+@when(
+    "{count:d} requests, half of them above their share, arrive and leave,"
+    " seed {seed:d}"
+)
+def step_random_levels(context: Context, count: int, seed: int) -> None:
+    rng = random.Random(seed)
+    queue = RequestQueue()
+    queued: list[QueuedRequest] = []
+    context.differences = []
+    for index in range(count):
+        now = index * 0.005
+        if len(queued) < 2 or rng.random() < 0.6:
+            latest_start = now + rng.uniform(-0.1, 0.6)
+            request = queue.create_request(
+                rng.randrange(2), latest_start, 0.05, rng.random() < 0.5
+            )
+            queue.add(request)
+            queued.append(request)
+        else:
+            request = queue.get_first(now)
+            queue.remove(request)
+            queued.remove(request)
+        found = queue.get_first(now)
+        lowest = min(queued, key=lambda request: request.get_rank(now))
+        if found is not lowest:
+            context.differences.append((now, found, lowest))
+
+
+@when(
+    'a request of "{organisation}" with usage ratio {ratio:g} fails at an'
+    " instance"
+)
+def step_fail(context: Context, organisation: str, ratio: float) -> None:
+    refusal = RefusedError(
+        "lost", "lost", step="run_request", status=502, may_retry=True
+    )
+    summary = UpstreamSummary("s", "i", 1, UpstreamState.WARM, 4)
+    context.admission = mock.Mock(acquire=mock.AsyncMock(side_effect=refusal))
+    context.budget = mock.create_autospec(SharedRetryBudget)
+    context.budget.try_spend.return_value = False
+    crashes = mock.create_autospec(CrashLedger)
+    crashes.is_blocked.return_value = False
+    proxy = InstanceProxy(VirtualClock(), crashes, mock.Mock(), mock.Mock())
+    proxy.attach(mock.Mock(summary=summary, admission=context.admission))
+    dispatcher = mock.Mock(
+        dispatch=lambda request, body, _: proxy.handle(request, body, "i", 1)
+    )
+    router = mock.Mock()
+    router.is_busy.return_value = False
+    gateway = RouteGateway(
+        router, dispatcher, context.budget, VirtualClock(), mock.Mock()
+    )
+
+    async def run() -> None:
+        request = Request(
+            "r", organisation, "s", "GET", "/", [], 9.0, True, max_attempts=2
+        )
+        request = request._replace(usage_ratio=ratio)
+        try:
+            async with gateway.handle(request, BytesBody(b"")):
+                raise AssertionError("the request must fail")
+        except RefusedError as exc:
+            assert exc.code == "lost", exc
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then('the instance\'s queue gets the ratio {ratio:g} of "{organisation}"')
+def step_ticket(context: Context, ratio: float, organisation: str) -> None:
+    ((ticket,), _) = context.admission.acquire.call_args
+    assert (ticket.organisation, ticket.usage_ratio) == (organisation, ratio)
+
+
+@then('a retry is asked for "{organisation}"')
+def step_retry(context: Context, organisation: str) -> None:
+    context.budget.record_request.assert_called_once_with("s", organisation)
+    context.budget.try_spend.assert_called_once_with(
+        "s", may_have_run=False, organisation=organisation
+    )
--- a/features/support/instance_admission_harness.py
+++ b/features/support/instance_admission_harness.py
@@ -8,6 +8,7 @@
 
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.admission.instance_admission import InstanceAdmission
+from rhubarbpaddle.admission.share_change import ShareChange
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, EvidenceKind
@@ -43,6 +44,8 @@
         started: The name of each started request and its start time.
         refused: Each refusal and the seconds until it.
         peak_in_flight: The highest number of concurrent requests.
+        share_changes: The organisations that went above their share or
+            returned to it.
     """
 
     def __init__(
@@ -51,7 +54,10 @@
         self.health = FakeHealthChecker(slowdown, cold_seconds)
         clock = VirtualClock()
         monitor = InstanceMonitor(self.health, clock)
-        self.admission = InstanceAdmission(slots, cold_rate, monitor, clock)
+        self.share_changes: list[ShareChange] = []
+        self.admission = InstanceAdmission(
+            slots, cold_rate, monitor, clock, self.share_changes.append
+        )
         self.started: list[tuple[str, float]] = []
         self.refused: list[tuple[RefusedError, float]] = []
         self.peak_in_flight = 0
@@ -68,6 +74,8 @@
         last_slot_work: float | None = None,
         slowed_by_last_slots: bool = False,
         route: str = "r",
+        organisation: str = "",
+        usage_ratio: float = 0.0,
     ) -> None:
         """Sends one request and records whether it started or was refused.
 
@@ -84,15 +92,18 @@
             slowed_by_last_slots: Whether it takes twice as long if a last
                 slot is in use when it would have ended.
             route: Its route.
+            organisation: Its organisation.
+            usage_ratio: The usage ratio that it carries.
         """
         sent_at = trio.current_time()
         ticket = Ticket(
-            "",
+            organisation,
             sent_at + deadline,
             may_queue,
             priority=priority,
             useful_until=sent_at + latency_target,
             route=route,
+            usage_ratio=usage_ratio,
         )
         try:
             slot = await self.admission.acquire(ticket)
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -1,6 +1,7 @@
 """Admission control by the slots, speed and cold start of an instance."""
 
 import math
+from collections.abc import Callable
 from datetime import timedelta
 
 import trio
@@ -8,13 +9,17 @@
 from rhubarbpaddle.admission.block_reason import BlockReason
 from rhubarbpaddle.admission.cold_start_rate_limit import ColdStartRateLimit
 from rhubarbpaddle.admission.failure_rate import FailureRate
+from rhubarbpaddle.admission.fair_share import FairShare
 from rhubarbpaddle.admission.instance_slot import InstanceSlot
+from rhubarbpaddle.admission.queue_delay import would_delay_others
 from rhubarbpaddle.admission.queued_request import QueuedRequest
 from rhubarbpaddle.admission.request_queue import RequestQueue
+from rhubarbpaddle.admission.share_change import ShareChange
 from rhubarbpaddle.admission.slot_contention import SlotContention
 from rhubarbpaddle.admission.slot_use import SlotUse
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.admission.work_estimator import WorkEstimator
+from rhubarbpaddle.admission.yielding_starts import YieldingStarts
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.measuring import Evidence, EvidenceKind, LoadReport
@@ -61,6 +66,7 @@
         cold_rate: float,
         monitor: InstanceMonitor,
         clock: Clock,
+        on_share_change: Callable[[ShareChange], None] | None = None,
     ) -> None:
         """Creates the admission control of an idle instance.
 
@@ -70,6 +76,8 @@
             monitor: Reads the instance's slowdown factor and remaining cold
                 start time.
             clock: The source of time.
+            on_share_change: Called when an organisation goes above its share
+                or returns to it.
         """
         self.regular_slots = max(1, int(slots * REGULAR_SLOT_FRACTION))
         self.slots = max(self.regular_slots, slots)
@@ -83,6 +91,8 @@
         self._contention = SlotContention(self.regular_slots, self.slots)
         self._last_slot_starts = 0
         self._queue = RequestQueue()
+        self._fair_share = FairShare(on_share_change)
+        self._yielding_starts = YieldingStarts()
 
     def set_cold(self, seconds: float) -> None:
         """Sets the remaining cold start time that the instance reports."""
@@ -113,6 +123,12 @@
         Raises:
             RefusedError: The request was refused and did not run.
         """
+        if ticket.usage_ratio > 0:
+            self._fair_share.record(
+                ticket.organisation,
+                ticket.usage_ratio,
+                self._clock.monotonic(),
+            )
         if ticket.may_queue:
             await self._wait_in_queue(ticket)
         else:
@@ -221,7 +237,8 @@
         Raises:
             RefusedError: The request can't be answered before its deadline,
                 or it would miss its latency target and too many late requests
-                are queued before it.
+                are queued before it, or its organisation is above its share
+                and it would only delay others.
         """
         if self._find_occupancy(self._get_limit_for_queued()) is None:
             await self._refresh(MAX_READING_AGE_SECONDS)
@@ -230,10 +247,17 @@
         self._refuse_if_too_slow(ticket, work, now)
         useful_until = min(ticket.useful_until, ticket.deadline)
         request = self._queue.create_request(
-            ticket.priority, useful_until - work, work
+            ticket.priority,
+            useful_until - work,
+            work,
+            ticket.usage_ratio > 0
+            and self._fair_share.is_next_above_share(ticket.organisation),
         )
         wait = self._estimate_wait(request, now)
-        if wait > 0 and now + wait + work > useful_until:
+        is_late = wait > 0 and now + wait + work > useful_until
+        if request.is_above_share and wait > 0:
+            self._refuse_if_others_suffer(request, ticket, is_late, now)
+        if is_late:
             request = request._replace(latest_start=-math.inf)
             wait = self._estimate_wait(request, now)
             if (
@@ -256,10 +280,46 @@
                 elif was_first or not sleep.cancelled_caught:
                     # Another request has become the first in the meantime.
                     self._wake_first()
+            if ticket.usage_ratio > 0:
+                self._yielding_starts.record(request.is_above_share)
         finally:
             self._queue.remove(request)
             self._wake_first()
 
+    def _refuse_if_others_suffer(
+        self,
+        request: QueuedRequest,
+        ticket: Ticket,
+        is_late: bool,
+        now: float,
+    ) -> None:
+        """Refuses a request above its share that would only delay others.
+
+        Another instance's queue would make the same decision, so that the
+        request is not sent there.
+        """
+        if not is_late and not would_delay_others(
+            request,
+            self._queue,
+            lambda ahead: self._estimate_wait_behind(ahead, now),
+            now,
+        ):
+            return
+        # Once everything that is queued has started, and the organisation has
+        # paused for long enough to be within its share.
+        wait = max(
+            self._estimate_wait_behind(len(self._queue), now),
+            self._fair_share.get_excess_seconds(ticket.organisation),
+        )
+        raise RefusedError(
+            "organisation_above_share",
+            f"the organisation uses {ticket.usage_ratio:.2f} of its cap, more"
+            f" than the others: {self._describe()}",
+            step="admit",
+            retry_after=max(_MIN_RETRY_AFTER, timedelta(seconds=wait)),
+            report=self.get_report(),
+        )
+
     def _refuse_if_too_slow(
         self, ticket: Ticket, work: float, now: float
     ) -> None:
@@ -286,6 +346,13 @@
     def _estimate_wait(self, request: QueuedRequest, now: float) -> float:
         """Returns the expected seconds until a request can start."""
         ahead = self._queue.count_ahead(request, now)
+        wait = self._estimate_wait_behind(ahead, now)
+        if request.is_above_share:
+            return self._yielding_starts.extend_wait(wait)
+        return wait
+
+    def _estimate_wait_behind(self, ahead: int, now: float) -> float:
+        """Returns the expected seconds until `ahead` requests have started."""
         limit = self._get_limit_for_queued()
         wait = self._estimator.estimate_wait(ahead, limit, now)
         if self.is_cold():
--- a/src/rhubarbpaddle/admission/priority_level_queue.py
+++ b/src/rhubarbpaddle/admission/priority_level_queue.py
@@ -1,5 +1,6 @@
-"""The queue of the requests of one priority."""
+"""The queue of the requests of one priority and position."""
 
+import math
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 
@@ -54,6 +55,14 @@
         ]
         return min(firsts, key=lambda request: request.get_rank(now))
 
+    def get_earliest_latest_start(self, now: float) -> float:
+        """Returns the earliest latest start of the requests that aren't late.
+
+        It is infinite if all of them are late.
+        """
+        self._move_late(now)
+        return self._latest_starts[0][0] if self._latest_starts else math.inf
+
     def _move_late(self, now: float) -> None:
         while self._latest_starts and self._latest_starts[0][2].is_late(now):
             *_, request = self._latest_starts.pop(0)
--- a/src/rhubarbpaddle/admission/queued_request.py
+++ b/src/rhubarbpaddle/admission/queued_request.py
@@ -14,6 +14,8 @@
 _URGENCY_SECONDS = 0.2
 _MIN_WORK_SECONDS = 0.001
 
+Rank = tuple[int, bool, float, int]
+
 
 class QueuedRequest(NamedTuple):
     """A queued request and the values that determine its position.
@@ -25,6 +27,8 @@
             target.
         work: The expected duration of its work in seconds.
         parking_lot: Where its task is parked until it becomes the first.
+        is_above_share: Whether it yields to the requests of its priority whose
+            organisations are within their share.
     """
 
     priority: int
@@ -32,15 +36,21 @@
     latest_start: float
     work: float
     parking_lot: trio.lowlevel.ParkingLot
+    is_above_share: bool = False
+
+    @property
+    def level(self) -> tuple[int, bool]:
+        """What precedes its urgency; requests of a lower level come first."""
+        return self.priority, self.is_above_share
 
     def is_late(self, now: float) -> bool:
         """Returns whether it can no longer meet its latency target."""
         return self.latest_start < now
 
-    def get_rank(self, now: float) -> tuple[int, float, int]:
+    def get_rank(self, now: float) -> Rank:
         """Returns the sort key of requests at `now`; the lowest comes first.
 
-        Within a priority this is the apparent tardiness cost rule: short
+        Within a level this is the apparent tardiness cost rule: short
         requests come first, long ones as their latest start approaches.
         Ordering by the latest start alone would, under overload, serve each
         request when it is nearly too late, and short ones not at all.
@@ -48,24 +58,30 @@
         slack = max(0.0, self.latest_start - now)
         return (
             self.priority,
+            self.is_above_share,
             -self._get_value_rate(now) * math.exp(-slack / _URGENCY_SECONDS),
             self.number,
         )
 
     def get_urgency_key(self) -> float:
-        """Returns a sort key for requests of one priority that are not late.
+        """Returns a sort key for requests of one level that are not late.
 
         It doesn't change with time and gives the same order as `get_rank`.
         """
         work = max(_MIN_WORK_SECONDS, self.work)
         return self.latest_start / _URGENCY_SECONDS + math.log(work)
 
-    def get_zero_slack_rank(self, now: float) -> tuple[int, float, int]:
+    def get_zero_slack_rank(self, now: float) -> Rank:
         """Returns the sort key without slack, as if all requests were urgent.
 
         Queued requests approach this order as time passes.
         """
-        return self.priority, -self._get_value_rate(now), self.number
+        return (
+            self.priority,
+            self.is_above_share,
+            -self._get_value_rate(now),
+            self.number,
+        )
 
     def _get_value_rate(self, now: float) -> float:
         """Returns the value of its response per second of work."""
--- a/src/rhubarbpaddle/admission/request_queue.py
+++ b/src/rhubarbpaddle/admission/request_queue.py
@@ -1,6 +1,7 @@
 """The queue of requests for one instance."""
 
 import itertools
+import math
 from collections.abc import Iterator
 
 import trio
@@ -10,10 +11,10 @@
 
 
 class RequestQueue:
-    """Orders requests by priority, then by the cost of delaying them."""
+    """Orders requests by priority, fair share and cost of a delay."""
 
     def __init__(self) -> None:
-        self._levels: dict[int, PriorityLevelQueue] = {}
+        self._levels: dict[tuple[int, bool], PriorityLevelQueue] = {}
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -23,7 +24,11 @@
         return itertools.chain.from_iterable(self._levels.values())
 
     def create_request(
-        self, priority: int, latest_start: float, work: float
+        self,
+        priority: int,
+        latest_start: float,
+        work: float,
+        is_above_share: bool = False,
     ) -> QueuedRequest:
         """Creates a request that ranks behind earlier ones of equal urgency.
 
@@ -32,6 +37,7 @@
             latest_start: Monotonic seconds after which it misses its latency
                 target.
             work: The expected duration of its work in seconds.
+            is_above_share: Whether it yields to the others of its priority.
         """
         return QueuedRequest(
             priority,
@@ -39,19 +45,20 @@
             latest_start,
             work,
             trio.lowlevel.ParkingLot(),
+            is_above_share,
         )
 
     def add(self, request: QueuedRequest) -> None:
         """Adds a request."""
-        queue = self._levels.setdefault(request.priority, PriorityLevelQueue())
+        queue = self._levels.setdefault(request.level, PriorityLevelQueue())
         queue.add(request)
 
     def remove(self, request: QueuedRequest) -> None:
         """Removes a request."""
-        queue = self._levels[request.priority]
+        queue = self._levels[request.level]
         queue.remove(request)
         if not queue:
-            del self._levels[request.priority]
+            del self._levels[request.level]
 
     def count_ahead(self, request: QueuedRequest, now: float) -> int:
         """Returns how many requests will be served before a request."""
@@ -66,6 +73,25 @@
             for other in self
         )
 
+    def get_earliest_latest_start(self, priority: int, now: float) -> float:
+        """Returns the earliest latest start of less urgent requests.
+
+        Requests above their organisation's share and late requests don't
+        count; without any other the result is infinite.
+
+        Args:
+            priority: The priority that the requests are less urgent than.
+            now: Monotonic seconds.
+        """
+        return min(
+            (
+                queue.get_earliest_latest_start(now)
+                for (other, is_above_share), queue in self._levels.items()
+                if other > priority and not is_above_share
+            ),
+            default=math.inf,
+        )
+
     def get_first(self, now: float) -> QueuedRequest:
         """Returns the request to serve next.
 
--- a/src/rhubarbpaddle/admission/ticket.py
+++ b/src/rhubarbpaddle/admission/ticket.py
@@ -18,6 +18,8 @@
         useful_until: Monotonic seconds of the latency target, after which a
             response has much less value.
         route: The request's route, or the empty string.
+        usage_ratio: The organisation's recent requests at all nodes relative to
+            its usage cap, or 0 if unknown.
     """
 
     organisation: str
@@ -27,3 +29,4 @@
     priority: int = 0
     useful_until: float = math.inf
     route: str = ""
+    usage_ratio: float = 0.0
--- a/src/rhubarbpaddle/node/instance_factory.py
+++ b/src/rhubarbpaddle/node/instance_factory.py
@@ -3,6 +3,7 @@
 import trio
 
 from rhubarbpaddle.admission.instance_admission import InstanceAdmission
+from rhubarbpaddle.admission.share_change import ShareChange
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration.service_limits import ServiceLimits
 from rhubarbpaddle.exceptions import RhubarbpaddleError
@@ -67,7 +68,11 @@
             self._create_health_client(limits), self._clock
         )
         admission = InstanceAdmission(
-            report.slots, limits.cold_rate, monitor, self._clock
+            report.slots,
+            limits.cold_rate,
+            monitor,
+            self._clock,
+            _log_share_change,
         )
         if (
             previous is not None
@@ -127,3 +132,13 @@
             limits.health_path,
             self._dialect.parse_health,
         )
+
+
+def _log_share_change(change: ShareChange) -> None:
+    _log.info(
+        "organisation_share_changed",
+        organisation=change.organisation,
+        above=change.is_above_share,
+        ratio=f"{change.ratio:.2f}",
+        others=f"{change.reference:.2f}",
+    )
