Compare named entries outside the command line

Cause: the comparison of services and organisations that `publish` shows is part of a module of the command line, and the check of routing configurations needs the same for routes.

Change: configuration/entry_changes.py yields the lines; ConfigurationDifference uses it. The line about requests without a key now follows the changes of all services.

--- a/src/rhubarbpaddle/cli/configuration_difference.py
+++ b/src/rhubarbpaddle/cli/configuration_difference.py
@@ -8,6 +8,7 @@
     AcceptedConfiguration,
 )
 from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.entry_changes import iter_entry_changes
 from rhubarbpaddle.configuration.service import Service
 
 _EMPTY_CONFIGURATION = Configuration({}, {}, {})
@@ -82,26 +83,9 @@
 def _compare(
     kind: str, old: Mapping[str, Any], new: Mapping[str, Any]
 ) -> Iterator[str]:
-    for name in sorted(old.keys() - new.keys()):
-        yield f"removes {kind} {name}"
-    for name in sorted(new.keys() - old.keys()):
-        yield f"adds {kind} {name}"
+    yield from iter_entry_changes(kind, old, new)
     for name in sorted(old.keys() & new.keys()):
-        for field, old_value in old[name]._asdict().items():
-            new_value = getattr(new[name], field)
-            if old_value != new_value:
-                yield (
-                    f"changes {field} of {kind} {name} "
-                    f"from {_format_value(old_value)} "
-                    f"to {_format_value(new_value)}"
-                )
         if isinstance(new[name], Service) and (
             old[name].key_required and not new[name].key_required
         ):
             yield f"lets requests of {name} without a key run twice"
-
-
-def _format_value(value: object) -> str:
-    if isinstance(value, frozenset | tuple):
-        return ", ".join(sorted(map(str, value))) or "(none)"
-    return str(value)
