Check configurations of both forms before publication

Cause: `check` knew the product's text only and said "valid" of entries that no request reaches and of limits that contradict each other. Operators of the platform had no check at all; nodes report the first problem of a document only.

Change: `check` reads the platform's document too and reports the problems of all its entries, entries without effect, contradictory limits and the difference from the configuration in force (`--against FILE`, or `--published` and `--log`, which read the log as `publish` does). `--node` finds zones and services of a text without upstreams. `--json` prints one object; `--strict` exits with 8 if there are findings. Without the new options a valid text is reported as before, apart from its findings.

Not covered: zones without upstreams on the platform, whose documents do not name the zones.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -111,6 +111,7 @@
       | departures                    |
       | configuration documents       |
       | configuration states          |
+      | checked documents             |
       | settings                      |
       | messages between nodes        |
       | records of the store          |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -22,6 +22,7 @@
     make_settings,
     run_platform_world,
 )
+from rhubarbpaddle.cli.document_check import check_document
 from rhubarbpaddle.configuration.records import parse_record
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.http.request_responder import (
@@ -368,6 +369,18 @@
     dialect.parse_load([(b"server-load", content), (b"cold-ms", content)])
 
 
+def _check_document(content: bytes) -> None:
+    """Checks a document; nodes must accept what the check accepts."""
+    text = content.decode("utf-8", "replace")
+    report = check_document("f", text, "", None)
+    accepted = True
+    try:
+        parse_configuration_document(text)
+    except RhubarbpaddleError:
+        accepted = False
+    assert accepted != bool(report.errors), report
+
+
 _MEMBER = ["member", [["h1", 1, 1, "alive", "h1", "a", "h1:1", "h1:2", None]]]
 _messages = st.builds(
     lambda choices, value: msgspec.msgpack.encode(
@@ -397,6 +410,7 @@
         _make_changed(make_configuration()),
     ),
     "configuration states": (_parse_state, _make_changed(make_configuration())),
+    "checked documents": (_check_document, _make_changed(make_configuration())),
     "settings": (_parse_settings, _make_changed(make_settings("h1"))),
     "messages between nodes": (_decode_message, _messages),
     "records of the store": (
--- a/src/rhubarbpaddle/cli/app.py
+++ b/src/rhubarbpaddle/cli/app.py
@@ -8,8 +8,9 @@
 from cyclopts import App, Parameter
 
 from rhubarbpaddle import __version__
+from rhubarbpaddle.cli.check import check_file
+from rhubarbpaddle.cli.check_options import CheckOptions
 from rhubarbpaddle.cli.client_settings import ClientSettings
-from rhubarbpaddle.cli.configuration_file import load_configuration_file
 from rhubarbpaddle.cli.exit_code import ExitCode
 from rhubarbpaddle.cli.explain import explain_request
 from rhubarbpaddle.cli.publish import PublishOptions, publish_file
@@ -40,13 +41,63 @@
 
 
 @app.command
-def check(text: Path) -> None:
-    """Check a configuration file and print its problems.
+def check(
+    text: Path,
+    *,
+    against: Path | None = None,
+    published: Annotated[bool, Parameter(negative="")] = False,
+    log: str | None = None,
+    node: str | None = None,
+    strict: Annotated[bool, Parameter(negative="")] = False,
+    json: Annotated[bool, Parameter(negative="")] = False,
+    patience: float = 20.0,
+    settings: Path | None = None,
+) -> None:
+    """Check a configuration file before it is published.
+
+    The file is a configuration text, or a configuration document of the
+    platform. Prints errors, warnings, entries without effect, contradictory
+    limits, and the difference from the configuration in force.
+
+    Exit codes: 0 valid, 1 a file can't be read or a node does not respond,
+    2 wrong usage, 3 invalid, 5 the log does not respond, 8 valid with entries
+    without effect or contradictory limits (only with --strict).
 
-    Exit codes: 0 valid, 3 invalid.
+    Args:
+        text: The configuration file.
+        against: The file of the configuration in force, to compare with.
+        published: Compare with the configuration in force in the log.
+        log: IP:PORT of the platform's log; implies --published.
+        node: IP:PORT of the admin address of any node, to find zones and
+            services without upstreams.
+        strict: Exit with 8 if there are findings.
+        json: Print JSON.
+        patience: Retry for this many seconds while the log does not respond.
+        settings: A JSON file with log_address, for --published.
     """
-    load_configuration_file(text)
-    print(f"{text}: valid")
+    log_address = ""
+    client = ClientSettings()
+    if published or log:
+        client = ClientSettings.from_file(settings)
+    client = client.override(log, node)
+    if published or log:
+        _require_address(client.log_address, "--log", "log_address")
+        log_address = client.log_address
+    if against is not None and log_address:
+        print(
+            "rhubarbpaddle: give --against or --published, not both",
+            file=sys.stderr,
+        )
+        sys.exit(ExitCode.USAGE)
+    options = CheckOptions(
+        against,
+        log_address,
+        node or "",
+        timedelta(seconds=patience),
+        strict,
+        json,
+    )
+    sys.exit(check_file(text, options))
 
 
 @app.command
--- a/src/rhubarbpaddle/cli/exit_code.py
+++ b/src/rhubarbpaddle/cli/exit_code.py
@@ -14,5 +14,6 @@
     LOG_UNREACHABLE = 5
     PUBLICATION_UNKNOWN = 6
     NOT_IN_FORCE = 7
+    FINDINGS = 8
     INVALID_SETTINGS = 64
     FORCED_STOP = 75
--- a/src/rhubarbpaddle/configuration/route_table.py
+++ b/src/rhubarbpaddle/configuration/route_table.py
@@ -1,7 +1,8 @@
 """Finds the route of a request."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from itertools import chain
 from typing import Self
 
 from rhubarbpaddle.configuration.route import Route
@@ -29,6 +30,11 @@
     def __len__(self) -> int:
         return sum(map(len, self._routes.values()))
 
+    def __iter__(self) -> Iterator[Route]:
+        return chain.from_iterable(
+            by_prefix.values() for by_prefix in self._routes.values()
+        )
+
     def find(self, host: str, target: str) -> Route | None:
         """Returns the route with the longest prefix of the target's path.
 
--- a/src/rhubarbpaddle/configuration/weighted_service.py
+++ b/src/rhubarbpaddle/configuration/weighted_service.py
@@ -13,3 +13,6 @@
 
     service: str
     weight: float
+
+    def __str__(self) -> str:
+        return f"{self.service} ({self.weight:g})"
--- a/src/rhubarbpaddle/platform/configuration_document.py
+++ b/src/rhubarbpaddle/platform/configuration_document.py
@@ -44,12 +44,12 @@
         return RoutingConfiguration(
             version=parse_version(document["version"]),
             routes=RouteTable.from_routes(
-                _parse_route(entry["metadata"]["name"], entry["spec"])
+                parse_route(entry["metadata"]["name"], entry["spec"])
                 for entry in entries
                 if entry["entryKind"] == "routes"
             ),
             services={
-                entry["metadata"]["name"]: _parse_limits(
+                entry["metadata"]["name"]: parse_limits(
                     entry["metadata"]["name"], entry["spec"]
                 )
                 for entry in entries
@@ -61,7 +61,7 @@
             idle_timeout=_parse_ms(limits["idleTimeoutMs"]),
             withdrawn_zones=frozenset(withdrawn_zones),
             organisations=OrganisationTable.from_entries(
-                _parse_organisation(entry["metadata"]["name"], entry["spec"])
+                parse_organisation(entry["metadata"]["name"], entry["spec"])
                 for entry in entries
                 if entry["entryKind"] == "tenants"
             ),
@@ -91,16 +91,27 @@
     return int(text[1:])
 
 
-def _parse_route(name: str, spec: dict[str, Any]) -> Route:
+def parse_route(
+    name: str, spec: dict[str, Any], *, keep_weightless: bool = False
+) -> Route:
+    """Returns a route.
+
+    Args:
+        name: Its name.
+        spec: The entry of the document.
+        keep_weightless: Whether its destinations include services of its split
+            that get no requests.
+    """
     destinations: tuple[WeightedService, ...]
     if spec.get("trafficSplit"):
-        destinations = tuple(
+        split = [
             WeightedService(str(entry["service"]), float(entry["weight"]))
             for entry in spec["trafficSplit"]
-            if float(entry["weight"]) > 0
-        )
-        if not destinations:
+        ]
+        weighted = [entry for entry in split if entry.weight > 0]
+        if not weighted:
             raise ValueError(f"route {name}: no service has a positive weight")
+        destinations = tuple(split if keep_weightless else weighted)
     else:
         destinations = (WeightedService(str(spec["service"]), 1.0),)
     return Route(
@@ -117,7 +128,7 @@
     )
 
 
-def _parse_organisation(
+def parse_organisation(
     name: str, spec: dict[str, Any]
 ) -> tuple[Organisation, list[str]]:
     """Returns an organisation and its keys."""
@@ -147,7 +158,8 @@
     return value
 
 
-def _parse_limits(name: str, spec: dict[str, Any]) -> ServiceLimits:
+def parse_limits(name: str, spec: dict[str, Any]) -> ServiceLimits:
+    """Returns the limits of a service."""
     return ServiceLimits(
         service=str(name),
         health_path=str(spec["healthPath"]),
