Decide canary releases in a package of their own

Operators want to move a service to a new version without sending a bad version more than a tenth of its requests. The new package rollout/ has the parts that need no network: the exposure credit of a gateway, the counters beside an instance, the sequential comparison, the election, the plan of the phases, and the tasks that accompany an order to its terminal state. Notices of phases and counts travel as new last fields of MemberUpdate, so that nodes of earlier releases ignore them; without a roll-out there are none.

The version of an instance travels beside the member entries, not within them: msgspec decodes a named tuple only if it has no unknown fields, so that an earlier release would reject the message and close the link.

--- /dev/null
+++ b/src/rhubarbpaddle/execution/version_policy.py
@@ -0,0 +1,55 @@
+"""The interface that restricts a gateway's choice by instance version."""
+
+from collections.abc import Set
+from typing import Protocol
+
+
+class VersionPolicy(Protocol):
+    """Determines which instances a request may be sent to."""
+
+    def record_request(self, service: str) -> None:
+        """Records a request to a service."""
+        ...
+
+    def get_excluded(self, service: str) -> Set[str]:
+        """Returns the nodes that a request must not be sent to."""
+        ...
+
+    def get_canary_excluded(self, service: str) -> Set[str] | None:
+        """Returns the nodes to exclude to reach a version on trial.
+
+        None if the next request must not be sent there.
+        """
+        ...
+
+    def record_canary(self, service: str) -> None:
+        """Records that a request is sent to the version on trial."""
+        ...
+
+    def record_unreached(self, service: str, node_id: str) -> None:
+        """Records that an attempt has not reached the instance of a node."""
+        ...
+
+
+class _AllVersions:
+    """Permits all instances, as without roll-outs."""
+
+    def record_request(self, service: str) -> None:
+        """Does nothing."""
+
+    def get_excluded(self, service: str) -> Set[str]:
+        """Returns no nodes."""
+        return frozenset()
+
+    def get_canary_excluded(self, service: str) -> Set[str] | None:
+        """Returns None, as no version is on trial."""
+        return None
+
+    def record_canary(self, service: str) -> None:
+        """Does nothing."""
+
+    def record_unreached(self, service: str, node_id: str) -> None:
+        """Does nothing."""
+
+
+ALL_VERSIONS: VersionPolicy = _AllVersions()
--- a/src/rhubarbpaddle/membership/member_check.py
+++ b/src/rhubarbpaddle/membership/member_check.py
@@ -40,6 +40,8 @@
         return "a name of the instance is empty or too long"
     if not _is_count(upstream.incarnation):
         return "the incarnation of the instance is out of range"
+    if len(upstream.version) > _MAX_NAME_LENGTH:
+        return "the version of the instance is too long"
     if not 1 <= upstream.slots <= _MAX_SLOTS:
         return "the number of slots is out of range"
     return None
--- a/src/rhubarbpaddle/membership/upstream_summary.py
+++ b/src/rhubarbpaddle/membership/upstream_summary.py
@@ -14,6 +14,8 @@
         incarnation: A number that changes each time the upstream starts.
         state: Whether the instance accepts requests, and whether it is cold.
         slots: Requests that the instance can run concurrently.
+        version: The version that the instance runs; `?` before its first
+            report, empty if it reports none. Nodes of earlier releases omit it.
     """
 
     service: str
@@ -21,3 +23,4 @@
     incarnation: int
     state: UpstreamState
     slots: int
+    version: str = ""
--- a/src/rhubarbpaddle/node/instance_factory.py
+++ b/src/rhubarbpaddle/node/instance_factory.py
@@ -98,6 +98,7 @@
                 incarnation=report.incarnation,
                 state=UpstreamState.DOWN,
                 slots=report.slots,
+                version=report.version,
             ),
             admission,
             monitor,
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -26,6 +26,7 @@
     find_report_problem,
     find_start_problem,
 )
+from rhubarbpaddle.rollout.instance_version import UNKNOWN_VERSION
 from rhubarbpaddle.telemetry import get_logger
 
 # How often an instance that is down, but did not restart, is checked again.
@@ -302,6 +303,7 @@
             slots=max(1, reading.slots),
             leaving=False,
             cold_time=timedelta(seconds=cold_seconds),
+            version=UNKNOWN_VERSION,
         )
         attached = self._attach(report, limits)
         self._apply_cold_time(attached, cold_seconds)
@@ -322,7 +324,9 @@
             report._replace(incarnation=_UNREPORTED_INCARNATION),
         ):
             return
-        summary = attached.summary._replace(incarnation=report.incarnation)
+        summary = attached.summary._replace(
+            incarnation=report.incarnation, version=report.version
+        )
         self._instance_proxy.attached = attached._replace(summary=summary)
         self._table.update_own(upstream=summary)
 
@@ -480,6 +484,7 @@
             instance=report.instance,
             incarnation=report.incarnation,
             slots=report.slots,
+            version=report.version,
             cold_seconds=report.cold_time.total_seconds(),
         )
         return attached
--- a/src/rhubarbpaddle/node/instance_report.py
+++ b/src/rhubarbpaddle/node/instance_report.py
@@ -17,6 +17,8 @@
         slots: The number of requests that it can run concurrently.
         leaving: Whether it is about to stop.
         cold_time: The remaining time until the instance is warm.
+        version: The version that the instance runs, or the empty string if it
+            reports none.
     """
 
     instance: str
@@ -26,6 +28,7 @@
     slots: int
     leaving: bool
     cold_time: timedelta
+    version: str = ""
 
     @property
     def boot(self) -> InstanceBoot:
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -26,6 +26,8 @@
     MemberUpdate,
 )
 from rhubarbpaddle.peer.messages.member_update import MEMBERS_PER_MESSAGE
+from rhubarbpaddle.peer.rollout_notices import RolloutNotices
+from rhubarbpaddle.rollout.rollout_board import Notice, RolloutBoard
 from rhubarbpaddle.telemetry import get_logger
 
 HEARTBEAT_INTERVAL_SECONDS = 0.5
@@ -63,6 +65,7 @@
         crashes: CrashLedger,
         is_valid_address: Callable[[str], bool],
         store_access: StoreAccessTable,
+        rollouts: RolloutBoard,
     ) -> None:
         self.peer_id = peer_id
         self.received_at = clock.monotonic()
@@ -77,6 +80,8 @@
         self._pending_store_access = {
             entry.node_id: entry for entry in store_access.list_changed()
         }
+        self._rollouts = rollouts
+        self._rollout_notices = RolloutNotices(rollouts.list_notices())
         self._rejected_ids: set[str] = set()
         self._pending: dict[str, Member] = {}
         self._pending_crash_counts = {
@@ -109,6 +114,11 @@
         self._pending_store_access[entry.node_id] = entry
         self._wake.set()
 
+    def enqueue_rollout(self, notice: Notice) -> None:
+        """Queues a notice of a roll-out and wakes the sender."""
+        self._rollout_notices.add(notice)
+        self._wake.set()
+
     def flush(self) -> None:
         """Sends pending changes without waiting for the next heartbeat."""
         self._wake.set()
@@ -155,12 +165,15 @@
         self._replaced_entries.clear()
         for start in range(0, len(members), MEMBERS_PER_MESSAGE):
             batch = members[start : start + MEMBERS_PER_MESSAGE]
-            await self._conn.send(MemberUpdate(batch))
+            await self._conn.send(MemberUpdate.from_members(batch))
         if self._pending_store_access:
             # Follows the members, because entries of unknown nodes are ignored.
             entries = tuple(self._pending_store_access.values())
             self._pending_store_access = {}
             await self._conn.send(MemberUpdate((), entries))
+        # Likewise, counts of unknown nodes are ignored.
+        for message in self._rollout_notices.take():
+            await self._conn.send(message)
         if self._pending_crash_counts:
             crash_counts = tuple(self._pending_crash_counts.values())
             self._pending_crash_counts = {}
@@ -195,10 +208,14 @@
                 case Heartbeat():
                     self._repair_if_different(message)
                     self._request_if_newer(message.configuration_version)
-                case MemberUpdate(members=members, store_access=entries):
-                    self._merge_members(members)
+                case MemberUpdate(store_access=entries):
+                    self._merge_members(message.get_members())
                     for entry in entries:
                         self._store_access.merge(entry, self.peer_id)
+                    for phase in message.rollout_phases:
+                        self._rollouts.merge(phase, self.peer_id)
+                    for counts in message.rollout_counts:
+                        self._rollouts.merge(counts, self.peer_id)
                 case CrashCounts(updates=updates):
                     for update in updates:
                         self._crashes.merge(update)
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -32,6 +32,7 @@
     ControlLink,
 )
 from rhubarbpaddle.peer.messages import Hello
+from rhubarbpaddle.rollout.rollout_board import Notice, RolloutBoard
 from rhubarbpaddle.telemetry import get_logger
 
 PURPOSE = "control"
@@ -77,6 +78,7 @@
         get_seeds: Callable[[], Sequence[str]],
         crashes: CrashLedger,
         store_access: StoreAccessTable,
+        rollouts: RolloutBoard | None = None,
     ) -> None:
         self._connector = connector
         self._table = table
@@ -95,9 +97,11 @@
         self._returns_tried_at = float("-inf")
         self._crashes = crashes
         self._store_access = store_access
+        self._rollouts = rollouts or RolloutBoard(table)
         table.add_listener(self._broadcast_member)
         crashes.add_listener(self._broadcast_crash_count)
         store_access.add_listener(self._broadcast_store_access)
+        self._rollouts.add_listener(self._broadcast_rollout)
 
     @property
     def link_count(self) -> int:
@@ -168,6 +172,11 @@
             if link.peer_id != source:
                 link.enqueue_store_access(entry)
 
+    def _broadcast_rollout(self, notice: Notice, source: str | None) -> None:
+        for link in self._links:
+            if link.peer_id != source:
+                link.enqueue_rollout(notice)
+
     def _update_link_tasks(self, nursery: trio.Nursery) -> None:
         neighbours = choose_neighbours(
             self._table.own.node_id, self._get_reachable_zones()
@@ -299,6 +308,7 @@
             self._crashes,
             self._connector.is_valid_address,
             self._store_access,
+            self._rollouts,
         )
         self._links.append(link)
         self._first_link.set()
--- a/src/rhubarbpaddle/platform/report_document.py
+++ b/src/rhubarbpaddle/platform/report_document.py
@@ -12,6 +12,8 @@
 # Far more than a cold start takes.
 _MAX_COLD_TIME = timedelta(days=1)
 _MAX_SLOTS = 1_000_000
+# Nodes do not accept longer names from each other.
+_MAX_VERSION_LENGTH = 255
 
 
 def parse_report(instance: str, content: bytes) -> InstanceReport:
@@ -46,6 +48,7 @@
             slots=slots,
             leaving=state == "draining",
             cold_time=cold_time,
+            version=_get_version(document),
         )
     except (KeyError, TypeError, ValueError, OverflowError) as exc:
         raise ProtocolError(
@@ -89,3 +92,13 @@
     if not isinstance(value, str) or not value:
         raise TypeError(f"{name} is not a non-empty string")
     return value
+
+
+def _get_version(document: dict[str, Any]) -> str:
+    """Returns the version, or the empty string if none is reported."""
+    version = document.get("version", "")
+    if not isinstance(version, str):
+        raise TypeError("version is not a string")
+    if len(version) > _MAX_VERSION_LENGTH:
+        raise ValueError("version is too long")
+    return version
--- /dev/null
+++ b/src/rhubarbpaddle/rollout/version_gate.py
@@ -0,0 +1,169 @@
+"""Which instances of a service this gateway may use during a roll-out."""
+
+import random
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.rollout.contact_watch import ContactWatch
+from rhubarbpaddle.rollout.current_rollout import CurrentRollout
+from rhubarbpaddle.rollout.exposure_credit import ExposureCredit
+from rhubarbpaddle.rollout.instance_version import NO_VERSION
+from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
+from rhubarbpaddle.rollout.rollout_table import RolloutTable
+from rhubarbpaddle.rollout.rollout_terms import RolloutTerms
+from rhubarbpaddle.rollout.service_versions import ServiceVersions
+from rhubarbpaddle.rollout.version_table import VersionTable
+
+# The part of the permitted share that is used. The rest covers differences
+# between the requests that gateways count and those that are counted for the
+# limit, such as requests that are cancelled early.
+_USED_PART = 0.8
+# How long a service may have no instance of a proven version before unproven
+# ones are used. After a loss of power all instances have reported again within
+# this time.
+_FALLBACK_SECONDS = 3.0
+_NONE: frozenset[str] = frozenset()
+
+
+class VersionGate:
+    """Excludes instances by version; implements `VersionPolicy`.
+
+    Limits what a bad version receives through any attempt: first attempts,
+    retries, queueing, and instances that were found by a health check.
+    """
+
+    def __init__(
+        self,
+        terms: RolloutTerms,
+        versions: VersionTable,
+        rollouts: RolloutTable,
+        contact: ContactWatch,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Creates a gate.
+
+        Args:
+            terms: The limits of roll-outs.
+            versions: The versions of all instances.
+            rollouts: The newest roll-out of each service.
+            contact: Whether news of a roll-out reaches this node.
+            clock: The source of time.
+            rng: Determines which requests go to a target version.
+        """
+        self._share = _USED_PART * terms.exposure_share
+        self._versions = versions
+        self._rollouts = rollouts
+        self._contact = contact
+        self._clock = clock
+        self._rng = rng
+        # The credit and the number of the order that it is for, by service.
+        self._credits: dict[str, tuple[int, ExposureCredit]] = {}
+        self._without_proven_since: dict[str, float] = {}
+
+    def record_request(self, service: str) -> None:
+        """Records a request to a service, which earns credit."""
+        rollout = self._rollouts.get_current(service)
+        if rollout is not None and (
+            rollout.phase is None or rollout.is_counting
+        ):
+            self._get_credit(service, rollout).earn()
+        else:
+            self._credits.pop(service, None)
+
+    def get_excluded(self, service: str) -> frozenset[str]:
+        """Returns the nodes that a request must not be sent to."""
+        versions = self._versions.get_versions(service)
+        rollout = self._rollouts.get_current(service)
+        if rollout is None:
+            return self._get_unordered(service, versions)
+        target = rollout.target_version
+        if rollout.phase is None and self._versions.is_used(service, target):
+            return self._get_unordered(service, versions)
+        if rollout.phase is RolloutPhase.COMPLETED or (
+            rollout.phase is RolloutPhase.PROMOTION
+            and self._contact.has_contact()
+        ):
+            if not versions.get_nodes(target):
+                return _NONE
+            return versions.get_other_nodes(target)
+        return self._get_unproven(service, versions, rollout)
+
+    def get_canary_excluded(self, service: str) -> frozenset[str] | None:
+        """Returns the nodes to exclude to reach the target version.
+
+        None if the next request must not be sent there.
+        """
+        rollout = self._rollouts.get_current(service)
+        if rollout is None or rollout.phase is not RolloutPhase.TRIAL:
+            return None
+        versions = self._versions.get_versions(service)
+        if (
+            not versions.get_nodes(rollout.target_version)
+            or not self._get_credit(service, rollout).can_spend()
+            or not self._contact.has_contact()
+        ):
+            return None
+        return versions.get_other_nodes(rollout.target_version)
+
+    def record_canary(self, service: str) -> None:
+        """Records that a request is sent to the target version."""
+        rollout = self._rollouts.get_current(service)
+        if rollout is not None:
+            self._get_credit(service, rollout).spend()
+
+    def record_unreached(self, service: str, node_id: str) -> None:
+        """Records that an attempt has not reached the instance of a node."""
+        rollout = self._rollouts.get_current(service)
+        if (
+            rollout is not None
+            and rollout.phase is RolloutPhase.TRIAL
+            and node_id
+            in self._versions.get_versions(service).get_nodes(
+                rollout.target_version
+            )
+        ):
+            self._get_credit(service, rollout).refund()
+
+    def _get_credit(
+        self, service: str, rollout: CurrentRollout
+    ) -> ExposureCredit:
+        number, credit = self._credits.get(service, (None, None))
+        if credit is None or number != rollout.order:
+            credit = ExposureCredit(self._share, self._rng)
+            self._credits[service] = rollout.order, credit
+        return credit
+
+    def _get_unordered(
+        self, service: str, versions: ServiceVersions
+    ) -> frozenset[str]:
+        """Returns the nodes to exclude while there is no order.
+
+        A later order may name any version that is not in use yet.
+        """
+        used = self._versions.get_used_version(service, None)
+        if used is None or not versions.get_nodes(used):
+            return _NONE
+        # Nodes of earlier releases don't report a version.
+        return versions.get_other_nodes(used) - versions.get_nodes(NO_VERSION)
+
+    def _get_unproven(
+        self,
+        service: str,
+        versions: ServiceVersions,
+        rollout: CurrentRollout,
+    ) -> frozenset[str]:
+        """Returns the nodes without an instance of the version in use.
+
+        An instance of unknown version may be one of the target version.
+        """
+        target = rollout.target_version
+        used = self._versions.get_used_version(service, target)
+        if used is not None and versions.get_nodes(used):
+            self._without_proven_since.pop(service, None)
+            return versions.get_other_nodes(used)
+        now = self._clock.monotonic()
+        since = self._without_proven_since.setdefault(service, now)
+        if now - since < _FALLBACK_SECONDS:
+            return frozenset().union(*versions.accepting.values())
+        is_stopped = rollout.phase is not None and rollout.phase.is_stopped
+        return versions.get_nodes(target) if is_stopped else _NONE
--- /dev/null
+++ b/src/rhubarbpaddle/rollout/version_table.py
@@ -0,0 +1,162 @@
+"""The versions of all instances, and which version a service uses."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.membership import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    UpstreamState,
+    UpstreamSummary,
+)
+from rhubarbpaddle.rollout.instance_version import NO_VERSION, UNKNOWN_VERSION
+from rhubarbpaddle.rollout.service_versions import ServiceVersions
+
+_ACCEPTING_STATES = (UpstreamState.COLD, UpstreamState.WARM)
+_ACCEPTING_STATUSES = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+_NO_VERSIONS = ServiceVersions({}, {})
+# A node that starts learns of the instances one after another. After this time
+# its choice of the version in use no longer depends on their start times.
+_SETTLE_SECONDS = 10.0
+_MAX_REMEMBERED_INSTANCES = 4096
+
+
+class VersionTable:
+    """Groups the members by service and version.
+
+    An instance that was found by a health check has the version that it had
+    before the node beside it was started again.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        clock: Clock,
+        is_in_service: Callable[[str], bool],
+    ) -> None:
+        """Creates a table.
+
+        Args:
+            table: The nodes and their instances.
+            clock: The source of time.
+            is_in_service: Returns whether a zone may receive new requests.
+        """
+        self._table = table
+        self._clock = clock
+        self._is_in_service = is_in_service
+        self._services: dict[str, ServiceVersions] | None = None
+        self._remembered: dict[tuple[str, str], str] = {}
+        # The version in use and since when, by service.
+        self._used: dict[str, tuple[str, float]] = {}
+        table.add_listener(self._on_member_change)
+
+    def get_versions(self, service: str) -> ServiceVersions:
+        """Returns the instances of a service by version."""
+        # The table changes rarely, but each request reads it.
+        if self._services is None:
+            self._services = self._group_members()
+        return self._services.get(service, _NO_VERSIONS)
+
+    def invalidate(self) -> None:
+        """Regroups the members, as after a change of zones in service."""
+        self._services = None
+
+    def set_used_version(self, service: str, version: str) -> None:
+        """Records that a completed roll-out has put a version into use."""
+        self._used[service] = version, float("-inf")
+
+    def is_used(self, service: str, version: str) -> bool:
+        """Returns whether a version has been in use for a while."""
+        used, since = self._used.get(service, (None, 0.0))
+        return used == version and (
+            self._clock.monotonic() - since >= _SETTLE_SECONDS
+        )
+
+    def get_used_version(self, service: str, target: str | None) -> str | None:
+        """Returns the version that a service uses apart from roll-outs.
+
+        It is the one that this node has known to be in use for a while or, if
+        there is none, that of the oldest instance: instances of a version that
+        an order will name are started beside those in use.
+
+        Args:
+            service: The service.
+            target: The target version of a roll-out, which is not in use, or
+                None.
+
+        Returns:
+            The version, or None if no instance has a known version.
+        """
+        starts = {
+            version: start
+            for version, start in self.get_versions(
+                service
+            ).oldest_starts.items()
+            if version not in (target, NO_VERSION, UNKNOWN_VERSION)
+        }
+        now = self._clock.monotonic()
+        used, _ = self._used.get(service, (None, now))
+        if used in starts and self.is_used(service, used):
+            return used
+        oldest = min(
+            starts, key=lambda name: (starts[name], name), default=None
+        )
+        if oldest is not None and oldest != used:
+            self._used[service] = oldest, now
+        return oldest
+
+    def _on_member_change(self, member: Member, source: str | None) -> None:
+        self._services = None
+        upstream = member.upstream
+        if upstream is not None and upstream.version not in (
+            NO_VERSION,
+            UNKNOWN_VERSION,
+        ):
+            key = upstream.service, upstream.instance
+            self._remembered.pop(key, None)
+            if len(self._remembered) >= _MAX_REMEMBERED_INSTANCES:
+                del self._remembered[next(iter(self._remembered))]
+            self._remembered[key] = upstream.version
+
+    def _group_members(self) -> dict[str, ServiceVersions]:
+        accepting: defaultdict[str, defaultdict[str, set[str]]] = defaultdict(
+            lambda: defaultdict(set)
+        )
+        starts: defaultdict[str, dict[str, int]] = defaultdict(dict)
+        for member in self._table:
+            upstream = member.upstream
+            if (
+                upstream is None
+                or member.status not in _ACCEPTING_STATUSES
+                or upstream.state is UpstreamState.LEAVING
+            ):
+                continue
+            version = self._resolve(upstream)
+            by_version = starts[upstream.service]
+            by_version[version] = min(
+                upstream.incarnation,
+                by_version.get(version, upstream.incarnation),
+            )
+            if upstream.state in _ACCEPTING_STATES and self._is_in_service(
+                member.availability_zone
+            ):
+                accepting[upstream.service][version].add(member.node_id)
+        return {
+            service: ServiceVersions(
+                {
+                    version: frozenset(node_ids)
+                    for version, node_ids in accepting[service].items()
+                },
+                by_version,
+            )
+            for service, by_version in starts.items()
+        }
+
+    def _resolve(self, upstream: UpstreamSummary) -> str:
+        if upstream.version != UNKNOWN_VERSION:
+            return upstream.version
+        return self._remembered.get(
+            (upstream.service, upstream.instance), UNKNOWN_VERSION
+        )
