Run canary releases on the users' platform

Orders are read from keyed.op and travel in the state text with their offset, which identifies them, and their age, because records carry no time. The status is written to keyed.status by appends on the condition that the topic still ends where it was read. The gateway and the instance's proxy get the roll-out as protocols that do nothing without the platform's settings.

--- a/src/rhubarbpaddle/configuration/route_table.py
+++ b/src/rhubarbpaddle/configuration/route_table.py
@@ -1,7 +1,8 @@
 """Finds the route of a request."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from itertools import chain
 from typing import Self
 
 from rhubarbpaddle.configuration.route import Route
@@ -26,6 +27,11 @@
             by_host[route.host][route.path_prefix] = route
         return cls(dict(by_host))
 
+    def __iter__(self) -> Iterator[Route]:
+        return chain.from_iterable(
+            by_prefix.values() for by_prefix in self._routes.values()
+        )
+
     def __len__(self) -> int:
         return sum(map(len, self._routes.values()))
 
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -22,6 +22,10 @@
 from rhubarbpaddle.execution.prefixed_body import PrefixedBody
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
+from rhubarbpaddle.execution.response_observer import (
+    NO_OBSERVER,
+    ResponseObserver,
+)
 from rhubarbpaddle.measuring import (
     NO_EVIDENCE,
     Evidence,
@@ -49,6 +53,7 @@
         leaving: Whether this node is shutting down. It then refuses new
             requests and completes those that are queued or running.
         crashes: The crash counts of requests.
+        observer: Learns how requests end at the instance.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         self.in_service = True
         self.leaving = False
         self.crashes = crashes
+        self.observer: ResponseObserver = NO_OBSERVER
         self._suspects = CrashSuspects(crashes, clock)
         self._clock = clock
         self._on_instance_gone = on_instance_gone
@@ -130,6 +136,7 @@
                 body if isinstance(body, BytesBody) else ObservedBody(body)
             )
             response_body: ObservedBody | None = None
+            observation = self.observer.start(attached, request.route)
             try:
                 async with attached.client.send(
                     request, request_body
@@ -138,6 +145,9 @@
                     evidence = classify_response(
                         response, request_body, elapsed
                     )
+                    observation.record_response(
+                        response.status, evidence.latency
+                    )
                     response_body = ObservedBody(response.body)
                     yield response._replace(
                         body=await _buffer_if_short(
@@ -150,6 +160,11 @@
             except RefusedError as exc:
                 if evidence is NO_EVIDENCE:
                     evidence = classify_error(exc, request_body)
+                    elapsed = self._clock.monotonic() - started
+                    observation.record_error(
+                        evidence.kind,
+                        elapsed if isinstance(body, BytesBody) else None,
+                    )
                     self._log_failure(request, exc)
                     await self._detect_crash(attached, evidence, fingerprint)
                 raise
@@ -229,6 +244,10 @@
             or attached.summary.incarnation != incarnation
         ):
             raise _make_refusal("instance_gone", "the chosen instance is gone")
+        if self.observer.is_stopped(attached.summary):
+            raise _make_refusal(
+                "version_stopped", "the instance's version was rolled back"
+            )
         if self._clock.monotonic() >= request.deadline:
             raise RefusedError(
                 "deadline_exceeded",
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -25,6 +25,7 @@
     never_reached_instance,
 )
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
+from rhubarbpaddle.execution.version_policy import ALL_VERSIONS, VersionPolicy
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.instance_router import InstanceRouter
@@ -55,8 +56,10 @@
         budget: SharedRetryBudget,
         clock: Clock,
         log: EventLog,
+        versions: VersionPolicy = ALL_VERSIONS,
     ) -> None:
         self._log = log
+        self._versions = versions
         self._router = router
         self._dispatcher = dispatcher
         self._budget = budget
@@ -74,6 +77,7 @@
                 request may have run.
         """
         self._budget.record_request(request.service)
+        self._versions.record_request(request.service)
         # The body is discarded after the exchange, which may still read it.
         with ExitStack() as kept_bodies:
             if not isinstance(body, BytesBody):
@@ -110,6 +114,10 @@
                 )
             except RefusedError as exc:
                 history.record_failure(candidate.node_id, exc, may_queue)
+                if never_reached_instance(exc):
+                    self._versions.record_unreached(
+                        request.service, candidate.node_id
+                    )
                 self._log_failed_attempt(request, candidate, history, exc)
                 if not self._may_retry(request, body, history, exc):
                     raise _make_final_refusal(history) from exc
@@ -146,18 +154,45 @@
 
         The instance is None if none can be tried.
         """
+        version_excluded = self._versions.get_excluded(request.service)
         if (
             not history.refused_queues
             and history.full_count < _MAX_FULL_INSTANCES
             and len(history.busy) < _MAX_BUSY_INSTANCES
         ):
-            candidate = self._router.choose(request.service, history.excluded)
+            candidate = self._choose_canary(request, history)
+            if candidate is not None:
+                return candidate, False
+            candidate = self._router.choose(
+                request.service, history.excluded | version_excluded
+            )
             if candidate is not None and not self._router.is_busy(candidate):
                 return candidate, False
         if len(history.refused_queues) >= _MAX_QUEUE_REFUSALS:
             return None, True
         excluded = (history.excluded - history.busy) | history.refused_queues
-        return self._router.choose(request.service, excluded), True
+        return (
+            self._router.choose(request.service, excluded | version_excluded),
+            True,
+        )
+
+    def _choose_canary(
+        self, request: Request, history: RouteAttemptHistory
+    ) -> Candidate | None:
+        """Returns an instance of a version on trial if it is due a request.
+
+        Only first attempts go there, and none that would have to wait.
+        """
+        if history.excluded:
+            return None
+        excluded = self._versions.get_canary_excluded(request.service)
+        if excluded is None:
+            return None
+        candidate = self._router.choose(request.service, excluded)
+        if candidate is None or self._router.is_busy(candidate):
+            return None
+        self._versions.record_canary(request.service)
+        return candidate
 
     def _may_retry(
         self,
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -54,6 +54,7 @@
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
 from rhubarbpaddle.platform.reader_duty import ReaderDuty
 from rhubarbpaddle.platform.report_handler import ReportHandler
+from rhubarbpaddle.platform.rollouts import Rollouts
 from rhubarbpaddle.platform.settings import SETTINGS_VARIABLE, PlatformSettings
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_configuration_follower import (
@@ -153,6 +154,17 @@
             ),
             PollSchedule.from_config(settings),
         )
+        self._rollouts = Rollouts(
+            settings.rollout_terms,
+            self.table,
+            store,
+            lambda: self.overlay.has_active_link(),
+            self._is_in_service,
+            self.configuration.get_configuration,
+            clock,
+            rng,
+        )
+        self.instance_proxy.observer = self._rollouts.observer
         self._directory = NodeDirectory(
             settings.node_id,
             settings.peer_address,
@@ -180,6 +192,7 @@
             self._directory.get_addresses,
             crash_ledger,
             store_access,
+            self._rollouts.board,
         )
         self.registry = InstanceRegistry(
             InstanceFactory(
@@ -213,6 +226,7 @@
             ),
             clock,
             get_logger("gateway"),
+            self._rollouts.policy,
         )
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
@@ -310,6 +324,7 @@
             nursery.start_soon(self.registry.discover, settings.service)
             nursery.start_soon(self._watch_settings)
             nursery.start_soon(self.metrics.run)
+            nursery.start_soon(self._rollouts.run)
             _log.info("node_started", node=settings.node_id)
             task_status.started()
 
@@ -414,6 +429,7 @@
         zone = self.settings.availability_zone
         self.instance_proxy.in_service = cfg.is_in_service(zone)
         self.registry.apply_limits()
+        self._rollouts.apply(self.configuration.get_orders())
         self.overlay.announce_configuration()
 
     def _is_in_service(self, availability_zone: str) -> bool:
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -9,6 +9,7 @@
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.retry_terms import RetryTerms
 from rhubarbpaddle.json_document import decode_json
+from rhubarbpaddle.rollout.rollout_terms import RolloutTerms
 
 SETTINGS_VARIABLE = "RHUBARBPADDLE_SETTINGS"
 _STEP = "load_settings"
@@ -43,6 +44,8 @@
         is_first_start: The platform's `bootstrap`: whether the whole fleet
             starts for the first time.
         seeds: Report addresses of other hosts; may be stale.
+        rollout_terms: The platform's `exposureShare`, `exposureSlack` and
+            `rollbackMs`, or None if the platform has no roll-outs.
     """
 
     node_id: str
@@ -63,6 +66,7 @@
     link_rate: float
     is_first_start: bool
     seeds: tuple[str, ...]
+    rollout_terms: RolloutTerms | None = None
 
     @classmethod
     def from_file(cls, path: Path) -> Self:
@@ -132,6 +136,7 @@
             link_rate=_parse_link_rate(local.get("limits", {})),
             is_first_start=bool(local.get("bootstrap", True)),
             seeds=tuple(map(str, network["seeds"])),
+            rollout_terms=_parse_rollout_terms(bounds),
         )
 
 
@@ -147,3 +152,19 @@
     if megabits <= 0:
         raise ValueError(f"linkMbps is {megabits}")
     return megabits * _BYTES_PER_MEGABIT
+
+
+def _parse_rollout_terms(bounds: Mapping[str, Any]) -> RolloutTerms | None:
+    if "exposureShare" not in bounds:
+        return None
+    share = float(bounds["exposureShare"])
+    rollback_ms = float(bounds["rollbackMs"])
+    if not 0 < share < 1:
+        raise ValueError(f"exposureShare is {share}")
+    if not 0 < rollback_ms < math.inf:
+        raise ValueError(f"rollbackMs is {rollback_ms}")
+    return RolloutTerms(
+        exposure_share=share,
+        exposure_slack=float(bounds["exposureSlack"]),
+        rollback_time=timedelta(milliseconds=rollback_ms),
+    )
--- a/src/rhubarbpaddle/platform/store_client.py
+++ b/src/rhubarbpaddle/platform/store_client.py
@@ -32,7 +32,8 @@
 HELD_READ_TIMEOUT = timedelta(seconds=1)
 _CONNECT_TIMEOUT_SECONDS = 1.0
 # Statuses with which the store reports that it appended nothing.
-_REJECTED_STATUSES = frozenset({400, 403, 404, 412, 413, 429, 503, 507})
+_REJECTED_STATUSES = frozenset({400, 403, 404, 413, 429, 503, 507})
+_CONDITION_FAILED = 412
 
 
 class StoreClient:
@@ -49,7 +50,31 @@
             AppendUnknownError: The record may have been appended, or may still
                 be appended.
         """
-        target = f"/log-append?topic={topic}&part=0"
+        status = await self._append(topic, key, value, "")
+        if status == _CONDITION_FAILED:
+            raise self._make_unavailable_error(f"status {status}", "append")
+
+    async def put_at(
+        self, topic: str, key: str, value: bytes, offset: int
+    ) -> bool:
+        """Appends a record if the partition ends at an offset.
+
+        Returns:
+            Whether the record was appended. If not, another one was.
+
+        Raises:
+            LogUnavailableError: Nothing was appended.
+            AppendUnknownError: The record may have been appended, or may still
+                be appended while the partition ends at the offset.
+        """
+        status = await self._append(topic, key, value, f"&at={offset}")
+        return status != _CONDITION_FAILED
+
+    async def _append(
+        self, topic: str, key: str, value: bytes, condition: str
+    ) -> int:
+        """Returns status 200, or 412 if the condition does not hold."""
+        target = f"/log-append?topic={topic}&part=0{condition}"
         conn = await self._acquire("append")
         try:
             with trio.fail_after(_RESPONSE_TIMEOUT.total_seconds()):
@@ -64,10 +89,11 @@
             await self._client.release(conn)
         if status in _REJECTED_STATUSES:
             raise self._make_unavailable_error(f"status {status}", "append")
-        if status != 200:
+        if status not in (200, _CONDITION_FAILED):
             raise AppendUnknownError(
                 f"status {status}", step="append", peer=self._client.address
             )
+        return status
 
     async def read_newest(self, topic: str) -> NewestRecords:
         """Returns the newest record of each key, read page by page.
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -13,14 +13,20 @@
 from rhubarbpaddle.exceptions import ConfigurationError, RhubarbpaddleError
 from rhubarbpaddle.membership import ReaderPosition
 from rhubarbpaddle.node.backoff import Backoff
+from rhubarbpaddle.peer.versioned_text import VersionedText
+from rhubarbpaddle.platform.aged_configuration_text import (
+    AgedConfigurationText,
+)
 from rhubarbpaddle.platform.history_lost import HistoryLostError
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
 from rhubarbpaddle.platform.reader_duty import ReaderDuty
+from rhubarbpaddle.platform.rollout_orders import RolloutOrders
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
 )
 from rhubarbpaddle.platform.store_silent import StoreSilentError
+from rhubarbpaddle.rollout.observed_order import ObservedOrder
 from rhubarbpaddle.telemetry import get_logger
 
 _TOPIC = "keyed.op"
@@ -70,6 +76,7 @@
         self.store_responded = trio.Event()
         self._backoff = Backoff(rng, _BACKOFF_LIMIT)
         self._records: dict[str, bytes] = {}
+        self._orders = RolloutOrders()
         self._end_offset: int | None = None
         self._unreachable_since: float | None = None
         self._was_reader = False
@@ -81,9 +88,15 @@
         """Returns whether this node reads the store for other nodes."""
         return self._duty.get_position() is not None
 
-    def get_accepted(self) -> StoreConfigurationState | None:
+    def get_accepted(self) -> VersionedText | None:
         """Returns the state in force, to be sent to peers."""
-        return self.state
+        if self.state is None or not self.state.orders:
+            return self.state
+        return AgedConfigurationText(self.state, self._clock)
+
+    def get_orders(self) -> tuple[ObservedOrder, ...]:
+        """Returns the orders of roll-outs in force."""
+        return self.state.orders if self.state else ()
 
     def get_version(self) -> int:
         """Returns the offset up to which the state was read, or 0."""
@@ -104,11 +117,14 @@
         """
         if version <= self.get_version():
             return False
-        state = StoreConfigurationState.from_text(text, version)
+        state = StoreConfigurationState.from_text(
+            text, version, self._clock.monotonic()
+        )
         if not self._put_in_force(state, "peer"):
             return False
         if self._end_offset is not None and self._end_offset < version:
             self._records = state.get_records()
+            self._orders.adopt(state.orders)
             self._end_offset = version
         return True
 
@@ -162,6 +178,8 @@
         newest = await self._store.read_newest(_TOPIC)
         self.store_responded.set()
         self._records = {record.key: record.value for record in newest.records}
+        self._orders.adopt(self.get_orders())
+        self._orders.replace(newest.records, self._clock.monotonic())
         self._end_offset = newest.end
         self._apply_records()
 
@@ -181,7 +199,9 @@
             )
         if not records:
             return
+        now = self._clock.monotonic()
         for record in records:
+            self._orders.apply(record, now)
             if record.value:
                 self._records[record.key] = record.value
             else:
@@ -195,7 +215,10 @@
             return
         try:
             state = StoreConfigurationState.from_records(
-                self._records, self._end_offset
+                self._records,
+                self._end_offset,
+                self._orders.list_entries(),
+                self._clock.monotonic(),
             )
         except ConfigurationError as exc:
             _log.warn(
