Test roll-outs on the platform, with faults of nodes, links and the store

The stand-in store checks the condition of an append, and can delay calls or run an append late. Failures that the scenarios found: an order for the version in use was not completed by a node that had run for less than 10 s, because the version in use was known only after that time. It is now the one whose first instance started first, which needs no such time. A part of a partitioned fleet uses unproven instances only if it sees most nodes.

--- /dev/null
+++ b/features/steps/rollouts_steps.py
@@ -0,0 +1,366 @@
+import trio
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.deferred_steps import defer_step
+from features.support.rollout_world import RolloutWorld
+from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
+
+_WORK_SECONDS = 0.05
+
+
+def _start(context: Context, new: int, has_limits: bool = True) -> None:
+    async def run_step() -> None:
+        world = context.world = RolloutWorld(context.nursery)
+        if not has_limits:
+            world.bounds = {}
+        await world.start(new=new)
+        context.ordered = {"v1": 0, "v2": 0}
+
+    defer_step(context, run_step)
+
+
+@given("a service with old and new instances under load")
+def step_start(context: Context) -> None:
+    _start(context, 2)
+
+
+@given("a service with old instances only, under load")
+def step_start_old(context: Context) -> None:
+    _start(context, 0)
+
+
+@given("a service without limits of roll-outs, under load")
+def step_start_without_limits(context: Context) -> None:
+    _start(context, 2, has_limits=False)
+
+
+@when("the new version fails {percent:d} % of its requests")
+def step_fail(context: Context, percent: int) -> None:
+    async def run_step() -> None:
+        context.world.set_failures("v2", percent / 100)
+
+    defer_step(context, run_step)
+
+
+@when("the new version fails 50 % on one route")
+def step_fail_route(context: Context) -> None:
+    async def run_step() -> None:
+        context.world.set_failures("v2", 0.5, "/lanes/other/")
+
+    defer_step(context, run_step)
+
+
+@when("the new version works 3 times longer")
+def step_work_longer(context: Context) -> None:
+    async def run_step() -> None:
+        context.world.set_work_seconds("v2", 3 * _WORK_SECONDS)
+
+    defer_step(context, run_step)
+
+
+@when("the new version fails all requests after 4 s")
+def step_fail_late(context: Context) -> None:
+    async def run_step() -> None:
+        async def fail() -> None:
+            await trio.sleep(4)
+            context.world.set_failures("v2", 1.0)
+
+        context.nursery.start_soon(fail)
+
+    defer_step(context, run_step)
+
+
+@when("the new version is repaired")
+def step_repair(context: Context) -> None:
+    async def run_step() -> None:
+        context.world.set_failures("v2", 0.0)
+
+    defer_step(context, run_step)
+
+
+@when("operators order the new version")
+def step_order(context: Context) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        context.ordered = {v: world.count_arrivals(v) for v in ("v1", "v2")}
+        world.order()
+
+    defer_step(context, run_step)
+
+
+@when("{seconds:g} s later operators order the version in use")
+def step_order_old(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        await trio.sleep(seconds)
+        context.world.order("v1")
+
+    defer_step(context, run_step)
+
+
+@when("{seconds:g} s later operators delete the order")
+def step_delete(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        await trio.sleep(seconds)
+        context.world.delete_order()
+
+    defer_step(context, run_step)
+
+
+@when("2 s later both versions fail half of their requests for 1 s")
+def step_fail_both(context: Context) -> None:
+    async def run_step() -> None:
+        await trio.sleep(2)
+        for version in ("v1", "v2"):
+            context.world.set_failures(version, 0.5)
+        await trio.sleep(1)
+        for version in ("v1", "v2"):
+            context.world.set_failures(version, 0.0)
+
+    defer_step(context, run_step)
+
+
+@when("2 s later both versions work 4 times longer for 1 s")
+def step_slow_both(context: Context) -> None:
+    async def run_step() -> None:
+        await trio.sleep(2)
+        for version in ("v1", "v2"):
+            context.world.set_work_seconds(version, 4 * _WORK_SECONDS)
+        await trio.sleep(1)
+        for version in ("v1", "v2"):
+            context.world.set_work_seconds(version, _WORK_SECONDS)
+
+    defer_step(context, run_step)
+
+
+@when("the store fails from the decision on until the deciding node was killed")
+def step_kill_decider(context: Context) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        await world.wait_for_state("running", 3)
+        world.store.status = 503
+        decider = world.get_decider()
+        stopped = trio.Event()
+
+        def handle_notice(notice: object, source: str | None) -> None:
+            if getattr(notice, "phase", None) is RolloutPhase.STOPPED:
+                stopped.set()
+
+        world.nodes[decider]._rollouts.board.add_listener(handle_notice)
+        await stopped.wait()
+        await world.stop_node(decider)
+        world.store.status = 0
+
+    defer_step(context, run_step)
+
+
+@when("the store rejects the deciding node")
+def step_reject_decider(context: Context) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        await world.wait_for_state("running", 3)
+        decider = world.get_decider()
+        world.fabric.refused.add((decider, "store"))
+        world.fabric.reset_connections(decider, "store")
+        world.fabric.reset_connections("store", decider)
+
+    defer_step(context, run_step)
+
+
+@when("2 s later the hosts of the new instances are partitioned for 8 s")
+def step_partition(context: Context) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        await trio.sleep(2)
+        minority = ("n0", "n1")
+        for name in minority:
+            for other in (*world.nodes, "store"):
+                if other not in minority:
+                    world.fabric.block_both_ways(name, other)
+        await trio.sleep(8)
+        world.fabric.blocked.clear()
+
+    defer_step(context, run_step)
+
+
+@when("the store loses the responses of appends")
+def step_lose_responses(context: Context) -> None:
+    async def run_step() -> None:
+        context.world.store.loses_responses = True
+
+    defer_step(context, run_step)
+
+
+@when("the store runs appends 1.5 s late")
+def step_append_late(context: Context) -> None:
+    async def run_step() -> None:
+        context.world.store.append_delay = 1.5
+
+    defer_step(context, run_step)
+
+
+@when("the store takes 0.24 s for each call")
+def step_slow_store(context: Context) -> None:
+    async def run_step() -> None:
+        context.world.store.delay = 0.24
+
+    defer_step(context, run_step)
+
+
+@when("the store is unavailable from 1 s on for 8 s")
+def step_store_outage(context: Context) -> None:
+    async def run_step() -> None:
+        await trio.sleep(1)
+        context.world.store.status = 503
+        await trio.sleep(8)
+        context.world.store.status = 0
+
+    defer_step(context, run_step)
+
+
+@when("{seconds:g} s later all nodes are killed and started again")
+def step_kill_all(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        await trio.sleep(seconds)
+        zones = {
+            name: node.settings.availability_zone
+            for name, node in world.nodes.items()
+        }
+        for name in zones:
+            await world.stop_node(name)
+        await trio.sleep(0.5)
+        for name, zone in zones.items():
+            await world.start_node(name, zone, is_first_start=False)
+
+    defer_step(context, run_step)
+
+
+@when("a new instance starts that sends no report")
+def step_start_unreported(context: Context) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        await world.start_version("n9", "v2", "a")
+        world.stop_reports("n9")
+
+    defer_step(context, run_step)
+
+
+@when("2 s later the node beside a new instance is cut off")
+def step_cut_off(context: Context) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        await trio.sleep(2)
+        for other in (*world.nodes, "store"):
+            if other != "n0":
+                world.fabric.block_both_ways("n0", other)
+
+    defer_step(context, run_step)
+
+
+@then("no request reaches that instance from 3 s to 7 s after that")
+def step_check_cut_off(context: Context) -> None:
+    async def run_step() -> None:
+        await trio.sleep(3)
+        arrivals = context.world.instances["n0"].arrivals
+        count = len(arrivals)
+        await trio.sleep(4)
+        assert len(arrivals) == count, len(arrivals) - count
+
+    defer_step(context, run_step)
+
+
+@then('the roll-out is "{state}" within {seconds:g} s')
+def step_check_state(context: Context, state: str, seconds: float) -> None:
+    async def run_step() -> None:
+        await context.world.wait_for_state(state, seconds)
+
+    defer_step(context, run_step)
+
+
+@then("no request runs at an old instance")
+def step_check_idle(context: Context) -> None:
+    async def run_step() -> None:
+        for name, instance in context.world.instances.items():
+            if context.world.versions[name] == "v1":
+                assert instance._running == 0, name
+
+    defer_step(context, run_step)
+
+
+@then('no request reaches version "{version}" for {seconds:g} s')
+def step_check_none(context: Context, version: str, seconds: float) -> None:
+    async def run_step() -> None:
+        count = context.world.count_arrivals(version)
+        await trio.sleep(seconds)
+        more = context.world.count_arrivals(version) - count
+        assert more == 0, more
+
+    defer_step(context, run_step)
+
+
+@then('no request has reached version "{version}"')
+def step_check_none_before(context: Context, version: str) -> None:
+    async def run_step() -> None:
+        assert context.world.count_arrivals(version) == 0
+        assert context.world.count_arrivals("v1") > 0
+
+    defer_step(context, run_step)
+
+
+@then("the new version has got at most its share")
+def step_check_share(context: Context) -> None:
+    async def run_step() -> None:
+        counts = {
+            version: context.world.count_arrivals(version) - count
+            for version, count in context.ordered.items()
+        }
+        # The gateways differ from their shares by less than one request each.
+        limit = 0.1 * sum(counts.values()) + len(context.world.nodes)
+        assert 0 < counts["v2"] <= limit, counts
+
+    defer_step(context, run_step)
+
+
+@then("all requests have succeeded")
+def step_check_success(context: Context) -> None:
+    async def run_step() -> None:
+        assert set(context.world.statuses) == {200}, context.world.statuses
+
+    defer_step(context, run_step)
+
+
+@then("one terminal state was written")
+def step_check_terminal(context: Context) -> None:
+    async def run_step() -> None:
+        states = [
+            status["state"]
+            for status in context.world.list_states()
+            if status["state"] != "running"
+        ]
+        assert len(states) == 1, states
+
+    defer_step(context, run_step)
+
+
+@then("no node knows of a roll-out and none has read the status")
+def step_check_no_notices(context: Context) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        for node in world.nodes.values():
+            assert not node._rollouts.board.list_notices()
+        assert "keyed.status" not in world.store.topics_read
+
+    defer_step(context, run_step)
+
+
+@then("no node knows of a roll-out after 3 s")
+def step_check_no_effect(context: Context) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        await trio.sleep(3)
+        for node in world.nodes.values():
+            assert not node._rollouts.board.list_notices()
+        assert not world.list_states()
+
+    defer_step(context, run_step)
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -119,6 +119,7 @@
         self.store = PlatformStore()
         self.nodes: dict[str, PlatformNode] = {}
         self.instances: dict[str, PlatformInstance] = {}
+        self.bounds: dict[str, Any] = {}
         self._nursery = nursery
         self._node_scopes: dict[str, trio.CancelScope] = {}
 
@@ -160,6 +161,7 @@
         """Starts a node on a host on which none runs."""
         document = make_settings(name, zone)
         document["local"]["bootstrap"] = is_first_start
+        document["terms"]["bounds"] |= self.bounds
         settings = PlatformSettings.from_document(document)
         network = HostNetwork(self.fabric, name)
         node = PlatformNode(
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -114,10 +114,6 @@
                 )
             except RefusedError as exc:
                 history.record_failure(candidate.node_id, exc, may_queue)
-                if never_reached_instance(exc):
-                    self._versions.record_unreached(
-                        request.service, candidate.node_id
-                    )
                 self._log_failed_attempt(request, candidate, history, exc)
                 if not self._may_retry(request, body, history, exc):
                     raise _make_final_refusal(history) from exc
--- a/src/rhubarbpaddle/execution/version_policy.py
+++ b/src/rhubarbpaddle/execution/version_policy.py
@@ -26,10 +26,6 @@
         """Records that a request is sent to the version on trial."""
         ...
 
-    def record_unreached(self, service: str, node_id: str) -> None:
-        """Records that an attempt has not reached the instance of a node."""
-        ...
-
 
 class _AllVersions:
     """Permits all instances, as without roll-outs."""
@@ -48,8 +44,5 @@
     def record_canary(self, service: str) -> None:
         """Does nothing."""
 
-    def record_unreached(self, service: str, node_id: str) -> None:
-        """Does nothing."""
-
 
 ALL_VERSIONS: VersionPolicy = _AllVersions()
--- a/src/rhubarbpaddle/platform/rollouts.py
+++ b/src/rhubarbpaddle/platform/rollouts.py
@@ -39,6 +39,7 @@
         board: The phases and counts of all nodes.
         policy: Restricts the gateway's choice of instances.
         observer: Learns how requests end at the instance beside this node.
+        election: Elects the nodes that decide.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.board = RolloutBoard(table)
         self.policy: VersionPolicy = ALL_VERSIONS
         self.observer: ResponseObserver = NO_OBSERVER
+        self.election = DeciderElection(table, clock, has_active_link)
         self._controller: RolloutController | None = None
         if terms is None:
             return
@@ -75,7 +77,6 @@
         rollouts = RolloutTable(self.board)
         # A node without contact must stop before the others have to.
         contact = ContactWatch(clock, has_active_link, terms.rollback_time / 2)
-        election = DeciderElection(table, clock, has_active_link)
         status_store = RolloutStatusStore(store)
         self._versions = versions = VersionTable(table, clock, is_in_service)
         recorder = ResponseRecorder(rollouts, clock, lambda: table.own)
@@ -86,7 +87,7 @@
                 self._get_request_time(entry.order.service),
                 self.board,
                 versions,
-                election,
+                self.election,
                 contact,
                 status_store,
                 clock,
@@ -94,7 +95,13 @@
             )
 
         self.policy = VersionGate(
-            terms, versions, rollouts, contact, clock, rng
+            terms,
+            versions,
+            rollouts,
+            contact,
+            self.election.sees_majority,
+            clock,
+            rng,
         )
         self.observer = recorder
         self._controller = RolloutController(
--- a/src/rhubarbpaddle/rollout/exposure_credit.py
+++ b/src/rhubarbpaddle/rollout/exposure_credit.py
@@ -1,7 +1,5 @@
 """Limits the share of a gateway's requests that a new version receives."""
 
-import random
-
 # Requests that have been earned, but not sent, are forgotten beyond this, so
 # that they do not follow each other closely.
 _MAX_CREDIT = 1.0
@@ -18,15 +16,16 @@
     the sum over 800 gateways has a standard deviation of at most 14 requests.
     """
 
-    def __init__(self, share: float, rng: random.Random) -> None:
+    def __init__(self, share: float, first_cost: float) -> None:
         """Creates a credit that has earned nothing.
 
         Args:
             share: What each request earns.
-            rng: Determines how much the first request still has to earn.
+            first_cost: What has to be earned before the first request, at most
+                1. Each later one costs 1.
         """
         self._share = share
-        self._balance = -rng.random()
+        self._balance = -first_cost
 
     def earn(self) -> None:
         """Records a request to the service, whichever version runs it."""
--- a/src/rhubarbpaddle/rollout/rollout_decider.py
+++ b/src/rhubarbpaddle/rollout/rollout_decider.py
@@ -46,6 +46,9 @@
 # overdue for this time, as when the elected one is paused or the store rejects
 # it.
 _TAKEOVER_SECONDS = 1.5
+# From this node on the time doubles, so that an outage of the store does not
+# make all nodes call it.
+_LAST_LINEAR_RANK = 3
 # A decision is not written if it is older than this, as after a pause of the
 # process.
 _MAX_DECISION_AGE_SECONDS = 2.5
@@ -154,7 +157,7 @@
         if rank is None:
             return False
         overdue = self._clock.monotonic() - self._get_due_time()
-        return rank == 0 or overdue >= rank * _TAKEOVER_SECONDS
+        return rank == 0 or overdue >= _get_takeover_seconds(rank)
 
     def _get_due_time(self) -> float:
         """Returns when the elected node should have ended the phase."""
@@ -272,6 +275,8 @@
         """Begins the trial, or resumes what another node has begun."""
         status, end = await self._read()
         if self._adopt(status):
+            if self._get_phase() is None:
+                await self._clock.sleep(_STORE_RETRY)
             return
         order = self._order
         if self._versions.is_used(order.service, order.target_version):
@@ -394,3 +399,9 @@
         result = await self._store.read(self._order.service)
         self._contact.record_store_read()
         return result
+
+
+def _get_takeover_seconds(rank: int) -> float:
+    """Returns after which time a node of a rank replaces those before it."""
+    doublings = max(0, rank - _LAST_LINEAR_RANK)
+    return _TAKEOVER_SECONDS * min(rank, _LAST_LINEAR_RANK) * 2.0**doublings
--- a/src/rhubarbpaddle/rollout/service_versions.py
+++ b/src/rhubarbpaddle/rollout/service_versions.py
@@ -10,12 +10,12 @@
     Attributes:
         accepting: The ids of the nodes whose instance accepts requests, by
             version.
-        oldest_starts: The start of the oldest instance of each version,
-            including instances that are down, but not those that have left.
+        present: The versions of all instances, including those that are down,
+            but not those that have left.
     """
 
     accepting: Mapping[str, frozenset[str]]
-    oldest_starts: Mapping[str, int]
+    present: frozenset[str]
 
     def get_nodes(self, version: str) -> frozenset[str]:
         """Returns the nodes with an accepting instance of a version."""
--- a/src/rhubarbpaddle/rollout/version_gate.py
+++ b/src/rhubarbpaddle/rollout/version_gate.py
@@ -1,6 +1,7 @@
 """Which instances of a service this gateway may use during a roll-out."""
 
 import random
+from collections.abc import Callable
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.rollout.contact_watch import ContactWatch
@@ -37,6 +38,7 @@
         versions: VersionTable,
         rollouts: RolloutTable,
         contact: ContactWatch,
+        sees_majority: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -47,13 +49,16 @@
             versions: The versions of all instances.
             rollouts: The newest roll-out of each service.
             contact: Whether news of a roll-out reaches this node.
+            sees_majority: Returns whether most nodes are reachable.
             clock: The source of time.
             rng: Determines which requests go to a target version.
         """
         self._share = _USED_PART * terms.exposure_share
+        self._has_slack = terms.exposure_slack >= 1
         self._versions = versions
         self._rollouts = rollouts
         self._contact = contact
+        self._sees_majority = sees_majority
         self._clock = clock
         self._rng = rng
         # The credit and the number of the order that it is for, by service.
@@ -111,28 +116,22 @@
         if rollout is not None:
             self._get_credit(service, rollout).spend()
 
-    def record_unreached(self, service: str, node_id: str) -> None:
-        """Records that an attempt has not reached the instance of a node."""
-        rollout = self._rollouts.get_current(service)
-        if (
-            rollout is not None
-            and rollout.phase is RolloutPhase.TRIAL
-            and node_id
-            in self._versions.get_versions(service).get_nodes(
-                rollout.target_version
-            )
-        ):
-            self._get_credit(service, rollout).refund()
-
     def _get_credit(
         self, service: str, rollout: CurrentRollout
     ) -> ExposureCredit:
         number, credit = self._credits.get(service, (None, None))
         if credit is None or number != rollout.order:
-            credit = ExposureCredit(self._share, self._rng)
+            credit = ExposureCredit(self._share, self._first_cost())
             self._credits[service] = rollout.order, credit
         return credit
 
+    def _first_cost(self) -> float:
+        """Returns how much a gateway earns before its first request.
+
+        The slack covers the differences that a random start causes.
+        """
+        return self._rng.random() if self._has_slack else 1.0
+
     def _get_unordered(
         self, service: str, versions: ServiceVersions
     ) -> frozenset[str]:
@@ -166,4 +165,11 @@
         if now - since < _FALLBACK_SECONDS:
             return frozenset().union(*versions.accepting.values())
         is_stopped = rollout.phase is not None and rollout.phase.is_stopped
-        return versions.get_nodes(target) if is_stopped else _NONE
+        # A part of a partitioned fleet may reach only the target version.
+        if (
+            is_stopped
+            or not self._contact.has_contact()
+            or not self._sees_majority()
+        ):
+            return versions.get_nodes(target)
+        return _NONE
--- a/src/rhubarbpaddle/rollout/version_table.py
+++ b/src/rhubarbpaddle/rollout/version_table.py
@@ -16,10 +16,10 @@
 
 _ACCEPTING_STATES = (UpstreamState.COLD, UpstreamState.WARM)
 _ACCEPTING_STATUSES = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-_NO_VERSIONS = ServiceVersions({}, {})
+_NO_VERSIONS = ServiceVersions({}, frozenset())
 # A node that starts learns of the instances one after another. After this time
-# its choice of the version in use no longer depends on their start times.
-_SETTLE_SECONDS = 10.0
+# it knows those of the version in use.
+_SETTLE_SECONDS = 3.0
 _MAX_REMEMBERED_INSTANCES = 4096
 
 
@@ -48,6 +48,9 @@
         self._is_in_service = is_in_service
         self._services: dict[str, ServiceVersions] | None = None
         self._remembered: dict[tuple[str, str], str] = {}
+        # The first known start of an instance, by service and version. It is
+        # kept when the instance starts again.
+        self._first_starts: dict[tuple[str, str], int] = {}
         # The version in use and since when, by service.
         self._used: dict[str, tuple[str, float]] = {}
         table.add_listener(self._on_member_change)
@@ -66,6 +69,7 @@
     def set_used_version(self, service: str, version: str) -> None:
         """Records that a completed roll-out has put a version into use."""
         self._used[service] = version, float("-inf")
+        self._first_starts[service, version] = 0
 
     def is_used(self, service: str, version: str) -> bool:
         """Returns whether a version has been in use for a while."""
@@ -77,9 +81,9 @@
     def get_used_version(self, service: str, target: str | None) -> str | None:
         """Returns the version that a service uses apart from roll-outs.
 
-        It is the one that this node has known to be in use for a while or, if
-        there is none, that of the oldest instance: instances of a version that
-        an order will name are started beside those in use.
+        It is the version whose first instance started before those of all
+        others: instances of a version that an order will name are started
+        beside those in use.
 
         Args:
             service: The service.
@@ -89,23 +93,18 @@
         Returns:
             The version, or None if no instance has a known version.
         """
-        starts = {
-            version: start
-            for version, start in self.get_versions(
-                service
-            ).oldest_starts.items()
-            if version not in (target, NO_VERSION, UNKNOWN_VERSION)
-        }
-        now = self._clock.monotonic()
-        used, _ = self._used.get(service, (None, now))
-        if used in starts and self.is_used(service, used):
-            return used
-        oldest = min(
-            starts, key=lambda name: (starts[name], name), default=None
+        present = self.get_versions(service).present.difference(
+            (target, NO_VERSION, UNKNOWN_VERSION)
+        )
+        version = min(
+            present,
+            key=lambda name: (self._first_starts[service, name], name),
+            default=None,
         )
-        if oldest is not None and oldest != used:
-            self._used[service] = oldest, now
-        return oldest
+        used, _ = self._used.get(service, (None, 0.0))
+        if version is not None and version != used:
+            self._used[service] = version, self._clock.monotonic()
+        return version
 
     def _on_member_change(self, member: Member, source: str | None) -> None:
         self._services = None
@@ -114,6 +113,11 @@
             NO_VERSION,
             UNKNOWN_VERSION,
         ):
+            service_version = upstream.service, upstream.version
+            self._first_starts[service_version] = min(
+                upstream.incarnation,
+                self._first_starts.get(service_version, upstream.incarnation),
+            )
             key = upstream.service, upstream.instance
             self._remembered.pop(key, None)
             if len(self._remembered) >= _MAX_REMEMBERED_INSTANCES:
@@ -124,7 +128,7 @@
         accepting: defaultdict[str, defaultdict[str, set[str]]] = defaultdict(
             lambda: defaultdict(set)
         )
-        starts: defaultdict[str, dict[str, int]] = defaultdict(dict)
+        present: defaultdict[str, set[str]] = defaultdict(set)
         for member in self._table:
             upstream = member.upstream
             if (
@@ -134,11 +138,7 @@
             ):
                 continue
             version = self._resolve(upstream)
-            by_version = starts[upstream.service]
-            by_version[version] = min(
-                upstream.incarnation,
-                by_version.get(version, upstream.incarnation),
-            )
+            present[upstream.service].add(version)
             if upstream.state in _ACCEPTING_STATES and self._is_in_service(
                 member.availability_zone
             ):
@@ -149,9 +149,9 @@
                     version: frozenset(node_ids)
                     for version, node_ids in accepting[service].items()
                 },
-                by_version,
+                frozenset(versions),
             )
-            for service, by_version in starts.items()
+            for service, versions in present.items()
         }
 
     def _resolve(self, upstream: UpstreamSummary) -> str:
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -46,6 +46,8 @@
             or 0 for none.
         endless_chunk: A chunk that it sends without end in place of the body of
             each response to a request, or no bytes.
+        get_status: Returns the status of the response to a request for a
+            target.
         refuses_all: Whether it refuses all requests as not run.
         arrivals: The ids of the requests that arrived, in order, including
             those that it refused.
@@ -91,6 +93,7 @@
         self.garbage = b""
         self.endless_chunk = b""
         self.load_figures = 4
+        self.get_status: Callable[[str], int] = lambda target: 200
         self.refuses_all = False
         self.arrivals: list[str] = []
         self.runs_at: list[float] = []
@@ -195,7 +198,10 @@
             raise trio.BrokenResourceError
         signature = [("request-id", request_id), ("server-signature", "s")]
         return _encode_response(
-            conn, 200, [*load_headers, *signature], request_id.encode()
+            conn,
+            self.get_status(head.target.decode()),
+            [*load_headers, *signature],
+            request_id.encode(),
         )
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -35,18 +35,25 @@
         status: The status of the response to every call, or 0 to serve calls.
         loses_responses: Whether appends take effect but get no response.
         is_silent: Whether calls that arrive get no response, also later.
+        delay: How long each call takes, in seconds.
+        append_delay: How long after the call an append takes effect. The call
+            gets no response.
         calls: The number of calls that arrived.
         long_polls: The number of these that asked to wait for a record.
         pending_reads: The number of reads that wait for a record.
+        topics_read: The topics whose newest records were read.
     """
 
     def __init__(self) -> None:
         self.status = 0
         self.loses_responses = False
         self.is_silent = False
+        self.delay = 0.0
+        self.append_delay = 0.0
         self.calls = 0
         self.long_polls = 0
         self.pending_reads = 0
+        self.topics_read: set[str] = set()
         self._records: defaultdict[str, list[StoredRecord]] = defaultdict(list)
         self._first: defaultdict[str, int] = defaultdict(int)
         self._appended = trio.Event()
@@ -84,13 +91,19 @@
         self._called = trio.Event()
         if self.is_silent:
             await trio.sleep_forever()
+        if self.delay:
+            await trio.sleep(self.delay)
         if self.status:
             return StandinResponse(self.status, b"{}")
         url = urlsplit(request.target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         match request.method, url.path:
             case "POST", "/log-append":
-                return self._append(query["topic"], request.body)
+                if self.append_delay:
+                    await trio.sleep(self.append_delay)
+                    self._append_at(query, request.body)
+                    return StandinResponse(0, b"")
+                return self._append_at(query, request.body)
             case "GET", "/log-newest":
                 return self._read_newest(query["topic"], query.get("after", ""))
             case "GET", "/log-read":
@@ -102,6 +115,18 @@
                 )
         return StandinResponse(404, b"{}")
 
+    def list_records(self, topic: str, key: str) -> list[StoredRecord]:
+        """Returns all records of a key, the oldest first."""
+        return [record for record in self._records[topic] if record.key == key]
+
+    def _append_at(self, query: dict[str, str], body: bytes) -> StandinResponse:
+        """Appends records unless the partition has another end."""
+        topic = query["topic"]
+        end = self._get_end(topic)
+        if int(query.get("at", end)) != end:
+            return StandinResponse(412, json.dumps({"end": end}).encode())
+        return self._append(topic, body)
+
     def _append(self, topic: str, body: bytes) -> StandinResponse:
         position = 0
         while position < len(body):
@@ -119,6 +144,7 @@
         return StandinResponse(200, document.encode())
 
     def _read_newest(self, topic: str, after: str) -> StandinResponse:
+        self.topics_read.add(topic)
         newest = {record.key: record for record in self._records[topic]}
         records = sorted(
             record
