--- a/bench/rollout_detector.py
+++ b/bench/rollout_detector.py
@@ -188,6 +188,11 @@
 _TRIALS = ((40.0, 7.5), (400.0, 7.5), (40.0, 110.0))
 
 
+def list_cases() -> tuple[Case, ...]:
+    """Returns the scenarios of the table."""
+    return _GOOD + _BAD
+
+
 def _get_quantile(values: list[float], quantile: float) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
