--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -176,6 +176,12 @@
     Then the roll-out is "rolled_back" within 12 s
     And all requests have succeeded
 
+  # Guards against a roll-out whose progress operators can't see.
+  Scenario: The metrics show the phase of a roll-out
+    Given a service with old and new instances under load
+    When operators order the new version
+    Then the metrics show phase 1 of version "v2" after 2 s
+
   # Guards against messages and calls in deployments without roll-outs.
   Scenario: Without an order there are no notices and no calls
     Given a service with old and new instances under load
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -364,3 +364,20 @@
         assert not world.list_states()
 
     defer_step(context, run_step)
+
+
+@then('the metrics show phase {phase:d} of version "{version}" after 2 s')
+def step_check_metrics(context: Context, phase: int, version: str) -> None:
+    async def run_step() -> None:
+        await trio.sleep(2)
+        response = await context.world.send("o0:3", "GET", "/metrics", {})
+        lines = response.body.decode().splitlines()
+        (line,) = [
+            line
+            for line in lines
+            if line.startswith("rhubarbpaddle_rollout_phase{")
+        ]
+        assert f'target="{version}"' in line, line
+        assert line.endswith(f" {phase:.1f}"), line
+
+    defer_step(context, run_step)
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -231,6 +231,8 @@
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
+        if settings.rollout_terms is not None:
+            self.metrics.observe_rollouts(self._rollouts.board.list_readings)
         self._stream_watch = StreamWatch(network, clock)
         deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
--- a/src/rhubarbpaddle/rollout/rollout_board.py
+++ b/src/rhubarbpaddle/rollout/rollout_board.py
@@ -6,6 +6,8 @@
 from rhubarbpaddle.rollout.count_report import CountKey, CountReport
 from rhubarbpaddle.rollout.phase_notice import PhaseNotice
 from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
+from rhubarbpaddle.rollout.rollout_reading import RolloutReading
+from rhubarbpaddle.rollout.version_counts import VersionCounts
 
 Notice = PhaseNotice | CountReport
 Listener = Callable[[Notice, str | None], None]
@@ -65,6 +67,10 @@
             not notice.phase.is_terminal for notice in self._phases.values()
         )
 
+    def list_readings(self) -> list[RolloutReading]:
+        """Returns what the metrics show of each service's newest roll-out."""
+        return [self._read(notice) for notice in self._phases.values()]
+
     def list_notices(self) -> list[Notice]:
         """Returns everything that a new neighbour has to know."""
         return [*self._phases.values(), *self._reports.values()]
@@ -89,6 +95,20 @@
                 listener(notice, source)
         return is_news
 
+    def _read(self, notice: PhaseNotice) -> RolloutReading:
+        counts = VersionCounts.from_reports(
+            report
+            for report in self.get_reports(notice.service, notice.order)
+            if report.version == notice.target_version
+        )
+        return RolloutReading(
+            notice.service,
+            notice.target_version,
+            notice.phase,
+            counts.count_responses(),
+            counts.count_failures(),
+        )
+
     def _merge_phase(self, notice: PhaseNotice) -> bool:
         current = self._phases.get(notice.service)
         if current is None:
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -14,6 +14,7 @@
 )
 
 from rhubarbpaddle.measuring import EventLoopLoad
+from rhubarbpaddle.rollout.rollout_reading import RolloutReading
 from rhubarbpaddle.telemetry.attributes import Attributes
 from rhubarbpaddle.telemetry.node_readings import NodeReadings
 from rhubarbpaddle.telemetry.prometheus_text import PrometheusText
@@ -127,6 +128,21 @@
             description="Passes of the event loop",
         )
 
+    def observe_rollouts(
+        self, read: Callable[[], Iterable[RolloutReading]]
+    ) -> None:
+        """Adds gauges of the roll-outs, which are read at each scrape."""
+        for name, description in (
+            ("phase", "1 trial, 2 promotion, 3 stopped, 4 completed, 5 back"),
+            ("responses", "Responses of the target version at all nodes"),
+            ("failures", "Failures of the target version at all nodes"),
+        ):
+            self._meter.create_observable_gauge(
+                f"{_PREFIX}rollout.{name}",
+                [_make_rollout_callback(name, read)],
+                description=description,
+            )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         text = PrometheusText()
@@ -151,6 +167,21 @@
     return observe
 
 
+def _make_rollout_callback(
+    name: str, read: Callable[[], Iterable[RolloutReading]]
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def observe(options: CallbackOptions) -> Iterable[Observation]:
+        return [
+            Observation(
+                int(getattr(reading, name)),
+                {"service": reading.service, "target": reading.target_version},
+            )
+            for reading in read()
+        ]
+
+    return observe
+
+
 def _observe_retries(readings: NodeReadings) -> list[Observation]:
     return [
         Observation(count, {"service": service})
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -1,12 +1,13 @@
 """The metrics of a node."""
 
 import importlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 import trio
 
 from rhubarbpaddle.measuring import EventLoopLoad
+from rhubarbpaddle.rollout.rollout_reading import RolloutReading
 from rhubarbpaddle.telemetry.measurement_sink import MeasurementSink
 from rhubarbpaddle.telemetry.node_readings import NodeReadings
 from rhubarbpaddle.telemetry.pending_measurements import PendingMeasurements
@@ -61,6 +62,18 @@
             lambda instruments: instruments.observe_event_loop(load)
         )
 
+    def observe_rollouts(
+        self, read: Callable[[], Iterable[RolloutReading]]
+    ) -> None:
+        """Adds metrics of roll-outs.
+
+        Args:
+            read: Returns the current readings; called at each scrape.
+        """
+        self._observers.append(
+            lambda instruments: instruments.observe_rollouts(read)
+        )
+
     def record_request(
         self, organisation: str, service: str, status: int, seconds: float
     ) -> None:
