--- a/src/rhubarbpaddle/configuration/route_table.py
+++ b/src/rhubarbpaddle/configuration/route_table.py
@@ -27,11 +27,6 @@
             by_host[route.host][route.path_prefix] = route
         return cls(dict(by_host))
 
-    def __iter__(self) -> Iterator[Route]:
-        return chain.from_iterable(
-            by_prefix.values() for by_prefix in self._routes.values()
-        )
-
     def __len__(self) -> int:
         return sum(map(len, self._routes.values()))
 
