Let no body stop for others, and no late one make others late

Cause: while bodies in a hurry needed 90 % of the link or more, the rate of one without a latency target was 0, and its transfer failed with a division by zero. Bodies that had missed their latency target demanded the whole link, so that a body that joined six of them missed its own by 0.9 s.

Change: each body gets at least a tenth of the link divided by the number of bodies; late bodies share what the others do not need.

--- a/features/link_pacing.feature
+++ b/features/link_pacing.feature
@@ -37,6 +37,19 @@
     When a body of 300 kB with 0.5 s until its latency target joins 6 of 400 kB with 10 s
     Then it arrives in time
 
+  # Guards against late bodies that take the link from those that can still be in
+  # time.
+  Scenario: Late bodies do not make others late
+    Given a network link of 1500 kB/s
+    When a body of 300 kB with 0.5 s until its latency target joins 6 of 400 kB with 0 s
+    Then the one that joined arrives in time
+
+  # Guards against bodies that stop for as long as others need the whole link.
+  Scenario: A body in no hurry keeps a part of the link
+    Given a network link of 1500 kB/s
+    When a body of 20 kB without a latency target joins 6 of 900 kB with 3 s
+    Then it has been sent within 1.5 s
+
   # Guards against a body of unknown length that is paced as if it had no
   # latency target.
   Scenario: A body of unknown length is paced by what it may still have
--- a/features/steps/link_sharing_steps.py
+++ b/features/steps/link_sharing_steps.py
@@ -100,6 +100,45 @@
     trio.run(run, clock=MockClock(autojump_threshold=0))
 
 
+@when(
+    "a body of {length:d} kB without a latency target joins {count:d} of"
+    " {others_length:d} kB with {others_seconds:g} s"
+)
+def step_no_hurry(
+    context: Context,
+    length: int,
+    count: int,
+    others_length: int,
+    others_seconds: float,
+) -> None:
+    async def run() -> None:
+        link = SharedLink(context.rate)
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(
+                    link.send_body,
+                    others_length * _BYTES_PER_KB,
+                    others_seconds,
+                )
+            await trio.sleep(0.1)
+            started = trio.current_time()
+            await link.send_body(length * _BYTES_PER_KB, math.inf)
+            context.seconds = trio.current_time() - started
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("it has been sent within {limit:g} s")
+def step_sent(context: Context, limit: float) -> None:
+    assert 0 < context.seconds <= limit, context.seconds
+
+
+@then("the one that joined arrives in time")
+def step_joined_in_time(context: Context) -> None:
+    assert context.link.late_seconds[-1] <= 0, context.link.late_seconds
+
+
 @when(
     "a body of unknown length turns out to have {length:d} kB, with"
     " {seconds:g} s until its latency target"
--- a/src/rhubarbpaddle/peer/link_pacer.py
+++ b/src/rhubarbpaddle/peer/link_pacer.py
@@ -1,6 +1,5 @@
 """Paces large bodies on slow network links."""
 
-import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -17,6 +16,9 @@
 # hosts that receive bodies have links of the same rate, and receive them from
 # several hosts at once.
 _MAX_BODY_FRACTION = 0.3
+# Fraction of the link's rate that bodies in no hurry, and late ones, have in
+# any case, all together. They would otherwise stop beside one in a hurry.
+_MIN_SHARED_FRACTION = 0.1
 # A short message waits for one chunk: 3 ms at 10 Mbit/s.
 _CHUNK_SECONDS = 0.0025
 # Smaller chunks cost more processor time than the bytes in them.
@@ -72,11 +74,9 @@
             time_fraction: Fraction of the time until the latency target that
                 the transfer may take.
         """
-        now = self._clock.monotonic()
-        finish_by = math.inf
-        if math.isfinite(useful_until):
-            finish_by = now + (useful_until - now) * time_fraction
-        transfer = LinkTransfer(self, self._clock, length, finish_by)
+        transfer = LinkTransfer(
+            self, self._clock, length, useful_until, time_fraction
+        )
         self._transfers.add(transfer)
         try:
             yield transfer
@@ -88,21 +88,29 @@
 
         Each body gets at least the rate that it needs, and bodies that need
         little get equal rates. If the link can't carry what all of them need,
-        each gets the same part of it.
+        each gets the same part of it. Bodies that have missed their latency
+        target share what the others do not need.
         """
         now = self._clock.monotonic()
-        needed_rates = {
-            other: other.get_needed_rate(now)
+        active = [
+            other
             for other in self._transfers
             if other is transfer or other.is_active(now)
+        ]
+        rates = {
+            other: other.get_needed_rate(now)
+            for other in active
+            if not other.is_late(now)
         }
-        total = sum(needed_rates.values())
+        total = sum(rates.values())
+        late_count = len(active) - len(rates)
+        if late_count:
+            rate = max(self.link_rate - total, 0.0) / late_count
+            rates |= {other: rate for other in active if other.is_late(now)}
+        min_rate = self.link_rate * _MIN_SHARED_FRACTION / len(active)
         if total > self.link_rate:
-            return needed_rates[transfer] * self.link_rate / total
-        level = get_level(
-            needed_rates.values(), self.link_rate * _SHARED_FRACTION
-        )
-        return max(
-            needed_rates[transfer],
-            min(level, self.link_rate * _MAX_BODY_FRACTION),
-        )
+            rate = rates[transfer] * self.link_rate / total
+            return max(rate, min_rate)
+        level = get_level(rates.values(), self.link_rate * _SHARED_FRACTION)
+        level = min(level, self.link_rate * _MAX_BODY_FRACTION)
+        return max(rates[transfer], level, min_rate)
--- a/src/rhubarbpaddle/peer/link_transfer.py
+++ b/src/rhubarbpaddle/peer/link_transfer.py
@@ -34,7 +34,8 @@
         pacer: "LinkPacer",
         clock: Clock,
         length: int | None,
-        finish_by: float,
+        useful_until: float,
+        time_fraction: float,
     ) -> None:
         """Creates a transfer that has sent nothing.
 
@@ -42,15 +43,20 @@
             pacer: The pacer of the link.
             clock: The source of time.
             length: The body's length in bytes, or None if not known.
-            finish_by: Monotonic time in seconds at which the body should have
-                been sent; infinite if there is no hurry.
+            useful_until: Monotonic time in seconds of the request's latency
+                target; infinite if it has none.
+            time_fraction: Fraction of the time until then that the transfer
+                may take.
         """
         self._pacer = pacer
         self._clock = clock
         self._length = length
-        self._finish_by = finish_by
+        self._useful_until = useful_until
         self._sent_bytes = 0
-        self._next_at = clock.monotonic()
+        now = clock.monotonic()
+        # Infinite times stay infinite.
+        self._finish_by = now + (useful_until - now) * time_fraction
+        self._next_at = now
         self._waiting = False
 
     def is_active(self, now: float) -> bool:
@@ -61,6 +67,14 @@
         """
         return self._waiting or now <= self._next_at + _IDLE_SECONDS
 
+    def is_late(self, now: float) -> bool:
+        """Returns whether the latency target has passed.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return now >= self._useful_until
+
     def get_needed_rate(self, now: float) -> float:
         """Returns the rate at which the body ends in time.
 
