Test late writes, late reports and skewed counts in roll-outs

On changed copies of the source, three faults passed all scenarios: an append without its condition, requests to instances of unknown version after all nodes were killed, and an alarm without confirmation. Scenarios now cover them: a write that takes effect after the next one was sent, first reports 1.5 s after the start, and a fault whose reports arrive from the target version first.

--- a/features/rollout_decisions.feature
+++ b/features/rollout_decisions.feature
@@ -51,6 +51,19 @@
       | fails 50 %                   | 10      |
       | 3 times slower               | 10      |
 
+  # Guards against a good version that is stopped because its responses to a fault
+  # of both versions are reported before those of the old version.
+  Scenario: The reports of a fault arrive from the target version first
+    Given a comparison that has seen 1000 good responses
+    When both versions fail all requests, which the target reports 0.5 s earlier
+    Then the target version is never regarded as bad
+
+  # Guards against a state that is written on the basis of an older read.
+  Scenario: A conditional append has no effect after another record
+    Given a store whose topic has grown since it was read
+    When a node appends on the condition of the earlier end
+    Then the append has no effect and the node knows it
+
   # Guards against a comparison that counts what each ordinary instance does: its
   # short slow periods, its cold start, and a crash.
   Scenario Outline: What ordinary instances do is no evidence
--- a/features/rollouts_faults.feature
+++ b/features/rollouts_faults.feature
@@ -36,13 +36,14 @@
     Given a service with old and new instances under load
     When the store <fault>
     And operators order the new version
-    Then the roll-out is "completed" within 16 s
-    And one terminal state was written
+    Then the roll-out is "completed" within 20 s
+    And one terminal state was written 5 s later
 
     Examples:
       | fault                              |
       | loses the responses of appends     |
       | runs appends 1.5 s late            |
+      | runs appends 4 s late              |
       | takes 0.24 s for each call         |
 
   # Guards against a terminal state that is never written after an outage of the
--- a/features/steps/rollout_decisions_steps.py
+++ b/features/steps/rollout_decisions_steps.py
@@ -9,9 +9,11 @@
 from behave.runner import Context
 
 from bench.rollout_detector import list_cases, simulate
+from features.support.host_network import HostNetwork
 from features.support.platform_world import (
     SERVICE,
     SETTLE_SECONDS,
+    STORE_ADDRESS,
     PlatformWorld,
     make_configuration,
     run_platform_world,
@@ -27,6 +29,7 @@
     UpstreamSummary,
 )
 from rhubarbpaddle.peer.messages import MemberUpdate
+from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
 )
@@ -41,6 +44,7 @@
 from rhubarbpaddle.rollout.rollout_order import RolloutOrder
 from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
 from rhubarbpaddle.rollout.route_counts import RouteCounts
+from rhubarbpaddle.rollout.version_comparison import VersionComparison
 from rhubarbpaddle.rollout.version_counts import VersionCounts
 from rhubarbpaddle.rollout.version_table import VersionTable
 
@@ -159,6 +163,66 @@
     assert context.stopped == count, context.stopped
 
 
+def _make_counts(responses: int, failures: int) -> VersionCounts:
+    counts = RouteCounts("r", responses, failures, ())
+    return VersionCounts({("a", "r"): counts})
+
+
+@given("a comparison that has seen 1000 good responses")
+def step_comparison(context: Context) -> None:
+    context.comparison = VersionComparison()
+    verdict = context.comparison.evaluate(
+        _make_counts(80, 0), _make_counts(920, 0), 2.0
+    )
+    assert not verdict.is_bad
+
+
+@when("both versions fail all requests, which the target reports 0.5 s earlier")
+def step_skewed_reports(context: Context) -> None:
+    later = (_make_counts(100, 20), _make_counts(920, 0))
+    both = (_make_counts(100, 20), _make_counts(1150, 230))
+    context.verdicts = [
+        context.comparison.evaluate(*counts, now)
+        for counts, now in ((later, 2.25), (later, 2.5), (both, 2.75))
+    ]
+    # The evidence would suffice without the reports of the old version.
+    assert context.verdicts[0].log_evidence > 10, context.verdicts[0]
+
+
+@then("the target version is never regarded as bad")
+def step_check_never_bad(context: Context) -> None:
+    assert not any(verdict.is_bad for verdict in context.verdicts)
+    assert not context.verdicts[-1].is_suspicious, context.verdicts[-1]
+
+
+@given("a store whose topic has grown since it was read")
+def step_grown_topic(context: Context) -> None:
+    context.topic = "keyed.status"
+
+
+@when("a node appends on the condition of the earlier end")
+def step_append_at(context: Context) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        await world.start_store(None)
+        client = StoreClient(HostNetwork(world.fabric, "h1"), STORE_ADDRESS)
+        end = (await client.read_newest(context.topic)).end
+        world.store.put(context.topic, "k", b"other")
+        context.results = [
+            await client.put_at(context.topic, "k", b"late", end),
+            await client.put_at(context.topic, "k", b"new", end + 1),
+        ]
+        records = world.store.list_records(context.topic, "k")
+        context.values = [record.value for record in records]
+
+    run_platform_world(scenario)
+
+
+@then("the append has no effect and the node knows it")
+def step_check_append(context: Context) -> None:
+    assert context.results == [False, True], context.results
+    assert context.values == [b"other", b"new"], context.values
+
+
 @given("an instance whose responses are counted")
 def step_counter(context: Context) -> None:
     context.counter = ResponseCounter(VirtualClock())
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -191,10 +191,10 @@
     defer_step(context, run_step)
 
 
-@when("the store runs appends 1.5 s late")
-def step_append_late(context: Context) -> None:
+@when("the store runs appends {seconds:g} s late")
+def step_append_late(context: Context, seconds: float) -> None:
     async def run_step() -> None:
-        context.world.store.append_delay = 1.5
+        context.world.store.append_delay = seconds
 
     defer_step(context, run_step)
 
@@ -227,6 +227,8 @@
             name: node.settings.availability_zone
             for name, node in world.nodes.items()
         }
+        # The first reports arrive late, as on the platform.
+        world.report_interval = 1.5
         for name in zones:
             await world.stop_node(name)
         await trio.sleep(0.5)
@@ -331,8 +333,10 @@
 
 
 @then("one terminal state was written")
-def step_check_terminal(context: Context) -> None:
+@then("one terminal state was written {seconds:g} s later")
+def step_check_terminal(context: Context, seconds: float = 0.0) -> None:
     async def run_step() -> None:
+        await trio.sleep(seconds)
         states = [
             status["state"]
             for status in context.world.list_states()
--- a/src/rhubarbpaddle/rollout/version_comparison.py
+++ b/src/rhubarbpaddle/rollout/version_comparison.py
@@ -32,8 +32,12 @@
 _MIN_OLD_LATENCIES = 20
 _CERTAINTY = math.log(10)
 # Evidence after which a version is not promoted until later responses have
-# weakened it. A single failure gives less, two of two give more.
+# weakened it. A single failure gives less, two of two give more. With many
+# responses, a version that fails a twentieth of its requests gives more than the
+# higher value.
 _SUSPICIOUS_LOG_EVIDENCE = math.log(5)
+_SUSPICIOUS_LOG_EVIDENCE_OF_MANY = math.log(50)
+_MANY_RESPONSES = 250
 # A version may turn bad late; older responses would hide this. Each window
 # covers between one and two of these intervals.
 _WINDOW_SECONDS = 5.0
@@ -125,7 +129,12 @@
         return Verdict(
             is_bad,
             is_bad and excess >= _CERTAINTY,
-            strongest.log_evidence >= _SUSPICIOUS_LOG_EVIDENCE,
+            strongest.log_evidence
+            >= (
+                _SUSPICIOUS_LOG_EVIDENCE
+                if target.count_responses() < _MANY_RESPONSES
+                else _SUSPICIOUS_LOG_EVIDENCE_OF_MANY
+            ),
             strongest.log_evidence,
             strongest.reason,
             target.count_responses(),
