--- a/src/rhubarbpaddle/rollout/version_comparison.py
+++ b/src/rhubarbpaddle/rollout/version_comparison.py
@@ -33,8 +33,8 @@
 _CERTAINTY = math.log(10)
 # Evidence after which a version is not promoted until later responses have
 # weakened it. A single failure gives less, two of two give more. With many
-# responses, a version that fails a twentieth of its requests gives more than the
-# higher value.
+# responses, a version that fails a twentieth of its requests gives more than
+# the higher value.
 _SUSPICIOUS_LOG_EVIDENCE = math.log(5)
 _SUSPICIOUS_LOG_EVIDENCE_OF_MANY = math.log(50)
 _MANY_RESPONSES = 250
