Report the expected wait with refusals; prefer a zone's own requests

A gateway whose request was refused knew that the instance was full, but not for how long a request would wait there, so it could not compare queues or zones. A refusal now carries the expected wait, from the number of queued requests of the same or a higher priority and the expected ends of running ones. That costs a count per priority and a sort of at most the slots, only for refused attempts.

A request that left a zone with instances (the last field of Call) is not queued where other requests queue: its zone's queue is its place then. It still takes free slots.

--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -35,6 +35,8 @@
 # Minimum interval between the checks of late requests behind the first.
 _LATE_CHECK_INTERVAL_SECONDS = 0.1
 _MIN_RETRY_AFTER = timedelta(milliseconds=100)
+# Mean remaining time of a slow period: these last 0.1 to 0.5 s.
+_SLOW_PERIOD_REST_SECONDS = 0.17
 _FAILURE_KINDS = frozenset(
     {
         EvidenceKind.FAILED,
@@ -83,6 +85,8 @@
         self._contention = SlotContention(self.regular_slots, self.slots)
         self._last_slot_starts = 0
         self._queue = RequestQueue()
+        # Queued requests that have not left a zone with instances.
+        self._preferred_queued = 0
 
     def set_cold(self, seconds: float) -> None:
         """Sets the remaining cold start time that the instance reports."""
@@ -117,21 +121,34 @@
             await self._wait_in_queue(ticket)
         else:
             # A check of the instance would not change this.
-            self._refuse_if_occupied()
+            self._refuse_if_occupied(ticket)
             await self._refresh(MAX_READING_AGE_SECONDS)
-            self._refuse_if_occupied()
+            self._refuse_if_occupied(ticket)
             reason = self._find_block_reason(self.regular_slots)
             if reason is not None and not self._may_start_trial(reason):
-                raise self._make_refusal(reason, 0.0)
+                raise self._make_immediate_refusal(reason, ticket)
         return self._admit(ticket)
 
-    def _refuse_if_occupied(self) -> None:
+    def _refuse_if_occupied(self, ticket: Ticket) -> None:
         """Refuses a request that may not queue if there is no room for it."""
         reason = self._find_occupancy(self.regular_slots)
         if reason is None and len(self._queue):
             reason = BlockReason.FULL
         if reason is not None:
-            raise self._make_refusal(reason, 0.0)
+            raise self._make_immediate_refusal(reason, ticket)
+
+    def _make_immediate_refusal(
+        self, reason: BlockReason, ticket: Ticket
+    ) -> RefusedError:
+        """Returns the refusal of a request that has not been queued.
+
+        It contains about how long the request would wait in the queue.
+        """
+        ahead = self._queue.count_up_to(ticket.priority)
+        wait = self._estimate_wait_behind(ahead, self._clock.monotonic())
+        if reason in (BlockReason.SLOW, BlockReason.FAILING):
+            wait = max(wait, _SLOW_PERIOD_REST_SECONDS)
+        return self._make_refusal(reason, wait)
 
     def _admit(self, ticket: Ticket) -> InstanceSlot:
         self.in_flight += 1
@@ -221,8 +238,11 @@
         Raises:
             RefusedError: The request can't be answered before its deadline,
                 or it would miss its latency target and too many late requests
-                are queued before it.
+                are queued before it, or it comes from another zone and
+                requests of this zone are queued.
         """
+        if ticket.spillover and self._preferred_queued:
+            raise self._make_immediate_refusal(BlockReason.FULL, ticket)
         if self._find_occupancy(self._get_limit_for_queued()) is None:
             await self._refresh(MAX_READING_AGE_SECONDS)
         now = self._clock.monotonic()
@@ -242,6 +262,7 @@
             ):
                 raise self._make_refusal(BlockReason.FULL, wait)
         self._queue.add(request)
+        self._preferred_queued += not ticket.spillover
         try:
             while not self._may_start(request, ticket, work):
                 self._refuse_if_too_slow(ticket, work, self._clock.monotonic())
@@ -258,6 +279,7 @@
                     self._wake_first()
         finally:
             self._queue.remove(request)
+            self._preferred_queued -= not ticket.spillover
             self._wake_first()
 
     def _refuse_if_too_slow(
@@ -285,7 +307,11 @@
 
     def _estimate_wait(self, request: QueuedRequest, now: float) -> float:
         """Returns the expected seconds until a request can start."""
-        ahead = self._queue.count_ahead(request, now)
+        return self._estimate_wait_behind(
+            self._queue.count_ahead(request, now), now
+        )
+
+    def _estimate_wait_behind(self, ahead: int, now: float) -> float:
         limit = self._get_limit_for_queued()
         wait = self._estimator.estimate_wait(ahead, limit, now)
         if self.is_cold():
@@ -398,4 +424,5 @@
             may_retry=True,
             retry_after=max(_MIN_RETRY_AFTER, timedelta(seconds=wait)),
             report=self.get_report(),
+            expected_wait=wait,
         )
--- a/src/rhubarbpaddle/admission/request_queue.py
+++ b/src/rhubarbpaddle/admission/request_queue.py
@@ -53,6 +53,17 @@
         if not queue:
             del self._levels[request.priority]
 
+    def count_up_to(self, priority: int) -> int:
+        """Returns how many requests have at least the urgency of a priority.
+
+        It takes constant time, unlike `count_ahead`.
+        """
+        return sum(
+            len(queue)
+            for level, queue in self._levels.items()
+            if level <= priority
+        )
+
     def count_ahead(self, request: QueuedRequest, now: float) -> int:
         """Returns how many requests will be served before a request."""
         rank = request.get_zero_slack_rank(now)
--- a/src/rhubarbpaddle/admission/ticket.py
+++ b/src/rhubarbpaddle/admission/ticket.py
@@ -18,6 +18,8 @@
         useful_until: Monotonic seconds of the latency target, after which a
             response has much less value.
         route: The request's route, or the empty string.
+        spillover: Whether the request left its zone because that is short of
+            capacity. It then yields to the requests of the instance's zone.
     """
 
     organisation: str
@@ -27,3 +29,4 @@
     priority: int = 0
     useful_until: float = math.inf
     route: str = ""
+    spillover: bool = False
--- a/src/rhubarbpaddle/exceptions/refused.py
+++ b/src/rhubarbpaddle/exceptions/refused.py
@@ -23,6 +23,8 @@
         may_resend: Whether another attempt may be made if the whole body can
             be sent once more.
         report: The load of the instance that refused, if it reported it.
+        expected_wait: Seconds until the request would probably have started if
+            it had been queued, or 0 if that is unknown.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         may_retry: bool = False,
         may_resend: bool = False,
         report: "LoadReport | None" = None,
+        expected_wait: float = 0.0,
     ) -> None:
         super().__init__(detail, step=step, peer=peer)
         self.code = code  # type: ignore[misc]
@@ -47,3 +50,4 @@
         self.may_retry = may_retry
         self.may_resend = may_retry or may_resend
         self.report = report
+        self.expected_wait = expected_wait
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -280,6 +280,7 @@
         priority=request.priority,
         useful_until=request.useful_until,
         route=request.route,
+        spillover=request.spillover,
     )
 
 
--- a/src/rhubarbpaddle/execution/request.py
+++ b/src/rhubarbpaddle/execution/request.py
@@ -46,6 +46,8 @@
             its usage cap, or 0 if unknown.
         caller: Detects whether the sender has disconnected. Each node checks
             this before it begins a step. It is not sent to other nodes.
+        spillover: Whether it was sent to another zone although its own has
+            instances of the service.
     """
 
     request_id: str
@@ -70,3 +72,4 @@
     large_response: bool = False
     usage_ratio: float = 0.0
     caller: CallerPresence = ALWAYS_CONNECTED_CALLER
+    spillover: bool = False
--- a/src/rhubarbpaddle/peer/exchange_server.py
+++ b/src/rhubarbpaddle/peer/exchange_server.py
@@ -186,6 +186,7 @@
             calling_service=call.calling_service,
             usage_ratio=call.usage_ratio,
             caller=presence,
+            spillover=call.spillover,
         )
 
     def _to_refusal(self, request_id: str, exc: RefusedError) -> Refusal:
@@ -200,6 +201,7 @@
             may_retry=exc.may_retry,
             report=self._proxy.get_report(),
             may_resend=exc.may_resend,
+            wait_ms=round(exc.expected_wait * 1000),
         )
 
 
--- a/src/rhubarbpaddle/peer/messages/call.py
+++ b/src/rhubarbpaddle/peer/messages/call.py
@@ -33,6 +33,8 @@
         calling_service: The service on the host where the request originated.
         usage_ratio: The organisation's recent requests relative to its usage
             cap, or 0 if unknown.
+        spillover: Whether the request left a zone that has instances of its
+            service.
     """
 
     request_id: str
@@ -59,3 +61,4 @@
     latency_target_ms: int | None = None
     calling_service: str = ""
     usage_ratio: float = 0.0
+    spillover: bool = False
--- a/src/rhubarbpaddle/peer/messages/refusal.py
+++ b/src/rhubarbpaddle/peer/messages/refusal.py
@@ -21,6 +21,8 @@
         report: The load of the instance, or None if not known.
         may_resend: Whether the gateway may try another instance if it can send
             the whole body once more. Nodes of earlier versions omit it.
+        wait_ms: Milliseconds until the request would probably have started if
+            it had been queued, or 0 if that is unknown.
     """
 
     request_id: str
@@ -33,3 +35,4 @@
     may_retry: bool
     report: LoadReport | None
     may_resend: bool = False
+    wait_ms: int = 0
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -240,6 +240,7 @@
             latency_target_ms=latency_target_ms,
             calling_service=request.calling_service,
             usage_ratio=request.usage_ratio,
+            spillover=request.spillover,
         )
 
 
@@ -267,4 +268,5 @@
         may_retry=refusal.may_retry,
         may_resend=refusal.may_resend,
         report=refusal.report,
+        expected_wait=refusal.wait_ms / 1000,
     )
