Queue where the expected wait is shortest, and leave a full zone

After two refusals a request was queued at the best-ranked instance, nearly always an unasked one of its own zone: an instance counts as unimpaired 60 ms after its last report. In a zone whose callers ask for more than it can serve, requests therefore waited while other zones had free slots.

InstanceChooser now compares the waits that came with the refusals. If the shortest one exceeds the margin (a tenth of the time to the latency target, and more with the route's bytes), up to two instances of other zones are tried without a queue; a zone that refuses twice is left alone for about a second. Then the request queues where the expected wait is shortest. A damped controller raises the share that leaves at once while the shortage lasts. A large response leaves only after its own zone's queue has refused it because of the deadline, or if no instance there can be tried.

late_requests.feature needs callers for more than the 12 slots of its two instances, as the requests of 8 callers are now spread so that none has to be refused.

--- a/features/steps/late_requests_steps.py
+++ b/features/steps/late_requests_steps.py
@@ -10,7 +10,8 @@
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
 
-_CALLERS = 8
+# More than the slots of both instances, so that some requests have to queue.
+_CALLERS = 14
 _DEADLINE_MS = 4000
 _NOT_RUN_STATUS = 503
 
--- a/src/rhubarbpaddle/execution/route_attempt_history.py
+++ b/src/rhubarbpaddle/execution/route_attempt_history.py
@@ -2,6 +2,7 @@
 
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.outcome import Outcome
+from rhubarbpaddle.routing.reported_wait import ReportedWait
 
 _SLOW_CODE = "instance_slow"
 # Codes of refusals by a node whose instance can probably serve soon.
@@ -19,6 +20,7 @@
     """Collects the results of the attempts for a request.
 
     Attributes:
+        sent: The number of attempts.
         attempts: The number of attempts that reached an instance.
         may_have_run: Whether one of them may have run the request.
         excluded: Node ids that the next attempt must not use.
@@ -26,16 +28,19 @@
         full_count: The number of busy instances that have too much work; the
             others are slow.
         refused_queues: Node ids that did not admit the request to their queue.
+        waits: The waits at the busy instances, by node id.
         refusal: Why the last attempt failed, or `no_instance` before the first.
     """
 
     def __init__(self, service: str) -> None:
+        self.sent = 0
         self.attempts = 0
         self.may_have_run = False
         self.excluded: set[str] = set()
         self.busy: set[str] = set()
         self.full_count = 0
         self.refused_queues: set[str] = set()
+        self.waits: dict[str, ReportedWait] = {}
         self.refusal = RefusedError(
             "no_instance",
             f"no instance of {service!r} accepts requests",
@@ -52,6 +57,7 @@
             refusal: Why it failed.
             could_queue: Whether the request was permitted to queue there.
         """
+        self.sent += 1
         self.excluded.add(node_id)
         if could_queue:
             self.refused_queues.add(node_id)
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -17,6 +17,8 @@
 from rhubarbpaddle.execution.deadline_refusal import make_deadline_refusal
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.event_log import EventLog
+from rhubarbpaddle.execution.instance_choice import InstanceChoice
+from rhubarbpaddle.execution.instance_chooser import InstanceChooser
 from rhubarbpaddle.execution.kept_body import KeptBody
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
@@ -29,14 +31,6 @@
 from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 
-# Once this many instances have refused immediate service because they were
-# full, or because they were busy for any reason, the request is queued. A full
-# instance will have capacity soon, so that further attempts take longer than
-# waiting in its queue. An instance in a slow period may stay slow for 0.5 s.
-_MAX_FULL_INSTANCES = 2
-_MAX_BUSY_INSTANCES = 5
-# Queues that may refuse the request before the gateway refuses it.
-_MAX_QUEUE_REFUSALS = 3
 # The node beside the instance responds at the deadline. The gateway waits this
 # much longer for that response to arrive.
 _DEADLINE_GRACE_SECONDS = 0.03
@@ -51,6 +45,7 @@
     def __init__(
         self,
         router: InstanceRouter,
+        chooser: InstanceChooser,
         dispatcher: Dispatcher,
         budget: SharedRetryBudget,
         clock: Clock,
@@ -58,6 +53,7 @@
     ) -> None:
         self._log = log
         self._router = router
+        self._chooser = chooser
         self._dispatcher = dispatcher
         self._budget = budget
         self._clock = clock
@@ -97,23 +93,31 @@
                 )
             if request.caller.has_disconnected():
                 raise make_caller_left_refusal("route", history.may_have_run)
-            candidate, may_queue = self._choose_candidate(request, history)
-            if candidate is None:
+            choice = self._choose_candidate(request, history)
+            if choice is None:
                 raise _make_final_refusal(history)
+            candidate, may_queue, reason = choice
             body.rewind()
+            sent_at = self._clock.monotonic()
             try:
                 response = await self._send_attempt(
                     stack,
-                    request._replace(may_queue=may_queue),
+                    request._replace(
+                        may_queue=may_queue,
+                        spillover=reason.yields,
+                    ),
                     body,
                     candidate,
                 )
             except RefusedError as exc:
+                seconds = self._clock.monotonic() - sent_at
+                self._chooser.observe_refusal(choice, history, exc, seconds)
                 history.record_failure(candidate.node_id, exc, may_queue)
                 self._log_failed_attempt(request, candidate, history, exc)
                 if not self._may_retry(request, body, history, exc):
                     raise _make_final_refusal(history) from exc
                 continue
+            self._chooser.observe_response(request, choice, body, response)
             if not self._may_retry_response(request, body, response, history):
                 self._log.info(
                     "try_answered",
@@ -125,6 +129,7 @@
                     attempts=history.attempts + 1,
                     refused=len(history.excluded),
                     queued=may_queue,
+                    zone_choice=reason.value,
                 )
                 return response
             await stack.aclose()
@@ -141,23 +146,9 @@
 
     def _choose_candidate(
         self, request: Request, history: RouteAttemptHistory
-    ) -> tuple[Candidate | None, bool]:
-        """Returns the next instance and whether the request may queue there.
-
-        The instance is None if none can be tried.
-        """
-        if (
-            not history.refused_queues
-            and history.full_count < _MAX_FULL_INSTANCES
-            and len(history.busy) < _MAX_BUSY_INSTANCES
-        ):
-            candidate = self._router.choose(request.service, history.excluded)
-            if candidate is not None and not self._router.is_busy(candidate):
-                return candidate, False
-        if len(history.refused_queues) >= _MAX_QUEUE_REFUSALS:
-            return None, True
-        excluded = (history.excluded - history.busy) | history.refused_queues
-        return self._router.choose(request.service, excluded), True
+    ) -> InstanceChoice | None:
+        """Returns the next instance, or None if none can be tried."""
+        return self._chooser.choose(request, history)
 
     def _may_retry(
         self,
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -19,6 +19,7 @@
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
+from rhubarbpaddle.execution.instance_chooser import InstanceChooser
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
 from rhubarbpaddle.execution.route_gateway import RouteGateway
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
@@ -62,6 +63,7 @@
 from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
+from rhubarbpaddle.routing.zone_spillover import ZoneSpillover
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.system_clock import SystemClock
 from rhubarbpaddle.tcp_network import TcpNetwork
@@ -205,6 +207,9 @@
         self._start_gate = StartGate(clock, self._has_all_services)
         gateway = RouteGateway(
             self._router,
+            InstanceChooser(
+                self._router, ZoneSpillover(self._router, clock, rng)
+            ),
             NodeDispatcher(
                 settings.node_id, self.instance_proxy, remote_dispatcher
             ),
--- a/src/rhubarbpaddle/routing/instance_router.py
+++ b/src/rhubarbpaddle/routing/instance_router.py
@@ -23,7 +23,10 @@
 
 _ACCEPTING_STATES = (UpstreamState.COLD, UpstreamState.WARM)
 _NO_MEMBERS = MemberGroups()
-_UNREACHABLE_CODES = frozenset({"peer_unreachable", "peer_lost", "peer_silent"})
+UNREACHABLE_CODES = frozenset({"peer_unreachable", "peer_lost", "peer_silent"})
+# A zone that has returned to service has no spare capacity for other zones
+# before its own callers are back and its instances are warm.
+_RETURN_SECONDS = 5.0
 
 
 class InstanceRouter:
@@ -32,6 +35,9 @@
     The node beside the chosen instance knows the current load and refuses a
     request immediately if needed, so a wrong choice costs a round trip and no
     work.
+
+    Attributes:
+        own_zone: The availability zone of this node.
     """
 
     def __init__(
@@ -49,12 +55,14 @@
             rng: Breaks ties, so that nodes don't all choose the same instance.
             is_in_service: Returns whether a zone may receive new requests.
         """
+        self.own_zone = table.own.availability_zone
         self._table = table
         self._clock = clock
         self._rng = rng
         self._is_in_service = is_in_service
         self._views: defaultdict[str, InstanceView] = defaultdict(InstanceView)
         self._groups_by_service: dict[str, MemberGroups] | None = None
+        self._withdrawn_at: dict[str, float] = {}
         table.add_listener(self._on_member_change)
 
     def choose(
@@ -79,6 +87,67 @@
             best = other if other.condition < local.condition else local
         return Candidate.from_member(best.member) if best else None
 
+    def choose_local(
+        self, service: str, excluded: Collection[str]
+    ) -> Candidate | None:
+        """Returns the best reachable instance of the own zone, or None.
+
+        Args:
+            service: The service that the request is for.
+            excluded: Node ids that must not be chosen.
+        """
+        now = self._clock.monotonic()
+        local = self._get_groups(service).local
+        best = self._rank_best(local, excluded, now)
+        if best is None or best.condition.avoided:
+            return None
+        return Candidate.from_member(best.member)
+
+    def choose_spare(
+        self, service: str, zones: Collection[str], excluded: Collection[str]
+    ) -> Candidate | None:
+        """Returns an instance of other zones that may have spare capacity.
+
+        Instances that are cold, suspected or recently busy have none.
+
+        Args:
+            service: The service that the request is for.
+            zones: The zones to choose from.
+            excluded: Node ids that must not be chosen.
+        """
+        now = self._clock.monotonic()
+        members = (
+            member
+            for member in self._get_groups(service).others
+            if member.availability_zone in zones
+            and member.upstream is not None
+            and member.upstream.state is UpstreamState.WARM
+        )
+        best = self._rank_best(members, excluded, now)
+        if best is None or best.condition != UNIMPAIRED:
+            return None
+        return Candidate.from_member(best.member)
+
+    def get_other_zones(self, service: str) -> frozenset[str]:
+        """Returns the zones that may have spare capacity for a service.
+
+        The own zone is not one of them, nor is one that has just returned to
+        service.
+        """
+        zones = self._get_groups(service).zones - {self.own_zone}
+        earliest = self._clock.monotonic() - _RETURN_SECONDS
+        return zones - {
+            zone for zone, at in self._withdrawn_at.items() if at > earliest
+        }
+
+    def is_local(self, candidate: Candidate) -> bool:
+        """Returns whether an instance is in the own zone."""
+        return candidate.availability_zone == self.own_zone
+
+    def has_local_instance(self, service: str) -> bool:
+        """Returns whether an instance of the own zone takes requests."""
+        return bool(self._get_groups(service).local)
+
     def has_instance(self, service: str) -> bool:
         """Returns whether a service has an instance that takes requests."""
         groups = self._get_groups(service)
@@ -109,7 +178,7 @@
         now = self._clock.monotonic()
         if report is not None:
             view.observe_report(report, now)
-        elif code in _UNREACHABLE_CODES:
+        elif code in UNREACHABLE_CODES:
             view.avoid(now)
 
     def _on_member_change(self, member: Member, source: str | None) -> None:
@@ -124,16 +193,19 @@
         withdrawn = {
             zone for zone in groups.zones if not self._is_in_service(zone)
         }
-        return groups.without_zones(withdrawn) if withdrawn else groups
+        if not withdrawn:
+            return groups
+        now = self._clock.monotonic()
+        self._withdrawn_at.update(dict.fromkeys(withdrawn, now))
+        return groups.without_zones(withdrawn)
 
     def _group_members(self) -> dict[str, MemberGroups]:
-        own_zone = self._table.own.availability_zone
         grouped: defaultdict[str, list[Member]] = defaultdict(list)
         for member in filter(_accepts_requests, self._table):
             assert member.upstream is not None
             grouped[member.upstream.service].append(member)
         return {
-            service: MemberGroups.from_members(members, own_zone)
+            service: MemberGroups.from_members(members, self.own_zone)
             for service, members in grouped.items()
         }
 
--- /dev/null
+++ b/src/rhubarbpaddle/routing/zone_room.py
@@ -0,0 +1,63 @@
+"""The estimate of room and wait for a service in one zone."""
+
+import math
+
+# Weight of the newest attempt. Two refusals in a row make a zone count as full.
+_NEWEST_WEIGHT = 0.5
+# Time constant with which the estimate decays to "room, no wait". A full zone
+# thus gets about one attempt a second from each gateway, which shows whether it
+# has room again.
+_DECAY_SECONDS = 2.0
+# A zone counts as full above this fraction of refused attempts.
+_FULL_FRACTION = 0.5
+
+
+class ZoneRoom:
+    """Moving averages over this gateway's attempts at a zone's instances.
+
+    They cover the attempts that were not permitted to queue. Their results are
+    the only information about the load of other hosts that costs no message.
+    """
+
+    def __init__(self) -> None:
+        self._refused_fraction = 0.0
+        self._wait_seconds = 0.0
+        self._observed_at = float("-inf")
+
+    def observe(self, refused: bool, wait_seconds: float, now: float) -> None:
+        """Records the result of an attempt.
+
+        Args:
+            refused: Whether the instance refused it for lack of capacity.
+            wait_seconds: The expected wait in its queue, 0 if it accepted.
+            now: Monotonic seconds.
+        """
+        kept = (1 - _NEWEST_WEIGHT) * self._get_decay(now)
+        self._refused_fraction = (
+            kept * self._refused_fraction + _NEWEST_WEIGHT * refused
+        )
+        self._wait_seconds = (
+            kept * self._wait_seconds + _NEWEST_WEIGHT * wait_seconds
+        )
+        self._observed_at = now
+
+    def observe_unreachable(self, now: float) -> None:
+        """Records that a node of the zone could not be reached.
+
+        The attempt took a timeout, so one is enough to make the zone full.
+        """
+        self._refused_fraction = 1.0
+        self._wait_seconds = self.get_wait(now)
+        self._observed_at = now
+
+    def is_full(self, now: float) -> bool:
+        """Returns whether further attempts would probably be refused."""
+        fraction = self._refused_fraction * self._get_decay(now)
+        return fraction > _FULL_FRACTION
+
+    def get_wait(self, now: float) -> float:
+        """Returns the expected wait in seconds, 0 if it is unknown."""
+        return self._wait_seconds * self._get_decay(now)
+
+    def _get_decay(self, now: float) -> float:
+        return math.exp((self._observed_at - now) / _DECAY_SECONDS)
