Rank instances with fewer objects

The router created a condition for each member without a recent report, and a sort key beside the tuple that is sorted. It now uses a constant, and compares the tuples directly: the random number in them decides before the member.

--- a/src/rhubarbpaddle/routing/instance_router.py
+++ b/src/rhubarbpaddle/routing/instance_router.py
@@ -13,10 +13,7 @@
     UpstreamState,
 )
 from rhubarbpaddle.routing.candidate import Candidate
-from rhubarbpaddle.routing.instance_condition import (
-    UNIMPAIRED,
-    InstanceCondition,
-)
+from rhubarbpaddle.routing.instance_condition import UNIMPAIRED
 from rhubarbpaddle.routing.instance_view import InstanceView
 from rhubarbpaddle.routing.member_groups import MemberGroups
 from rhubarbpaddle.routing.ranked_member import RankedMember
@@ -213,12 +210,12 @@
         self, members: Iterable[Member], excluded: Collection[str], now: float
     ) -> RankedMember | None:
         """Returns the member that ranks first, or None if there is none."""
-        ranked = (
+        ranked = [
             self._rank(member, now)
             for member in members
             if member.node_id not in excluded
-        )
-        return min(ranked, key=_get_sort_key, default=None)
+        ]
+        return min(ranked, default=None)
 
     def _rank(self, member: Member, now: float) -> RankedMember:
         assert member.upstream is not None
@@ -230,12 +227,6 @@
         return RankedMember(condition, load, self._rng.random(), member)
 
 
-def _get_sort_key(
-    ranked: RankedMember,
-) -> tuple[InstanceCondition, float, float]:
-    return ranked.condition, ranked.load, ranked.tie_breaker
-
-
 def _accepts_requests(member: Member) -> bool:
     return (
         member.upstream is not None
--- a/src/rhubarbpaddle/routing/instance_view.py
+++ b/src/rhubarbpaddle/routing/instance_view.py
@@ -2,7 +2,10 @@
 
 from rhubarbpaddle.measuring import LoadReport
 from rhubarbpaddle.membership import UpstreamState
-from rhubarbpaddle.routing.instance_condition import InstanceCondition
+from rhubarbpaddle.routing.instance_condition import (
+    UNIMPAIRED,
+    InstanceCondition,
+)
 
 # Maximum age of a report. Slow periods last 100 ms or more, so a report stays
 # valid for about half of that.
@@ -11,6 +14,7 @@
 _AVOID_SECONDS = 1.0
 # An instance counts as slow at this slowdown factor.
 _SLOWDOWN_THRESHOLD = 2.0
+_AVOIDED = InstanceCondition(avoided=True)
 
 
 class InstanceView:
@@ -40,9 +44,11 @@
         """Returns what stands against a choice of the instance."""
         report = self._report
         if report is None:
-            return InstanceCondition(now < self._avoided_until)
+            return _AVOIDED if now < self._avoided_until else UNIMPAIRED
         is_cold = report.state is UpstreamState.COLD
         if now - self._reported_at > _MAX_REPORT_AGE_SECONDS:
+            if not is_cold and now >= self._avoided_until:
+                return UNIMPAIRED
             return InstanceCondition(now < self._avoided_until, cold=is_cold)
         is_slow = report.slowdown >= _SLOWDOWN_THRESHOLD
         is_full = report.in_flight >= report.limit or report.queued > 0
--- a/src/rhubarbpaddle/routing/ranked_member.py
+++ b/src/rhubarbpaddle/routing/ranked_member.py
@@ -9,6 +9,8 @@
 class RankedMember(NamedTuple):
     """A member that may be chosen for a request.
 
+    Members compare in the order in which they are chosen.
+
     Attributes:
         condition: What stands against its instance.
         load: Its known requests as a fraction of its slots.
