Count and log why requests leave their zone

Operators could not see whether requests stay in their zone, nor why not. The metric rhubarbpaddle.zone.choices counts the responses by service and reason and is read at each scrape only. The event zone_spillover has the same counts, at most once a second for each service while requests leave for lack of capacity.

--- a/features/support/zone_world.py
+++ b/features/support/zone_world.py
@@ -18,6 +18,7 @@
 from rhubarbpaddle.execution.retry_terms import RetryTerms
 from rhubarbpaddle.execution.route_gateway import RouteGateway
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
+from rhubarbpaddle.execution.zone_choice_record import ZoneChoiceRecord
 from rhubarbpaddle.membership import Member, MemberStatus, MemberTable
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.routing.candidate import Candidate
@@ -80,6 +81,7 @@
             InstanceChooser(
                 router,
                 self.spillover,
+                ZoneChoiceRecord(clock, self.events),
                 clock,
             ),
             self,
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -7,6 +7,7 @@
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
 from rhubarbpaddle.execution.route_attempt_history import RouteAttemptHistory
+from rhubarbpaddle.execution.zone_choice_record import ZoneChoiceRecord
 from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.instance_router import (
     UNREACHABLE_CODES,
@@ -48,8 +49,10 @@
         self,
         router: InstanceRouter,
         spillover: ZoneSpillover,
+        record: ZoneChoiceRecord,
         clock: Clock,
     ) -> None:
+        self._record = record
         self._clock = clock
         self._router = router
         self._spillover = spillover
@@ -88,6 +91,7 @@
             body: The request's body.
             response: The response.
         """
+        self._record.add(request.service, choice.reason)
         if not choice.may_queue:
             self._spillover.observe_accepted(choice.candidate)
         sent, received = body.length, response.body.length
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -23,6 +23,7 @@
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
 from rhubarbpaddle.execution.route_gateway import RouteGateway
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
+from rhubarbpaddle.execution.zone_choice_record import ZoneChoiceRecord
 from rhubarbpaddle.http import CallerHandler
 from rhubarbpaddle.http.limits import CallerLimits
 from rhubarbpaddle.http.request_responder import RequestResponder, ShortResponse
@@ -205,11 +206,13 @@
             self.table, clock, rng, self._is_in_service
         )
         self._start_gate = StartGate(clock, self._has_all_services)
+        zone_choices = ZoneChoiceRecord(clock, get_logger("gateway"))
         gateway = RouteGateway(
             self._router,
             InstanceChooser(
                 self._router,
                 ZoneSpillover(self._router, clock, rng),
+                zone_choices,
                 clock,
             ),
             NodeDispatcher(
@@ -224,6 +227,7 @@
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
+        self.metrics.observe_zone_choices(zone_choices.get_totals)
         self._stream_watch = StreamWatch(network, clock)
         deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -3,7 +3,7 @@
 Only `Metrics` imports this module, and not before the instruments are needed.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -127,6 +127,21 @@
             description="Passes of the event loop",
         )
 
+    def observe_zone_choices(
+        self, read: Callable[[], Mapping[tuple[str, str], int]]
+    ) -> None:
+        """Adds a counter of responses by service and reason for their zone."""
+        self._meter.create_observable_counter(
+            f"{_PREFIX}zone.choices",
+            [
+                lambda _: [
+                    Observation(count, {"service": service, "reason": reason})
+                    for (service, reason), count in read().items()
+                ]
+            ],
+            description="Responses by the reason for the zone that served them",
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         text = PrometheusText()
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -1,7 +1,7 @@
 """The metrics of a node."""
 
 import importlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import trio
@@ -61,6 +61,18 @@
             lambda instruments: instruments.observe_event_loop(load)
         )
 
+    def observe_zone_choices(
+        self, read: Callable[[], Mapping[tuple[str, str], int]]
+    ) -> None:
+        """Adds a counter of responses by service and reason for their zone.
+
+        Args:
+            read: Returns the totals; called at each scrape.
+        """
+        self._observers.append(
+            lambda instruments: instruments.observe_zone_choices(read)
+        )
+
     def record_request(
         self, organisation: str, service: str, status: int, seconds: float
     ) -> None:
