Send attempts out of the zone only to instances with spare capacity

If the instances of the own zone were slow, full or unreachable, the next attempt went to the best-ranked instance elsewhere, also in a zone that had just returned to service or was known to be full. Such an attempt now needs an instance that counts as spare capacity. A request that the queues of its own zone have refused is sent to such an instance too, instead of to any.

--- a/features/support/zone_world.py
+++ b/features/support/zone_world.py
@@ -28,7 +28,7 @@
 WORK_SECONDS = 0.12
 LATENCY_TARGET = 0.5
 DEADLINE = 2.0
-GATEWAYS_PER_ZONE = 6
+GATEWAYS_PER_ZONE = 20
 INSTANCES_PER_ZONE = 3
 # What an instance of 6 slots can serve per second.
 INSTANCE_RATE = 6 / WORK_SECONDS
@@ -45,14 +45,15 @@
         zone: The zone of its gateway.
         seconds: Its latency.
         status: The status of its response or refusal.
-        served_zone: The zone that served it, or the empty string.
+        served_by: The instance that served it, or the empty string. Its first
+            letter is that of its zone.
     """
 
     sent_at: float
     zone: str
     seconds: float
     status: int
-    served_zone: str
+    served_by: str
 
 
 class ZoneGateway:
@@ -61,6 +62,7 @@
     def __init__(self, world: "ZoneWorld", name: str, zone: str) -> None:
         self.zone = zone
         self.attempts = 0
+        self.lost = 0
         self._world = world
         own = Member(
             name, 1, 1, MemberStatus.ALIVE, name, zone, "", "", upstream=None
@@ -68,11 +70,14 @@
         self.table = MemberTable(own)
         for instance in world.instances.values():
             self.table.merge(instance.member)
+        self.router = router = InstanceRouter(
+            self.table,
+            VirtualClock(),
+            random.Random(name),
+            lambda zone: zone not in world.withdrawn,
+        )
         rng = random.Random(name)
         clock = VirtualClock()
-        router = InstanceRouter(
-            self.table, clock, rng, lambda zone: zone not in world.withdrawn
-        )
         self.spillover = ZoneSpillover(router, clock, rng)
         self.events = RecordedEvents()
         terms = RetryTerms(0.2, 60, timedelta(seconds=10))
@@ -100,6 +105,7 @@
         delay = _SAME_ZONE_SECONDS if is_local else _OTHER_ZONE_SECONDS
         await trio.sleep(delay)
         if not is_local and not instance.reachable:
+            self.lost += 1
             await trio.sleep(_CONFIRMATION_SECONDS)
             raise RefusedError(
                 "peer_lost",
@@ -117,7 +123,7 @@
                 candidate.incarnation,
             ) as response:
                 result = response._replace(
-                    headers=[(b"zone", candidate.availability_zone.encode())]
+                    headers=[(b"node", candidate.node_id.encode())]
                 )
         except RefusedError as exc:
             exc.report = instance.proxy.get_report()
@@ -143,16 +149,16 @@
             max_attempts=3,
             large_response=large,
         )
-        zone, status = "", 503
+        served_by, status = "", 503
         try:
             async with self.gateway.handle(request, BytesBody(b"")) as response:
                 status = response.status
-                zone = response.headers[0][1].decode()
+                served_by = response.headers[0][1].decode()
         except RefusedError as exc:
             status = exc.status
         seconds = trio.current_time() - started
         self._world.answers.append(
-            Answer(started, self.zone, seconds, status, zone)
+            Answer(started, self.zone, seconds, status, served_by)
         )
 
 
@@ -161,6 +167,7 @@
 
     def __init__(self, nursery: trio.Nursery, zones: str, seed: int) -> None:
         self.withdrawn: set[str] = set()
+        self.started_at = trio.current_time()
         self.answers: list[Answer] = []
         self.rng = random.Random(seed)
         self.nursery = nursery
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -155,7 +155,11 @@
         if history.full_count and self._spillover.is_full(candidate):
             # A second refusal would tell little.
             return None
-        return self._make_choice(candidate, False)
+        choice = self._make_choice(candidate, False)
+        if choice.reason is not SpilloverReason.IMPAIRED:
+            return choice
+        spare = self._spillover.choose_spare(request.service, history.excluded)
+        return choice._replace(candidate=spare) if spare else None
 
     def _choose_queue(
         self, request: Request, history: RouteAttemptHistory
@@ -170,17 +174,29 @@
                     candidate, True, SpilloverReason.SHORTER_QUEUE
                 )
         candidate = self._router.choose_local(request.service, excluded)
+        reason = SpilloverReason.IMPAIRED
         if candidate is None:
-            candidate = self._router.choose(request.service, excluded)
+            if self._is_own_zone_full(request, history):
+                candidate = self._spillover.choose_spare(
+                    request.service, history.excluded
+                )
+                reason = SpilloverReason.SHORTAGE
+            else:
+                candidate = self._router.choose(request.service, excluded)
         if candidate is None:
             return None
-        reason = (
-            SpilloverReason.SHORTAGE
-            if history.refused_queues
-            else SpilloverReason.IMPAIRED
-        )
         return self._make_choice(candidate, True, reason)
 
+    def _is_own_zone_full(
+        self, request: Request, history: RouteAttemptHistory
+    ) -> bool:
+        """Returns whether the queues of the own zone have refused a request."""
+        return (
+            bool(history.refused_queues)
+            and history.refusal.code in _FULL_CODES
+            and self._router.has_local_instance(request.service)
+        )
+
     def _choose_shortest_queue(
         self, request: Request, history: RouteAttemptHistory, excluded: set[str]
     ) -> Candidate | None:
