Test the zones' load patterns

A surge in one zone, a shortage everywhere, a zone that is cold, suspected or just back, one whose responses don't arrive, old reports, many gateways at once and large responses, with the product's gateways and admission in virtual time without a network; and a surge on nodes of the platform.

--- /dev/null
+++ b/features/zone_spillover.feature
@@ -0,0 +1,93 @@
+Feature: Requests that leave their zone while it is short of capacity
+
+  # Guards against callers of one zone that wait while other zones have free
+  # slots, and against a share that stays outside once the shortage has ended.
+  Scenario: A surge in one zone is served by all zones while it lasts
+    Given zones "a, b, c, d" in which one instance at a time is slow
+    When callers use "2.4, 0.3, 0.3, 0.3" of their zones' capacity for 4 s
+    And then "0.5, 0.3, 0.3, 0.3" for 4 s
+    Then at least 90 % of the requests of zone "a" are answered in time
+    And at least 97 % of the requests of the other zones are answered in time
+    And at least 40 % of the requests of zone "a" leave it in the first 4 s
+    And at most 10 % of the requests of zone "a" leave it in the last 3 s
+
+  # Guards against traffic between zones that makes no response faster.
+  Scenario: Requests stay in a zone that has room
+    Given zones "a, b, c, d" in which one instance at a time is slow
+    When callers use "0.4, 0.4, 0.4, 0.4" of their zones' capacity for 4 s
+    Then at most 8 % of the requests of each zone leave it
+
+  # Guards against zones that exchange requests while none has room.
+  Scenario: Requests stay in their zone during a shortage everywhere
+    Given zones "a, b, c, d"
+    When callers use "1.6, 1.6, 1.6, 1.6" of their zones' capacity for 4 s
+    Then at most 4 % of the requests of each zone leave it in the last 2 s
+
+  # Guards against gateways that all send to the zone that was free a moment ago:
+  # the share would swing, and some instances would get most requests.
+  Scenario: Many gateways spread what leaves evenly and without swings
+    Given zones "a, b, c, d"
+    When callers use "2.4, 0.3, 0.3, 0.3" of their zones' capacity for 5 s
+    Then the share that leaves zone "a" varies by at most 0.3 after the first 1 s
+    And no instance of another zone gets more than twice its part of it
+
+  # Guards against a surge that is sent to a zone before its own callers are
+  # back and its instances are warm.
+  Scenario Outline: A zone without spare capacity gets no request of others
+    Given zones "a, b, c, d"
+    And the instances of zone "b" are <state>
+    When callers use "2.4, 0.2, 0.2, 0.2" of their zones' capacity for 2 s
+    Then zone "b" serves at most 2 requests of zone "a"
+
+    Examples:
+      | state         |
+      | cold          |
+      | suspected     |
+      | back in use   |
+
+  # Guards against a timeout for each request that leaves its zone while the
+  # responses of another zone don't arrive.
+  Scenario: A zone that is reachable in one direction only is avoided
+    Given zones "a, b, c, d"
+    And the responses of zone "b" do not arrive in other zones
+    When callers use "2.4, 0.3, 0.3, 0.3" of their zones' capacity for 4 s
+    Then at most 1 request of each gateway and second is lost in zone "b"
+
+  # Guards against a zone that is left alone, or gets all requests, because of a
+  # refusal or a wait that was reported seconds ago.
+  Scenario: Reports lose their effect
+    Given zones "a, b, c, d"
+    When a gateway of zone "a" gets refusals with a wait of 0.5 s in zones "a, b"
+    Then its next request leaves zone "a", but not to zone "b"
+    And 8 s later its next request that zone "a" refuses may go to zone "b"
+
+  # Guards against the transfer of large responses between zones, which costs
+  # more than a late response, while their deadline can still be met.
+  Scenario: Large responses stay while instances are slow or busy for a moment
+    Given zones "a, b, c, d" in which one instance at a time is slow
+    And responses are large and have a deadline of 4 s
+    When callers use "0.8, 0.4, 0.4, 0.4" of their zones' capacity for 4 s
+    Then at most 0 % of the requests of each zone leave it
+
+  # Guards against large responses that miss their deadline in their own zone.
+  Scenario: Large responses leave to meet their deadline
+    Given zones "a, b, c, d"
+    And responses are large and have a deadline of 2 s
+    When callers use "2.4, 0.3, 0.3, 0.3" of their zones' capacity for 4 s
+    Then at least 90 % of the requests of zone "a" get a response
+    And at least 20 % of the requests of zone "a" leave it in the first 4 s
+
+  # Guards against callers of a zone that wait behind those of others.
+  Scenario: A request of another zone does not queue before those of the own
+    Given an instance whose slots are all used
+    When a request of another zone and one of its own zone queue
+    Then a second request of another zone is refused with an expected wait
+    And the first one is served
+
+  # Guards against a wait or a preference that is lost between nodes.
+  Scenario: Nodes on the platform send requests to a zone with free slots
+    Given a platform with nodes "h1, h2" in zone "a" and "h3, h4" in zone "b"
+    When callers send 50 requests of 0.3 s at once to "h1"
+    Then all requests are answered
+    And the instances in zone "b" run at least 8 of them
+    And the metrics of "h1" count requests that left because of a shortage
