--- a/src/rhubarbpaddle/admission/ticket.py
+++ b/src/rhubarbpaddle/admission/ticket.py
@@ -20,6 +20,8 @@
         route: The request's route, or the empty string.
         usage_ratio: The organisation's recent requests at all nodes relative to
             its usage cap, or 0 if unknown.
+        spillover: Whether the request left its zone because that is short of
+            capacity. It then yields to the requests of the instance's zone.
     """
 
     organisation: str
@@ -30,3 +32,4 @@
     useful_until: float = math.inf
     route: str = ""
     usage_ratio: float = 0.0
+    spillover: bool = False
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -380,6 +380,7 @@
         useful_until=request.useful_until,
         route=request.route,
         usage_ratio=request.usage_ratio,
+        spillover=request.spillover,
     )
 
 
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -21,6 +21,7 @@
     make_failed_body_refusal,
 )
 from rhubarbpaddle.execution.held_body import HeldBody
+from rhubarbpaddle.execution.instance_chooser import InstanceChooser
 from rhubarbpaddle.execution.kept_body import KeptBody
 from rhubarbpaddle.execution.request import Request
 from rhubarbpaddle.execution.response import Response
@@ -29,19 +30,10 @@
     never_reached_instance,
 )
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
-from rhubarbpaddle.execution.version_policy import ALL_VERSIONS, VersionPolicy
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 
-# Once this many instances have refused immediate service because they were
-# full, or because they were busy for any reason, the request is queued. A full
-# instance will have capacity soon, so that further attempts take longer than
-# waiting in its queue. An instance in a slow period may stay slow for 0.5 s.
-_MAX_FULL_INSTANCES = 2
-_MAX_BUSY_INSTANCES = 5
-# Queues that may refuse the request before the gateway refuses it.
-_MAX_QUEUE_REFUSALS = 3
 # The node beside the instance responds at the deadline. The gateway waits this
 # much longer for that response to arrive.
 _DEADLINE_GRACE_SECONDS = 0.03
@@ -60,15 +52,15 @@
     def __init__(
         self,
         router: InstanceRouter,
+        chooser: InstanceChooser,
         dispatcher: Dispatcher,
         budget: SharedRetryBudget,
         clock: Clock,
         log: EventLog,
-        versions: VersionPolicy = ALL_VERSIONS,
     ) -> None:
         self._log = log
-        self._versions = versions
         self._router = router
+        self._chooser = chooser
         self._dispatcher = dispatcher
         self._budget = budget
         self._clock = clock
@@ -86,7 +78,7 @@
                 request may have run.
         """
         self._budget.record_request(request.service, request.organisation)
-        self._versions.record_request(request.service)
+        self._chooser.record_request(request.service)
         # The body is discarded after the exchange, which may still read it.
         with ExitStack() as kept_bodies:
             if not isinstance(body, BytesBody):
@@ -110,24 +102,32 @@
                 )
             if request.caller.has_disconnected():
                 raise make_caller_left_refusal("route", history.may_have_run)
-            candidate, may_queue = self._choose_candidate(request, history)
-            if candidate is None:
+            choice = self._chooser.choose(request, history)
+            if choice is None:
                 raise _make_final_refusal(history)
+            candidate, may_queue, reason = choice
             body.rewind()
+            sent_at = self._clock.monotonic()
             try:
                 response = await self._send_attempt(
                     stack,
-                    request._replace(may_queue=may_queue),
+                    request._replace(
+                        may_queue=may_queue,
+                        spillover=reason.yields,
+                    ),
                     body,
                     candidate,
                     may_retry=history.attempts + 1 < request.max_attempts,
                 )
             except RefusedError as exc:
+                seconds = self._clock.monotonic() - sent_at
+                self._chooser.observe_refusal(choice, history, exc, seconds)
                 history.record_failure(candidate.node_id, exc, may_queue)
                 self._log_failed_attempt(request, candidate, history, exc)
                 if not self._may_retry(request, body, history, exc):
                     raise _make_final_refusal(history) from exc
                 continue
+            self._chooser.observe_response(request, choice, body, response)
             if not self._may_retry_response(request, body, response, history):
                 self._log.info(
                     "try_answered",
@@ -139,6 +139,7 @@
                     attempts=history.attempts + 1,
                     refused=len(history.excluded),
                     queued=may_queue,
+                    zone_choice=reason.value,
                 )
                 return response
             await stack.aclose()
@@ -153,53 +154,6 @@
             history.record_failure(candidate.node_id, refusal, may_queue)
             self._log_failed_attempt(request, candidate, history, refusal)
 
-    def _choose_candidate(
-        self, request: Request, history: RouteAttemptHistory
-    ) -> tuple[Candidate | None, bool]:
-        """Returns the next instance and whether the request may queue there.
-
-        The instance is None if none can be tried.
-        """
-        version_excluded = self._versions.get_excluded(request.service)
-        if (
-            not history.refused_queues
-            and history.full_count < _MAX_FULL_INSTANCES
-            and len(history.busy) < _MAX_BUSY_INSTANCES
-        ):
-            candidate = self._choose_canary(request, history)
-            if candidate is not None:
-                return candidate, False
-            candidate = self._router.choose(
-                request.service, history.excluded | version_excluded
-            )
-            if candidate is not None and not self._router.is_busy(candidate):
-                return candidate, False
-        if len(history.refused_queues) >= _MAX_QUEUE_REFUSALS:
-            return None, True
-        excluded = (history.excluded - history.busy) | history.refused_queues
-        return (
-            self._router.choose(request.service, excluded | version_excluded),
-            True,
-        )
-
-    def _choose_canary(
-        self, request: Request, history: RouteAttemptHistory
-    ) -> Candidate | None:
-        """Returns an instance of a version on trial if it is due a request.
-
-        Only first attempts go there, and none that would have to wait.
-        """
-        if history.excluded:
-            return None
-        excluded = self._versions.get_canary_excluded(request.service)
-        if excluded is None:
-            return None
-        candidate = self._router.choose(request.service, excluded)
-        if candidate is None or self._router.is_busy(candidate):
-            return None
-        self._versions.record_canary(request.service)
-        return candidate
-
     def _may_retry(
         self,
         request: Request,
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -244,6 +244,7 @@
             latency_target_ms=latency_target_ms,
             calling_service=request.calling_service,
             usage_ratio=request.usage_ratio,
+            spillover=request.spillover,
         )
 
 
@@ -271,4 +272,5 @@
         may_retry=refusal.may_retry,
         may_resend=refusal.may_resend,
         report=refusal.report,
+        expected_wait=refusal.wait_ms / 1000,
     )
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -19,9 +19,11 @@
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
+from rhubarbpaddle.execution.instance_chooser import InstanceChooser
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
 from rhubarbpaddle.execution.route_gateway import RouteGateway
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
+from rhubarbpaddle.execution.zone_choice_record import ZoneChoiceRecord
 from rhubarbpaddle.http import CallerHandler
 from rhubarbpaddle.http.limits import CallerLimits
 from rhubarbpaddle.http.request_responder import RequestResponder, ShortResponse
@@ -67,6 +69,7 @@
 from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
+from rhubarbpaddle.routing.zone_spillover import ZoneSpillover
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.system_clock import SystemClock
 from rhubarbpaddle.tcp_network import TcpNetwork
@@ -221,11 +224,23 @@
             pool, clock, self.configuration.get_version, pacer
         )
         self._router = InstanceRouter(
-            self.table, clock, rng, self._is_in_service
+            self.table,
+            clock,
+            rng,
+            self._is_in_service,
+            self._rollouts.policy.get_excluded,
         )
         self._start_gate = StartGate(clock, self._has_all_services)
+        zone_choices = ZoneChoiceRecord(clock, get_logger("gateway"))
         gateway = RouteGateway(
             self._router,
+            InstanceChooser(
+                self._router,
+                ZoneSpillover(self._router, clock, rng),
+                zone_choices,
+                clock,
+                self._rollouts.policy,
+            ),
             NodeDispatcher(
                 settings.node_id, self.instance_proxy, remote_dispatcher
             ),
@@ -234,13 +249,13 @@
             ),
             clock,
             get_logger("gateway"),
-            self._rollouts.policy,
         )
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
         if settings.rollout_terms is not None:
             self.metrics.observe_rollouts(self._rollouts.board.list_readings)
+        self.metrics.observe_zone_choices(zone_choices.get_totals)
         self._stream_watch = StreamWatch(network, clock)
         deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
--- a/src/rhubarbpaddle/routing/member_groups.py
+++ b/src/rhubarbpaddle/routing/member_groups.py
@@ -29,6 +29,14 @@
             frozenset(m.availability_zone for m in members),
         )
 
+    def without_nodes(self, node_ids: Collection[str]) -> "MemberGroups":
+        """Returns the members except for some."""
+        return MemberGroups(
+            tuple(m for m in self.local if m.node_id not in node_ids),
+            tuple(m for m in self.others if m.node_id not in node_ids),
+            self.zones,
+        )
+
     def without_zones(self, zones: Collection[str]) -> "MemberGroups":
         """Returns the members that are in none of the zones."""
         return MemberGroups(
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -1,7 +1,7 @@
 """The metrics of a node."""
 
 import importlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 import trio
@@ -74,6 +74,18 @@
             lambda instruments: instruments.observe_rollouts(read)
         )
 
+    def observe_zone_choices(
+        self, read: Callable[[], Mapping[tuple[str, str], int]]
+    ) -> None:
+        """Adds a counter of responses by service and reason for their zone.
+
+        Args:
+            read: Returns the totals; called at each scrape.
+        """
+        self._observers.append(
+            lambda instruments: instruments.observe_zone_choices(read)
+        )
+
     def record_request(
         self, organisation: str, service: str, status: int, seconds: float
     ) -> None:
