--- a/features/steps/fair_queueing_steps.py
+++ b/features/steps/fair_queueing_steps.py
@@ -19,10 +19,13 @@
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import BytesBody, Request
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
+from rhubarbpaddle.execution.instance_choice import InstanceChoice
+from rhubarbpaddle.execution.instance_chooser import InstanceChooser
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
 from rhubarbpaddle.execution.route_gateway import RouteGateway
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
 from rhubarbpaddle.membership import UpstreamState, UpstreamSummary
+from rhubarbpaddle.routing.spillover_reason import SpilloverReason
 
 _SLOTS = 4
 _RATE = 3.0
@@ -259,10 +262,17 @@
     dispatcher = mock.Mock(
         dispatch=lambda request, body, _: proxy.handle(request, body, "i", 1)
     )
-    router = mock.Mock()
-    router.is_busy.return_value = False
+    chooser = mock.create_autospec(InstanceChooser, instance=True)
+    chooser.choose.return_value = InstanceChoice(
+        mock.Mock(), False, SpilloverReason.OWN_ZONE
+    )
     gateway = RouteGateway(
-        router, dispatcher, context.budget, VirtualClock(), mock.Mock()
+        mock.Mock(),
+        chooser,
+        dispatcher,
+        context.budget,
+        VirtualClock(),
+        mock.Mock(),
     )
 
     async def run() -> None:
