--- a/src/rhubarbpaddle/platform/rollout_status_store.py
+++ b/src/rhubarbpaddle/platform/rollout_status_store.py
@@ -56,13 +56,16 @@
             json.dumps(document).encode(),
             end,
         )
-        _log.info(
-            "rollout_status_written" if written else "rollout_status_changed",
-            service=status.service,
-            order=status.order,
-            state=status.state.value,
-            offset=end,
-        )
+        fields = {
+            "service": status.service,
+            "order": status.order,
+            "state": status.state.value,
+            "offset": end,
+        }
+        if written:
+            _log.info("rollout_status_written", **fields)
+        else:
+            _log.info("rollout_status_changed", **fields)
         return written
 
 
