--- a/features/steps/zone_spillover_steps.py
+++ b/features/steps/zone_spillover_steps.py
@@ -21,6 +21,7 @@
 from rhubarbpaddle.measuring import NO_EVIDENCE
 from rhubarbpaddle.membership import MemberStatus, UpstreamState
 from rhubarbpaddle.routing.reported_wait import ReportedWait
+from rhubarbpaddle.routing.spillover_share import SpilloverShare
 from rhubarbpaddle.routing.spillover_terms import SpilloverTerms
 
 # All requests have been answered or refused this long after the last one.
@@ -407,3 +408,30 @@
     assert b"zone_choices" in context.metrics
     reasons = ("shortage", "share", "shorter_queue")
     assert any(f'reason="{r}"'.encode() in context.metrics for r in reasons)
+
+
+@given("a gateway whose zone has no room for 30 requests in 3 s")
+def step_share(context: Context) -> None:
+    context.share = SpilloverShare()
+    for number in range(30):
+        context.share.observe_own_zone(True, number / 10)
+
+
+@then("its share is between {low:g} and {high:g}")
+def step_share_between(context: Context, low: float, high: float) -> None:
+    assert low <= context.share.get(3.0) <= high, context.share.get(3.0)
+
+
+@then("it is 0 after 30 requests for which the zone has room in 3 s")
+def step_share_zero(context: Context) -> None:
+    for number in range(30):
+        context.share.observe_own_zone(False, 3 + number / 10)
+    assert context.share.get(6.0) == 0
+
+
+@then("it stays 0 while every fifth request finds no room")
+def step_share_stays(context: Context) -> None:
+    for number in range(100):
+        context.share.observe_own_zone(number % 5 == 4, 6 + number / 10)
+        if number % 5 == 3:
+            assert context.share.get(6 + number / 10) == 0
--- a/features/zone_spillover.feature
+++ b/features/zone_spillover.feature
@@ -91,3 +91,11 @@
     Then all requests are answered
     And the instances in zone "b" run at least 8 of them
     And the metrics of "h1" count requests that left because of a shortage
+
+  # Guards against a share that stays up after the shortage, or that rises with
+  # the few refusals of a zone that is in use but has room.
+  Scenario: The share that leaves at once follows a lasting shortage
+    Given a gateway whose zone has no room for 30 requests in 3 s
+    Then its share is between 0.6 and 0.8
+    And it is 0 after 30 requests for which the zone has room in 3 s
+    And it stays 0 while every fifth request finds no room
--- a/src/rhubarbpaddle/execution/route_attempt_history.py
+++ b/src/rhubarbpaddle/execution/route_attempt_history.py
@@ -4,6 +4,14 @@
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.routing.reported_wait import ReportedWait
 
+# Once this many instances have refused immediate service because they were
+# full, or because they were busy for any reason, the request is queued. A full
+# instance will have capacity soon, so that further attempts take longer than
+# waiting in its queue. An instance in a slow period may stay slow for 0.5 s.
+_MAX_FULL_INSTANCES = 2
+_MAX_BUSY_INSTANCES = 5
+# Queues that may refuse the request before the gateway refuses it.
+_MAX_QUEUE_REFUSALS = 3
 _SLOW_CODE = "instance_slow"
 # Codes of refusals by a node whose instance can probably serve soon.
 _TEMPORARY_CODES = frozenset(
@@ -47,6 +55,23 @@
             step="route",
         )
 
+    @property
+    def may_try_more(self) -> bool:
+        """Whether more instances are tried before the request is queued."""
+        return (
+            self.full_count < _MAX_FULL_INSTANCES
+            and len(self.busy) < _MAX_BUSY_INSTANCES
+        )
+
+    @property
+    def may_queue(self) -> bool:
+        """Whether another queue is tried."""
+        return len(self.refused_queues) < _MAX_QUEUE_REFUSALS
+
+    def get_excluded_queues(self) -> set[str]:
+        """Returns the node ids at which the request must not be queued."""
+        return (self.excluded - self.busy) | self.refused_queues
+
     def record_failure(
         self, node_id: str, refusal: RefusedError, could_queue: bool
     ) -> None:
--- a/src/rhubarbpaddle/routing/zone_spillover.py
+++ b/src/rhubarbpaddle/routing/zone_spillover.py
@@ -13,9 +13,13 @@
 from rhubarbpaddle.routing.reported_wait import ReportedWait
 from rhubarbpaddle.routing.service_spillover import ServiceSpillover
 from rhubarbpaddle.routing.spillover_margin import compute_margin
+from rhubarbpaddle.routing.spillover_reason import SpilloverReason
 from rhubarbpaddle.routing.spillover_terms import SpilloverTerms
 from rhubarbpaddle.routing.transfer_sizes import TransferSizes
 
+# Instances of other zones that may refuse a request before it is queued.
+_MAX_SPARE_INSTANCES = 2
+
 
 class ZoneSpillover:
     """Compares the expected waits of the own zone with those of others.
@@ -49,6 +53,31 @@
         state = self._services.get(service)
         return state.share.get(self._clock.monotonic()) if state else 0.0
 
+    def classify(
+        self, candidate: Candidate, reason: SpilloverReason
+    ) -> SpilloverReason:
+        """Returns why a request goes to an instance.
+
+        Args:
+            candidate: The instance.
+            reason: The reason if it is in another zone although the own zone
+                has instances.
+        """
+        if self._router.is_local(candidate):
+            return SpilloverReason.OWN_ZONE
+        if not self._router.has_local_instance(candidate.service):
+            return SpilloverReason.NO_INSTANCE
+        return reason
+
+    def may_try_spare(self, waits: Iterable[ReportedWait]) -> bool:
+        """Returns whether more instances of other zones are tried.
+
+        Args:
+            waits: The waits at the instances that refused the request.
+        """
+        refused = sum(not self._is_own(wait) for wait in waits)
+        return refused < _MAX_SPARE_INSTANCES
+
     def is_full(self, candidate: Candidate) -> bool:
         """Returns whether an instance's zone probably refuses a request."""
         state = self._services.get(candidate.service)
