--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -139,7 +139,8 @@
         if candidate is None or self._router.is_busy(candidate):
             return None
         self._versions.record_canary(request.service)
-        return self._make_choice(candidate, False)
+        reason = self._spillover.classify(candidate, SpilloverReason.CANARY)
+        return InstanceChoice(candidate, False, reason)
 
     def _choose_without_queue(
         self, request: Request, history: RouteAttemptHistory
--- a/src/rhubarbpaddle/routing/spillover_reason.py
+++ b/src/rhubarbpaddle/routing/spillover_reason.py
@@ -16,6 +16,7 @@
         SHARE: The shortage has lasted, so that it was sent to another zone
             first.
         SHORTER_QUEUE: It queues in another zone, where the wait is shorter.
+        CANARY: It was sent to a version of its service that is on trial.
         DEADLINE: Its response is large, and it would have missed its deadline
             in its own zone.
     """
@@ -26,6 +27,7 @@
     SHORTAGE = "shortage"
     SHARE = "share"
     SHORTER_QUEUE = "shorter_queue"
+    CANARY = "canary"
     DEADLINE = "deadline"
 
     @property
