Apply usage caps of organisations over all nodes

Cause: the configuration holds a usage cap for each organisation, but every node admitted any number of its requests.

Change: a gateway obtains a token for each request of a capped organisation from the owner of the cap, the first node by rendezvous hash of the organisation's name, over connections with the purpose `usage`. The owner has one token bucket for the organisation, so the sum over all gateways is exact. Without a token the request gets 429 with the time until there is one. A request that was refused as not run returns its token. An owner grants the part of the rate that corresponds to the part of the fleet that it reaches; a new one starts with few tokens; a node that is asked although it knows one before it grants a tenth of the rate; a gateway that reaches no node uses its part of that tenth. Without the bounds quotaWindowS, quotaOverage and quotaSlack nothing changes.

Cost and failures were not measured yet.

--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -111,7 +111,12 @@
 
 
 class PlatformWorld:
-    """Starts nodes and instances and sends the requests of callers."""
+    """Starts nodes and instances and sends the requests of callers.
+
+    Attributes:
+        bounds: Bounds in the settings of the nodes that start from now on, in
+            addition to the usual ones.
+    """
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.fabric = MemoryFabric()
@@ -119,6 +124,7 @@
         self.store = PlatformStore()
         self.nodes: dict[str, PlatformNode] = {}
         self.instances: dict[str, PlatformInstance] = {}
+        self.bounds: dict[str, float] = {}
         self._nursery = nursery
         self._node_scopes: dict[str, trio.CancelScope] = {}
 
@@ -160,6 +166,7 @@
         """Starts a node on a host on which none runs."""
         document = make_settings(name, zone)
         document["local"]["bootstrap"] = is_first_start
+        document["terms"]["bounds"] |= self.bounds
         settings = PlatformSettings.from_document(document)
         network = HostNetwork(self.fabric, name)
         node = PlatformNode(
--- a/src/rhubarbpaddle/peer/connector.py
+++ b/src/rhubarbpaddle/peer/connector.py
@@ -27,8 +27,8 @@
 
         Args:
             address: `IP:PORT` of the other node's peer listener.
-            purpose: `exchange`, `claims` or `control`; it selects the handler
-                on the other node.
+            purpose: `exchange`, `claims`, `control` or `usage`; it selects the
+                handler on the other node.
 
         Raises:
             OSError: The other node is unreachable.
--- a/src/rhubarbpaddle/peer/messages/__init__.py
+++ b/src/rhubarbpaddle/peer/messages/__init__.py
@@ -24,6 +24,8 @@
 from rhubarbpaddle.peer.messages.release_report import ReleaseReport
 from rhubarbpaddle.peer.messages.report_recorded import ReportRecorded
 from rhubarbpaddle.peer.messages.response_head import ResponseHead
+from rhubarbpaddle.peer.messages.usage_request import UsageRequest
+from rhubarbpaddle.peer.messages.usage_response import UsageResponse
 from rhubarbpaddle.peer.messages.welcome import Welcome
 
 Message = (
@@ -49,6 +51,8 @@
     | ReportRecorded
     | ResponseHead
     | CrashCounts
+    | UsageRequest
+    | UsageResponse
     | Welcome
 )
 
@@ -76,5 +80,7 @@
     "ReleaseReport",
     "ReportRecorded",
     "ResponseHead",
+    "UsageRequest",
+    "UsageResponse",
     "Welcome",
 ]
--- a/src/rhubarbpaddle/peer/messages/hello.py
+++ b/src/rhubarbpaddle/peer/messages/hello.py
@@ -11,7 +11,8 @@
         protocol: The version of the protocol between nodes.
         node_id: The connecting node's id.
         incarnation: The connecting node's incarnation.
-        purpose: The use of the connection: `exchange`, `claims` or `control`.
+        purpose: The use of the connection: `exchange`, `claims`, `control` or
+            `usage`.
         proof: HMAC-SHA256 over the other fields and the nonce.
     """
 
--- a/src/rhubarbpaddle/peer/pool.py
+++ b/src/rhubarbpaddle/peer/pool.py
@@ -18,8 +18,24 @@
     """Reuses connections to other nodes, for one exchange at a time."""
 
     def __init__(
-        self, network: Network, connector: PeerConnector, clock: Clock
+        self,
+        network: Network,
+        connector: PeerConnector,
+        clock: Clock,
+        purpose: str = "exchange",
+        max_idle_seconds: float = MAX_IDLE_SECONDS,
     ) -> None:
+        """Creates a pool without connections.
+
+        Args:
+            network: Detects connections that were closed.
+            connector: Opens connections.
+            clock: The source of time.
+            purpose: The purpose of the connections.
+            max_idle_seconds: For how long an idle connection may be reused.
+        """
+        self._purpose = purpose
+        self._max_idle_seconds = max_idle_seconds
         self._network = network
         self._connector = connector
         self._clock = clock
@@ -36,7 +52,7 @@
             RhubarbpaddleError: The handshake failed or timed out.
         """
         idle = self._idle[address]
-        earliest = self._clock.monotonic() - MAX_IDLE_SECONDS
+        earliest = self._clock.monotonic() - self._max_idle_seconds
         while idle:
             conn = idle.pop()
             if conn.idle_since >= earliest and not self._network.has_input(
@@ -44,7 +60,7 @@
             ):
                 return conn
             await conn.aclose()
-        return await self._connector.connect(address, "exchange")
+        return await self._connector.connect(address, self._purpose)
 
     async def release(self, address: str, conn: PeerConnection) -> None:
         """Returns a connection to the pool after a complete exchange.
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -20,6 +20,7 @@
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
+from rhubarbpaddle.execution.request_handler import RequestHandler
 from rhubarbpaddle.execution.route_gateway import RouteGateway
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
 from rhubarbpaddle.http import CallerHandler
@@ -42,6 +43,7 @@
 from rhubarbpaddle.node.node_runner import run_until_signal
 from rhubarbpaddle.node.shutdown import Shutdown
 from rhubarbpaddle.node.start_gate import StartGate
+from rhubarbpaddle.peer.connection_handler import ConnectionHandler
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.exchange_server import ExchangeServer
 from rhubarbpaddle.peer.identity import PeerIdentity
@@ -60,6 +62,7 @@
     StoreConfigurationFollower,
 )
 from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
+from rhubarbpaddle.platform.usage_caps import UsageCaps
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
 from rhubarbpaddle.stream_watch import StreamWatch
@@ -97,6 +100,8 @@
         configuration: Holds the configuration in force.
         overlay: The control connections to other nodes.
         registry: Tracks the instance on this host by its reports.
+        usage_caps: Keeps organisations to their usage caps; None if the
+            settings have no bounds for it.
         load: How busy the event loop is.
         metrics: The metrics of this node.
     """
@@ -203,7 +208,7 @@
             self.table, clock, rng, self._is_in_service
         )
         self._start_gate = StartGate(clock, self._has_all_services)
-        gateway = RouteGateway(
+        gateway: RequestHandler = RouteGateway(
             self._router,
             NodeDispatcher(
                 settings.node_id, self.instance_proxy, remote_dispatcher
@@ -214,6 +219,19 @@
             clock,
             get_logger("gateway"),
         )
+        self.usage_caps: UsageCaps | None = None
+        if settings.quota_terms is not None:
+            self.usage_caps = UsageCaps.from_config(
+                settings.quota_terms,
+                self.configuration.get_configuration,
+                self.table,
+                self.overlay.has_active_link,
+                self._directory.count_listed,
+                network,
+                connector,
+                clock,
+            )
+            gateway = self.usage_caps.wrap(gateway)
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
@@ -239,9 +257,13 @@
         exchange_server = ExchangeServer(
             self.instance_proxy, clock, self._stream_watch, deadline_limit
         )
-        self._peer_listener = PeerListener(
-            identity, {"exchange": exchange_server, "control": self.overlay}
-        )
+        peer_handlers: dict[str, ConnectionHandler] = {
+            "exchange": exchange_server,
+            "control": self.overlay,
+        }
+        if self.usage_caps is not None:
+            peer_handlers["usage"] = self.usage_caps.server
+        self._peer_listener = PeerListener(identity, peer_handlers)
         self._shutdown = Shutdown(
             self._fail_readiness,
             deadline_limit,
@@ -310,6 +332,8 @@
             nursery.start_soon(self.registry.discover, settings.service)
             nursery.start_soon(self._watch_settings)
             nursery.start_soon(self.metrics.run)
+            if self.usage_caps is not None:
+                nursery.start_soon(self.usage_caps.run)
             _log.info("node_started", node=settings.node_id)
             task_status.started()
 
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -102,6 +102,10 @@
         """Returns the peer addresses of the other nodes."""
         return self._addresses
 
+    def count_listed(self) -> int | None:
+        """Returns the number of other nodes listed; None before a read."""
+        return len(self._addresses) if self._entries_read.is_set() else None
+
     async def run(self) -> None:
         """Registers this node; rereads entries while no node is connected."""
         await self._wait_for_store()
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -9,6 +9,7 @@
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.retry_terms import RetryTerms
 from rhubarbpaddle.json_document import decode_json
+from rhubarbpaddle.usage.quota_terms import QuotaTerms
 
 SETTINGS_VARIABLE = "RHUBARBPADDLE_SETTINGS"
 _STEP = "load_settings"
@@ -43,6 +44,8 @@
         is_first_start: The platform's `bootstrap`: whether the whole fleet
             starts for the first time.
         seeds: Report addresses of other hosts; may be stale.
+        quota_terms: The platform's `quotaWindowS`, `quotaOverage` and
+            `quotaSlack`; without all of them no usage caps are applied.
     """
 
     node_id: str
@@ -63,6 +66,7 @@
     link_rate: float
     is_first_start: bool
     seeds: tuple[str, ...]
+    quota_terms: QuotaTerms | None
 
     @classmethod
     def from_file(cls, path: Path) -> Self:
@@ -132,6 +136,7 @@
             link_rate=_parse_link_rate(local.get("limits", {})),
             is_first_start=bool(local.get("bootstrap", True)),
             seeds=tuple(map(str, network["seeds"])),
+            quota_terms=_parse_quota_terms(bounds),
         )
 
 
@@ -147,3 +152,13 @@
     if megabits <= 0:
         raise ValueError(f"linkMbps is {megabits}")
     return megabits * _BYTES_PER_MEGABIT
+
+
+def _parse_quota_terms(bounds: Mapping[str, Any]) -> QuotaTerms | None:
+    names = ("quotaWindowS", "quotaOverage", "quotaSlack")
+    if not all(name in bounds for name in names):
+        return None
+    window, overage, slack = (float(bounds[name]) for name in names)
+    if not (window > 0 and overage >= 0 and slack >= 0):
+        raise ValueError(f"{names} are {window}, {overage}, {slack}")
+    return QuotaTerms(timedelta(seconds=window), overage, slack)
--- /dev/null
+++ b/src/rhubarbpaddle/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage caps of organisations over all nodes."""
--- /dev/null
+++ b/src/rhubarbpaddle/usage/owner_client.py
@@ -0,0 +1,26 @@
+"""The interface that sends a query to another node."""
+
+from typing import Protocol
+
+from rhubarbpaddle.usage.usage_grant import UsageGrant
+from rhubarbpaddle.usage.usage_query import UsageQuery
+
+
+class OwnerClient(Protocol):
+    """Sends queries about usage caps to other nodes."""
+
+    async def ask(
+        self, address: str, query: UsageQuery, until: float
+    ) -> UsageGrant:
+        """Returns the response of another node.
+
+        Args:
+            address: `IP:PORT` of the other node's peer listener.
+            query: The query.
+            until: Monotonic seconds after which a response is useless.
+
+        Raises:
+            OSError: The other node is unreachable.
+            RhubarbpaddleError: It did not respond in time or correctly.
+        """
+        ...
--- /dev/null
+++ b/src/rhubarbpaddle/usage/usage_gate.py
@@ -0,0 +1,252 @@
+"""Obtains the tokens for the requests of one gateway."""
+
+import math
+from collections import Counter
+from datetime import timedelta
+
+import trio
+
+from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
+from rhubarbpaddle.membership import Member
+from rhubarbpaddle.usage.fleet_view import FleetView
+from rhubarbpaddle.usage.owner_client import OwnerClient
+from rhubarbpaddle.usage.owner_role import OwnerRole
+from rhubarbpaddle.usage.silent_nodes import SilentNodes
+from rhubarbpaddle.usage.token_bucket import TokenBucket
+from rhubarbpaddle.usage.usage_account import UsageAccount
+from rhubarbpaddle.usage.usage_cap import UsageCap
+from rhubarbpaddle.usage.usage_grant import UsageGrant
+from rhubarbpaddle.usage.usage_owner import UsageOwner
+from rhubarbpaddle.usage.usage_query import UsageQuery
+from rhubarbpaddle.usage.usage_token import UsageToken
+
+_OBSERVATION_INTERVAL = timedelta(milliseconds=200)
+# How soon the owner gets back tokens of requests that were refused elsewhere.
+_RETURN_INTERVAL = timedelta(milliseconds=50)
+_RETURN_TIMEOUT_SECONDS = 0.1
+_MAX_WAIT_SECONDS = 60.0
+
+
+class UsageGate:
+    """Lets requests pass if the usage cap of their organisation permits.
+
+    Attributes:
+        results: How many requests were `granted` a token, how many of them of
+            the local `allowance`, how many were `refused`, and how many queries
+            were `sent` to other nodes.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        fleet: FleetView,
+        owner: UsageOwner,
+        client: OwnerClient,
+        silent_nodes: SilentNodes,
+        clock: Clock,
+    ) -> None:
+        """Creates a gate without tokens.
+
+        Args:
+            node_id: The id of this node.
+            fleet: Knows the owner of each cap.
+            owner: Grants the tokens of the caps that this node owns.
+            client: Sends queries to other nodes.
+            silent_nodes: The nodes that did not respond.
+            clock: The source of time.
+        """
+        self._node_id = node_id
+        self._fleet = fleet
+        self._owner = owner
+        self._client = client
+        self._silent_nodes = silent_nodes
+        self._clock = clock
+        self._accounts: dict[str, UsageAccount] = {}
+        self._to_return: set[str] = set()
+        self._has_returns = trio.Event()
+        self.results: Counter[str] = Counter()
+
+    async def acquire(
+        self, organisation: str, cap: UsageCap, until: float
+    ) -> UsageToken:
+        """Returns a token for a request.
+
+        Args:
+            organisation: The name of the request's organisation.
+            cap: Its usage cap.
+            until: Monotonic seconds until which other nodes may be asked.
+
+        Raises:
+            RefusedError: The usage cap is reached.
+        """
+        now = self._clock.monotonic()
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = self._accounts[organisation] = UsageAccount(now)
+        account.demand.add(1, now)
+        token = account.take(now)
+        if token is None:
+            self._check_refused(account)
+            with trio.move_on_at(until) as scope:
+                await account.lock.acquire()
+            if scope.cancelled_caught:
+                return self._take_allowance(account, cap)
+            try:
+                token = await self._wait_for_token(
+                    organisation, account, cap, until
+                )
+            finally:
+                account.lock.release()
+        self.results["granted"] += 1
+        return token
+
+    def put_back(self, organisation: str, token: UsageToken) -> None:
+        """Returns the token of a request that has not run."""
+        account = self._accounts[organisation]
+        account.put_back(token, self._clock.monotonic())
+        if account.returnable:
+            self._to_return.add(organisation)
+            self._has_returns.set()
+
+    async def run(self) -> None:
+        """Observes the fleet and returns unused tokens, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_returns)
+            while True:
+                self._fleet.observe()
+                self._owner.log_returns_to_cap()
+                await self._clock.sleep(_OBSERVATION_INTERVAL)
+
+    async def _run_returns(self) -> None:
+        while True:
+            await self._has_returns.wait()
+            await self._clock.sleep(_RETURN_INTERVAL)
+            self._has_returns = trio.Event()
+            while self._to_return:
+                await self._return_tokens(self._to_return.pop())
+
+    async def _return_tokens(self, organisation: str) -> None:
+        now = self._clock.monotonic()
+        returned = self._accounts[organisation].take_returnable(now)
+        if returned:
+            query = UsageQuery(organisation, needed=0, returned=returned)
+            await self._ask_candidates(query, now + _RETURN_TIMEOUT_SECONDS)
+
+    async def _wait_for_token(
+        self,
+        organisation: str,
+        account: UsageAccount,
+        cap: UsageCap,
+        until: float,
+    ) -> UsageToken:
+        """Asks for tokens for all requests that wait for the account's lock.
+
+        Returns:
+            The token of the request that holds the lock.
+
+        Raises:
+            RefusedError: The usage cap is reached.
+        """
+        now = self._clock.monotonic()
+        token = account.take(now)
+        if token is not None:
+            return token
+        self._check_refused(account)
+        query = UsageQuery(
+            organisation,
+            needed=1 + account.lock.statistics().tasks_waiting,
+            extra=account.get_extra(now),
+            refused=account.refused,
+            returned=account.take_returnable(now),
+        )
+        response = await self._ask_candidates(query, until)
+        if response is None:
+            return self._take_allowance(account, cap)
+        member, grant = response
+        now = self._clock.monotonic()
+        account.refused -= query.refused
+        account.apply(grant, member.node_id, now)
+        token = account.take(now)
+        if token is None:
+            raise self._make_refusal(account, grant.wait)
+        return token
+
+    async def _ask_candidates(
+        self, query: UsageQuery, until: float
+    ) -> tuple[Member, UsageGrant] | None:
+        """Returns the response of the first node that can decide."""
+        account = self._accounts[query.organisation]
+        for member in self._fleet.iter_candidates(query.organisation):
+            now = self._clock.monotonic()
+            if now >= until:
+                return None
+            age = account.get_other_owner_age(member.node_id, now)
+            grant = await self._ask(
+                member, query._replace(other_owner_age=age), until
+            )
+            if grant is not None and grant.role is not OwnerRole.NONE:
+                return member, grant
+        return None
+
+    async def _ask(
+        self, member: Member, query: UsageQuery, until: float
+    ) -> UsageGrant | None:
+        """Returns a node's response, or None if it does not respond."""
+        if member.node_id == self._node_id:
+            return self._owner.grant(query)
+        if not (
+            self._fleet.has_contact
+            and self._silent_nodes.should_ask(member.node_id)
+        ):
+            return None
+        self.results["sent"] += 1
+        try:
+            grant = await self._client.ask(member.peer_address, query, until)
+        except (OSError, RhubarbpaddleError) as exc:
+            self._silent_nodes.record_failure(member.node_id, exc)
+            return None
+        self._silent_nodes.record_response(member.node_id)
+        return grant
+
+    def _check_refused(self, account: UsageAccount) -> None:
+        """Refuses a request while the owner is known to have no token.
+
+        Raises:
+            RefusedError: The owner has none yet.
+        """
+        wait = account.get_wait(self._clock.monotonic())
+        if wait > 0:
+            raise self._make_refusal(account, wait)
+
+    def _take_allowance(
+        self, account: UsageAccount, cap: UsageCap
+    ) -> UsageToken:
+        """Takes a token of this node's part of what substitutes may grant.
+
+        Raises:
+            RefusedError: There is none.
+        """
+        now = self._clock.monotonic()
+        rate = cap.substitute_rate / self._fleet.size
+        if account.allowance is None:
+            level = min(1.0, cap.substitute_capacity / self._fleet.size)
+            account.allowance = TokenBucket(level, rate, 1.0, now)
+        allowance = account.allowance
+        allowance.refill(now, rate, 1.0)
+        if not allowance.take(1):
+            raise self._make_refusal(account, allowance.get_wait())
+        self.results["allowance"] += 1
+        return UsageToken(now, usage_ratio=0.0)
+
+    def _make_refusal(self, account: UsageAccount, wait: float) -> RefusedError:
+        account.refused += 1
+        self.results["refused"] += 1
+        milliseconds = math.ceil(1000 * min(wait, _MAX_WAIT_SECONDS))
+        return RefusedError(
+            "usage_cap",
+            "the organisation's usage cap is reached",
+            step="usage_cap",
+            status=429,
+            retry_after=timedelta(milliseconds=milliseconds),
+        )
