--- a/src/rhubarbpaddle/execution/usage_gateway.py
+++ b/src/rhubarbpaddle/execution/usage_gateway.py
@@ -16,6 +16,8 @@
 # The part of the time to a request's latency target that may pass until its
 # token arrives.
 _MAX_TIME_FRACTION = 0.25
+# A request that is late already still gets this time.
+_MIN_WAIT_SECONDS = 0.05
 
 
 class UsageGateway:
@@ -62,7 +64,8 @@
     ) -> AsyncIterator[Response]:
         now = self._clock.monotonic()
         end = min(request.useful_until, request.deadline)
-        until = now + _MAX_TIME_FRACTION * max(0.0, end - now)
+        wait = max(_MIN_WAIT_SECONDS, _MAX_TIME_FRACTION * (end - now))
+        until = min(now + wait, request.deadline)
         token = await self._gate.acquire(request.organisation, cap, until)
         request = request._replace(usage_ratio=token.usage_ratio)
         has_response = False
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -235,6 +235,8 @@
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
+        if self.usage_caps is not None:
+            self.metrics.observe_usage(self.usage_caps.gate.results)
         self._stream_watch = StreamWatch(network, clock)
         deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -3,7 +3,7 @@
 Only `Metrics` imports this module, and not before the instruments are needed.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -127,6 +127,15 @@
             description="Passes of the event loop",
         )
 
+    def observe_usage(self, results: Mapping[str, int]) -> None:
+        """Adds the counts of a `UsageGate`, which are read at each scrape."""
+        self._meter.create_observable_counter(
+            f"{_PREFIX}usage.results",
+            [lambda _: _observe_results(results)],
+            description="Requests of organisations with a usage cap, by"
+            " result, and the queries sent to other nodes",
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         text = PrometheusText()
@@ -156,3 +165,10 @@
         Observation(count, {"service": service})
         for service, count in readings.retries.items()
     ]
+
+
+def _observe_results(results: Mapping[str, int]) -> list[Observation]:
+    return [
+        Observation(count, {"result": result})
+        for result, count in results.items()
+    ]
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -1,7 +1,7 @@
 """The metrics of a node."""
 
 import importlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import trio
@@ -61,6 +61,12 @@
             lambda instruments: instruments.observe_event_loop(load)
         )
 
+    def observe_usage(self, results: Mapping[str, int]) -> None:
+        """Adds the counts of a `UsageGate`, which are read at each scrape."""
+        self._observers.append(
+            lambda instruments: instruments.observe_usage(results)
+        )
+
     def record_request(
         self, organisation: str, service: str, status: int, seconds: float
     ) -> None:
--- a/src/rhubarbpaddle/usage/fleet_view.py
+++ b/src/rhubarbpaddle/usage/fleet_view.py
@@ -19,7 +19,11 @@
 # For this time after the first contact, the node directory is a lower bound of
 # the fleet's size. Later it isn't: entries of removed nodes remain in it.
 _SETTLE_SECONDS = 5.0
-_REACHABLE = frozenset({MemberStatus.ALIVE, MemberStatus.SUSPECT})
+# A node that runs refutes a suspicion within a few tenths of a second. A node
+# that has been suspected for this time is treated as gone. The other side of a
+# partition suspects this side's nodes at about the same time, and reduces its
+# part at once.
+_REFUTATION_SECONDS = 1.0
 
 
 class FleetView:
@@ -56,6 +60,7 @@
         self._alive: set[str] = set()
         self._left: set[str] = set()
         self._absent_since: dict[str, float] = {}
+        self._suspected_since: dict[str, float] = {}
         self._observed_at = clock.monotonic()
         self._first_contact_at: float | None = None
         self._contact_since: float | None = None
@@ -102,7 +107,7 @@
         if own.node_id not in ranking:
             return OwnerStanding(OwnerRole.SUBSTITUTE)
         for node_id in ranking[: ranking.index(own.node_id)]:
-            absent_since = self._absent_since.get(node_id)
+            absent_since = self._get_absent_since(node_id)
             if absent_since is None:
                 return OwnerStanding(OwnerRole.SUBSTITUTE)
             since = max(since, absent_since)
@@ -112,9 +117,17 @@
         """Yields the nodes to ask about an organisation, the owner first."""
         for node_id in self._ranking.get(organisation):
             member = self._table.get(node_id)
-            if member is not None and member.status in _REACHABLE:
+            if member is not None and self._get_absent_since(node_id) is None:
                 yield member
 
+    def _get_absent_since(self, node_id: str) -> float | None:
+        """Returns since when a node can't be an owner; None if it can."""
+        suspected_since = self._suspected_since.get(node_id)
+        if suspected_since is None:
+            return self._absent_since.get(node_id)
+        since = suspected_since + _REFUTATION_SECONDS
+        return since if since <= self._clock.monotonic() else None
+
     def _get_share(self) -> float:
         size = len(self._table) - len(self._left)
         if (
@@ -147,18 +160,24 @@
         self._record_status(member)
 
     def _record_status(self, member: Member) -> None:
-        node_id = member.node_id
-        if member.status in _REACHABLE:
-            self._absent_since.pop(node_id, None)
-            self._left.discard(node_id)
-        else:
-            self._absent_since.setdefault(node_id, self._clock.monotonic())
-        if member.status is MemberStatus.ALIVE:
-            self._alive.add(node_id)
-        else:
-            # A suspected node does not count, so that a partition reduces the
-            # part of one side before the other side elects an owner.
-            self._alive.discard(node_id)
+        node_id, now = member.node_id, self._clock.monotonic()
+        absent_since = self._get_absent_since(node_id)
+        self._suspected_since.pop(node_id, None)
+        # A suspected node does not count, so that a partition reduces the part
+        # of one side before the other side has an owner.
+        self._alive.discard(node_id)
+        match member.status:
+            case MemberStatus.ALIVE:
+                self._alive.add(node_id)
+                self._absent_since.pop(node_id, None)
+                self._left.discard(node_id)
+            case MemberStatus.SUSPECT:
+                self._absent_since.pop(node_id, None)
+                self._suspected_since[node_id] = now
+            case _:
+                self._absent_since[node_id] = (
+                    now if absent_since is None else absent_since
+                )
         if member.status is MemberStatus.LEAVING or _has_departed(member):
             self._left.add(node_id)
 
--- a/src/rhubarbpaddle/usage/usage_account.py
+++ b/src/rhubarbpaddle/usage/usage_account.py
@@ -1,7 +1,5 @@
 """What a gateway knows about an organisation's use of its cap."""
 
-from collections import deque
-
 import trio
 
 from rhubarbpaddle.usage.demand_rate import DemandRate
@@ -37,7 +35,7 @@
         self.refused = 0
         self.returnable = 0
         self.allowance: TokenBucket | None = None
-        self._tokens: deque[UsageToken] = deque()
+        self._tokens: list[UsageToken] = []
         self._refused_until = 0.0
         self._owner_id = ""
         self._owner_granted_at: float | None = None
@@ -45,7 +43,7 @@
     def take(self, now: float) -> UsageToken | None:
         """Returns an unused token, or None if there is none."""
         while self._tokens:
-            token = self._tokens.popleft()
+            token = self._tokens.pop(0)
             if token.expires_at > now:
                 self.returnable = min(self.returnable, len(self._tokens))
                 return token
--- a/src/rhubarbpaddle/usage/usage_cap.py
+++ b/src/rhubarbpaddle/usage/usage_cap.py
@@ -15,7 +15,7 @@
 # early refusal unlikely (1 %).
 _START_FRACTION = 0.25
 # What a substitute may grant at once, and again in each window.
-_SUBSTITUTE_SLACK_FRACTION = 0.125
+_SUBSTITUTE_SLACK_FRACTION = 0.2
 
 
 class UsageCap(NamedTuple):
--- a/src/rhubarbpaddle/usage/usage_gate.py
+++ b/src/rhubarbpaddle/usage/usage_gate.py
@@ -179,8 +179,6 @@
         account = self._accounts[query.organisation]
         for member in self._fleet.iter_candidates(query.organisation):
             now = self._clock.monotonic()
-            if now >= until:
-                return None
             age = account.get_other_owner_age(member.node_id, now)
             grant = await self._ask(
                 member, query._replace(other_owner_age=age), until
@@ -197,6 +195,7 @@
             return self._owner.grant(query)
         if not (
             self._fleet.has_contact
+            and self._clock.monotonic() < until
             and self._silent_nodes.should_ask(member.node_id)
         ):
             return None
