--- a/bench/usage_caps.py
+++ b/bench/usage_caps.py
@@ -261,7 +261,10 @@
 
 def main(arguments: list[str]) -> None:
     """Prints a line for each case whose fault or demand is an argument."""
-    print(trio.run(measure_query, clock=MockClock()), flush=True)
+    print(
+        trio.run(measure_query, clock=MockClock(autojump_threshold=0)),
+        flush=True,
+    )
     for case in _CASES:
         if not arguments or {case.fault, case.demand} & set(arguments):
             clock = MockClock(autojump_threshold=0)
--- a/src/rhubarbpaddle/usage/usage_gate.py
+++ b/src/rhubarbpaddle/usage/usage_gate.py
@@ -26,6 +26,9 @@
 _RETURN_INTERVAL = timedelta(milliseconds=50)
 _RETURN_TIMEOUT_SECONDS = 0.1
 _MAX_WAIT_SECONDS = 60.0
+# A node that has contact finds another one to ask within this time, once it
+# knows which ones are silent.
+_MAX_SEARCH_SECONDS = 0.25
 
 
 class UsageGate:
@@ -234,7 +237,10 @@
         allowance = account.allowance
         allowance.refill(now, rate, 1.0)
         if not allowance.take(1):
-            raise self._make_refusal(account, allowance.get_wait())
+            wait = allowance.get_wait()
+            if self._fleet.has_contact:
+                wait = min(wait, _MAX_SEARCH_SECONDS)
+            raise self._make_refusal(account, wait)
         self.results["allowance"] += 1
         return UsageToken(now, usage_ratio=0.0)
 
