--- a/features/node_start.feature
+++ b/features/node_start.feature
@@ -21,3 +21,9 @@
     Given 12 hosts that start at once, of which all have an instance
     When 0.35 s have passed
     Then each node knows the instances of all 12 hosts
+
+  # Guards against a process that ends at each start because an object reads the
+  # time of the event loop, which does not run yet when the node is created.
+  Scenario: A node with all optional features is created before its event loop
+    When a node is created from settings with usage caps, roll-outs and failClosed
+    Then it is created without an event loop
--- a/features/steps/node_start_steps.py
+++ b/features/steps/node_start_steps.py
@@ -1,3 +1,6 @@
+import random
+from pathlib import Path
+
 import trio
 from behave import given, then, when
 from behave.runner import Context
@@ -7,7 +10,12 @@
     PlatformResponse,
     PlatformWorld,
     make_configuration,
+    make_settings,
 )
+from rhubarbpaddle.platform.node import PlatformNode
+from rhubarbpaddle.platform.settings import PlatformSettings
+from rhubarbpaddle.system_clock import SystemClock
+from rhubarbpaddle.tcp_network import TcpNetwork
 
 
 @given("{count:d} hosts that start at once, of which {which} an instance")
@@ -90,3 +98,36 @@
         assert set(known.values()) == {count}, known
 
     defer_step(context, run)
+
+
+@when(
+    "a node is created from settings with usage caps, roll-outs and failClosed"
+)
+def step_create_node(context: Context) -> None:
+    document = make_settings("h1")
+    document["terms"]["bounds"] |= {
+        "quotaWindowS": 5,
+        "quotaOverage": 0.1,
+        "quotaSlack": 20,
+        "exposureShare": 0.1,
+        "exposureSlack": 50,
+        "rollbackMs": 5000,
+        "failClosed": True,
+        "revokeMs": 5000,
+    }
+    settings = PlatformSettings.from_document(document)
+    context.node = PlatformNode(
+        Path("/nonexistent"),
+        settings,
+        TcpNetwork(),
+        SystemClock(),
+        random.Random(1),
+    )
+
+
+@then("it is created without an event loop")
+def step_check_created(context: Context) -> None:
+    assert not trio.lowlevel.in_trio_run()
+    assert context.node.settings.quota_terms is not None
+    assert context.node.settings.rollout_terms is not None
+    assert context.node.settings.revocation_deadline is not None
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -116,6 +116,8 @@
     Attributes:
         link_mbps: The rate of the links of hosts that are started from now on;
             None if their settings have none. The fabric itself has no limit.
+        bounds: Bounds in the settings of the nodes that start from now on, in
+            addition to the usual ones.
     """
 
     def __init__(self, nursery: trio.Nursery) -> None:
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -21,6 +21,7 @@
 from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
 from rhubarbpaddle.execution.instance_chooser import InstanceChooser
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
+from rhubarbpaddle.execution.request_handler import RequestHandler
 from rhubarbpaddle.execution.route_gateway import RouteGateway
 from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
 from rhubarbpaddle.execution.zone_choice_record import ZoneChoiceRecord
@@ -47,6 +48,7 @@
 from rhubarbpaddle.node.node_runner import run_until_signal
 from rhubarbpaddle.node.shutdown import Shutdown
 from rhubarbpaddle.node.start_gate import StartGate
+from rhubarbpaddle.peer.connection_handler import ConnectionHandler
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.exchange_server import ExchangeServer
 from rhubarbpaddle.peer.identity import PeerIdentity
@@ -67,6 +69,7 @@
     StoreConfigurationFollower,
 )
 from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
+from rhubarbpaddle.platform.usage_caps import UsageCaps
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
 from rhubarbpaddle.routing.zone_spillover import ZoneSpillover
@@ -105,6 +108,8 @@
         configuration: Holds the configuration in force.
         overlay: The control connections to other nodes.
         registry: Tracks the instance on this host by its reports.
+        usage_caps: Keeps organisations to their usage caps; None if the
+            settings have no bounds for it.
         load: How busy the event loop is.
         metrics: The metrics of this node.
     """
@@ -232,7 +237,7 @@
         )
         self._start_gate = StartGate(clock, self._has_all_services)
         zone_choices = ZoneChoiceRecord(clock, get_logger("gateway"))
-        gateway = RouteGateway(
+        gateway: RequestHandler = RouteGateway(
             self._router,
             InstanceChooser(
                 self._router,
@@ -250,12 +255,27 @@
             clock,
             get_logger("gateway"),
         )
+        self.usage_caps: UsageCaps | None = None
+        if settings.quota_terms is not None:
+            self.usage_caps = UsageCaps.from_config(
+                settings.quota_terms,
+                self.configuration.get_configuration,
+                self.table,
+                self.overlay.has_active_link,
+                self._directory.count_listed,
+                network,
+                connector,
+                clock,
+            )
+            gateway = self.usage_caps.wrap(gateway)
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
         if settings.rollout_terms is not None:
             self.metrics.observe_rollouts(self._rollouts.board.list_readings)
         self.metrics.observe_zone_choices(zone_choices.get_totals)
+        if self.usage_caps is not None:
+            self.metrics.observe_usage(self.usage_caps.gate.results)
         self._stream_watch = StreamWatch(network, clock)
         deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
@@ -283,9 +303,13 @@
             deadline_limit,
             pacer,
         )
-        self._peer_listener = PeerListener(
-            identity, {"exchange": exchange_server, "control": self.overlay}
-        )
+        peer_handlers: dict[str, ConnectionHandler] = {
+            "exchange": exchange_server,
+            "control": self.overlay,
+        }
+        if self.usage_caps is not None:
+            peer_handlers["usage"] = self.usage_caps.server
+        self._peer_listener = PeerListener(identity, peer_handlers)
         self._shutdown = Shutdown(
             self._fail_readiness,
             deadline_limit,
@@ -355,6 +379,8 @@
             nursery.start_soon(self._watch_settings)
             nursery.start_soon(self.metrics.run)
             nursery.start_soon(self._rollouts.run)
+            if self.usage_caps is not None:
+                nursery.start_soon(self.usage_caps.run)
             _log.info("node_started", node=settings.node_id)
             task_status.started()
 
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -10,6 +10,7 @@
 from rhubarbpaddle.execution.retry_terms import RetryTerms
 from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.rollout.rollout_terms import RolloutTerms
+from rhubarbpaddle.usage.quota_terms import QuotaTerms
 
 SETTINGS_VARIABLE = "RHUBARBPADDLE_SETTINGS"
 _STEP = "load_settings"
@@ -49,6 +50,8 @@
         seeds: Report addresses of other hosts; may be stale.
         rollout_terms: The platform's `exposureShare`, `exposureSlack` and
             `rollbackMs`, or None if the platform has no roll-outs.
+        quota_terms: The platform's `quotaWindowS`, `quotaOverage` and
+            `quotaSlack`; without all of them no usage caps are applied.
     """
 
     node_id: str
@@ -71,6 +74,7 @@
     revocation_deadline: timedelta | None
     seeds: tuple[str, ...]
     rollout_terms: RolloutTerms | None = None
+    quota_terms: QuotaTerms | None = None
 
     @classmethod
     def from_file(cls, path: Path) -> Self:
@@ -142,6 +146,7 @@
             revocation_deadline=_parse_revocation_deadline(bounds),
             seeds=tuple(map(str, network["seeds"])),
             rollout_terms=_parse_rollout_terms(bounds),
+            quota_terms=_parse_quota_terms(bounds),
         )
 
 
@@ -179,3 +184,13 @@
         exposure_slack=float(bounds["exposureSlack"]),
         rollback_time=timedelta(milliseconds=rollback_ms),
     )
+
+
+def _parse_quota_terms(bounds: Mapping[str, Any]) -> QuotaTerms | None:
+    names = ("quotaWindowS", "quotaOverage", "quotaSlack")
+    if not all(name in bounds for name in names):
+        return None
+    window, overage, slack = (float(bounds[name]) for name in names)
+    if not (window > 0 and overage >= 0 and slack >= 0):
+        raise ValueError(f"{names} are {window}, {overage}, {slack}")
+    return QuotaTerms(timedelta(seconds=window), overage, slack)
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -163,6 +163,15 @@
             description="Responses by the reason for the zone that served them",
         )
 
+    def observe_usage(self, results: Mapping[str, int]) -> None:
+        """Adds the counts of a `UsageGate`, which are read at each scrape."""
+        self._meter.create_observable_counter(
+            f"{_PREFIX}usage.results",
+            [lambda _: _observe_results(results)],
+            description="Requests of organisations with a usage cap, by"
+            " result, and the queries sent to other nodes",
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         text = PrometheusText()
@@ -207,3 +216,10 @@
         Observation(count, {"service": service})
         for service, count in readings.retries.items()
     ]
+
+
+def _observe_results(results: Mapping[str, int]) -> list[Observation]:
+    return [
+        Observation(count, {"result": result})
+        for result, count in results.items()
+    ]
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -86,6 +86,12 @@
             lambda instruments: instruments.observe_zone_choices(read)
         )
 
+    def observe_usage(self, results: Mapping[str, int]) -> None:
+        """Adds the counts of a `UsageGate`, which are read at each scrape."""
+        self._observers.append(
+            lambda instruments: instruments.observe_usage(results)
+        )
+
     def record_request(
         self, organisation: str, service: str, status: int, seconds: float
     ) -> None:
