--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -17,6 +17,7 @@
     run_platform_world,
 )
 from features.support.usage_machine import UsageMachine
+from rhubarbpaddle.execution import Request
 from rhubarbpaddle.routing.rendezvous import get_weight
 from standins.platform_documents import make_organisation_entry
 
@@ -202,6 +203,14 @@
 def step_send_to_owner(context: Context, rate: float, seconds: float) -> None:
     async def scenario(world: PlatformWorld) -> None:
         names = [find_owner(world)]
+        proxy = world.nodes[names[0]].instance_proxy
+        handle = proxy.handle
+
+        def record(request: Request, *arguments: Any) -> Any:
+            context.usage_ratio = request.usage_ratio
+            return handle(request, *arguments)
+
+        proxy.handle = record  # type: ignore[method-assign]
         context.responses = await send_at_rate(world, names, rate, seconds)
 
     run(context, scenario)
@@ -290,6 +299,11 @@
     assert caps.gate.results["sent"] == 0
 
 
+@then("its last request had a usage ratio of about {ratio:g}")
+def step_check_usage_ratio(context: Context, ratio: float) -> None:
+    assert abs(context.usage_ratio - ratio) < 0.1, context.usage_ratio
+
+
 @then("no window of {window:g} s has more than {most:d} requests that ran")
 def step_check_windows(context: Context, window: float, most: int) -> None:
     times = get_run_times(context, context.names)
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -41,6 +41,7 @@
     When 8 requests a second are sent through the owner for 4 s
     Then all of them succeed
     And the owner has sent no query
+    And its last request had a usage ratio of about 0.8
 
   # Guards against a token that is lost with each request that an instance
   # refuses, so that refused requests use up the cap.
