Shorten the steps of the scenarios about large responses

Cause: each step was deferred, which took a nested function and a call for each.

Change: the steps of a scenario run in one function; what is checked does not change.

--- a/features/steps/large_responses_steps.py
+++ b/features/steps/large_responses_steps.py
@@ -1,14 +1,15 @@
 import math
+from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 
 import trio
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.deferred_steps import defer_step
 from features.support.platform_world import (
     PlatformWorld,
     make_configuration,
+    run_platform_world,
 )
 from features.support.raw_caller import RawCaller, RawResponse
 from features.support.virtual_clock import VirtualClock
@@ -34,43 +35,50 @@
 def step_hosts(
     context: Context, mbps: float, length: int, framing: str = ""
 ) -> None:
-    large = context.large = LargeResponse(
-        length, chunked=framing == "in chunks"
-    )
-
-    async def run() -> None:
-        world = context.world = PlatformWorld(context.nursery)
-        world.link_mbps = mbps
-        await world.start_store(
-            make_configuration(kind="download", timeoutMs=3000)
-        )
-        await world.start_node(_GATEWAY)
-        await world.start_serving(*_HOSTS)
-        for instance in world.instances.values():
-            instance.large_response = large
-
-    defer_step(context, run)
+    context.mbps = mbps
+    context.large = LargeResponse(length, chunked=framing == "in chunks")
+    context.failing = {}
+    context.slots = None
 
 
 @given('the instance of "{name}" fails after {count:d} bytes of each body')
 def step_fails(context: Context, name: str, count: int) -> None:
-    async def run() -> None:
-        instance = context.world.instances[name]
-        instance.large_response = context.large._replace(fails_after=count)
-
-    defer_step(context, run)
+    context.failing[name] = count
 
 
 @given("instances with {slots:d} slot")
 def step_slots(context: Context, slots: int) -> None:
-    async def run() -> None:
-        world: PlatformWorld = context.world
-        await world.stop_node("h2")
-        # The number of slots is that of the first report of a boot.
-        assert await world.report("h1", slots=slots, born=2_000) == 200
-        await trio.sleep(4)
+    context.slots = slots
+
+
+def _run(
+    context: Context,
+    script: Callable[[PlatformWorld], Awaitable[None]],
+    target_ms: int = 400,
+) -> None:
+    async def run(world: PlatformWorld) -> None:
+        context.world = world
+        world.link_mbps = context.mbps
+        await world.start_store(
+            make_configuration(
+                kind="download", timeoutMs=3000, targetLatencyMs=target_ms
+            )
+        )
+        await world.start_node(_GATEWAY)
+        await world.start_serving(*_HOSTS)
+        for name, instance in world.instances.items():
+            instance.large_response = context.large._replace(
+                fails_after=context.failing.get(name)
+            )
+        if context.slots is not None:
+            await world.stop_node("h2")
+            # The number of slots is that of the first report of a boot.
+            report = {"slots": context.slots, "born": 2_000}
+            assert await world.report("h1", **report) == 200
+            await trio.sleep(4)
+        await script(world)
 
-    defer_step(context, run)
+    run_platform_world(run)
 
 
 def _make_request(request_id: str, target: str = "/lanes/x") -> bytes:
@@ -105,32 +113,19 @@
     " of {target:d} ms"
 )
 def step_request_one(context: Context, target: int) -> None:
-    async def run() -> None:
-        world: PlatformWorld = context.world
-        world.put_configuration(
-            make_configuration(
-                version=2,
-                kind="download",
-                timeoutMs=3000,
-                targetLatencyMs=target,
-            )
-        )
-        await trio.sleep(3)
+    async def script(world: PlatformWorld) -> None:
         started = trio.current_time()
         context.responses = [await _request(world, _GATEWAY, "one")]
         context.seconds = trio.current_time() - started
 
-    defer_step(context, run)
+    _run(context, script, target)
 
 
 @then("the response is complete after {least:d} to {most:d} ms")
 def step_in_time(context: Context, least: int, most: int) -> None:
-    async def run() -> None:
-        [response] = context.responses
-        assert _is_whole(context, response), response and response.status
-        assert least <= context.seconds * 1000 <= most, context.seconds
-
-    defer_step(context, run)
+    [response] = context.responses
+    assert _is_whole(context, response), response and response.status
+    assert least <= context.seconds * 1000 <= most, context.seconds
 
 
 @when(
@@ -138,8 +133,7 @@
     " requests each"
 )
 def step_request_several(context: Context, name: str, count: int) -> None:
-    async def run() -> None:
-        world: PlatformWorld = context.world
+    async def script(world: PlatformWorld) -> None:
         context.responses = []
         for index in range(count):
             for gateway in (name, _GATEWAY):
@@ -149,13 +143,12 @@
                 # An instance that failed gets requests again after a while.
                 await trio.sleep(2)
 
-    defer_step(context, run)
+    _run(context, script)
 
 
 @when("the node that sends a response is lost after {milliseconds:d} ms")
 def step_lost(context: Context, milliseconds: int) -> None:
-    async def run() -> None:
-        world: PlatformWorld = context.world
+    async def script(world: PlatformWorld) -> None:
         context.responses = []
 
         async def request() -> None:
@@ -172,76 +165,58 @@
             ]
             await world.stop_node(sender)
 
-    defer_step(context, run)
+    _run(context, script)
 
 
 @then("{count:d} instances have run the request")
 def step_run_count(context: Context, count: int) -> None:
-    async def run() -> None:
-        runs = [i.runs for i in context.world.instances.values()]
-        assert runs == [["one"]] * count, runs
-
-    defer_step(context, run)
+    runs = [i.runs for i in context.world.instances.values()]
+    assert runs == [["one"]] * count, runs
 
 
 @then("all responses are complete")
 def step_complete(context: Context) -> None:
-    async def run() -> None:
-        statuses = [
-            response and (response.status, len(response.body))
-            for response in context.responses
-        ]
-        assert all(
-            _is_whole(context, response) for response in context.responses
-        ), statuses
-
-    defer_step(context, run)
+    statuses = [
+        response and (response.status, len(response.body))
+        for response in context.responses
+    ]
+    assert all(
+        _is_whole(context, response) for response in context.responses
+    ), statuses
 
 
 @then('the instance of "{name}" has run {count:d} request or more')
 def step_has_run(context: Context, name: str, count: int) -> None:
-    async def run() -> None:
-        runs = context.world.instances[name].runs
-        assert len(runs) >= count, runs
-
-    defer_step(context, run)
+    runs = context.world.instances[name].runs
+    assert len(runs) >= count, runs
 
 
 @then("each response is complete, or ends without appearing complete")
 def step_not_wrong(context: Context) -> None:
-    async def run() -> None:
-        body = context.large.make_body()
-        for response in context.responses:
-            assert response is not None
-            assert response.status == 200, response.status
-            assert body.startswith(response.body)
-            assert response.complete == (response.body == body)
-
-    defer_step(context, run)
+    body = context.large.make_body()
+    for response in context.responses:
+        assert response is not None
+        assert response.status == 200, response.status
+        assert body.startswith(response.body)
+        assert response.complete == (response.body == body)
 
 
 @then("no request has run twice")
 def step_once(context: Context) -> None:
-    async def run() -> None:
-        runs = [
-            request_id
-            for instance in context.world.instances.values()
-            for request_id in instance.runs
-        ]
-        assert len(set(runs)) == len(runs), runs
-
-    defer_step(context, run)
+    runs = [
+        request_id
+        for instance in context.world.instances.values()
+        for request_id in instance.runs
+    ]
+    assert len(set(runs)) == len(runs), runs
 
 
 @then("{count:d} response or more is incomplete")
 def step_incomplete(context: Context, count: int) -> None:
-    async def run() -> None:
-        incomplete = [
-            response for response in context.responses if not response.complete
-        ]
-        assert len(incomplete) >= count
-
-    defer_step(context, run)
+    incomplete = [
+        response for response in context.responses if not response.complete
+    ]
+    assert len(incomplete) >= count
 
 
 @when(
@@ -249,8 +224,7 @@
     " {length:d} bytes"
 )
 def step_not_read(context: Context, count: int, length: int) -> None:
-    async def run() -> None:
-        world: PlatformWorld = context.world
+    async def script(world: PlatformWorld) -> None:
         await world.stop_node("h2")
         instance = context.instance = world.instances["h1"]
         stream = await world.fabric.connect("caller", f"{_GATEWAY}:2")
@@ -269,32 +243,25 @@
             for index in range(count):
                 nursery.start_soon(request_other, index)
 
-    defer_step(context, run)
+    _run(context, script)
 
 
 @then("the instance has sent at most {limit:d} bytes of the unread response")
 def step_back_pressure(context: Context, limit: int) -> None:
-    async def run() -> None:
-        assert 0 < context.unread_sent_bytes <= limit, context.unread_sent_bytes
-
-    defer_step(context, run)
+    assert 0 < context.unread_sent_bytes <= limit, context.unread_sent_bytes
 
 
 @then("the others have complete responses within {limit:d} ms")
 def step_others(context: Context, limit: int) -> None:
-    async def run() -> None:
-        assert context.responses
-        for response, seconds in context.responses:
-            assert _is_whole(context, response), response
-            assert seconds * 1000 <= limit, seconds
-
-    defer_step(context, run)
+    assert context.responses
+    for response, seconds in context.responses:
+        assert _is_whole(context, response), response
+        assert seconds * 1000 <= limit, seconds
 
 
 @when("a caller leaves while its response is paced")
 def step_leave(context: Context) -> None:
-    async def run() -> None:
-        world: PlatformWorld = context.world
+    async def script(world: PlatformWorld) -> None:
         stream = await world.fabric.connect("caller", f"{_GATEWAY}:2")
         await stream.send_all(_make_request("left"))
         await trio.sleep(0.3)
@@ -302,21 +269,18 @@
         await stream.aclose()
         await trio.sleep(2)
 
-    defer_step(context, run)
+    _run(context, script)
 
 
 @then("the connection to the instance ends within {limit:d} ms")
 def step_ended(context: Context, limit: int) -> None:
-    async def run() -> None:
-        ends = [
-            instance.broken_at
-            for instance in context.world.instances.values()
-            if instance.broken_at is not None
-        ]
-        assert len(ends) == 1, ends
-        assert 0 <= ends[0] - context.left_at <= limit / 1000, ends
-
-    defer_step(context, run)
+    ends = [
+        instance.broken_at
+        for instance in context.world.instances.values()
+        if instance.broken_at is not None
+    ]
+    assert len(ends) == 1, ends
+    assert 0 <= ends[0] - context.left_at <= limit / 1000, ends
 
 
 @when(
@@ -324,22 +288,18 @@
     " time"
 )
 def step_same_time(context: Context, count: int) -> None:
-    async def run() -> None:
-        world: PlatformWorld = context.world
+    async def script(world: PlatformWorld) -> None:
         async with trio.open_nursery() as nursery:
             for index in range(count):
                 nursery.start_soon(_request, world, _GATEWAY, f"r{index}")
 
-    defer_step(context, run)
+    _run(context, script)
 
 
 @then("the second one has started within {limit:d} ms of the first")
 def step_second_started(context: Context, limit: int) -> None:
-    async def run() -> None:
-        first, second = context.world.instances["h1"].runs_at
-        assert 0 < second - first <= limit / 1000, second - first
-
-    defer_step(context, run)
+    first, second = context.world.instances["h1"].runs_at
+    assert 0 < second - first <= limit / 1000, second - first
 
 
 class _EndlessParts:
@@ -357,10 +317,7 @@
 
 @given("a memory of {size:d} bytes for bodies that are read ahead")
 def step_memory(context: Context, size: int) -> None:
-    async def run() -> None:
-        context.memory, context.memory_bytes = BodyMemory(size), size
-
-    defer_step(context, run)
+    context.memory, context.memory_bytes = BodyMemory(size), size
 
 
 @when(
@@ -387,23 +344,19 @@
                     received += len(part)
                 assert received == length, received
 
-    defer_step(context, run)
+    trio.run(run)
 
 
 @then("at most {limit:d} bytes are held, and all memory is unused at the end")
 def step_held(context: Context, limit: int) -> None:
-    async def run() -> None:
-        assert 0 < context.held_bytes <= limit, context.held_bytes
-        assert context.memory.try_take(context.memory_bytes)
-        assert not context.memory.try_take(1)
-
-    defer_step(context, run)
+    assert 0 < context.held_bytes <= limit, context.held_bytes
+    assert context.memory.try_take(context.memory_bytes)
+    assert not context.memory.try_take(1)
 
 
 @when("the {role} shuts down in the middle of a response")
 def step_shut_down(context: Context, role: str) -> None:
-    async def run() -> None:
-        world: PlatformWorld = context.world
+    async def script(world: PlatformWorld) -> None:
         await world.stop_node("h2")
         node = world.nodes[_GATEWAY if role == "gateway" else "h1"]
         context.responses = []
@@ -417,14 +370,11 @@
             assert not context.responses
             context.uninterrupted = await node.shut_down()
 
-    defer_step(context, run)
+    _run(context, script)
 
 
 @then("the response is complete and the shutdown reports no interrupted work")
 def step_uninterrupted(context: Context) -> None:
-    async def run() -> None:
-        [response] = context.responses
-        assert _is_whole(context, response), response and response.status
-        assert context.uninterrupted
-
-    defer_step(context, run)
+    [response] = context.responses
+    assert _is_whole(context, response), response and response.status
+    assert context.uninterrupted
