--- a/features/rollouts_faults.feature
+++ b/features/rollouts_faults.feature
@@ -30,6 +30,22 @@
     Then the roll-out is "rolled_back" within 1 s
     And the new version has got at most its share
 
+  # Guards against a good version that is rolled back because of what happens to
+  # some instances, and against requests that fail because of the trial then.
+  Scenario Outline: Some instances fail during the trial of a good version
+    Given a service with old and new instances under load
+    When operators order the new version
+    And 3 s later <event>
+    Then the roll-out is "completed" within 9 s
+    And at most <failures> requests have failed
+
+    Examples:
+      | event                                  | failures |
+      | zone "b" is drained                    | 0        |
+      | a new instance crashes                 | 0        |
+      | an old instance crashes                | 0        |
+      | the node beside a new instance restarts | 20       |
+
   # Guards against a state that is never written because the roll-out of another
   # service writes to the same topic.
   Scenario: Two services are rolled out at once by a slow store
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -404,3 +404,54 @@
         assert states == ["running", state], states
 
     defer_step(context, run_step)
+
+
+@when('{seconds:g} s later zone "{zone}" is drained')
+def step_drain(context: Context, seconds: float, zone: str) -> None:
+    async def run_step() -> None:
+        await trio.sleep(seconds)
+        context.world.store.put("keyed.op", f"evacuate/{zone}", b"{}")
+
+    defer_step(context, run_step)
+
+
+@when("{seconds:g} s later a new instance crashes")
+def step_crash_new(context: Context, seconds: float) -> None:
+    _crash(context, seconds, "n1")
+
+
+@when("{seconds:g} s later an old instance crashes")
+def step_crash_old(context: Context, seconds: float) -> None:
+    _crash(context, seconds, "o1")
+
+
+def _crash(context: Context, seconds: float, name: str) -> None:
+    async def run_step() -> None:
+        await trio.sleep(seconds)
+        context.world.stop_reports(name)
+        context.world.fabric.stop_listening(f"{name}:9")
+        context.world.fabric.reset_connections(name, name)
+
+    defer_step(context, run_step)
+
+
+@when("{seconds:g} s later the node beside a new instance restarts")
+def step_restart_node(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        world: RolloutWorld = context.world
+        await trio.sleep(seconds)
+        zone = world.nodes["n1"].settings.availability_zone
+        await world.stop_node("n1")
+        await trio.sleep(0.3)
+        await world.start_node("n1", zone, is_first_start=False)
+
+    defer_step(context, run_step)
+
+
+@then("at most {count:d} requests have failed")
+def step_check_failures(context: Context, count: int) -> None:
+    async def run_step() -> None:
+        failed = [s for s in context.world.statuses if s != 200]
+        assert len(failed) <= count, failed
+
+    defer_step(context, run_step)
