Compare versions while a call to the store is open

The elected node compared the versions between its calls to the store, so that a store that does not respond delayed a stop by up to 2.75 s. The comparison has a task of its own now, and a decision needs one that is less than a second old, also after a pause of the process. Steps of features can be written as asynchronous functions, which saves the nested function of each.

--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -2,456 +2,383 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.deferred_steps import defer_step
+from features.support.deferred_steps import deferred
 from features.support.rollout_world import RolloutWorld
 from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
 
 _WORK_SECONDS = 0.05
 
 
-def _start(context: Context, new: int, has_limits: bool = True) -> None:
-    async def run_step() -> None:
-        world = context.world = RolloutWorld(context.nursery)
-        if not has_limits:
-            world.bounds = {}
-        await world.start(new=new)
-        context.ordered = {"v1": 0, "v2": 0}
-
-    defer_step(context, run_step)
+async def _start(context: Context, new: int, has_limits: bool = True) -> None:
+    world = context.world = RolloutWorld(context.nursery)
+    if not has_limits:
+        world.bounds = {}
+    await world.start(new=new)
+    context.ordered = {"v1": 0, "v2": 0}
 
 
 @given("a service with old and new instances under load")
-def step_start(context: Context) -> None:
-    _start(context, 2)
+@deferred
+async def step_start(context: Context) -> None:
+    await _start(context, 2)
 
 
 @given("a service with old instances only, under load")
-def step_start_old(context: Context) -> None:
-    _start(context, 0)
+@deferred
+async def step_start_old(context: Context) -> None:
+    await _start(context, 0)
 
 
 @given("a service without limits of roll-outs, under load")
-def step_start_without_limits(context: Context) -> None:
-    _start(context, 2, has_limits=False)
+@deferred
+async def step_start_without_limits(context: Context) -> None:
+    await _start(context, 2, has_limits=False)
 
 
 @when("the new version fails {percent:d} % of its requests")
-def step_fail(context: Context, percent: int) -> None:
-    async def run_step() -> None:
-        context.world.set_failures("v2", percent / 100)
-
-    defer_step(context, run_step)
+@deferred
+async def step_fail(context: Context, percent: int) -> None:
+    context.world.set_failures("v2", percent / 100)
 
 
 @when("the new version fails 50 % on one route")
-def step_fail_route(context: Context) -> None:
-    async def run_step() -> None:
-        context.world.set_failures("v2", 0.5, "/lanes/other/")
-
-    defer_step(context, run_step)
+@deferred
+async def step_fail_route(context: Context) -> None:
+    context.world.set_failures("v2", 0.5, "/lanes/other/")
 
 
 @when("the new version works 3 times longer")
-def step_work_longer(context: Context) -> None:
-    async def run_step() -> None:
-        context.world.set_work_seconds("v2", 3 * _WORK_SECONDS)
-
-    defer_step(context, run_step)
+@deferred
+async def step_work_longer(context: Context) -> None:
+    context.world.set_work_seconds("v2", 3 * _WORK_SECONDS)
 
 
 @when("the new version fails all requests after 4 s")
-def step_fail_late(context: Context) -> None:
-    async def run_step() -> None:
-        async def fail() -> None:
-            await trio.sleep(4)
-            context.world.set_failures("v2", 1.0)
-
-        context.nursery.start_soon(fail)
+@deferred
+async def step_fail_late(context: Context) -> None:
+    async def fail() -> None:
+        await trio.sleep(4)
+        context.world.set_failures("v2", 1.0)
 
-    defer_step(context, run_step)
+    context.nursery.start_soon(fail)
 
 
 @when("the new version is repaired")
-def step_repair(context: Context) -> None:
-    async def run_step() -> None:
-        context.world.set_failures("v2", 0.0)
-
-    defer_step(context, run_step)
+@deferred
+async def step_repair(context: Context) -> None:
+    context.world.set_failures("v2", 0.0)
 
 
 @when("operators order the new version")
-def step_order(context: Context) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        context.ordered = {v: world.count_arrivals(v) for v in ("v1", "v2")}
-        world.order()
-
-    defer_step(context, run_step)
+@deferred
+async def step_order(context: Context) -> None:
+    world: RolloutWorld = context.world
+    context.ordered = {v: world.count_arrivals(v) for v in ("v1", "v2")}
+    world.order()
 
 
 @when("{seconds:g} s later operators order the version in use")
-def step_order_old(context: Context, seconds: float) -> None:
-    async def run_step() -> None:
-        await trio.sleep(seconds)
-        context.world.order("v1")
-
-    defer_step(context, run_step)
+@deferred
+async def step_order_old(context: Context, seconds: float) -> None:
+    await trio.sleep(seconds)
+    context.world.order("v1")
 
 
 @when("{seconds:g} s later operators delete the order")
-def step_delete(context: Context, seconds: float) -> None:
-    async def run_step() -> None:
-        await trio.sleep(seconds)
-        context.world.delete_order()
-
-    defer_step(context, run_step)
+@deferred
+async def step_delete(context: Context, seconds: float) -> None:
+    await trio.sleep(seconds)
+    context.world.delete_order()
 
 
 @when("2 s later both versions fail half of their requests for 1 s")
-def step_fail_both(context: Context) -> None:
-    async def run_step() -> None:
-        await trio.sleep(2)
-        for version in ("v1", "v2"):
-            context.world.set_failures(version, 0.5)
-        await trio.sleep(1)
-        for version in ("v1", "v2"):
-            context.world.set_failures(version, 0.0)
-
-    defer_step(context, run_step)
+@deferred
+async def step_fail_both(context: Context) -> None:
+    await trio.sleep(2)
+    for version in ("v1", "v2"):
+        context.world.set_failures(version, 0.5)
+    await trio.sleep(1)
+    for version in ("v1", "v2"):
+        context.world.set_failures(version, 0.0)
 
 
 @when("2 s later both versions work 4 times longer for 1 s")
-def step_slow_both(context: Context) -> None:
-    async def run_step() -> None:
-        await trio.sleep(2)
-        for version in ("v1", "v2"):
-            context.world.set_work_seconds(version, 4 * _WORK_SECONDS)
-        await trio.sleep(1)
-        for version in ("v1", "v2"):
-            context.world.set_work_seconds(version, _WORK_SECONDS)
-
-    defer_step(context, run_step)
+@deferred
+async def step_slow_both(context: Context) -> None:
+    await trio.sleep(2)
+    for version in ("v1", "v2"):
+        context.world.set_work_seconds(version, 4 * _WORK_SECONDS)
+    await trio.sleep(1)
+    for version in ("v1", "v2"):
+        context.world.set_work_seconds(version, _WORK_SECONDS)
 
 
 @when("the store fails from the decision on until the deciding node was killed")
-def step_kill_decider(context: Context) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        await world.wait_for_state("running", 3)
-        world.store.status = 503
-        decider = world.get_decider()
-        stopped = trio.Event()
-
-        def handle_notice(notice: object, source: str | None) -> None:
-            if getattr(notice, "phase", None) is RolloutPhase.STOPPED:
-                stopped.set()
+@deferred
+async def step_kill_decider(context: Context) -> None:
+    world: RolloutWorld = context.world
+    await world.wait_for_state("running", 3)
+    world.store.status = 503
+    decider = world.get_decider()
+    stopped = trio.Event()
 
-        world.nodes[decider]._rollouts.board.add_listener(handle_notice)
-        await stopped.wait()
-        await world.stop_node(decider)
-        world.store.status = 0
+    def handle_notice(notice: object, source: str | None) -> None:
+        if getattr(notice, "phase", None) is RolloutPhase.STOPPED:
+            stopped.set()
 
-    defer_step(context, run_step)
+    world.nodes[decider]._rollouts.board.add_listener(handle_notice)
+    await stopped.wait()
+    await world.stop_node(decider)
+    world.store.status = 0
 
 
 @when("the store rejects the deciding node")
-def step_reject_decider(context: Context) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        await world.wait_for_state("running", 3)
-        decider = world.get_decider()
-        world.fabric.refused.add((decider, "store"))
-        world.fabric.reset_connections(decider, "store")
-        world.fabric.reset_connections("store", decider)
-
-    defer_step(context, run_step)
+@deferred
+async def step_reject_decider(context: Context) -> None:
+    world: RolloutWorld = context.world
+    await world.wait_for_state("running", 3)
+    decider = world.get_decider()
+    world.fabric.refused.add((decider, "store"))
+    world.fabric.reset_connections(decider, "store")
+    world.fabric.reset_connections("store", decider)
 
 
 @when("2 s later the hosts of the new instances are partitioned for 14 s")
-def step_partition(context: Context) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        await trio.sleep(2)
-        minority = ("n0", "n1")
-        for name in minority:
-            for other in (*world.nodes, "store"):
-                if other not in minority:
-                    world.fabric.block_both_ways(name, other)
-        await trio.sleep(14)
-        world.fabric.blocked.clear()
-
-    defer_step(context, run_step)
+@deferred
+async def step_partition(context: Context) -> None:
+    world: RolloutWorld = context.world
+    await trio.sleep(2)
+    minority = ("n0", "n1")
+    for name in minority:
+        for other in (*world.nodes, "store"):
+            if other not in minority:
+                world.fabric.block_both_ways(name, other)
+    await trio.sleep(14)
+    world.fabric.blocked.clear()
 
 
 @when("the store loses the responses of appends")
-def step_lose_responses(context: Context) -> None:
-    async def run_step() -> None:
-        context.world.store.loses_responses = True
-
-    defer_step(context, run_step)
+@deferred
+async def step_lose_responses(context: Context) -> None:
+    context.world.store.loses_responses = True
 
 
 @when("the store runs appends {seconds:g} s late")
-def step_append_late(context: Context, seconds: float) -> None:
-    async def run_step() -> None:
-        context.world.store.append_delay = seconds
-
-    defer_step(context, run_step)
+@deferred
+async def step_append_late(context: Context, seconds: float) -> None:
+    context.world.store.append_delay = seconds
 
 
 @when("the store takes 0.24 s for each call")
-def step_slow_store(context: Context) -> None:
-    async def run_step() -> None:
-        context.world.store.delay = 0.24
-
-    defer_step(context, run_step)
+@deferred
+async def step_slow_store(context: Context) -> None:
+    context.world.store.delay = 0.24
 
 
 @when("the store is unavailable from 1 s on for 8 s")
-def step_store_outage(context: Context) -> None:
-    async def run_step() -> None:
-        await trio.sleep(1)
-        context.world.store.status = 503
-        await trio.sleep(8)
-        context.world.store.status = 0
-
-    defer_step(context, run_step)
+@deferred
+async def step_store_outage(context: Context) -> None:
+    await trio.sleep(1)
+    context.world.store.status = 503
+    await trio.sleep(8)
+    context.world.store.status = 0
 
 
 @when("{seconds:g} s later all nodes are killed and started again")
-def step_kill_all(context: Context, seconds: float) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        await trio.sleep(seconds)
-        zones = {
-            name: node.settings.availability_zone
-            for name, node in world.nodes.items()
-        }
-        # The first reports arrive late, as on the platform.
-        world.report_interval = 1.5
-        for name in zones:
-            await world.stop_node(name)
-        await trio.sleep(0.5)
-        for name, zone in zones.items():
-            await world.start_node(name, zone, is_first_start=False)
-
-    defer_step(context, run_step)
+@deferred
+async def step_kill_all(context: Context, seconds: float) -> None:
+    world: RolloutWorld = context.world
+    await trio.sleep(seconds)
+    zones = {
+        name: node.settings.availability_zone
+        for name, node in world.nodes.items()
+    }
+    # The first reports arrive late, as on the platform.
+    world.report_interval = 1.5
+    for name in zones:
+        await world.stop_node(name)
+    await trio.sleep(0.5)
+    for name, zone in zones.items():
+        await world.start_node(name, zone, is_first_start=False)
 
 
 @when("a new instance starts that sends no report")
-def step_start_unreported(context: Context) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        await world.start_version("n9", "v2", "a")
-        world.stop_reports("n9")
-
-    defer_step(context, run_step)
+@deferred
+async def step_start_unreported(context: Context) -> None:
+    world: RolloutWorld = context.world
+    await world.start_version("n9", "v2", "a")
+    world.stop_reports("n9")
 
 
 @when("2 s later the node beside a new instance is cut off")
-def step_cut_off(context: Context) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        await trio.sleep(2)
-        for other in (*world.nodes, "store"):
-            if other != "n0":
-                world.fabric.block_both_ways("n0", other)
-
-    defer_step(context, run_step)
+@deferred
+async def step_cut_off(context: Context) -> None:
+    world: RolloutWorld = context.world
+    await trio.sleep(2)
+    for other in (*world.nodes, "store"):
+        if other != "n0":
+            world.fabric.block_both_ways("n0", other)
 
 
 @then("no request reaches that instance from 3 s to 7 s after that")
-def step_check_cut_off(context: Context) -> None:
-    async def run_step() -> None:
-        await trio.sleep(3)
-        arrivals = context.world.instances["n0"].arrivals
-        count = len(arrivals)
-        await trio.sleep(4)
-        assert len(arrivals) == count, len(arrivals) - count
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_cut_off(context: Context) -> None:
+    await trio.sleep(3)
+    arrivals = context.world.instances["n0"].arrivals
+    count = len(arrivals)
+    await trio.sleep(4)
+    assert len(arrivals) == count, len(arrivals) - count
 
 
 @then('the roll-out is "{state}" within {seconds:g} s')
-def step_check_state(context: Context, state: str, seconds: float) -> None:
-    async def run_step() -> None:
-        await context.world.wait_for_state(state, seconds)
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_state(
+    context: Context, state: str, seconds: float
+) -> None:
+    await context.world.wait_for_state(state, seconds)
 
 
 @then("no request runs at an old instance")
-def step_check_idle(context: Context) -> None:
-    async def run_step() -> None:
-        for name, instance in context.world.instances.items():
-            if context.world.versions[name] == "v1":
-                assert instance._running == 0, name
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_idle(context: Context) -> None:
+    for name, instance in context.world.instances.items():
+        if context.world.versions[name] == "v1":
+            assert instance._running == 0, name
 
 
 @then('no request reaches version "{version}" for {seconds:g} s')
-def step_check_none(context: Context, version: str, seconds: float) -> None:
-    async def run_step() -> None:
-        count = context.world.count_arrivals(version)
-        await trio.sleep(seconds)
-        more = context.world.count_arrivals(version) - count
-        assert more == 0, more
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_none(
+    context: Context, version: str, seconds: float
+) -> None:
+    count = context.world.count_arrivals(version)
+    await trio.sleep(seconds)
+    more = context.world.count_arrivals(version) - count
+    assert more == 0, more
 
 
 @then('no request has reached version "{version}"')
-def step_check_none_before(context: Context, version: str) -> None:
-    async def run_step() -> None:
-        assert context.world.count_arrivals(version) == 0
-        assert context.world.count_arrivals("v1") > 0
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_none_before(context: Context, version: str) -> None:
+    assert context.world.count_arrivals(version) == 0
+    assert context.world.count_arrivals("v1") > 0
 
 
 @then("the new version has got at most its share")
-def step_check_share(context: Context) -> None:
-    async def run_step() -> None:
-        counts = {
-            version: context.world.count_arrivals(version) - count
-            for version, count in context.ordered.items()
-        }
-        # The gateways differ from their shares by less than one request each.
-        limit = 0.1 * sum(counts.values()) + len(context.world.nodes)
-        assert 0 < counts["v2"] <= limit, counts
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_share(context: Context) -> None:
+    counts = {
+        version: context.world.count_arrivals(version) - count
+        for version, count in context.ordered.items()
+    }
+    # The gateways differ from their shares by less than one request each.
+    limit = 0.1 * sum(counts.values()) + len(context.world.nodes)
+    assert 0 < counts["v2"] <= limit, counts
 
 
 @then("all requests have succeeded")
-def step_check_success(context: Context) -> None:
-    async def run_step() -> None:
-        assert set(context.world.statuses) == {200}, context.world.statuses
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_success(context: Context) -> None:
+    assert set(context.world.statuses) == {200}, context.world.statuses
 
 
 @then("one terminal state was written")
 @then("one terminal state was written {seconds:g} s later")
-def step_check_terminal(context: Context, seconds: float = 0.0) -> None:
-    async def run_step() -> None:
-        await trio.sleep(seconds)
-        states = [
-            status["state"]
-            for status in context.world.list_states()
-            if status["state"] != "running"
-        ]
-        assert len(states) == 1, states
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_terminal(context: Context, seconds: float = 0.0) -> None:
+    await trio.sleep(seconds)
+    states = [
+        status["state"]
+        for status in context.world.list_states()
+        if status["state"] != "running"
+    ]
+    assert len(states) == 1, states
 
 
 @then("no node knows of a roll-out and none has read the status")
-def step_check_no_notices(context: Context) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        for node in world.nodes.values():
-            assert not node._rollouts.board.list_notices()
-        assert "keyed.status" not in world.store.topics_read
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_no_notices(context: Context) -> None:
+    world: RolloutWorld = context.world
+    for node in world.nodes.values():
+        assert not node._rollouts.board.list_notices()
+    assert "keyed.status" not in world.store.topics_read
 
 
 @then("no node knows of a roll-out after 3 s")
-def step_check_no_effect(context: Context) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        await trio.sleep(3)
-        for node in world.nodes.values():
-            assert not node._rollouts.board.list_notices()
-        assert not world.list_states()
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_no_effect(context: Context) -> None:
+    world: RolloutWorld = context.world
+    await trio.sleep(3)
+    for node in world.nodes.values():
+        assert not node._rollouts.board.list_notices()
+    assert not world.list_states()
 
 
 @then('the metrics show phase {phase:d} of version "{version}" after 2 s')
-def step_check_metrics(context: Context, phase: int, version: str) -> None:
-    async def run_step() -> None:
-        await trio.sleep(2)
-        response = await context.world.send("o0:3", "GET", "/metrics", {})
-        lines = response.body.decode().splitlines()
-        (line,) = [
-            line
-            for line in lines
-            if line.startswith("rhubarbpaddle_rollout_phase{")
-        ]
-        assert f'target="{version}"' in line, line
-        assert line.endswith(f" {phase:.1f}"), line
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_metrics(
+    context: Context, phase: int, version: str
+) -> None:
+    await trio.sleep(2)
+    response = await context.world.send("o0:3", "GET", "/metrics", {})
+    lines = response.body.decode().splitlines()
+    (line,) = [
+        line
+        for line in lines
+        if line.startswith("rhubarbpaddle_rollout_phase{")
+    ]
+    assert f'target="{version}"' in line, line
+    assert line.endswith(f" {phase:.1f}"), line
 
 
 @when("operators order the new version of this and of an unknown service")
-def step_order_two(context: Context) -> None:
-    async def run_step() -> None:
-        context.world.order()
-        context.world.order(service="unknown")
-
-    defer_step(context, run_step)
+@deferred
+async def step_order_two(context: Context) -> None:
+    context.world.order()
+    context.world.order(service="unknown")
 
 
 @then('that of the unknown service is "{state}" within {seconds:g} s')
-def step_check_unknown(context: Context, state: str, seconds: float) -> None:
-    async def run_step() -> None:
-        await trio.sleep(seconds)
-        states = [s["state"] for s in context.world.list_states("unknown")]
-        assert states == ["running", state], states
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_unknown(
+    context: Context, state: str, seconds: float
+) -> None:
+    await trio.sleep(seconds)
+    states = [s["state"] for s in context.world.list_states("unknown")]
+    assert states == ["running", state], states
 
 
 @when('{seconds:g} s later zone "{zone}" is drained')
-def step_drain(context: Context, seconds: float, zone: str) -> None:
-    async def run_step() -> None:
-        await trio.sleep(seconds)
-        context.world.store.put("keyed.op", f"evacuate/{zone}", b"{}")
-
-    defer_step(context, run_step)
-
-
-@when("{seconds:g} s later a new instance crashes")
-def step_crash_new(context: Context, seconds: float) -> None:
-    _crash(context, seconds, "n1")
+@deferred
+async def step_drain(context: Context, seconds: float, zone: str) -> None:
+    await trio.sleep(seconds)
+    context.world.store.put("keyed.op", f"evacuate/{zone}", b"{}")
 
 
-@when("{seconds:g} s later an old instance crashes")
-def step_crash_old(context: Context, seconds: float) -> None:
-    _crash(context, seconds, "o1")
-
-
-def _crash(context: Context, seconds: float, name: str) -> None:
-    async def run_step() -> None:
-        await trio.sleep(seconds)
-        context.world.stop_reports(name)
-        context.world.fabric.stop_listening(f"{name}:9")
-        context.world.fabric.reset_connections(name, name)
-
-    defer_step(context, run_step)
+@when("{seconds:g} s later a {kind} instance crashes")
+@when("{seconds:g} s later an {kind} instance crashes")
+@deferred
+async def step_crash(context: Context, seconds: float, kind: str) -> None:
+    await trio.sleep(seconds)
+    name = {"new": "n1", "old": "o1"}[kind]
+    context.world.stop_reports(name)
+    context.world.fabric.stop_listening(f"{name}:9")
+    context.world.fabric.reset_connections(name, name)
 
 
 @when("{seconds:g} s later the node beside a new instance restarts")
-def step_restart_node(context: Context, seconds: float) -> None:
-    async def run_step() -> None:
-        world: RolloutWorld = context.world
-        await trio.sleep(seconds)
-        zone = world.nodes["n1"].settings.availability_zone
-        await world.stop_node("n1")
-        await trio.sleep(0.3)
-        await world.start_node("n1", zone, is_first_start=False)
-
-    defer_step(context, run_step)
+@deferred
+async def step_restart_node(context: Context, seconds: float) -> None:
+    world: RolloutWorld = context.world
+    await trio.sleep(seconds)
+    zone = world.nodes["n1"].settings.availability_zone
+    await world.stop_node("n1")
+    await trio.sleep(0.3)
+    await world.start_node("n1", zone, is_first_start=False)
 
 
 @then("at most {count:d} requests have failed")
-def step_check_failures(context: Context, count: int) -> None:
-    async def run_step() -> None:
-        failed = [s for s in context.world.statuses if s != 200]
-        assert len(failed) <= count, failed
-
-    defer_step(context, run_step)
+@deferred
+async def step_check_failures(context: Context, count: int) -> None:
+    failed = [s for s in context.world.statuses if s != 200]
+    assert len(failed) <= count, failed
--- a/features/support/deferred_steps.py
+++ b/features/support/deferred_steps.py
@@ -1,6 +1,8 @@
 """Runs all steps of a scenario in one event loop."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial, wraps
+from typing import Any
 
 import trio
 from behave.runner import Context
@@ -35,3 +37,15 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+def deferred(
+    run_step: Callable[..., Awaitable[None]],
+) -> Callable[..., None]:
+    """Makes an asynchronous function a step that is deferred."""
+
+    @wraps(run_step)
+    def step(context: Context, *args: Any, **kwargs: Any) -> None:
+        defer_step(context, partial(run_step, context, *args, **kwargs))
+
+    return step
--- a/src/rhubarbpaddle/rollout/rollout_decider.py
+++ b/src/rhubarbpaddle/rollout/rollout_decider.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import trio
+
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.execution.event_log import EventLog
@@ -49,6 +51,8 @@
 # From this node on the time doubles, so that an outage of the store does not
 # make all nodes call it.
 _LAST_LINEAR_RANK = 3
+# After a pause of the process, the versions are compared again first.
+_MAX_VERDICT_AGE_SECONDS = 1.0
 # A decision is not written if it is older than this, as after a pause of the
 # process.
 _MAX_DECISION_AGE_SECONDS = 2.5
@@ -103,6 +107,8 @@
         self._plan = self._make_plan(entry.observed_at)
         self._started_at: float | None = None
         self._promoted_at: float | None = None
+        self._verdict: Verdict | None = None
+        self._compared_at = float("-inf")
         self._phase_seen: RolloutPhase | None = None
         self._phase_seen_at = clock.monotonic()
         self._status_read_at = float("-inf")
@@ -111,7 +117,29 @@
     async def run(self) -> None:
         """Runs until a terminal state is known to be in the store."""
         await self._clock.sleep(_FIRST_LINKS)
-        step = 0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._compare_versions)
+            await self._follow_phases()
+            nursery.cancel_scope.cancel()
+
+    async def _compare_versions(self) -> None:
+        """Stops a bad version, also while a call to the store is open."""
+        steps = 0
+        while True:
+            phase = self._get_phase()
+            if phase is RolloutPhase.PROMOTION and self._promoted_at is None:
+                self._begin_promotion()
+            is_elected = self._is_elected()
+            if phase in (RolloutPhase.TRIAL, RolloutPhase.PROMOTION) and (
+                is_elected or steps % _OBSERVER_STEPS == 0
+            ):
+                self._compare(is_elected)
+            steps += 1
+            self._contact.has_link()
+            await self._clock.sleep(_STEP_INTERVAL)
+
+    async def _follow_phases(self) -> None:
+        """Decides and writes while this node is elected."""
         while True:
             phase = self._get_phase()
             if phase is not None and phase.is_terminal:
@@ -119,18 +147,9 @@
             self._note_phase(phase)
             is_elected = self._is_elected()
             self._log_election(is_elected)
-            self._contact.has_link()
-            if phase is RolloutPhase.PROMOTION and self._promoted_at is None:
-                self._begin_promotion()
-            verdict = None
-            if phase in (RolloutPhase.TRIAL, RolloutPhase.PROMOTION) and (
-                is_elected or step % _OBSERVER_STEPS == 0
-            ):
-                verdict = self._compare(is_elected)
-            step += 1
             try:
                 if is_elected:
-                    await self._decide(verdict)
+                    await self._decide()
                 else:
                     await self._watch()
             except RhubarbpaddleError as exc:
@@ -235,10 +254,11 @@
         target, _ = self._get_counts()
         self._comparison.start_promotion(target, self._promoted_at)
 
-    def _compare(self, is_elected: bool) -> Verdict:
+    def _compare(self, is_elected: bool) -> None:
         """Compares the versions and stops a bad one."""
         now = self._clock.monotonic()
         verdict = self._comparison.evaluate(*self._get_counts(), now)
+        self._verdict, self._compared_at = verdict, now
         if verdict.is_bad if is_elected else verdict.is_certainly_bad:
             self._log.notice(
                 "rollout_evidence",
@@ -250,16 +270,14 @@
                 failures=verdict.failures,
             )
             self._announce(RolloutPhase.STOPPED, verdict.reason)
-        return verdict
 
-    async def _decide(self, verdict: Verdict | None) -> None:
+    async def _decide(self) -> None:
         match self._get_phase():
             case None:
                 if self._election.sees_majority():
                     await self._open()
             case RolloutPhase.TRIAL:
-                assert verdict is not None
-                self._decide_trial(verdict)
+                self._decide_trial()
                 await self._check_status(_STATUS_INTERVAL_SECONDS)
             case RolloutPhase.PROMOTION:
                 await self._decide_promotion()
@@ -318,10 +336,13 @@
             self._announce(RolloutPhase.TRIAL, "status")
         return True
 
-    def _decide_trial(self, verdict: Verdict) -> None:
+    def _decide_trial(self) -> None:
         now = self._clock.monotonic()
+        verdict = self._verdict
         if (
-            now < self._plan.trial_end
+            verdict is None
+            or now - self._compared_at > _MAX_VERDICT_AGE_SECONDS
+            or now < self._plan.trial_end
             or self._get_phase() is not RolloutPhase.TRIAL
             or not self._election.sees_majority()
         ):
@@ -348,9 +369,11 @@
     async def _decide_promotion(self) -> None:
         if self._promoted_at is None:
             return
-        elapsed = self._clock.monotonic() - self._promoted_at
+        now = self._clock.monotonic()
+        elapsed = now - self._promoted_at
         if (
-            elapsed < self._plan.promotion_seconds
+            now - self._compared_at > _MAX_VERDICT_AGE_SECONDS
+            or elapsed < self._plan.promotion_seconds
             or not self._election.sees_majority()
         ):
             return
