--- a/src/rhubarbpaddle/routing/zone_room.py
+++ b/src/rhubarbpaddle/routing/zone_room.py
@@ -2,13 +2,14 @@
 
 import math
 
-# Weight of the newest attempt. Two refusals in a row make a zone count as full.
+# Weight of the newest attempt. Two refusals in a row by instances with a queue
+# make a zone count as full.
 _NEWEST_WEIGHT = 0.5
-# Time constant with which the estimate decays to "room, no wait". A full zone
-# thus gets about one attempt a second from each gateway, which shows whether it
-# has room again.
+# Time constant with which the estimate decays to "room, no wait". While a zone
+# is full, each gateway thus sends an attempt there about every 0.4 s, which
+# shows whether it has room again.
 _DECAY_SECONDS = 2.0
-# A zone counts as full above this fraction of refused attempts.
+# A zone counts as full above this fraction of attempts that met a queue.
 _FULL_FRACTION = 0.7
 
 
@@ -20,21 +21,23 @@
     """
 
     def __init__(self) -> None:
-        self._refused_fraction = 0.0
+        self._contended_fraction = 0.0
         self._wait_seconds = 0.0
         self._observed_at = float("-inf")
 
-    def observe(self, refused: bool, wait_seconds: float, now: float) -> None:
+    def observe(self, contended: bool, wait_seconds: float, now: float) -> None:
         """Records the result of an attempt.
 
         Args:
-            refused: Whether the instance refused it for lack of capacity.
+            contended: Whether the instance refused it while others queued. A
+                refusal without a queue shows only that the regular slots were
+                in use.
             wait_seconds: The expected wait in its queue, 0 if it accepted.
             now: Monotonic seconds.
         """
         kept = (1 - _NEWEST_WEIGHT) * self._get_decay(now)
-        self._refused_fraction = (
-            kept * self._refused_fraction + _NEWEST_WEIGHT * refused
+        self._contended_fraction = (
+            kept * self._contended_fraction + _NEWEST_WEIGHT * contended
         )
         self._wait_seconds = (
             kept * self._wait_seconds + _NEWEST_WEIGHT * wait_seconds
@@ -46,13 +49,13 @@
 
         The attempt took a timeout, so one is enough to make the zone full.
         """
-        self._refused_fraction = 1.0
+        self._contended_fraction = 1.0
         self._wait_seconds = self.get_wait(now)
         self._observed_at = now
 
     def is_full(self, now: float) -> bool:
         """Returns whether further attempts would probably be refused."""
-        fraction = self._refused_fraction * self._get_decay(now)
+        fraction = self._contended_fraction * self._get_decay(now)
         return fraction > _FULL_FRACTION
 
     def get_wait(self, now: float) -> float:
