Take waits from refusals for lack of capacity only

Each refusal carries the load of its instance, also that of a node that shuts down, whose expected wait is 0. The gateway took it for an instance without a wait, so that the request did not leave its zone. Waits now come only from refusals by busy instances. The scenario fails without the condition.

--- a/bench/instance_choice.py
+++ b/bench/instance_choice.py
@@ -59,8 +59,8 @@
                 report=_FULL_REPORT,
                 expected_wait=0.4,
             )
-            chooser.observe_refusal(choice, history, exc, 0.001)
             history.record_failure(choice.candidate.node_id, exc, False)
+            chooser.observe_refusal(choice, history, exc, 0.001)
 
     return (
         _measure_us(choose_first),
--- a/features/steps/zone_spillover_steps.py
+++ b/features/steps/zone_spillover_steps.py
@@ -18,7 +18,9 @@
 )
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.measuring import NO_EVIDENCE
+from rhubarbpaddle.execution import Request
+from rhubarbpaddle.execution.route_attempt_history import RouteAttemptHistory
+from rhubarbpaddle.measuring import NO_EVIDENCE, LoadReport
 from rhubarbpaddle.membership import MemberStatus, UpstreamState
 from rhubarbpaddle.routing.reported_wait import ReportedWait
 from rhubarbpaddle.routing.spillover_share import SpilloverShare
@@ -306,6 +308,39 @@
     assert zone in context.zones_chosen_later
 
 
+@when(
+    'an instance refuses a request with "{code}", another with "{other_code}"'
+)
+def step_refuse_with(context: Context, code: str, other_code: str) -> None:
+    async def scenario(world: ZoneWorld) -> None:
+        now = trio.current_time()
+        request = Request("r", "", SERVICE, "GET", "/", [], now + 1, True)
+        chooser = world.gateways[0].chooser
+        context.history = RouteAttemptHistory(SERVICE)
+        context.refusing = []
+        for refusal_code in (code, other_code):
+            choice = chooser.choose(request, context.history)
+            assert choice is not None and not choice.may_queue
+            context.refusing.append(choice.candidate.node_id)
+            exc = RefusedError(
+                refusal_code,
+                "-",
+                step="admit",
+                may_retry=True,
+                report=LoadReport(4, 1, 4, UpstreamState.WARM),
+                expected_wait=0.2,
+            )
+            context.history.record_failure(context.refusing[-1], exc, False)
+            chooser.observe_refusal(choice, context.history, exc, 0.001)
+
+    run_zone_world(scenario, context.zone_names)
+
+
+@then("the wait at the first is known, but none at the other")
+def step_known_waits(context: Context) -> None:
+    assert list(context.history.waits) == context.refusing[:1]
+
+
 @given("an instance whose slots are all used")
 def step_used_instance(context: Context) -> None:
     context.results = []
--- a/features/support/zone_world.py
+++ b/features/support/zone_world.py
@@ -80,15 +80,16 @@
         clock = VirtualClock()
         self.spillover = ZoneSpillover(router, clock, rng)
         self.events = RecordedEvents()
+        self.chooser = InstanceChooser(
+            router,
+            self.spillover,
+            ZoneChoiceRecord(clock, self.events),
+            clock,
+        )
         terms = RetryTerms(0.2, 60, timedelta(seconds=10))
         self.gateway = RouteGateway(
             router,
-            InstanceChooser(
-                router,
-                self.spillover,
-                ZoneChoiceRecord(clock, self.events),
-                clock,
-            ),
+            self.chooser,
             self,
             SharedRetryBudget(terms, clock, lambda: len(world.gateways)),
             clock,
--- a/features/zone_spillover.feature
+++ b/features/zone_spillover.feature
@@ -53,6 +53,13 @@
     When callers use "2.4, 0.3, 0.3, 0.3" of their zones' capacity for 4 s
     Then at most 1 request of each gateway and second is lost in zone "b"
 
+  # Guards against the refusal of a node that shuts down being taken for an
+  # instance without a wait.
+  Scenario: Only refusals for lack of capacity report a wait
+    Given zones "a, b"
+    When an instance refuses a request with "instance_full", another with "node_leaving"
+    Then the wait at the first is known, but none at the other
+
   # Guards against a zone that is left alone, or gets all requests, because of a
   # refusal or a wait that was reported seconds ago.
   Scenario: Reports lose their effect
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -97,14 +97,18 @@
 
         Args:
             choice: The instance.
-            history: The attempts so far, to which the wait is added.
+            history: The attempts up to this one, to which the wait is added.
             exc: Why it failed.
             seconds: The duration of the attempt.
         """
         candidate = choice.candidate
         if exc.code in UNREACHABLE_CODES:
             self._spillover.observe_unreachable(candidate)
-        elif not choice.may_queue and exc.report is not None:
+        elif (
+            not choice.may_queue
+            and candidate.node_id in history.busy
+            and exc.report is not None
+        ):
             wait = ReportedWait(candidate, exc.expected_wait, exc.report.queued)
             history.waits[candidate.node_id] = wait
             if exc.code in _FULL_CODES:
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -111,8 +111,8 @@
                 )
             except RefusedError as exc:
                 seconds = self._clock.monotonic() - sent_at
-                self._chooser.observe_refusal(choice, history, exc, seconds)
                 history.record_failure(candidate.node_id, exc, may_queue)
+                self._chooser.observe_refusal(choice, history, exc, seconds)
                 self._log_failed_attempt(request, candidate, history, exc)
                 if not self._may_retry(request, body, history, exc):
                     raise _make_final_refusal(history) from exc
