--- a/features/steps/zone_spillover_steps.py
+++ b/features/steps/zone_spillover_steps.py
@@ -1,3 +1,4 @@
+import operator
 import random
 from collections import Counter
 
@@ -18,7 +19,9 @@
 )
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.exceptions import RefusedError
-from rhubarbpaddle.measuring import NO_EVIDENCE
+from rhubarbpaddle.execution import Request
+from rhubarbpaddle.execution.route_attempt_history import RouteAttemptHistory
+from rhubarbpaddle.measuring import NO_EVIDENCE, LoadReport
 from rhubarbpaddle.membership import MemberStatus, UpstreamState
 from rhubarbpaddle.routing.reported_wait import ReportedWait
 from rhubarbpaddle.routing.spillover_share import SpilloverShare
@@ -137,81 +140,38 @@
     return [answer for answer in context.answers if answer.zone in zones]
 
 
-def _get_left_share(answers: list[Answer]) -> float:
-    return sum(map(_has_left, answers)) / len(answers)
-
-
-def _get_share_in_time(answers: list[Answer]) -> float:
-    in_time = sum(
-        a.status == 200 and a.seconds <= LATENCY_TARGET for a in answers
-    )
-    return in_time / len(answers)
-
-
-@then(
-    'at least {percent:d} % of the requests of zone "{zone}" are answered '
-    "in time"
-)
-def step_in_time(context: Context, percent: int, zone: str) -> None:
-    share = _get_share_in_time(_get_answers(context, zone))
-    assert share >= percent / 100, share
-
-
-@then(
-    "at least {percent:d} % of the requests of the other zones are "
-    "answered in time"
-)
-def step_others_in_time(context: Context, percent: int) -> None:
-    share = _get_share_in_time(_get_answers(context, "bcd"))
-    assert share >= percent / 100, share
-
-
-@then('at least {percent:d} % of the requests of zone "{zone}" get a response')
-def step_answered(context: Context, percent: int, zone: str) -> None:
-    answers = _get_answers(context, zone)
-    share = sum(answer.status == 200 for answer in answers) / len(answers)
-    assert share >= percent / 100, share
-
-
-@then(
-    'at least {percent:d} % of the requests of zone "{zone}" leave it in '
-    "the first {seconds:g} s"
-)
-def step_left_first(
-    context: Context, percent: int, zone: str, seconds: float
-) -> None:
-    answers = _get_answers(context, zone)
-    share = _get_left_share([a for a in answers if a.sent_at < seconds])
-    assert share >= percent / 100, share
+def _get_share(answers: list[Answer], end: str) -> float:
+    """Returns the part of the requests that end as described."""
+    checks = {
+        "leave": _has_left,
+        "are answered": lambda a: a.status == 200,
+        "are answered in time": lambda a: (
+            a.status == 200 and a.seconds <= LATENCY_TARGET
+        ),
+    }
+    return sum(map(checks[end], answers)) / len(answers)
 
 
 @then(
-    'at most {percent:d} % of the requests of zone "{zone}" leave it in '
-    "the last {seconds:g} s"
+    'at {bound} {percent:d} % of the requests of zones "{zones}" {end} from '
+    "{start:g} to {stop:g} s"
 )
-def step_left_last(
-    context: Context, percent: int, zone: str, seconds: float
+def step_share_of_requests(
+    context: Context,
+    bound: str,
+    percent: int,
+    zones: str,
+    end: str,
+    start: float,
+    stop: float,
 ) -> None:
-    answers = _get_answers(context, zone)
-    start = context.end - seconds
-    share = _get_left_share([a for a in answers if a.sent_at >= start])
-    assert share <= percent / 100, share
-
-
-@then("at most {percent:d} % of the requests of each zone leave it")
-def step_left_each(context: Context, percent: int) -> None:
-    for zone in context.zone_names:
-        share = _get_left_share(_get_answers(context, zone))
-        assert share <= percent / 100, (zone, share)
-
-
-@then(
-    "at most {percent:d} % of the requests of each zone leave it in the "
-    "last {seconds:g} s"
-)
-def step_left_each_last(context: Context, percent: int, seconds: float) -> None:
-    for zone in context.zone_names:
-        step_left_last(context, percent, zone, seconds)
+    for zone in zones.split(", "):
+        answers = _get_answers(context, zone)
+        share = _get_share(
+            [a for a in answers if start <= a.sent_at < stop], end
+        )
+        passed = {"least": operator.ge, "most": operator.le}[bound]
+        assert passed(share, percent / 100), (zone, share)
 
 
 @then(
@@ -225,7 +185,7 @@
     for answer in _get_answers(context, zone):
         if answer.sent_at >= seconds:
             windows.setdefault(int(answer.sent_at / 0.5), []).append(answer)
-    shares = [_get_left_share(answers) for answers in windows.values()]
+    shares = [_get_share(answers, "leave") for answers in windows.values()]
     assert max(shares) - min(shares) <= limit, shares
 
 
@@ -306,6 +266,39 @@
     assert zone in context.zones_chosen_later
 
 
+@when(
+    'an instance refuses a request with "{code}", another with "{other_code}"'
+)
+def step_refuse_with(context: Context, code: str, other_code: str) -> None:
+    async def scenario(world: ZoneWorld) -> None:
+        now = trio.current_time()
+        request = Request("r", "", SERVICE, "GET", "/", [], now + 1, True)
+        chooser = world.gateways[0].chooser
+        context.history = RouteAttemptHistory(SERVICE)
+        context.refusing = []
+        for refusal_code in (code, other_code):
+            choice = chooser.choose(request, context.history)
+            assert choice is not None and not choice.may_queue
+            context.refusing.append(choice.candidate.node_id)
+            exc = RefusedError(
+                refusal_code,
+                "-",
+                step="admit",
+                may_retry=True,
+                report=LoadReport(4, 1, 4, UpstreamState.WARM),
+                expected_wait=0.2,
+            )
+            context.history.record_failure(context.refusing[-1], exc, False)
+            chooser.observe_refusal(choice, context.history, exc, 0.001)
+
+    run_zone_world(scenario, context.zone_names)
+
+
+@then("the wait at the first is known, but none at the other")
+def step_known_waits(context: Context) -> None:
+    assert list(context.history.waits) == context.refusing[:1]
+
+
 @given("an instance whose slots are all used")
 def step_used_instance(context: Context) -> None:
     context.results = []
