End the exchange of a response that waits for its turn

A pipelined request that ran ahead kept its exchange open until its response was sent. If the instance is on the gateway's host and the body has up to 16 KiB, its slot is released only at the end of the exchange, so responses that waited behind a slow request occupied slots of an instance that had no work for them. The request in front could wait for such a slot itself, for example at its second attempt, until its deadline.

The answerer now ends the exchange as soon as the response is in memory and its turn has not come, and sends it from memory later. The router's count of requests in flight and the connection between hosts are freed with it.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -80,6 +80,20 @@
     When a caller sends "GET 600, GET 50, GET 50", 0 ms apart
     Then the statuses are "200, 200, 200", the last one after 600 to 900 ms
 
+  # Guards against responses that wait for their turn and occupy the slots of the
+  # instance on the same host, which has finished its work for them.
+  Scenario Outline: Responses that wait for their turn leave the instance free
+    Given a route of kind "idempotent" and 1 host
+    And 3 slots at the instance
+    And responses of <length> bytes
+    When a caller sends "GET 900, GET 50, GET 50", and another caller sends a request 300 ms later
+    Then the other caller has its response within 100 ms
+
+    Examples:
+      | length |
+      | 1000   |
+      | 150000 |
+
   # Guards against a planned stop that leaves requests unanswered which have been
   # read, and against reading more of them.
   Scenario: A node shuts down with requests in its pipeline
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -98,6 +98,10 @@
             )
         )
         await world.start_serving(*(f"h{n + 1}" for n in range(context.hosts)))
+        if context.slots is not None:
+            # The number of slots is that of the first report of a boot.
+            report = {"slots": context.slots, "born": 2_000}
+            assert await world.report(_NODE, **report) == 200
         # The instances are no longer cold.
         await trio.sleep(4)
         for instance in world.instances.values():
@@ -115,6 +119,12 @@
 @given('a route of kind "{kind}" and {count:d} hosts')
 def step_hosts(context: Context, kind: str, count: int) -> None:
     context.kind, context.hosts, context.large = kind, count, None
+    context.slots = None
+
+
+@given("{slots:d} slots at the instance")
+def step_slots(context: Context, slots: int) -> None:
+    context.slots = slots
 
 
 @given("responses of {length:d} bytes")
@@ -297,6 +307,38 @@
         assert all(r.complete for r in context.received[seed]), seed
 
 
+@when(
+    'a caller sends "{requests}", and another caller sends a request'
+    " {milliseconds:d} ms later"
+)
+def step_send_beside(
+    context: Context, requests: str, milliseconds: int
+) -> None:
+    async def script(world: PlatformWorld) -> None:
+        caller, other = await _connect(world), await _connect(world)
+        data = b""
+        for index, request in enumerate(requests.split(", ")):
+            method, work = request.split()
+            _set_work(world, f"r{index}", int(work) / 1000)
+            data += _make_request(f"r{index}", method)
+        await caller.send(data)
+        await trio.sleep(milliseconds / 1000)
+        started = trio.current_time()
+        await other.send(_make_request("other"))
+        context.other_response = await other.receive()
+        context.other_seconds = trio.current_time() - started
+
+    _run(context, script)
+
+
+@then("the other caller has its response within {milliseconds:d} ms")
+def step_other_response(context: Context, milliseconds: int) -> None:
+    response = context.other_response
+    assert response is not None and response.status == 200, response
+    seconds = context.other_seconds
+    assert seconds * 1000 <= milliseconds, seconds
+
+
 @then("only a part of the first response arrives")
 def step_truncated(context: Context) -> None:
     [response] = context.responses
--- a/src/rhubarbpaddle/http/request_answerer.py
+++ b/src/rhubarbpaddle/http/request_answerer.py
@@ -1,6 +1,6 @@
 """Answers the requests of callers."""
 
-from contextlib import ExitStack
+from contextlib import AsyncExitStack, ExitStack
 
 import h11
 import trio
@@ -158,14 +158,14 @@
                 )
             request = self._deadline_limit.apply(request)
             request = request._replace(caller=read.presence)
-            async with self._gateway.handle(request, buffered) as response:
-                method = read.head.method
-                if turn is None:
+            method = read.head.method
+            if turn is None:
+                async with self._gateway.handle(request, buffered) as response:
                     await self._send_response(conn, pipeline, method, response)
-                else:
-                    await self._send_in_turn(
-                        conn, pipeline, method, request, response, turn
-                    )
+            else:
+                response = await self._answer_in_turn(
+                    conn, pipeline, method, request, turn
+                )
             elapsed = self._clock.monotonic() - read.read_at
             self._metrics.record_request(
                 self._dialect.get_metrics_label(request),
@@ -189,36 +189,66 @@
                 conn, pipeline, read.head.method, service, read.request_id, exc
             )
 
-    async def _send_in_turn(
+    async def _answer_in_turn(
         self,
         conn: ServerConnection,
         pipeline: RequestPipeline,
         method: bytes,
         request: Request,
-        response: Response,
         turn: trio.Event,
-    ) -> None:
-        """Sends a response when its turn has come, and reads its body ahead.
+    ) -> Response:
+        """Runs a request at once and sends its response in its turn.
 
-        The instance is free for other requests once the body was read.
+        A response that is in memory before its turn ends the exchange, so that
+        it occupies neither a slot of the instance nor a connection while it
+        waits. The request in front of it may need that slot.
+
+        Returns:
+            The response, which was sent.
 
         Raises:
-            RefusedError: The body could not be read.
+            RefusedError: There is no response, or its body could not be read.
         """
         with ExitStack() as held_bodies:
-            if not turn.is_set() and not isinstance(response.body, BytesBody):
-                held_body = held_bodies.enter_context(
-                    HeldBody.hold(response.body, self._ahead_memory)
+            async with AsyncExitStack() as exchange:
+                response = await exchange.enter_async_context(
+                    self._gateway.handle(request, BytesBody(b""))
                 )
-                try:
-                    await held_body.read_ahead(
-                        _MAX_BODY_BYTES_AHEAD, request.useful_until, self._clock
+                if not turn.is_set():
+                    response = await self._read_ahead(
+                        held_bodies, request, response
                     )
-                except RhubarbpaddleError as exc:
-                    raise make_failed_body_refusal(exc) from exc
-                response = response._replace(body=held_body)
-            await turn.wait()
-            await self._send_response(conn, pipeline, method, response)
+                    if _is_in_memory(response.body):
+                        await exchange.aclose()
+                    await turn.wait()
+                await self._send_response(conn, pipeline, method, response)
+        return response
+
+    async def _read_ahead(
+        self, stack: ExitStack, request: Request, response: Response
+    ) -> Response:
+        """Reads the first part of a streamed response into memory.
+
+        Args:
+            stack: Holds the memory of the body.
+            request: The request.
+            response: Its response.
+
+        Raises:
+            RefusedError: The body could not be read.
+        """
+        if isinstance(response.body, BytesBody):
+            return response
+        held_body = stack.enter_context(
+            HeldBody.hold(response.body, self._ahead_memory)
+        )
+        try:
+            await held_body.read_ahead(
+                _MAX_BODY_BYTES_AHEAD, request.useful_until, self._clock
+            )
+        except RhubarbpaddleError as exc:
+            raise make_failed_body_refusal(exc) from exc
+        return response._replace(body=held_body)
 
     async def _send_response(
         self,
@@ -295,3 +325,9 @@
     while chunk := await body.receive():
         content += chunk
     return BytesBody(bytes(content))
+
+
+def _is_in_memory(body: Body) -> bool:
+    return isinstance(body, BytesBody) or (
+        isinstance(body, HeldBody) and body.complete
+    )
