Count an instance as lost when a short response body fails

InstanceProxy classified a request by its response head. If the body then failed and the proxy or the exchange server turned the failure into a refusal, the evidence remained that of the head, except for bodies of known length over 64 KiB. Instances that broke off shorter or chunked bodies had no failures, a request that crashed them after the head was never blocked, and a roll-out counted the broken response as a success.

The failure of a body now decides the evidence, whatever its length and whichever error reaches the proxy. The observer gets the response only after the part that is read ahead, so a body that fails by then counts once, as lost; a streamed body that fails later counts as lost in addition to its response. A body that does not end in time is no lost instance: read by the proxy it is a timeout, and streamed it keeps the head's evidence, since its receiver may have read too slowly.

The change of the roll-out counts is covered by the existing roll-out scenarios only, not by one of its own.

--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -55,6 +55,30 @@
       | unchunked |
       | in chunks |
 
+  # Guards against a request that crashes one instance after another, and is not
+  # counted as the cause because a head was sent before each crash.
+  Scenario Outline: A request crashes instances in the middle of its response
+    Given hosts with links of 100 Mbit/s, and instances that respond with <length> bytes <framing>
+    And the instance of "h1" fails after <bytes> bytes of each body
+    And the instance of "h2" fails after <bytes> bytes of each body
+    When a request is sent 6 times, after each of which the instances restart
+    Then it has run at most 4 times
+
+    Examples:
+      | length | framing   | bytes  |
+      | 2000   | unchunked | 1000   |
+      | 2000   | in chunks | 1000   |
+      | 60000  | unchunked | 50000  |
+      | 540000 | in chunks | 400000 |
+
+  # Guards against an instance that breaks off most of its responses and counts
+  # as one that works.
+  Scenario: An instance that breaks off its responses
+    Given hosts with links of 100 Mbit/s, and instances that respond with 2000 bytes
+    And the instance of "h1" fails after 1000 bytes of each body
+    When 40 different requests are sent, 50 ms apart
+    Then the node beside the instance of "h1" regards it as failing
+
   # Guards against nodes that collect a response for a caller that reads slowly,
   # and against other callers that wait for it.
   Scenario: A caller does not read its response
--- a/features/steps/large_responses_steps.py
+++ b/features/steps/large_responses_steps.py
@@ -89,11 +89,11 @@
 
 
 async def _request(
-    world: PlatformWorld, name: str, request_id: str
+    world: PlatformWorld, name: str, request_id: str, target: str = "/lanes/x"
 ) -> RawResponse | None:
     stream = await world.fabric.connect("caller", f"{name}:2")
     caller = RawCaller(stream)
-    await caller.send(_make_request(request_id))
+    await caller.send(_make_request(request_id, target))
     response = await caller.receive()
     await stream.aclose()
     return response
@@ -146,6 +146,47 @@
     _run(context, script)
 
 
+@when(
+    "a request is sent {count:d} times, after each of which the instances"
+    " restart"
+)
+def step_crash(context: Context, count: int) -> None:
+    async def script(world: PlatformWorld) -> None:
+        for index in range(count):
+            await _request(world, _GATEWAY, f"c{index}")
+            for name in world.instances:
+                await world.report(name, born=2_000 + index)
+            await trio.sleep(1)
+
+    _run(context, script)
+
+
+@then("it has run at most {count:d} times")
+def step_few_runs(context: Context, count: int) -> None:
+    runs = [i.runs for i in context.world.instances.values()]
+    assert 2 <= sum(map(len, runs)) <= count, runs
+
+
+@when("{count:d} different requests are sent, {milliseconds:d} ms apart")
+def step_send_different(
+    context: Context, count: int, milliseconds: int
+) -> None:
+    async def script(world: PlatformWorld) -> None:
+        for index in range(count):
+            await _request(world, _GATEWAY, f"r{index}", f"/lanes/{index}")
+            await trio.sleep(milliseconds / 1000)
+
+    _run(context, script)
+
+
+@then('the node beside the instance of "{name}" regards it as failing')
+def step_failing(context: Context, name: str) -> None:
+    attached = context.world.nodes[name].instance_proxy.attached
+    assert attached is not None
+    assert context.world.instances[name].runs
+    assert attached.admission._failures.is_failing()
+
+
 @when("the node that sends a response is lost after {milliseconds:d} ms")
 def step_lost(context: Context, milliseconds: int) -> None:
     async def script(world: PlatformWorld) -> None:
--- a/src/rhubarbpaddle/execution/evidence_classification.py
+++ b/src/rhubarbpaddle/execution/evidence_classification.py
@@ -1,6 +1,10 @@
 """Derives evidence about an upstream's health from the end of a request."""
 
-from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.exceptions import (
+    PeerSilentError,
+    RefusedError,
+    RhubarbpaddleError,
+)
 from rhubarbpaddle.execution.body import Body
 from rhubarbpaddle.execution.bytes_body import BytesBody
 from rhubarbpaddle.execution.observed_body import ObservedBody
@@ -45,3 +49,19 @@
     if isinstance(request_body, ObservedBody) and request_body.failed:
         return NO_EVIDENCE
     return Evidence(_KINDS.get(exc.code, EvidenceKind.NONE))
+
+
+def classify_failed_body(
+    exc: RhubarbpaddleError, head_evidence: Evidence, *, passed_on: bool
+) -> Evidence:
+    """Classifies a response whose body failed as evidence about its upstream.
+
+    Args:
+        exc: Why the body failed.
+        head_evidence: The evidence of the response's head.
+        passed_on: Whether its receiver has read the body. If the body did not
+            end in time, the receiver may be the cause.
+    """
+    if not isinstance(exc, PeerSilentError):
+        return Evidence(EvidenceKind.LOST)
+    return head_evidence if passed_on else Evidence(EvidenceKind.TIMED_OUT)
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -16,6 +16,7 @@
 from rhubarbpaddle.execution.event_log import EventLog
 from rhubarbpaddle.execution.evidence_classification import (
     classify_error,
+    classify_failed_body,
     classify_response,
 )
 from rhubarbpaddle.execution.fingerprint import make_fingerprint
@@ -148,6 +149,7 @@
                 body if isinstance(body, BytesBody) else ObservedBody(body)
             )
             response_body: ObservedBody | None = None
+            passed_on = False
             observation = self.observer.start(attached, request.route)
             try:
                 async with attached.client.send(
@@ -157,9 +159,6 @@
                     evidence = classify_response(
                         response, request_body, elapsed
                     )
-                    observation.record_response(
-                        response.status, evidence.latency
-                    )
                     response_body = ObservedBody(response.body)
                     may_retry = isinstance(body, BytesBody)
                     passed_body = await _buffer_if_short(
@@ -169,14 +168,27 @@
                         passed_body = await self._read_ahead(
                             held_bodies, passed_body, may_retry=may_retry
                         )
+                        observation.record_response(
+                            response.status, evidence.latency
+                        )
                         report = attached.admission.get_report()
                         if _may_release_slot(passed_body):
                             # A slow link or caller must not occupy a slot.
                             slot.release(evidence)
+                        passed_on = True
                         yield response._replace(body=passed_body, report=report)
                 self.crashes.record_response(fingerprint)
-            except RefusedError as exc:
-                if evidence is NO_EVIDENCE:
+            except BaseException as exc:
+                if response_body is not None:
+                    if response_body.error is not None:
+                        evidence = classify_failed_body(
+                            response_body.error, evidence, passed_on=passed_on
+                        )
+                        observation.record_error(evidence.kind, None)
+                        await self._detect_crash(
+                            attached, evidence, fingerprint
+                        )
+                elif isinstance(exc, RefusedError):
                     evidence = classify_error(exc, request_body)
                     elapsed = self._clock.monotonic() - started
                     observation.record_error(
@@ -185,16 +197,6 @@
                     )
                     self._log_failure(request, exc)
                     await self._detect_crash(attached, evidence, fingerprint)
-                elif response_body is not None and _has_lost_rest(
-                    response_body
-                ):
-                    evidence = Evidence(EvidenceKind.LOST)
-                    await self._detect_crash(attached, evidence, fingerprint)
-                raise
-            except BaseException:
-                if response_body is not None and response_body.failed:
-                    evidence = Evidence(EvidenceKind.LOST)
-                    await self._detect_crash(attached, evidence, fingerprint)
                 raise
         finally:
             slot.release(evidence)
@@ -315,15 +317,6 @@
     )
 
 
-def _has_lost_rest(body: ObservedBody) -> bool:
-    """Returns whether a body that is too long to be buffered has failed."""
-    return (
-        body.failed
-        and body.length is not None
-        and body.length > _MAX_BUFFERED_BYTES
-    )
-
-
 def _may_release_slot(body: Body) -> bool:
     """Returns whether a body is in memory and sending it may take long."""
     if isinstance(body, BytesBody):
--- a/src/rhubarbpaddle/execution/observed_body.py
+++ b/src/rhubarbpaddle/execution/observed_body.py
@@ -8,12 +8,17 @@
     """Streams a body and records whether reading it failed.
 
     Attributes:
-        failed: Whether the source of the body failed before its end.
+        error: Why the source of the body failed before its end, or None.
     """
 
     def __init__(self, body: Body) -> None:
         self._body = body
-        self.failed = False
+        self.error: RhubarbpaddleError | None = None
+
+    @property
+    def failed(self) -> bool:
+        """Whether the source of the body failed before its end."""
+        return self.error is not None
 
     @property
     def length(self) -> int | None:
@@ -28,6 +33,6 @@
         """
         try:
             return await self._body.receive()
-        except RhubarbpaddleError:
-            self.failed = True
+        except RhubarbpaddleError as exc:
+            self.error = exc
             raise
