Reuse connections between hosts after large responses

A connection to the node beside an instance returns to the pool only if the response's BodyEnd was read. HeldBody and a response of one chunk stop at the known length, so the gateway closed the connection after each body of known length over 16 KiB, and the next exchange opened one with three round trips.

The dispatcher now reads the end of a body of which all bytes were read when the exchange ends.

--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -79,6 +79,20 @@
     When 40 different requests are sent, 50 ms apart
     Then the node beside the instance of "h1" regards it as failing
 
+  # Guards against a new connection between hosts for each large response, whose
+  # handshake takes three round trips.
+  Scenario Outline: Large responses of one host share a connection
+    Given hosts with links of 100 Mbit/s, and instances that respond with <length> bytes <framing>
+    When 8 different requests are sent, 300 ms apart
+    Then the gateway has opened at most 1 connection to each host for them
+
+    Examples:
+      | length | framing   |
+      | 20000  | unchunked |
+      | 90000  | unchunked |
+      | 540000 | unchunked |
+      | 90000  | in chunks |
+
   # Guards against nodes that collect a response for a caller that reads slowly,
   # and against other callers that wait for it.
   Scenario: A caller does not read its response
--- a/features/steps/large_responses_steps.py
+++ b/features/steps/large_responses_steps.py
@@ -172,9 +172,11 @@
     context: Context, count: int, milliseconds: int
 ) -> None:
     async def script(world: PlatformWorld) -> None:
+        connections_before = len(world.fabric.connections)
         for index in range(count):
             await _request(world, _GATEWAY, f"r{index}", f"/lanes/{index}")
             await trio.sleep(milliseconds / 1000)
+        context.connections = world.fabric.connections[connections_before:]
 
     _run(context, script)
 
@@ -187,6 +189,14 @@
     assert attached.admission._failures.is_failing()
 
 
+@then(
+    "the gateway has opened at most {limit:d} connection to each host for them"
+)
+def step_connections(context: Context, limit: int) -> None:
+    counts = [context.connections.count((_GATEWAY, name)) for name in _HOSTS]
+    assert any(counts) and max(counts) <= limit, counts
+
+
 @when("the node that sends a response is lost after {milliseconds:d} ms")
 def step_lost(context: Context, milliseconds: int) -> None:
     async def script(world: PlatformWorld) -> None:
--- a/features/support/memory_fabric.py
+++ b/features/support/memory_fabric.py
@@ -21,12 +21,14 @@
         refused: Pairs of hosts. The second host refuses new connections from
             the first.
         attempted: Addresses to which connections were attempted.
+        connections: The two hosts of each connection that was opened.
     """
 
     def __init__(self) -> None:
         self.blocked: set[tuple[str, str]] = set()
         self.refused: set[tuple[str, str]] = set()
         self.attempted: set[str] = set()
+        self.connections: list[tuple[str, str]] = []
         self._listeners: dict[str, tuple[str, StreamHandler, trio.Nursery]] = {}
         self._pipes: list[tuple[str, str, MemoryPipe]] = []
 
@@ -55,6 +57,7 @@
             raise ConnectionRefusedError(address)
         if {(source, target), (target, source)} & self.blocked:
             await trio.sleep_forever()
+        self.connections.append((source, target))
         outgoing = self._add_pipe(source, target)
         incoming = self._add_pipe(target, source)
         nursery.start_soon(handler, MemoryStream(incoming, outgoing))
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -97,7 +97,7 @@
             )
             finished = (
                 not isinstance(response_body, RemoteResponseBody)
-                or response_body.complete
+                or await response_body.read_end()
             )
         finally:
             if finished:
