Free the slot of a response whose caller does not read it

Nothing limited how long a node waits for a caller to accept a part of a response. The body's deadline is checked only when the next part is received from the instance, so a caller that kept its connection open without reading occupied a slot until the kernel's TCP user timeout of 30 s, and without limit on a network that has none; a few of them block an instance.

A caller's connection is now reset if it accepts no part of a streamed body for send_seconds: 60 s by default, and 5 s on the users' platform, where callers are on the same host and hosts may freeze for 3 s. The reset ends the request at the node beside the instance too. Responses of one message need no timer: the slot is released for all bodies in memory, also those up to 16 KiB, so that they do not occupy it while they are sent.

--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -101,6 +101,18 @@
     Then the instance has sent at most 900000 bytes of the unread response
     And the others have complete responses within 400 ms
 
+  # Guards against slots that are occupied for as long as a caller keeps its
+  # connection open without reading.
+  Scenario Outline: A caller never reads its response
+    Given hosts with links of 100 Mbit/s, and instances that respond with 8000000 bytes <framing>
+    When a caller of "<gateway>" keeps its connection open without reading
+    Then the connection to the instance ends within 5500 ms
+
+    Examples:
+      | gateway | framing   |
+      | g       | unchunked |
+      | h1      | in chunks |
+
   # Guards against instances that keep working for callers that have left.
   Scenario: A caller leaves in the middle of a response
     Given hosts with links of 12 Mbit/s, and instances that respond with 8000000 bytes
--- a/features/steps/large_responses_steps.py
+++ b/features/steps/large_responses_steps.py
@@ -310,6 +310,18 @@
         assert seconds * 1000 <= limit, seconds
 
 
+@when('a caller of "{name}" keeps its connection open without reading')
+def step_never_reads(context: Context, name: str) -> None:
+    async def script(world: PlatformWorld) -> None:
+        stream = await world.fabric.connect("caller", f"{name}:2")
+        await stream.send_all(_make_request("left"))
+        await trio.sleep(0.3)
+        context.left_at = trio.current_time()
+        await trio.sleep(20)
+
+    _run(context, script)
+
+
 @when("a caller leaves while its response is paced")
 def step_leave(context: Context) -> None:
     async def script(world: PlatformWorld) -> None:
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -47,8 +47,6 @@
 # instance has it ready, so that it has no request running while the body is
 # paced on the host's link.
 _MAX_HELD_BYTES = 256 * 1024
-# Shorter bodies are sent in one message, without pauses.
-_MAX_UNPACED_BYTES = 16 * 1024
 # An instance sends a body of this length over the host's loopback interface
 # within a few milliseconds. A body that takes longer is streamed.
 _HOLD_SECONDS = 0.02
@@ -172,7 +170,7 @@
                             response.status, evidence.latency
                         )
                         report = attached.admission.get_report()
-                        if _may_release_slot(passed_body):
+                        if _is_in_memory(passed_body):
                             # A slow link or caller must not occupy a slot.
                             slot.release(evidence)
                         passed_on = True
@@ -317,11 +315,10 @@
     )
 
 
-def _may_release_slot(body: Body) -> bool:
-    """Returns whether a body is in memory and sending it may take long."""
-    if isinstance(body, BytesBody):
-        return len(body.content) > _MAX_UNPACED_BYTES
-    return isinstance(body, HeldBody) and body.complete
+def _is_in_memory(body: Body) -> bool:
+    return isinstance(body, BytesBody) or (
+        isinstance(body, HeldBody) and body.complete
+    )
 
 
 async def _buffer_if_short(body: ObservedBody, *, may_retry: bool) -> Body:
--- a/src/rhubarbpaddle/http/limits.py
+++ b/src/rhubarbpaddle/http/limits.py
@@ -11,6 +11,8 @@
         idle_seconds: The timeout for the first byte of the next request.
         head_seconds: The timeout for a head, counted from its first byte.
         body_idle_seconds: The timeout for the next chunk of a body.
+        send_seconds: The timeout until a caller has accepted one part of a
+            streamed response, which occupies a slot of an instance.
         idle_connections: The maximum number of idle connections of all
             callers; beyond it the longest idle one is closed.
         discard_seconds: How long unread input is discarded before a connection
@@ -30,6 +32,7 @@
     idle_seconds: float = 60.0
     head_seconds: float = 10.0
     body_idle_seconds: float = 30.0
+    send_seconds: float = 60.0
     idle_connections: int = 8_192
     discard_seconds: float = 2.0
     discard_bytes: int = 1 << 20
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -148,6 +148,7 @@
 
         Raises:
             TruncatedError: The connection is closed, or the body ended early.
+            PeerSilentError: The caller does not read a streamed body.
             RefusedError: The body failed before anything was sent.
         """
         if method == b"HEAD" or status in (204, 304):
@@ -157,7 +158,9 @@
             return
         if body.length is None:
             self._response_started = True
-            await self.send(h11.Response(status_code=status, headers=headers))
+            await self._send_part(
+                h11.Response(status_code=status, headers=headers)
+            )
             await self._send_remaining_chunks(body)
             return
         chunk = await _receive_first_chunk(body)
@@ -167,7 +170,7 @@
         if len(chunk) == body.length:
             await self.send(head, h11.Data(data=chunk), h11.EndOfMessage())
             return
-        await self.send(head, h11.Data(data=chunk))
+        await self._send_part(head, h11.Data(data=chunk))
         await self._send_remaining_chunks(body)
 
     def start_next_cycle(self) -> bool:
@@ -302,8 +305,24 @@
 
     async def _send_remaining_chunks(self, body: Body) -> None:
         while chunk := await body.receive():
-            await self.send(h11.Data(data=chunk))
-        await self.send(h11.EndOfMessage())
+            await self._send_part(h11.Data(data=chunk))
+        await self._send_part(h11.EndOfMessage())
+
+    async def _send_part(self, *events: h11.Event) -> None:
+        """Sends a part of a response whose body is streamed.
+
+        Raises:
+            TruncatedError: The connection is closed.
+            PeerSilentError: The caller does not read the response.
+        """
+        with trio.move_on_after(self._limits.send_seconds):
+            await self.send(*events)
+            return
+        raise PeerSilentError(
+            "the caller does not read its response",
+            step="send_response",
+            peer=self.peer,
+        )
 
     async def _next_body_event(self) -> object:
         if self.h11.they_are_waiting_for_100_continue:
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -94,6 +94,9 @@
 # Callers reuse connections for up to four fifths of the configured idle
 # timeout, which may change while a connection is idle.
 _IDLE_TIMEOUT_SECONDS = 120.0
+# Callers are on the same host and have deadlines of a few seconds. Hosts and
+# processes may freeze for 3 s.
+_SEND_TIMEOUT_SECONDS = 5.0
 
 _log = get_logger("node")
 
@@ -293,7 +296,9 @@
             self._stream_watch,
             deadline_limit,
             CallerLimits(
-                idle_seconds=_IDLE_TIMEOUT_SECONDS, keeps_half_closed=False
+                idle_seconds=_IDLE_TIMEOUT_SECONDS,
+                send_seconds=_SEND_TIMEOUT_SECONDS,
+                keeps_half_closed=False,
             ),
         )
         exchange_server = ExchangeServer(
