Log each pipelined request of a caller that has left

When a caller left, the requests that waited for their turn were counted and logged as discarded behind a response that closes the connection, together with those that ran ahead, which were logged as caller_left too. A request that had not started had no line with its id.

Cancelling the pipeline returns its requests now. If the caller has left, those that had not started are recorded as caller_left with stage=read, and nothing counts as discarded.

Scenario: of 4 pipelined requests, one of which waits for its turn, 3 had a line caller_left before, and all 4 have one now.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -105,9 +105,10 @@
   # Guards against work for callers that have left.
   Scenario: A caller leaves with requests in its pipeline
     Given a route of kind "idempotent" and 2 hosts
-    When a caller leaves while 3 pipelined requests run
+    When a caller leaves while 3 pipelined requests run and a fourth waits for its turn
     Then nothing of it runs 300 ms later
-    And the log has 3 lines with "event=caller_left request_id=r"
+    And the log has 4 lines with "event=caller_left request_id=r"
+    And the log has 0 lines with "event=pipelined_requests_discarded"
 
   # Guards against tasks for connections whose callers wait for each response.
   Scenario: Connections without pipelining
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -398,14 +398,18 @@
     assert context.completed is True
 
 
-@when("a caller leaves while {count:d} pipelined requests run")
+@when(
+    "a caller leaves while {count:d} pipelined requests run and a fourth waits"
+    " for its turn"
+)
 def step_leave(context: Context, count: int) -> None:
     async def script(world: PlatformWorld) -> None:
         caller = await _connect(world)
         ids = [f"r{index}" for index in range(count)]
         for request_id in ids:
             _set_work(world, request_id, 0.9)
-        await caller.send(b"".join(map(_make_request, ids)))
+        waiting = _make_request(f"r{count}", "PUT")
+        await caller.send(b"".join(map(_make_request, ids)) + waiting)
         await trio.sleep(0.2)
         runs = [name for i in world.instances.values() for name in i.runs]
         assert sorted(runs) == ids, runs
--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -251,10 +251,22 @@
     def _discard_queued(
         self, conn: ServerConnection, pipeline: RequestPipeline
     ) -> None:
-        """Cancels the requests behind a response that ends the connection."""
-        count = pipeline.cancel()
-        if count:
-            self._metrics.record_pipelined("discarded", count)
+        """Cancels the requests behind a response that ends the connection.
+
+        If the caller has left, each is recorded as such; those that run ahead
+        record it themselves.
+        """
+        entries = pipeline.cancel()
+        if conn.scope.cancel_called:
+            for entry in entries:
+                if entry.read is not None and not entry.runs_ahead:
+                    self._answerer.record_disconnected(
+                        entry.read.request_id, "read"
+                    )
+        elif entries:
+            self._metrics.record_pipelined("discarded", len(entries))
             _log.notice(
-                "pipelined_requests_discarded", count=count, peer=conn.peer
+                "pipelined_requests_discarded",
+                count=len(entries),
+                peer=conn.peer,
             )
--- a/src/rhubarbpaddle/http/request_pipeline.py
+++ b/src/rhubarbpaddle/http/request_pipeline.py
@@ -118,21 +118,21 @@
             conn.unparsed, self._unparsed = self._unparsed, b""
         return entry
 
-    def cancel(self) -> int:
+    def cancel(self) -> list[PipelinedRequest]:
         """Cancels all queued requests and stops reading.
 
         Returns:
-            The number of requests that get no response.
+            The requests that get no response.
         """
         self._stop_reading()
-        count = len(self._queue)
-        while self._queue:
-            entry = self._queue.popleft()
+        cancelled = list(self._queue)
+        self._queue.clear()
+        for entry in cancelled:
             if entry.runs_ahead:
                 entry.scope.cancel()
             else:
                 self._work.end()
-        return count
+        return cancelled
 
     async def wait_stopped(self) -> None:
         """Waits until the connection is not read any more."""
