--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -113,6 +113,13 @@
       | g       | unchunked |
       | h1      | in chunks |
 
+  # Guards against an instance that counts as lost because a caller read so slowly
+  # that the response did not end in time.
+  Scenario: A caller reads too slowly
+    Given hosts with links of 100 Mbit/s, and instances that respond with 8000000 bytes
+    When a caller of "h1" begins to read its response 4 s after its request
+    Then the response is incomplete, and no request is suspected of a crash
+
   # Guards against instances that keep working for callers that have left.
   Scenario: A caller leaves in the middle of a response
     Given hosts with links of 12 Mbit/s, and instances that respond with 8000000 bytes
--- a/features/steps/large_responses_steps.py
+++ b/features/steps/large_responses_steps.py
@@ -322,6 +322,29 @@
     _run(context, script)
 
 
+@when(
+    'a caller of "{name}" begins to read its response {seconds:d} s after its'
+    " request"
+)
+def step_reads_late(context: Context, name: str, seconds: int) -> None:
+    async def script(world: PlatformWorld) -> None:
+        stream = await world.fabric.connect("caller", f"{name}:2")
+        caller = RawCaller(stream)
+        await caller.send(_make_request("late"))
+        await trio.sleep(seconds)
+        context.responses = [await caller.receive()]
+
+    _run(context, script)
+
+
+@then("the response is incomplete, and no request is suspected of a crash")
+def step_no_suspects(context: Context) -> None:
+    [response] = context.responses
+    assert response is not None and not response.complete
+    for node in context.world.nodes.values():
+        assert not node.instance_proxy._suspects._suspects
+
+
 @when("a caller leaves while its response is paced")
 def step_leave(context: Context) -> None:
     async def script(world: PlatformWorld) -> None:
