Check that a version which breaks off its responses is rolled back

The roll-out counted a response by its head.

Some of the requests that reach such a version get 502 in this load, since a request that may have run is repeated only within the retry budget, so the scenario does not ask that all requests succeed.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -41,6 +41,17 @@
       | works 3 times longer            |
       | fails all requests after 4 s    |
 
+  # Guards against a version that is completed although its responses never end,
+  # because their heads are right. Requests may fail: a request that has run is
+  # repeated only within the retry budget.
+  Scenario: A version that breaks off its responses is rolled back
+    Given a service with old and new instances under load
+    When the new version breaks off all of its responses
+    And operators order the new version
+    Then the roll-out is "rolled_back" within 12 s
+    And the new version has got at most its share
+    And no request reaches version "v2" for 3 s
+
   # Guards against a good version that is rolled back because of a fault that
   # also affects the old version.
   Scenario Outline: A fault of both versions does not end a roll-out
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -41,6 +41,12 @@
     context.world.set_failures("v2", percent / 100)
 
 
+@when("the new version breaks off all of its responses")
+@deferred
+async def step_break_off(context: Context) -> None:
+    context.world.break_off_responses("v2")
+
+
 @when("the new version fails 50 % on one route")
 @deferred
 async def step_fail_route(context: Context) -> None:
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -115,6 +115,12 @@
         """Returns the number of requests that reached a version."""
         return len(self.list_arrivals(version))
 
+    def break_off_responses(self, version: str) -> None:
+        """Makes the instances of a version omit the end of each response."""
+        for name, instance in self.instances.items():
+            if self.versions[name] == version:
+                instance.truncated_length = -1
+
     def set_failures(
         self, version: str, share: float, prefix: str = "/"
     ) -> None:
