--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -55,6 +55,44 @@
       | unchunked |
       | in chunks |
 
+  # Guards against a request that crashes one instance after another, and is not
+  # counted as the cause because a head was sent before each crash.
+  Scenario Outline: A request crashes instances in the middle of its response
+    Given hosts with links of 100 Mbit/s, and instances that respond with <length> bytes <framing>
+    And the instance of "h1" fails after <bytes> bytes of each body
+    And the instance of "h2" fails after <bytes> bytes of each body
+    When a request is sent 6 times, after each of which the instances restart
+    Then it has run at most 4 times
+
+    Examples:
+      | length | framing   | bytes  |
+      | 2000   | unchunked | 1000   |
+      | 2000   | in chunks | 1000   |
+      | 60000  | unchunked | 50000  |
+      | 540000 | in chunks | 400000 |
+
+  # Guards against an instance that breaks off most of its responses and counts
+  # as one that works.
+  Scenario: An instance that breaks off its responses
+    Given hosts with links of 100 Mbit/s, and instances that respond with 2000 bytes
+    And the instance of "h1" fails after 1000 bytes of each body
+    When 40 different requests are sent, 50 ms apart
+    Then the node beside the instance of "h1" regards it as failing
+
+  # Guards against a new connection between hosts for each large response, whose
+  # handshake takes three round trips.
+  Scenario Outline: Large responses of one host share a connection
+    Given hosts with links of 100 Mbit/s, and instances that respond with <length> bytes <framing>
+    When 8 different requests are sent, 300 ms apart
+    Then the gateway has opened at most 1 connection to each host for them
+
+    Examples:
+      | length | framing   |
+      | 20000  | unchunked |
+      | 90000  | unchunked |
+      | 540000 | unchunked |
+      | 90000  | in chunks |
+
   # Guards against nodes that collect a response for a caller that reads slowly,
   # and against other callers that wait for it.
   Scenario: A caller does not read its response
@@ -63,6 +101,25 @@
     Then the instance has sent at most 900000 bytes of the unread response
     And the others have complete responses within 400 ms
 
+  # Guards against slots that are occupied for as long as a caller keeps its
+  # connection open without reading.
+  Scenario Outline: A caller never reads its response
+    Given hosts with links of 100 Mbit/s, and instances that respond with 8000000 bytes <framing>
+    When a caller of "<gateway>" keeps its connection open without reading
+    Then the connection to the instance ends within 5500 ms
+
+    Examples:
+      | gateway | framing   |
+      | g       | unchunked |
+      | h1      | in chunks |
+
+  # Guards against an instance that counts as lost because a caller read so slowly
+  # that the response did not end in time.
+  Scenario: A caller reads too slowly
+    Given hosts with links of 100 Mbit/s, and instances that respond with 8000000 bytes
+    When a caller of "h1" begins to read its response 4 s after its request
+    Then the response is incomplete, and no request is suspected of a crash
+
   # Guards against instances that keep working for callers that have left.
   Scenario: A caller leaves in the middle of a response
     Given hosts with links of 12 Mbit/s, and instances that respond with 8000000 bytes
--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -80,6 +80,20 @@
     When a caller sends "GET 600, GET 50, GET 50", 0 ms apart
     Then the statuses are "200, 200, 200", the last one after 600 to 900 ms
 
+  # Guards against responses that wait for their turn and occupy the slots of the
+  # instance on the same host, which has finished its work for them.
+  Scenario Outline: Responses that wait for their turn leave the instance free
+    Given a route of kind "idempotent" and 1 host
+    And 3 slots at the instance
+    And responses of <length> bytes
+    When a caller sends "GET 900, GET 50, GET 50", and another caller sends a request 300 ms later
+    Then the other caller has its response within 100 ms
+
+    Examples:
+      | length |
+      | 1000   |
+      | 150000 |
+
   # Guards against a planned stop that leaves requests unanswered which have been
   # read, and against reading more of them.
   Scenario: A node shuts down with requests in its pipeline
@@ -91,9 +105,10 @@
   # Guards against work for callers that have left.
   Scenario: A caller leaves with requests in its pipeline
     Given a route of kind "idempotent" and 2 hosts
-    When a caller leaves while 3 pipelined requests run
+    When a caller leaves while 3 pipelined requests run and a fourth waits for its turn
     Then nothing of it runs 300 ms later
-    And the log has 3 lines with "event=caller_left request_id=r"
+    And the log has 4 lines with "event=caller_left request_id=r"
+    And the log has 0 lines with "event=pipelined_requests_discarded"
 
   # Guards against tasks for connections whose callers wait for each response.
   Scenario: Connections without pipelining
--- a/features/steps/large_responses_steps.py
+++ b/features/steps/large_responses_steps.py
@@ -89,11 +89,11 @@
 
 
 async def _request(
-    world: PlatformWorld, name: str, request_id: str
+    world: PlatformWorld, name: str, request_id: str, target: str = "/lanes/x"
 ) -> RawResponse | None:
     stream = await world.fabric.connect("caller", f"{name}:2")
     caller = RawCaller(stream)
-    await caller.send(_make_request(request_id))
+    await caller.send(_make_request(request_id, target))
     response = await caller.receive()
     await stream.aclose()
     return response
@@ -146,6 +146,57 @@
     _run(context, script)
 
 
+@when(
+    "a request is sent {count:d} times, after each of which the instances"
+    " restart"
+)
+def step_crash(context: Context, count: int) -> None:
+    async def script(world: PlatformWorld) -> None:
+        for index in range(count):
+            await _request(world, _GATEWAY, f"c{index}")
+            for name in world.instances:
+                await world.report(name, born=2_000 + index)
+            await trio.sleep(1)
+
+    _run(context, script)
+
+
+@then("it has run at most {count:d} times")
+def step_few_runs(context: Context, count: int) -> None:
+    runs = [i.runs for i in context.world.instances.values()]
+    assert 2 <= sum(map(len, runs)) <= count, runs
+
+
+@when("{count:d} different requests are sent, {milliseconds:d} ms apart")
+def step_send_different(
+    context: Context, count: int, milliseconds: int
+) -> None:
+    async def script(world: PlatformWorld) -> None:
+        connections_before = len(world.fabric.connections)
+        for index in range(count):
+            await _request(world, _GATEWAY, f"r{index}", f"/lanes/{index}")
+            await trio.sleep(milliseconds / 1000)
+        context.connections = world.fabric.connections[connections_before:]
+
+    _run(context, script)
+
+
+@then('the node beside the instance of "{name}" regards it as failing')
+def step_failing(context: Context, name: str) -> None:
+    attached = context.world.nodes[name].instance_proxy.attached
+    assert attached is not None
+    assert context.world.instances[name].runs
+    assert attached.admission._failures.is_failing()
+
+
+@then(
+    "the gateway has opened at most {limit:d} connection to each host for them"
+)
+def step_connections(context: Context, limit: int) -> None:
+    counts = [context.connections.count((_GATEWAY, name)) for name in _HOSTS]
+    assert any(counts) and max(counts) <= limit, counts
+
+
 @when("the node that sends a response is lost after {milliseconds:d} ms")
 def step_lost(context: Context, milliseconds: int) -> None:
     async def script(world: PlatformWorld) -> None:
@@ -259,6 +310,41 @@
         assert seconds * 1000 <= limit, seconds
 
 
+@when('a caller of "{name}" keeps its connection open without reading')
+def step_never_reads(context: Context, name: str) -> None:
+    async def script(world: PlatformWorld) -> None:
+        stream = await world.fabric.connect("caller", f"{name}:2")
+        await stream.send_all(_make_request("left"))
+        await trio.sleep(0.3)
+        context.left_at = trio.current_time()
+        await trio.sleep(20)
+
+    _run(context, script)
+
+
+@when(
+    'a caller of "{name}" begins to read its response {seconds:d} s after its'
+    " request"
+)
+def step_reads_late(context: Context, name: str, seconds: int) -> None:
+    async def script(world: PlatformWorld) -> None:
+        stream = await world.fabric.connect("caller", f"{name}:2")
+        caller = RawCaller(stream)
+        await caller.send(_make_request("late"))
+        await trio.sleep(seconds)
+        context.responses = [await caller.receive()]
+
+    _run(context, script)
+
+
+@then("the response is incomplete, and no request is suspected of a crash")
+def step_no_suspects(context: Context) -> None:
+    [response] = context.responses
+    assert response is not None and not response.complete
+    for node in context.world.nodes.values():
+        assert not node.instance_proxy._suspects._suspects
+
+
 @when("a caller leaves while its response is paced")
 def step_leave(context: Context) -> None:
     async def script(world: PlatformWorld) -> None:
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -16,6 +16,7 @@
 from rhubarbpaddle.execution.event_log import EventLog
 from rhubarbpaddle.execution.evidence_classification import (
     classify_error,
+    classify_failed_body,
     classify_response,
 )
 from rhubarbpaddle.execution.fingerprint import make_fingerprint
@@ -46,8 +47,6 @@
 # instance has it ready, so that it has no request running while the body is
 # paced on the host's link.
 _MAX_HELD_BYTES = 256 * 1024
-# Shorter bodies are sent in one message, without pauses.
-_MAX_UNPACED_BYTES = 16 * 1024
 # An instance sends a body of this length over the host's loopback interface
 # within a few milliseconds. A body that takes longer is streamed.
 _HOLD_SECONDS = 0.02
@@ -148,6 +147,7 @@
                 body if isinstance(body, BytesBody) else ObservedBody(body)
             )
             response_body: ObservedBody | None = None
+            passed_on = False
             observation = self.observer.start(attached, request.route)
             try:
                 async with attached.client.send(
@@ -157,9 +157,6 @@
                     evidence = classify_response(
                         response, request_body, elapsed
                     )
-                    observation.record_response(
-                        response.status, evidence.latency
-                    )
                     response_body = ObservedBody(response.body)
                     may_retry = isinstance(body, BytesBody)
                     passed_body = await _buffer_if_short(
@@ -169,14 +166,27 @@
                         passed_body = await self._read_ahead(
                             held_bodies, passed_body, may_retry=may_retry
                         )
+                        observation.record_response(
+                            response.status, evidence.latency
+                        )
                         report = attached.admission.get_report()
-                        if _may_release_slot(passed_body):
+                        if _is_in_memory(passed_body):
                             # A slow link or caller must not occupy a slot.
                             slot.release(evidence)
+                        passed_on = True
                         yield response._replace(body=passed_body, report=report)
                 self.crashes.record_response(fingerprint)
-            except RefusedError as exc:
-                if evidence is NO_EVIDENCE:
+            except BaseException as exc:
+                if response_body is not None:
+                    if response_body.error is not None:
+                        evidence = classify_failed_body(
+                            response_body.error, evidence, passed_on=passed_on
+                        )
+                        observation.record_error(evidence.kind, None)
+                        await self._detect_crash(
+                            attached, evidence, fingerprint
+                        )
+                elif isinstance(exc, RefusedError):
                     evidence = classify_error(exc, request_body)
                     elapsed = self._clock.monotonic() - started
                     observation.record_error(
@@ -185,16 +195,6 @@
                     )
                     self._log_failure(request, exc)
                     await self._detect_crash(attached, evidence, fingerprint)
-                elif response_body is not None and _has_lost_rest(
-                    response_body
-                ):
-                    evidence = Evidence(EvidenceKind.LOST)
-                    await self._detect_crash(attached, evidence, fingerprint)
-                raise
-            except BaseException:
-                if response_body is not None and response_body.failed:
-                    evidence = Evidence(EvidenceKind.LOST)
-                    await self._detect_crash(attached, evidence, fingerprint)
                 raise
         finally:
             slot.release(evidence)
@@ -315,22 +315,12 @@
     )
 
 
-def _has_lost_rest(body: ObservedBody) -> bool:
-    """Returns whether a body that is too long to be buffered has failed."""
-    return (
-        body.failed
-        and body.length is not None
-        and body.length > _MAX_BUFFERED_BYTES
+def _is_in_memory(body: Body) -> bool:
+    return isinstance(body, BytesBody) or (
+        isinstance(body, HeldBody) and body.complete
     )
 
 
-def _may_release_slot(body: Body) -> bool:
-    """Returns whether a body is in memory and sending it may take long."""
-    if isinstance(body, BytesBody):
-        return len(body.content) > _MAX_UNPACED_BYTES
-    return isinstance(body, HeldBody) and body.complete
-
-
 async def _buffer_if_short(body: ObservedBody, *, may_retry: bool) -> Body:
     """Reads a short body into memory and leaves a longer one streamed.
 
