Don't queue a request at the canary that refused it

A canary that refuses an attempt as full reports its wait, and the queue is chosen among the reported waits. A canary gets few requests, so that its wait is often the shortest: the request was then queued there, although only one attempt had been counted against the exposure limit of the roll-out.

The chooser now discards the waits at instances that the version policy excludes before each choice. This also covers a version that is excluded between two attempts of a request.

--- /dev/null
+++ b/features/steps/instance_choice_steps.py
@@ -0,0 +1,129 @@
+from collections.abc import Callable, Iterator
+from unittest import mock
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.zone_instance import SERVICE
+from features.support.zone_world import ZoneGateway, ZoneWorld, run_zone_world
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution import Request
+from rhubarbpaddle.execution.instance_choice import InstanceChoice
+from rhubarbpaddle.execution.instance_chooser import InstanceChooser
+from rhubarbpaddle.execution.route_attempt_history import RouteAttemptHistory
+from rhubarbpaddle.execution.version_policy import VersionPolicy
+from rhubarbpaddle.measuring import LoadReport
+from rhubarbpaddle.membership import UpstreamState
+from rhubarbpaddle.routing.instance_router import InstanceRouter
+
+# A chooser that doesn't end is stopped here.
+_MAX_ATTEMPTS = 20
+
+
+def _refuse_attempts(
+    chooser: InstanceChooser,
+    request: Request,
+    get_refusal: Callable[[InstanceChoice], tuple[str, float]],
+) -> Iterator[InstanceChoice]:
+    """Yields the choices for a request whose attempts are all refused.
+
+    Args:
+        chooser: The chooser.
+        request: The request.
+        get_refusal: Returns the code of a refusal and the wait that it reports.
+    """
+    history = RouteAttemptHistory(request.service)
+    while choice := chooser.choose(request, history):
+        yield choice
+        assert history.sent < _MAX_ATTEMPTS
+        code, wait = get_refusal(choice)
+        exc = RefusedError(
+            code,
+            "-",
+            step="admit",
+            may_retry=True,
+            report=LoadReport(6, 1, 4, UpstreamState.WARM),
+            expected_wait=wait,
+        )
+        node_id = choice.candidate.node_id
+        history.record_failure(node_id, exc, choice.may_queue)
+        chooser.observe_refusal(choice, history, exc, 0.001)
+
+
+def _collect(
+    context: Context,
+    get_refusal: Callable[[InstanceChoice], tuple[str, float]],
+    get_chooser: Callable[[ZoneGateway], InstanceChooser] = (
+        lambda gateway: gateway.chooser
+    ),
+    target_seconds: float = 0.5,
+    large: bool = False,
+) -> None:
+    """Collects the choices of a gateway of the first zone."""
+
+    async def scenario(world: ZoneWorld) -> None:
+        now = trio.current_time()
+        request = Request(
+            "r",
+            "",
+            SERVICE,
+            "GET",
+            "/",
+            [],
+            now + 2,
+            True,
+            route="r",
+            useful_until=now + target_seconds,
+            large_response=large,
+        )
+        chooser = get_chooser(world.gateways[0])
+        context.choices = [*_refuse_attempts(chooser, request, get_refusal)]
+
+    run_zone_world(scenario, context.zone_names)
+
+
+@given('a canary instance "{name}"')
+def step_canary(context: Context, name: str) -> None:
+    context.canary = name
+
+
+@when("it refuses a request as full with a shorter wait than the others")
+def step_canary_refuses(context: Context) -> None:
+    canary = context.canary
+    others = {f"a{number}" for number in range(3)} - {canary}
+    versions = mock.create_autospec(VersionPolicy, instance=True)
+    versions.get_excluded.return_value = frozenset({canary})
+    versions.get_canary_excluded.return_value = frozenset(others)
+
+    def make_chooser(gateway: ZoneGateway) -> InstanceChooser:
+        router = InstanceRouter(
+            gateway.table,
+            mock.Mock(monotonic=trio.current_time),
+            mock.Mock(random=lambda: 0.5),
+            lambda zone: True,
+            versions.get_excluded,
+        )
+        return InstanceChooser(
+            router,
+            gateway.spillover,
+            mock.Mock(),
+            mock.Mock(monotonic=trio.current_time),
+            versions,
+        )
+
+    _collect(
+        context,
+        lambda choice: (
+            "instance_full",
+            0.01 if choice.candidate.node_id == canary else 0.3,
+        ),
+        make_chooser,
+    )
+
+
+@then("the request queues at the others, and is sent to the canary once")
+def step_not_queued_at_canary(context: Context) -> None:
+    names = [choice.candidate.node_id for choice in context.choices]
+    assert names.count(context.canary) == 1, context.choices
+    assert any(choice.may_queue for choice in context.choices)
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -64,6 +64,10 @@
             request: The request.
             history: The attempts so far.
         """
+        if history.waits:
+            # The counts of a roll-out include one attempt at a canary, and
+            # none that queues there after a refusal.
+            history.discard_waits(self._versions.get_excluded(request.service))
         choice = self._choose_canary(request, history)
         if choice is not None:
             return choice
--- a/src/rhubarbpaddle/execution/route_attempt_history.py
+++ b/src/rhubarbpaddle/execution/route_attempt_history.py
@@ -1,5 +1,7 @@
 """The history of the attempts for one routed request."""
 
+from collections.abc import Iterable
+
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.routing.reported_wait import ReportedWait
@@ -72,6 +74,15 @@
         """Returns the node ids at which the request must not be queued."""
         return (self.excluded - self.busy) | self.refused_queues
 
+    def discard_waits(self, node_ids: Iterable[str]) -> None:
+        """Forgets the waits at instances that must not be chosen again.
+
+        Args:
+            node_ids: The nodes beside these and other instances.
+        """
+        for node_id in node_ids:
+            self.waits.pop(node_id, None)
+
     def record_failure(
         self, node_id: str, refusal: RefusedError, could_queue: bool
     ) -> None:
