Report waits by the organisation's share in refusals

The wait that a refused attempt reports counted all queued requests of the same or a higher priority. A request within its organisation's share is served before those above it, so that its wait was overestimated while a hot organisation queued, and it left its zone or chose another queue because of it. For a request above its share the wait was underestimated, because later requests overtake it; the queue then refused it with a longer estimate.

The count now ends at the request's own level (priority and share), and the wait of a request above its share is extended as when it queues. `FairShare.is_next_above_share` no longer counts a request; `count_next` does, when the request queues. Without usage ratios nothing changes.

--- a/bench/fair_share_fleet.py
+++ b/bench/fair_share_fleet.py
@@ -77,7 +77,7 @@
         share = rng.choice(shares)
         name = str(rank)
         share.record(name, len(times) / (_CAP_FACTOR * usual[rank]), now)
-        is_above_share = share.is_next_above_share(name)
+        is_above_share = share.count_next(name)
         if now > _SETTLE_SECONDS:
             group = "large" if rank < 10 else "small"
             group = "hot" if rank == demand.hot_rank else group
--- a/bench/fair_share_scale.py
+++ b/bench/fair_share_scale.py
@@ -28,7 +28,7 @@
 
     def decide() -> None:
         share.record("hot", 4.0, 0.5)
-        share.is_next_above_share("hot")
+        share.count_next("hot")
 
     return _measure_us(decide, _CALLS)
 
--- a/features/fair_queueing.feature
+++ b/features/fair_queueing.feature
@@ -55,6 +55,14 @@
       | urgent above   | 0        | 5.0         |
     Then they start in the order "urgent above, within share, above share, less urgent"
 
+  # Guards against requests that leave their zone, or choose another queue,
+  # because of queued requests that would yield to them.
+  Scenario: The wait that a refusal reports depends on the share
+    Given an instance with 2 slots and slowdown factor 1
+    When 4 requests above their share queue and 2 others are refused at once
+    Then the wait reported to "usual-0" is below 0.1 s
+    And the wait reported to "above share" is above 0.3 s
+
   # Guards against a Retry-After that sends a caller back to the next refusal.
   Scenario: An organisation that pauses for the Retry-After time is served
     Given an instance with 4 slots and slowdown factor 1
--- a/features/steps/fair_queueing_steps.py
+++ b/features/steps/fair_queueing_steps.py
@@ -152,6 +152,60 @@
     assert started == ["running", *names.split(", ")], started
 
 
+@when(
+    "{count:d} requests above their share queue and 2 others are refused at"
+    " once"
+)
+def step_refuse_at_once(context: Context, count: int) -> None:
+    context.waits = {}
+
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        ratio = 7 * _USUAL_RATIO
+        await _show_ratios(harness, "above share", ratio)
+
+        def send(organisation: str, ratio: float, may_queue: bool) -> None:
+            nursery.start_soon(
+                lambda: harness.send_request(
+                    organisation=organisation,
+                    usage_ratio=ratio,
+                    may_queue=may_queue,
+                    latency_target=5.0,
+                    deadline=6.0,
+                )
+            )
+
+        send("usual-0", _USUAL_RATIO, True)
+        send("usual-1", _USUAL_RATIO, True)
+        await trio.sleep(0.01)
+        # One in three is within its share.
+        for _ in range(count * 3 // 2):
+            send("above share", ratio, True)
+            await trio.sleep(0.0001)
+        for name, own_ratio in (
+            ("usual-0", _USUAL_RATIO),
+            ("above share", ratio),
+        ):
+            send(name, own_ratio, False)
+            await trio.sleep(0.0001)
+            exc, _ = harness.refused[-1]
+            assert exc.code == "instance_full", exc
+            context.waits[name] = exc.expected_wait
+
+    run_scenario(context, scenario)
+
+
+@then('the wait reported to "{name}" is below {limit:g} s')
+def step_wait_below(context: Context, name: str, limit: float) -> None:
+    assert context.waits[name] < limit, context.waits
+
+
+@then('the wait reported to "{name}" is above {limit:g} s')
+def step_wait_above(context: Context, name: str, limit: float) -> None:
+    assert context.waits[name] > limit, context.waits
+
+
 @when("an organisation above its share is refused and pauses as long as told")
 def step_pause(context: Context) -> None:
     async def scenario(
--- a/src/rhubarbpaddle/admission/fair_share.py
+++ b/src/rhubarbpaddle/admission/fair_share.py
@@ -80,22 +80,38 @@
             )
 
     def is_next_above_share(self, organisation: str) -> bool:
-        """Returns whether the next request of an organisation must yield.
+        """Returns whether the next request of an organisation must yield."""
+        use = self._ratios.get(organisation)
+        return (
+            use is not None
+            and use.is_above_share
+            and self._compute_next_credit(use) < 1
+        )
 
-        Each call counts as a request, so that the part within its share is
-        spread evenly over the requests of an organisation above it.
+    def count_next(self, organisation: str) -> bool:
+        """Returns whether the next request must yield, and counts it.
+
+        The part within its share is thus spread evenly over the requests of an
+        organisation above it.
         """
         use = self._ratios.get(organisation)
         if use is None or not use.is_above_share:
             return False
-        fraction = self._ratios.get_reference() / use.ratio
-        credit = use.credit + max(_MIN_SHARE_FRACTION, min(1.0, fraction))
+        credit = self._compute_next_credit(use)
         must_yield = credit < 1
         if not must_yield:
             credit -= 1
         self._ratios.replace(organisation, use._replace(credit=credit))
         return must_yield
 
+    def _compute_next_credit(self, use: OrganisationUse) -> float:
+        """Returns the credit of an organisation with that of its next request.
+
+        The request is within its share if the result is at least 1.
+        """
+        fraction = self._ratios.get_reference() / use.ratio
+        return use.credit + max(_MIN_SHARE_FRACTION, min(1.0, fraction))
+
     def get_excess_seconds(self, organisation: str) -> float:
         """Returns how long an organisation must pause to be within its share.
 
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -160,8 +160,14 @@
 
         It contains about how long the request would wait in the queue.
         """
-        ahead = self._queue.count_up_to(ticket.priority)
+        is_above_share = (
+            ticket.usage_ratio > 0
+            and self._fair_share.is_next_above_share(ticket.organisation)
+        )
+        ahead = self._queue.count_up_to((ticket.priority, is_above_share))
         wait = self._estimate_wait_behind(ahead, self._clock.monotonic())
+        if is_above_share:
+            wait = self._yielding_starts.extend_wait(wait)
         if reason in (BlockReason.SLOW, BlockReason.FAILING):
             wait = max(wait, _SLOW_PERIOD_REST_SECONDS)
         return self._make_refusal(reason, wait)
@@ -271,7 +277,7 @@
             useful_until - work,
             work,
             ticket.usage_ratio > 0
-            and self._fair_share.is_next_above_share(ticket.organisation),
+            and self._fair_share.count_next(ticket.organisation),
         )
         wait = self._estimate_wait(request, now)
         is_late = wait > 0 and now + wait + work > useful_until
--- a/src/rhubarbpaddle/admission/queued_request.py
+++ b/src/rhubarbpaddle/admission/queued_request.py
@@ -14,6 +14,8 @@
 _URGENCY_SECONDS = 0.2
 _MIN_WORK_SECONDS = 0.001
 
+# The priority and whether the request yields to others of this priority.
+Level = tuple[int, bool]
 Rank = tuple[int, bool, float, int]
 
 
@@ -39,7 +41,7 @@
     is_above_share: bool = False
 
     @property
-    def level(self) -> tuple[int, bool]:
+    def level(self) -> Level:
         """What precedes its urgency; requests of a lower level come first."""
         return self.priority, self.is_above_share
 
--- a/src/rhubarbpaddle/admission/request_queue.py
+++ b/src/rhubarbpaddle/admission/request_queue.py
@@ -7,14 +7,14 @@
 import trio
 
 from rhubarbpaddle.admission.priority_level_queue import PriorityLevelQueue
-from rhubarbpaddle.admission.queued_request import QueuedRequest
+from rhubarbpaddle.admission.queued_request import Level, QueuedRequest
 
 
 class RequestQueue:
     """Orders requests by priority, fair share and cost of a delay."""
 
     def __init__(self) -> None:
-        self._levels: dict[tuple[int, bool], PriorityLevelQueue] = {}
+        self._levels: dict[Level, PriorityLevelQueue] = {}
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -60,15 +60,15 @@
         if not queue:
             del self._levels[request.level]
 
-    def count_up_to(self, priority: int) -> int:
-        """Returns how many requests have at least the urgency of a priority.
+    def count_up_to(self, level: Level) -> int:
+        """Returns how many requests are of a level or a lower one.
 
         It takes constant time, unlike `count_ahead`.
         """
         return sum(
             len(queue)
-            for (other, _), queue in self._levels.items()
-            if other <= priority
+            for other, queue in self._levels.items()
+            if other <= level
         )
 
     def count_ahead(self, request: QueuedRequest, now: float) -> int:
