Check for own-zone requests after the health check

A request of another zone was refused if requests of the instance's own zone were queued, but this was checked before the health check that precedes queueing. A request of the own zone that queued during the check found the other one beside it in the queue afterwards, and could be overtaken by it.

The check is now made after the last point at which other tasks run.

Measured: the new scenario fails without the change (no request is refused) and passes with it; the rest of zone_spillover.feature passes.

--- a/features/steps/zone_spillover_steps.py
+++ b/features/steps/zone_spillover_steps.py
@@ -7,6 +7,10 @@
 from behave.runner import Context
 from trio.testing import MockClock
 
+from features.support.instance_admission_harness import (
+    InstanceAdmissionHarness,
+    run_scenario,
+)
 from features.support.platform_scenario import run_on_platform
 from features.support.platform_world import PlatformWorld, make_configuration
 from features.support.zone_instance import SERVICE, ZoneInstance
@@ -22,6 +26,7 @@
 from rhubarbpaddle.execution import Request
 from rhubarbpaddle.execution.route_attempt_history import RouteAttemptHistory
 from rhubarbpaddle.measuring import NO_EVIDENCE, LoadReport
+from rhubarbpaddle.measuring.instance_reading import InstanceReading
 from rhubarbpaddle.membership import MemberStatus, UpstreamState
 from rhubarbpaddle.routing.reported_wait import ReportedWait
 from rhubarbpaddle.routing.spillover_share import SpilloverShare
@@ -348,6 +353,40 @@
     assert waits["first"] == waits["own"] == 0, context.results
 
 
+@when("a request of its own zone queues while it is checked for one of another")
+def step_queue_during_check(context: Context) -> None:
+    async def scenario(
+        harness: InstanceAdmissionHarness, nursery: trio.Nursery
+    ) -> None:
+        for _ in range(harness.admission.slots - 1):
+            nursery.start_soon(harness.send_request, "running")
+        await trio.sleep(0.05)
+        # The reading is out of date, so that the instance is checked.
+        nursery.start_soon(
+            lambda: harness.send_request("other zone", spillover=True)
+        )
+        await trio.sleep(0.0005)
+        # A response contains a reading, and the last slot is taken.
+        harness.monitor.record_reading(InstanceReading("i", 0, 0, 6, 1.0, None))
+        nursery.start_soon(harness.send_request, "last slot")
+        await trio.sleep(0.0001)
+        nursery.start_soon(harness.send_request, "own zone")
+
+    run_scenario(context, scenario)
+
+
+@then("the request of the other zone is refused")
+def step_other_refused(context: Context) -> None:
+    ((exc, _),) = context.harness.refused
+    assert exc.code == "instance_full", exc
+
+
+@then("the request of its own zone is served")
+def step_own_served(context: Context) -> None:
+    started = [name for name, _ in context.harness.started]
+    assert started[-1] == "own zone", started
+
+
 @given(
     'a platform with nodes "{names}" in zone "{zone}" and "{others}" in '
     'zone "{other_zone}"'
--- a/features/support/instance_admission_harness.py
+++ b/features/support/instance_admission_harness.py
@@ -40,6 +40,7 @@
 
     Attributes:
         health: The health checker, whose values may be changed.
+        monitor: The monitor that uses it.
         admission: The admission control under test.
         started: The name of each started request and its start time.
         refused: Each refusal and the seconds until it.
@@ -53,7 +54,7 @@
     ) -> None:
         self.health = FakeHealthChecker(slowdown, cold_seconds)
         clock = VirtualClock()
-        monitor = InstanceMonitor(self.health, clock)
+        self.monitor = monitor = InstanceMonitor(self.health, clock)
         self.share_changes: list[ShareChange] = []
         self.admission = InstanceAdmission(
             slots, cold_rate, monitor, clock, self.share_changes.append
@@ -76,6 +77,7 @@
         route: str = "r",
         organisation: str = "",
         usage_ratio: float = 0.0,
+        spillover: bool = False,
     ) -> None:
         """Sends one request and records whether it started or was refused.
 
@@ -94,6 +96,7 @@
             route: Its route.
             organisation: Its organisation.
             usage_ratio: The usage ratio that it carries.
+            spillover: Whether it left its zone.
         """
         sent_at = trio.current_time()
         ticket = Ticket(
@@ -104,6 +107,7 @@
             useful_until=sent_at + latency_target,
             route=route,
             usage_ratio=usage_ratio,
+            spillover=spillover,
         )
         try:
             slot = await self.admission.acquire(ticket)
--- a/features/zone_spillover.feature
+++ b/features/zone_spillover.feature
@@ -91,6 +91,15 @@
     Then a second request of another zone is refused with an expected wait
     And the first one is served
 
+  # Guards against a request of another zone that finds the queue empty before
+  # the health check of the instance, and queues after it beside one of the own
+  # zone.
+  Scenario: A request of the own zone queues during a health check
+    Given an instance with 4 slots and slowdown factor 1
+    When a request of its own zone queues while it is checked for one of another
+    Then the request of the other zone is refused
+    And the request of its own zone is served
+
   # Guards against a wait or a preference that is lost between nodes.
   Scenario: Nodes on the platform send requests to a zone with free slots
     Given a platform with nodes "h1, h2" in zone "a" and "h3, h4" in zone "b"
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -264,10 +264,11 @@
                 and it would only delay others, or it comes from another zone
                 and requests of this zone are queued.
         """
-        if ticket.spillover and self._preferred_queued:
-            raise self._make_immediate_refusal(BlockReason.FULL, ticket)
         if self._find_occupancy(self._get_limit_for_queued()) is None:
             await self._refresh(MAX_READING_AGE_SECONDS)
+        # Requests may have queued during the check.
+        if ticket.spillover and self._preferred_queued:
+            raise self._make_immediate_refusal(BlockReason.FULL, ticket)
         now = self._clock.monotonic()
         work = self._estimator.get_work(ticket, now) * self._get_cold_factor()
         self._refuse_if_too_slow(ticket, work, now)
