Keep the last queue attempt for a zone with room

A request queues at no more than three instances. Only when all queues of its own zone had refused it because of the deadline was an instance with spare capacity elsewhere asked, so that a zone with three instances or more used up the three attempts: the request was refused with 503 although other zones had room. This concerns requests whose latency target has passed, for example after a failed attempt, because these don't leave their zone earlier.

The last of the three attempts now goes to another zone if one probably has spare capacity; if none has, to the own zone as before.

--- a/features/instance_choice.feature
+++ b/features/instance_choice.feature
@@ -7,3 +7,11 @@
     And a canary instance "a0"
     When it refuses a request as full with a shorter wait than the others
     Then the request queues at the others, and is sent to the canary once
+
+  # Guards against a refusal while other zones have room: after the latency
+  # target a request doesn't leave its zone for a shorter wait, and three queues
+  # of its own zone refused it because of the deadline.
+  Scenario: The last queue that may refuse a request is in a zone with room
+    Given zones "a, b"
+    When the instances of zone "a" refuse a request that has missed its target
+    Then the request queues in zone "a" 2 times and then in zone "b"
--- a/features/steps/instance_choice_steps.py
+++ b/features/steps/instance_choice_steps.py
@@ -127,3 +127,55 @@
     names = [choice.candidate.node_id for choice in context.choices]
     assert names.count(context.canary) == 1, context.choices
     assert any(choice.may_queue for choice in context.choices)
+
+
+@when(
+    'the instances of zone "{zone}" refuse a request that has missed its target'
+)
+def step_late_request(context: Context, zone: str) -> None:
+    _collect(context, lambda _: ("instance_full", 3.0), target_seconds=-0.1)
+
+
+@then(
+    'the request queues in zone "{zone}" {count:d} times and then in zone'
+    ' "{other}"'
+)
+def step_last_queue(
+    context: Context, zone: str, count: int, other: str
+) -> None:
+    zones = [
+        choice.candidate.availability_zone
+        for choice in context.choices
+        if choice.may_queue
+    ]
+    assert zones == [*[zone] * count, other], zones
+
+
+@when('two instances of zone "{zone}" refuse a request for a large response')
+def step_large_request(context: Context, zone: str) -> None:
+    _collect(context, lambda _: ("instance_full", 1.0), large=True)
+
+
+@then('the next attempt is at the third instance of zone "{zone}"')
+def step_third_instance(context: Context, zone: str) -> None:
+    names = [choice.candidate.node_id for choice in context.choices]
+    assert {*names[:3]} == {f"{zone}{number}" for number in range(3)}, names
+
+
+@when('zone "{full}" is full and the nodes of zone "{gone}" are out of service')
+def step_gone_zone(context: Context, full: str, gone: str) -> None:
+    _collect(
+        context,
+        lambda choice: (
+            ("zone_out_of_service", 0.0)
+            if choice.candidate.availability_zone == gone
+            else ("instance_full", 0.3)
+        ),
+    )
+
+
+@then('at most {count:d} attempt is sent to zone "{zone}"')
+def step_attempts(context: Context, count: int, zone: str) -> None:
+    zones = [choice.candidate.availability_zone for choice in context.choices]
+    assert zones.count(zone) <= count, zones
+    assert len({*zones}) > 1, zones
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -203,6 +203,14 @@
         if not history.may_queue:
             return None
         excluded = history.get_excluded_queues()
+        own_zone_full = self._is_own_zone_full(request, history)
+        if own_zone_full and history.is_last_queue:
+            # The other queues of the own zone would probably refuse as well.
+            candidate = self._spillover.choose_spare(
+                request.service, history.excluded
+            )
+            if candidate is not None:
+                return InstanceChoice(candidate, True, SpilloverReason.SHORTAGE)
         if history.waits:
             candidate = self._choose_shortest_queue(request, history, excluded)
             if candidate is not None:
@@ -213,7 +221,7 @@
         candidate = self._router.choose_local(request.service, excluded)
         reason = SpilloverReason.IMPAIRED
         if candidate is None:
-            if self._is_own_zone_full(request, history):
+            if own_zone_full:
                 candidate = self._spillover.choose_spare(
                     request.service, history.excluded
                 )
--- a/src/rhubarbpaddle/execution/route_attempt_history.py
+++ b/src/rhubarbpaddle/execution/route_attempt_history.py
@@ -70,6 +70,11 @@
         """Whether another queue is tried."""
         return len(self.refused_queues) < _MAX_QUEUE_REFUSALS
 
+    @property
+    def is_last_queue(self) -> bool:
+        """Whether no queue is tried after the next one."""
+        return len(self.refused_queues) == _MAX_QUEUE_REFUSALS - 1
+
     def get_excluded_queues(self) -> set[str]:
         """Returns the node ids at which the request must not be queued."""
         return (self.excluded - self.busy) | self.refused_queues
