Try a zone that is out of service only once

A node refuses with `zone_out_of_service` as soon as it knows that its zone was taken out of service, which may be seconds before a gateway knows. These refusals carry no wait and were therefore not counted among the refusals by other zones, so that a request that left its zone was tried at each instance there, one after the other.

The gateway now counts such a zone as full, as an unreachable one. `observe_unreachable` is renamed to `observe_closed` because of both causes.

Measured: the new scenario fails without the change (3 attempts at a zone with 3 instances) and passes with it; zone_spillover.feature passes.

--- a/features/instance_choice.feature
+++ b/features/instance_choice.feature
@@ -15,3 +15,10 @@
     Given zones "a, b"
     When the instances of zone "a" refuse a request that has missed its target
     Then the request queues in zone "a" 2 times and then in zone "b"
+
+  # Guards against attempts at each instance of a zone whose nodes know earlier
+  # than the gateway that it is out of service.
+  Scenario: A zone that is out of service is tried once
+    Given zones "a, b"
+    When zone "a" is full and the nodes of zone "b" are out of service
+    Then at most 1 attempt is sent to zone "b"
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -27,6 +27,9 @@
 
 # Codes of refusals for lack of capacity.
 _FULL_CODES = frozenset({"instance_full", "instance_cold"})
+# Codes after which the other instances of a zone are not tried for a while. A
+# node may know before the gateway that its zone was taken out of service.
+_CLOSED_ZONE_CODES = UNREACHABLE_CODES | {"zone_out_of_service"}
 
 
 class InstanceChooser:
@@ -119,8 +122,8 @@
             seconds: The duration of the attempt.
         """
         candidate = choice.candidate
-        if exc.code in UNREACHABLE_CODES:
-            self._spillover.observe_unreachable(candidate)
+        if exc.code in _CLOSED_ZONE_CODES:
+            self._spillover.observe_closed(candidate)
         elif (
             not choice.may_queue
             and candidate.node_id in history.busy
--- a/src/rhubarbpaddle/routing/zone_room.py
+++ b/src/rhubarbpaddle/routing/zone_room.py
@@ -44,10 +44,11 @@
         )
         self._observed_at = now
 
-    def observe_unreachable(self, now: float) -> None:
-        """Records that a node of the zone could not be reached.
+    def observe_closed(self, now: float) -> None:
+        """Records that the zone is unreachable or out of service.
 
-        The attempt took a timeout, so one is enough to make the zone full.
+        One attempt is enough to make it full: an unreachable node costs a
+        timeout, and all nodes of a zone that is out of service refuse.
         """
         self._contended_fraction = 1.0
         self._wait_seconds = self.get_wait(now)
--- a/src/rhubarbpaddle/routing/zone_spillover.py
+++ b/src/rhubarbpaddle/routing/zone_spillover.py
@@ -212,13 +212,13 @@
         if not self._is_own(wait):
             state.share.observe_other_zone_refusal(now)
 
-    def observe_unreachable(self, candidate: Candidate) -> None:
-        """Records that the node beside an instance could not be reached."""
+    def observe_closed(self, candidate: Candidate) -> None:
+        """Records that an instance's zone is unreachable or out of service."""
         state = self._services.get(candidate.service)
         zone = candidate.availability_zone
         if state is not None and not self._router.is_local(candidate):
             now = self._clock.monotonic()
-            state.get_room(zone).observe_unreachable(now)
+            state.get_room(zone).observe_closed(now)
             state.share.observe_other_zone_refusal(now)
 
     def _choose_spare(
