Ask more instances for a large response before it waits

Two refusals by full instances ended the search for a free instance of the own zone. A large response then queued at one of these two, or left its zone for its deadline, although a third instance had room: unlike for short responses, the instances that were not asked were not considered.

An attempt there costs a fraction of a millisecond, the transfer between zones that it may save costs money.

Measured: the new scenario fails without the change (attempts a2, a1, b0) and passes with it; zone_spillover.feature, with its two scenarios of large responses under load, passes.

--- a/features/instance_choice.feature
+++ b/features/instance_choice.feature
@@ -16,6 +16,13 @@
     When the instances of zone "a" refuse a request that has missed its target
     Then the request queues in zone "a" 2 times and then in zone "b"
 
+  # Guards against a large response that waits, or leaves its zone, while an
+  # instance there has room: two refusals say nothing about the others.
+  Scenario: A large response is tried at an instance that was not asked yet
+    Given zones "a, b"
+    When two instances of zone "a" refuse a request for a large response
+    Then the next attempt is at the third instance of zone "a"
+
   # Guards against attempts at each instance of a zone whose nodes know earlier
   # than the gateway that it is out of service.
   Scenario: A zone that is out of service is tried once
--- a/src/rhubarbpaddle/execution/large_response_chooser.py
+++ b/src/rhubarbpaddle/execution/large_response_chooser.py
@@ -45,7 +45,9 @@
             return None
         excluded = history.get_excluded_queues()
         if not history.refused_queues:
-            if history.may_try_more:
+            # More instances than for a short response, because an attempt costs
+            # little compared to the transfer between zones.
+            if history.may_try_busy:
                 candidate = self._router.choose_local(
                     request.service, history.excluded
                 )
--- a/src/rhubarbpaddle/execution/route_attempt_history.py
+++ b/src/rhubarbpaddle/execution/route_attempt_history.py
@@ -60,10 +60,12 @@
     @property
     def may_try_more(self) -> bool:
         """Whether more instances are tried before the request is queued."""
-        return (
-            self.full_count < _MAX_FULL_INSTANCES
-            and len(self.busy) < _MAX_BUSY_INSTANCES
-        )
+        return self.full_count < _MAX_FULL_INSTANCES and self.may_try_busy
+
+    @property
+    def may_try_busy(self) -> bool:
+        """Whether more instances are tried if full ones don't count."""
+        return len(self.busy) < _MAX_BUSY_INSTANCES
 
     @property
     def may_queue(self) -> bool:
