Compare routes that share a name one by one

Nodes permit several routes of one name, and of these only the last was compared: a change of another was not shown, and a version that was not higher was then not reported either.

A name that several routes have is now followed by host and path prefix.

Measured: the new scenario fails without the change ("makes no semantic change") and passes with it; configuration_check.feature passes.

--- a/features/configuration_check.feature
+++ b/features/configuration_check.feature
@@ -99,6 +99,21 @@
     When the command "check new.json --published --log 127.0.0.1:1" runs
     Then it exits with 2 and prints "product's text"
 
+  # Guards against a change that is not shown because another route has the same
+  # name, and against a version that is then not required to be higher.
+  Scenario: Routes of one name are compared one by one
+    Given the document "old.json" of version 2 with these entries
+      | kind   | name | spec                                     |
+      | routes | lane | {"pathPrefix": "/a/"}                    |
+      | routes | lane | {"pathPrefix": "/b/"}                    |
+    And the document "new.json" of version 2 with these entries
+      | kind   | name | spec                                     |
+      | routes | lane | {"pathPrefix": "/a/", "timeoutMs": 2000} |
+      | routes | lane | {"pathPrefix": "/b/"}                    |
+    When the command "check new.json --against old.json" runs
+    Then it exits with 0 and prints "- changes timeout of route lane (club.example/a/) from 0:00:01 to 0:00:02"
+    And it prints "[version_not_higher]"
+
   # Guards against findings in the product's text that are overlooked because
   # the text is valid.
   Scenario: Findings and changes of a configuration text
--- a/src/rhubarbpaddle/configuration/routing_difference.py
+++ b/src/rhubarbpaddle/configuration/routing_difference.py
@@ -1,10 +1,12 @@
 """The difference between two routing configurations."""
 
 import itertools
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Collection, Iterable, Iterator
 
 from rhubarbpaddle.configuration.entry_changes import iter_entry_changes
 from rhubarbpaddle.configuration.finding import Finding
+from rhubarbpaddle.configuration.route import Route
 from rhubarbpaddle.configuration.routing_draft import RoutingDraft
 
 _LIMIT_FIELDS = ("head_bytes", "body_bytes", "head_timeout", "idle_timeout")
@@ -18,11 +20,14 @@
     Keys are not shown.
     """
     old, new = before.configuration, after.configuration
+    shared_names = _find_shared_names(old.routes) | _find_shared_names(
+        new.routes
+    )
     return itertools.chain(
         iter_entry_changes(
             "route",
-            {route.name: route for route in old.routes},
-            {route.name: route for route in new.routes},
+            _index_routes(old.routes, shared_names),
+            _index_routes(new.routes, shared_names),
         ),
         iter_entry_changes("service", old.services, new.services),
         iter_entry_changes(
@@ -53,6 +58,24 @@
         )
 
 
+def _find_shared_names(routes: Iterable[Route]) -> set[str]:
+    """Returns the names that several routes have, which nodes permit."""
+    counts = Counter(route.name for route in routes)
+    return {name for name, count in counts.items() if count > 1}
+
+
+def _index_routes(
+    routes: Iterable[Route], shared_names: Collection[str]
+) -> dict[str, Route]:
+    """Returns routes by name, with host and path if the name is shared."""
+    return {
+        f"{route.name} ({route.host}{route.path_prefix})"
+        if route.name in shared_names
+        else route.name: route
+        for route in routes
+    }
+
+
 def _iter_key_changes(
     before: RoutingDraft, after: RoutingDraft
 ) -> Iterator[str]:
