Don't mark requests whose own zone can't be reached

A request that could have waited in its own zone yields to the requests of the zone that it is sent to. Whether it could was derived from any wait or refused queue, also of another zone. While the instances of the own zone were suspected, a large response was therefore marked at once, and a short one after the first refusal by a queue; it was then also tried at no further queue if the other zones counted as full.

The history of a request now records whether a queue of its own zone refused it, and only waits of the own zone count.

--- a/features/instance_choice.feature
+++ b/features/instance_choice.feature
@@ -29,3 +29,15 @@
     Given zones "a, b"
     When zone "a" is full and the nodes of zone "b" are out of service
     Then at most 1 attempt is sent to zone "b"
+
+  # Guards against requests that yield in the queues of other zones although
+  # their own zone can't be reached, and could then be served nowhere.
+  Scenario Outline: Requests of an unreachable zone carry no mark
+    Given zones "a, b"
+    When all instances of zone "a" are suspected and those of zone "b" refuse a <kind> response
+    Then the request queues in zone "b" without a mark
+
+    Examples:
+      | kind  |
+      | short |
+      | large |
--- a/features/steps/instance_choice_steps.py
+++ b/features/steps/instance_choice_steps.py
@@ -14,7 +14,7 @@
 from rhubarbpaddle.execution.route_attempt_history import RouteAttemptHistory
 from rhubarbpaddle.execution.version_policy import VersionPolicy
 from rhubarbpaddle.measuring import LoadReport
-from rhubarbpaddle.membership import UpstreamState
+from rhubarbpaddle.membership import MemberStatus, UpstreamState
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 
 # A chooser that doesn't end is stopped here.
@@ -179,3 +179,35 @@
     zones = [choice.candidate.availability_zone for choice in context.choices]
     assert zones.count(zone) <= count, zones
     assert len({*zones}) > 1, zones
+
+
+@when(
+    'all instances of zone "{zone}" are suspected and those of zone "{other}"'
+    " refuse a {kind} response"
+)
+def step_suspected(context: Context, zone: str, other: str, kind: str) -> None:
+    def suspect(gateway: ZoneGateway) -> InstanceChooser:
+        for member in [*gateway.table]:
+            if member.availability_zone == zone and member.upstream:
+                gateway.table.merge(
+                    member._replace(status=MemberStatus.SUSPECT)
+                )
+        return gateway.chooser
+
+    _collect(
+        context,
+        lambda _: ("instance_full", 0.3),
+        suspect,
+        large=kind == "large",
+    )
+
+
+@then('the request queues in zone "{zone}" without a mark')
+def step_no_mark(context: Context, zone: str) -> None:
+    queued = [
+        choice
+        for choice in context.choices
+        if choice.may_queue and choice.candidate.availability_zone == zone
+    ]
+    assert len(queued) > 1, context.choices
+    assert not any(choice.reason.yields for choice in queued), queued
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -117,11 +117,14 @@
 
         Args:
             choice: The instance.
-            history: The attempts up to this one, to which the wait is added.
+            history: The attempts up to this one, to which the wait and the
+                zone are added.
             exc: Why it failed.
             seconds: The duration of the attempt.
         """
         candidate = choice.candidate
+        if choice.may_queue and self._router.is_local(candidate):
+            history.own_queue_refused = True
         if exc.code in _CLOSED_ZONE_CODES:
             self._spillover.observe_closed(candidate)
         elif (
@@ -239,9 +242,9 @@
     def _is_own_zone_full(
         self, request: Request, history: RouteAttemptHistory
     ) -> bool:
-        """Returns whether the queues of the own zone have refused a request."""
+        """Returns whether a queue of the own zone refused it as full."""
         return (
-            bool(history.refused_queues)
+            history.own_queue_refused
             and history.refusal.code in _FULL_CODES
             and self._router.has_local_instance(request.service)
         )
--- a/src/rhubarbpaddle/execution/large_response_chooser.py
+++ b/src/rhubarbpaddle/execution/large_response_chooser.py
@@ -63,7 +63,7 @@
             )
             if candidate is not None:
                 return InstanceChoice(
-                    candidate, False, SpilloverReason.DEADLINE
+                    candidate, False, self._get_reason(history)
                 )
         candidate = (
             self._find_free_queue(history, excluded)
@@ -72,14 +72,23 @@
         )
         if candidate is None:
             return None
-        # Without a wait or a queue there was nothing to wait for.
-        has_waited = history.waits or history.refused_queues
-        reason = (
-            SpilloverReason.DEADLINE if has_waited else SpilloverReason.IMPAIRED
-        )
-        reason = self._spillover.classify(candidate, reason)
+        reason = self._spillover.classify(candidate, self._get_reason(history))
         return InstanceChoice(candidate, True, reason)
 
+    def _get_reason(self, history: RouteAttemptHistory) -> SpilloverReason:
+        """Returns why a request leaves its zone.
+
+        It could have waited there if an instance of the zone refused it as
+        busy. Otherwise none was reached.
+        """
+        could_wait = history.own_queue_refused or any(
+            self._router.is_local(wait.candidate)
+            for wait in history.waits.values()
+        )
+        return (
+            SpilloverReason.DEADLINE if could_wait else SpilloverReason.IMPAIRED
+        )
+
     def _may_miss_deadline(
         self, request: Request, history: RouteAttemptHistory, excluded: set[str]
     ) -> bool:
--- a/src/rhubarbpaddle/execution/route_attempt_history.py
+++ b/src/rhubarbpaddle/execution/route_attempt_history.py
@@ -38,6 +38,7 @@
         full_count: The number of busy instances that have too much work; the
             others are slow.
         refused_queues: Node ids that did not admit the request to their queue.
+        own_queue_refused: Whether one of them is in the own zone.
         waits: The waits at the busy instances, by node id.
         refusal: Why the last attempt failed, or `no_instance` before the first.
     """
@@ -50,6 +51,7 @@
         self.busy: set[str] = set()
         self.full_count = 0
         self.refused_queues: set[str] = set()
+        self.own_queue_refused = False
         self.waits: dict[str, ReportedWait] = {}
         self.refusal = RefusedError(
             "no_instance",
