--- a/features/steps/zone_spillover_steps.py
+++ b/features/steps/zone_spillover_steps.py
@@ -31,6 +31,7 @@
 from rhubarbpaddle.routing.reported_wait import ReportedWait
 from rhubarbpaddle.routing.spillover_share import SpilloverShare
 from rhubarbpaddle.routing.spillover_terms import SpilloverTerms
+from rhubarbpaddle.routing.transfer_sizes import TransferSizes
 
 # All requests have been answered or refused this long after the last one.
 _DRAIN_SECONDS = 4.5
@@ -467,3 +468,22 @@
         context.share.observe_own_zone(number % 5 == 4, 6 + number / 10)
         if number % 5 == 3:
             assert context.share.get(6 + number / 10) == 0
+
+
+@when(
+    "{count:d} routes transfer {length:d} bytes each and one of them stays in"
+    " use"
+)
+def step_routes(context: Context, count: int, length: int) -> None:
+    sizes = TransferSizes()
+    names = [f"route-{number}" for number in range(count)]
+    for name in names:
+        sizes.observe(name, length)
+        sizes.observe(names[0], length)
+    context.known = {name for name in names if sizes.get(name) == length}
+
+
+@then("the bytes of at most {count:d} routes are known, among them that one")
+def step_known_routes(context: Context, count: int) -> None:
+    assert len(context.known) <= count, len(context.known)
+    assert "route-0" in context.known
--- a/features/zone_spillover.feature
+++ b/features/zone_spillover.feature
@@ -115,3 +115,8 @@
     Then its share is between 0.6 and 0.8
     And it is 0 after 30 requests for which the zone has room in 3 s
     And it stays 0 while every fifth request finds no room
+
+  # Guards against memory that grows with each route that was ever configured.
+  Scenario: The bytes of routes that are no longer used are forgotten
+    When 5000 routes transfer 100000 bytes each and one of them stays in use
+    Then the bytes of at most 1000 routes are known, among them that one
