Keep a zone closed for 1 s after an attempt that timed out

After an attempt at an unreachable zone, the zone counted as full until its estimate had decayed, for 0.7 s.

Such a zone is now closed for 1 s, as an unreachable node is avoided for 1 s.

--- a/src/rhubarbpaddle/routing/zone_room.py
+++ b/src/rhubarbpaddle/routing/zone_room.py
@@ -9,6 +9,9 @@
 # is full, each gateway thus sends an attempt there about every 0.4 s, which
 # shows whether it has room again.
 _DECAY_SECONDS = 2.0
+# How long a zone stays full after an attempt that found it closed. Such an
+# attempt takes a timeout of 0.25 s, much longer than a refusal.
+_CLOSED_SECONDS = 1.0
 # A zone counts as full above this fraction of attempts that met a queue.
 _FULL_FRACTION = 0.7
 
@@ -24,6 +27,7 @@
         self._contended_fraction = 0.0
         self._wait_seconds = 0.0
         self._observed_at = float("-inf")
+        self._closed_until = float("-inf")
 
     def observe(self, contended: bool, wait_seconds: float, now: float) -> None:
         """Records the result of an attempt.
@@ -50,12 +54,12 @@
         One attempt is enough to make it full: an unreachable node costs a
         timeout, and all nodes of a zone that is out of service refuse.
         """
-        self._contended_fraction = 1.0
-        self._wait_seconds = self.get_wait(now)
-        self._observed_at = now
+        self._closed_until = now + _CLOSED_SECONDS
 
     def is_full(self, now: float) -> bool:
         """Returns whether further attempts would probably be refused."""
+        if now < self._closed_until:
+            return True
         fraction = self._contended_fraction * self._get_decay(now)
         return fraction > _FULL_FRACTION
 
