Separate one attempt from the choice between attempts

`RouteGateway` both decided about further attempts and made each of them. One attempt (its deadline, the start of a large response that is read ahead, what the router learns from its result) is now in `AttemptSender`.

--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -4,10 +4,9 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
 
-import trio
-
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
+from rhubarbpaddle.exceptions import RefusedError
+from rhubarbpaddle.execution.attempt_sender import AttemptSender
 from rhubarbpaddle.execution.body import Body
 from rhubarbpaddle.execution.body_memory import BodyMemory
 from rhubarbpaddle.execution.bytes_body import BytesBody
@@ -17,10 +16,6 @@
 from rhubarbpaddle.execution.deadline_refusal import make_deadline_refusal
 from rhubarbpaddle.execution.dispatcher import Dispatcher
 from rhubarbpaddle.execution.event_log import EventLog
-from rhubarbpaddle.execution.failed_body_refusal import (
-    make_failed_body_refusal,
-)
-from rhubarbpaddle.execution.held_body import HeldBody
 from rhubarbpaddle.execution.instance_chooser import InstanceChooser
 from rhubarbpaddle.execution.kept_body import KeptBody
 from rhubarbpaddle.execution.request import Request
@@ -34,15 +29,8 @@
 from rhubarbpaddle.routing.candidate import Candidate
 from rhubarbpaddle.routing.instance_router import InstanceRouter
 
-# The node beside the instance responds at the deadline. The gateway waits this
-# much longer for that response to arrive.
-_DEADLINE_GRACE_SECONDS = 0.03
 # Status 503 means to callers of routes that the request has not run.
 _NOT_RUN_STATUS = 503
-# How much of a large response is read before its first byte is passed on, so
-# that the request can still be sent to another instance. Callers are on the
-# gateway's host, so this delays the end of a response by less than 1 ms.
-_HELD_RESPONSE_BYTES = 64 * 1024
 _RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
 
@@ -59,13 +47,11 @@
         log: EventLog,
     ) -> None:
         self._log = log
-        self._router = router
         self._chooser = chooser
-        self._dispatcher = dispatcher
+        self._sender = AttemptSender(router, dispatcher, clock)
         self._budget = budget
         self._clock = clock
         self._body_memory = BodyMemory()
-        self._response_memory = BodyMemory()
 
     @asynccontextmanager
     async def handle(
@@ -109,7 +95,7 @@
             body.rewind()
             sent_at = self._clock.monotonic()
             try:
-                response = await self._send_attempt(
+                response = await self._sender.send(
                     stack,
                     request._replace(
                         may_queue=may_queue,
@@ -196,63 +182,6 @@
             )
         )
 
-    async def _send_attempt(
-        self,
-        stack: AsyncExitStack,
-        request: Request,
-        body: BytesBody | KeptBody,
-        candidate: Candidate,
-        *,
-        may_retry: bool,
-    ) -> Response:
-        self._router.record_start(candidate)
-        held_body: HeldBody | None = None
-        try:
-            async with AsyncExitStack() as attempt:
-                response = await self._dispatch(
-                    attempt, request, body, candidate
-                )
-                if (
-                    request.large_response
-                    and may_retry
-                    and body.can_rewind()
-                    and not isinstance(response.body, BytesBody)
-                ):
-                    held_body = attempt.enter_context(
-                        HeldBody.hold(response.body, self._response_memory)
-                    )
-                    await held_body.read_ahead(
-                        _HELD_RESPONSE_BYTES, request.useful_until, self._clock
-                    )
-                    response = response._replace(body=held_body)
-                stack.push_async_exit(attempt.pop_all())
-        except RefusedError as exc:
-            self._router.record_end(candidate, exc.report, exc.code)
-            raise
-        except BaseException as exc:
-            refusal = _make_lost_response_refusal(held_body, exc)
-            if refusal is None:
-                self._router.record_end(candidate, None)
-                raise
-            self._router.record_end(candidate, None, refusal.code)
-            raise refusal from exc
-        stack.callback(self._router.record_end, candidate, response.report)
-        return response
-
-    async def _dispatch(
-        self,
-        stack: AsyncExitStack,
-        request: Request,
-        body: Body,
-        candidate: Candidate,
-    ) -> Response:
-        deadline = request.deadline + _DEADLINE_GRACE_SECONDS
-        with trio.move_on_at(deadline):
-            return await stack.enter_async_context(
-                self._dispatcher.dispatch(request, body, candidate)
-            )
-        raise make_deadline_refusal(may_have_run=True)
-
     def _log_failed_attempt(
         self,
         request: Request,
@@ -276,21 +205,6 @@
         )
 
 
-def _make_lost_response_refusal(
-    held_body: HeldBody | None, exc: BaseException
-) -> RefusedError | None:
-    """Returns the refusal if a response failed while it was read ahead."""
-    if (
-        held_body is None
-        or not held_body.failed
-        or not isinstance(exc, RhubarbpaddleError)
-    ):
-        return None
-    refusal = make_failed_body_refusal(exc)
-    refusal.may_resend = True
-    return refusal
-
-
 def _make_final_refusal(history: RouteAttemptHistory) -> RefusedError:
     """Returns the final refusal, whose outcome covers all attempts."""
     refusal = history.refusal
