--- a/features/fair_queueing.feature
+++ b/features/fair_queueing.feature
@@ -55,11 +55,20 @@
       | urgent above   | 0        | 5.0         |
     Then they start in the order "urgent above, within share, above share, less urgent"
 
+  # Guards against requests that leave their zone, or choose another queue,
+  # because of queued requests that would yield to them.
+  Scenario: The wait that a refusal reports depends on the share
+    Given an instance with 2 slots and slowdown factor 1
+    When 4 requests above their share queue and 2 others are refused at once
+    Then the wait reported to "usual-0" is below 0.1 s
+    And the wait reported to "above share" is above 0.3 s
+
   # Guards against a Retry-After that sends a caller back to the next refusal.
   Scenario: An organisation that pauses for the Retry-After time is served
     Given an instance with 4 slots and slowdown factor 1
     When an organisation above its share is refused and pauses as long as told
-    Then it was told to pause between 0.5 s and 1 s
+    Then it was told to pause between 1.5 s and 2 s
+    And its usage ratio has fallen to that of the others
     And its next request starts before its latency target
 
   # Guards against an organisation that alternates between two positions, or
--- a/features/zone_spillover.feature
+++ b/features/zone_spillover.feature
@@ -91,6 +91,15 @@
     Then a second request of another zone is refused with an expected wait
     And the first one is served
 
+  # Guards against a request of another zone that finds the queue empty before
+  # the health check of the instance, and queues after it beside one of the own
+  # zone.
+  Scenario: A request of the own zone queues during a health check
+    Given an instance with 4 slots and slowdown factor 1
+    When a request of its own zone queues while it is checked for one of another
+    Then the request of the other zone is refused
+    And the request of its own zone is served
+
   # Guards against a wait or a preference that is lost between nodes.
   Scenario: Nodes on the platform send requests to a zone with free slots
     Given a platform with nodes "h1, h2" in zone "a" and "h3, h4" in zone "b"
@@ -106,3 +115,8 @@
     Then its share is between 0.6 and 0.8
     And it is 0 after 30 requests for which the zone has room in 3 s
     And it stays 0 while every fifth request finds no room
+
+  # Guards against memory that grows with each route that was ever configured.
+  Scenario: The bytes of routes that are no longer used are forgotten
+    When 5000 routes transfer 100000 bytes each and one of them stays in use
+    Then the bytes of at most 1000 routes are known, among them that one
--- a/src/rhubarbpaddle/admission/fair_share.py
+++ b/src/rhubarbpaddle/admission/fair_share.py
@@ -4,7 +4,10 @@
 from collections.abc import Callable
 
 from rhubarbpaddle.admission.organisation_use import OrganisationUse
-from rhubarbpaddle.admission.recent_usage_ratios import RecentUsageRatios
+from rhubarbpaddle.admission.recent_usage_ratios import (
+    PERIOD_SECONDS,
+    RecentUsageRatios,
+)
 from rhubarbpaddle.admission.share_change import ShareChange
 
 # An organisation goes above its share at the first multiple of the others'
@@ -22,8 +25,9 @@
 # as all organisations together; the excess over a quarter is a reserve for
 # decisions from outdated ratios.
 _MIN_SHARE_FRACTION = 1 / 3
-# The period over which the usage ratio is measured.
-_USAGE_PERIOD_SECONDS = 1.0
+# Time constant with which the usage ratio falls during a pause, as in
+# `usage.demand_rate`.
+_USAGE_DECAY_SECONDS = 1.0
 
 
 class FairShare:
@@ -80,26 +84,43 @@
             )
 
     def is_next_above_share(self, organisation: str) -> bool:
-        """Returns whether the next request of an organisation must yield.
+        """Returns whether the next request of an organisation must yield."""
+        use = self._ratios.get(organisation)
+        return (
+            use is not None
+            and use.is_above_share
+            and self._compute_next_credit(use) < 1
+        )
 
-        Each call counts as a request, so that the part within its share is
-        spread evenly over the requests of an organisation above it.
+    def count_next(self, organisation: str) -> bool:
+        """Returns whether the next request must yield, and counts it.
+
+        The part within its share is thus spread evenly over the requests of an
+        organisation above it.
         """
         use = self._ratios.get(organisation)
         if use is None or not use.is_above_share:
             return False
-        fraction = self._ratios.get_reference() / use.ratio
-        credit = use.credit + max(_MIN_SHARE_FRACTION, min(1.0, fraction))
+        credit = self._compute_next_credit(use)
         must_yield = credit < 1
         if not must_yield:
             credit -= 1
         self._ratios.replace(organisation, use._replace(credit=credit))
         return must_yield
 
+    def _compute_next_credit(self, use: OrganisationUse) -> float:
+        """Returns the credit of an organisation with that of its next request.
+
+        The request is within its share if the result is at least 1.
+        """
+        fraction = self._ratios.get_reference() / use.ratio
+        return use.credit + max(_MIN_SHARE_FRACTION, min(1.0, fraction))
+
     def get_excess_seconds(self, organisation: str) -> float:
         """Returns how long an organisation must pause to be within its share.
 
-        The usage ratio falls in proportion to the pause.
+        The usage ratio falls exponentially during a pause. An organisation
+        that was not seen for longer than the period counts as new.
         """
         use = self._ratios.get(organisation)
         if use is None:
@@ -107,4 +128,5 @@
         reference = self._ratios.get_reference()
         if not math.isfinite(reference):
             return 0.0
-        return _USAGE_PERIOD_SECONDS * max(0.0, 1 - reference / use.ratio)
+        seconds = _USAGE_DECAY_SECONDS * math.log(use.ratio / reference)
+        return min(PERIOD_SECONDS, max(0.0, seconds))
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -160,8 +160,14 @@
 
         It contains about how long the request would wait in the queue.
         """
-        ahead = self._queue.count_up_to(ticket.priority)
+        is_above_share = (
+            ticket.usage_ratio > 0
+            and self._fair_share.is_next_above_share(ticket.organisation)
+        )
+        ahead = self._queue.count_up_to((ticket.priority, is_above_share))
         wait = self._estimate_wait_behind(ahead, self._clock.monotonic())
+        if is_above_share:
+            wait = self._yielding_starts.extend_wait(wait)
         if reason in (BlockReason.SLOW, BlockReason.FAILING):
             wait = max(wait, _SLOW_PERIOD_REST_SECONDS)
         return self._make_refusal(reason, wait)
@@ -258,10 +264,11 @@
                 and it would only delay others, or it comes from another zone
                 and requests of this zone are queued.
         """
-        if ticket.spillover and self._preferred_queued:
-            raise self._make_immediate_refusal(BlockReason.FULL, ticket)
         if self._find_occupancy(self._get_limit_for_queued()) is None:
             await self._refresh(MAX_READING_AGE_SECONDS)
+        # Requests may have queued during the check.
+        if ticket.spillover and self._preferred_queued:
+            raise self._make_immediate_refusal(BlockReason.FULL, ticket)
         now = self._clock.monotonic()
         work = self._estimator.get_work(ticket, now) * self._get_cold_factor()
         self._refuse_if_too_slow(ticket, work, now)
@@ -271,7 +278,7 @@
             useful_until - work,
             work,
             ticket.usage_ratio > 0
-            and self._fair_share.is_next_above_share(ticket.organisation),
+            and self._fair_share.count_next(ticket.organisation),
         )
         wait = self._estimate_wait(request, now)
         is_late = wait > 0 and now + wait + work > useful_until
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -27,6 +27,9 @@
 
 # Codes of refusals for lack of capacity.
 _FULL_CODES = frozenset({"instance_full", "instance_cold"})
+# Codes after which the other instances of a zone are not tried for a while. A
+# node may know before the gateway that its zone was taken out of service.
+_CLOSED_ZONE_CODES = UNREACHABLE_CODES | {"zone_out_of_service"}
 
 
 class InstanceChooser:
@@ -64,6 +67,10 @@
             request: The request.
             history: The attempts so far.
         """
+        if history.waits:
+            # The counts of a roll-out include one attempt at a canary, and
+            # none that queues there after a refusal.
+            history.discard_waits(self._versions.get_excluded(request.service))
         choice = self._choose_canary(request, history)
         if choice is not None:
             return choice
@@ -110,13 +117,16 @@
 
         Args:
             choice: The instance.
-            history: The attempts up to this one, to which the wait is added.
+            history: The attempts up to this one, to which the wait and the
+                zone are added.
             exc: Why it failed.
             seconds: The duration of the attempt.
         """
         candidate = choice.candidate
-        if exc.code in UNREACHABLE_CODES:
-            self._spillover.observe_unreachable(candidate)
+        if choice.may_queue and self._router.is_local(candidate):
+            history.own_queue_refused = True
+        if exc.code in _CLOSED_ZONE_CODES:
+            self._spillover.observe_closed(candidate)
         elif (
             not choice.may_queue
             and candidate.node_id in history.busy
@@ -199,6 +209,14 @@
         if not history.may_queue:
             return None
         excluded = history.get_excluded_queues()
+        own_zone_full = self._is_own_zone_full(request, history)
+        if own_zone_full and history.is_last_queue:
+            # The other queues of the own zone would probably refuse as well.
+            candidate = self._spillover.choose_spare(
+                request.service, history.excluded
+            )
+            if candidate is not None:
+                return InstanceChoice(candidate, True, SpilloverReason.SHORTAGE)
         if history.waits:
             candidate = self._choose_shortest_queue(request, history, excluded)
             if candidate is not None:
@@ -209,7 +227,7 @@
         candidate = self._router.choose_local(request.service, excluded)
         reason = SpilloverReason.IMPAIRED
         if candidate is None:
-            if self._is_own_zone_full(request, history):
+            if own_zone_full:
                 candidate = self._spillover.choose_spare(
                     request.service, history.excluded
                 )
@@ -224,9 +242,9 @@
     def _is_own_zone_full(
         self, request: Request, history: RouteAttemptHistory
     ) -> bool:
-        """Returns whether the queues of the own zone have refused a request."""
+        """Returns whether a queue of the own zone refused it as full."""
         return (
-            bool(history.refused_queues)
+            history.own_queue_refused
             and history.refusal.code in _FULL_CODES
             and self._router.has_local_instance(request.service)
         )
--- a/src/rhubarbpaddle/execution/route_attempt_history.py
+++ b/src/rhubarbpaddle/execution/route_attempt_history.py
@@ -1,5 +1,7 @@
 """The history of the attempts for one routed request."""
 
+from collections.abc import Iterable
+
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.routing.reported_wait import ReportedWait
@@ -36,6 +38,7 @@
         full_count: The number of busy instances that have too much work; the
             others are slow.
         refused_queues: Node ids that did not admit the request to their queue.
+        own_queue_refused: Whether one of them is in the own zone.
         waits: The waits at the busy instances, by node id.
         refusal: Why the last attempt failed, or `no_instance` before the first.
     """
@@ -48,6 +51,7 @@
         self.busy: set[str] = set()
         self.full_count = 0
         self.refused_queues: set[str] = set()
+        self.own_queue_refused = False
         self.waits: dict[str, ReportedWait] = {}
         self.refusal = RefusedError(
             "no_instance",
@@ -58,20 +62,36 @@
     @property
     def may_try_more(self) -> bool:
         """Whether more instances are tried before the request is queued."""
-        return (
-            self.full_count < _MAX_FULL_INSTANCES
-            and len(self.busy) < _MAX_BUSY_INSTANCES
-        )
+        return self.full_count < _MAX_FULL_INSTANCES and self.may_try_busy
+
+    @property
+    def may_try_busy(self) -> bool:
+        """Whether more instances are tried if full ones don't count."""
+        return len(self.busy) < _MAX_BUSY_INSTANCES
 
     @property
     def may_queue(self) -> bool:
         """Whether another queue is tried."""
         return len(self.refused_queues) < _MAX_QUEUE_REFUSALS
 
+    @property
+    def is_last_queue(self) -> bool:
+        """Whether no queue is tried after the next one."""
+        return len(self.refused_queues) == _MAX_QUEUE_REFUSALS - 1
+
     def get_excluded_queues(self) -> set[str]:
         """Returns the node ids at which the request must not be queued."""
         return (self.excluded - self.busy) | self.refused_queues
 
+    def discard_waits(self, node_ids: Iterable[str]) -> None:
+        """Forgets the waits at instances that must not be chosen again.
+
+        Args:
+            node_ids: The nodes beside these and other instances.
+        """
+        for node_id in node_ids:
+            self.waits.pop(node_id, None)
+
     def record_failure(
         self, node_id: str, refusal: RefusedError, could_queue: bool
     ) -> None:
