Serve versions that replace others without an order

Cause: with the limits of roll-outs set, instances of a version that was not in use got no requests, so that a deployment that replaces its instances one after the other sent all requests to fewer and fewer old ones. After a roll-out had ended, every later version without an order was withheld in the same way, and instances that never report a version got no requests at all.

Change: VersionProbation groups such versions. A new version gets nothing for 1 s after a gateway first sees it (instances started with an order report up to 1 s before a node knows the order), then 0.8 x exposureShare by the credit of trials until 5 s, then as much as the version in use. An instance of unknown version is served after 5 s. A version that an order has named, or that a completed roll-out has replaced, is served only if it is in use.

Why it works: an order comes into force within 2.5 s, so that a version that it names is still limited then; the credit's expected share is below the limit.

Tests: "A new version gets no requests before its order" and "An instance of unknown version gets no requests" asserted the rule that is replaced: both let new instances run for 3 s and more without an order. The steps of the version table run in an event loop, because the table reads the clock now.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -10,17 +10,56 @@
     And no request reaches version "v1" for 2 s
     And all requests have succeeded
 
-  # Guards against requests to a version that a later order names.
-  Scenario: A new version gets no requests before its order
+  # Guards against requests to a version that an order names which the nodes do
+  # not know yet: its instances report up to 1 s before.
+  Scenario: A new version gets few requests before its order
+    Given a service with old instances only, under load
+    When new instances start
+    Then no request reaches version "v2" for 0.9 s
+    And the new version has got at most its share 4 s later
+    When operators order the new version
+    Then the new version has got at most its share 5 s later
+
+  # Guards against instances that get no requests, although they replace others
+  # without an order, and against two versions that are not served alike then.
+  Scenario: A new version without an order gets requests
+    Given a service with old instances only, under load
+    When new instances start
+    Then requests reach version "v2" within 2 s
+    And version "v2" gets at least a fifth of the requests 5 s later
+
+  # Guards against refusals because requests stay with a version that is being
+  # replaced.
+  Scenario: All instances are replaced one after the other without an order
+    Given a service with old instances only, under load
+    When all old instances are replaced one after the other
+    Then each of the new ones has got requests within 2 s
+    And all requests have succeeded
+
+  # Guards against a roll-out that has ended and withholds requests from the
+  # versions after it, and against requests to the version that it has ruled out.
+  Scenario Outline: Instances are replaced without an order after a roll-out
     Given a service with old and new instances under load
-    Then no request has reached version "v2"
+    When the new version fails <percent> % of its requests
+    And operators order the new version
+    Then the roll-out is "<state>" within 12 s
+    When instances of version "v3" start
+    Then requests reach version "v3" within 2 s
+    And no request reaches version "<other>" for 6 s
+
+    Examples:
+      | percent | state       | other |
+      | 0       | completed   | v1    |
+      | 50      | rolled_back | v2    |
 
   # Guards against requests that reach a new instance because the node beside it
-  # finds it before its first report.
-  Scenario: An instance of unknown version gets no requests
-    Given a service with old and new instances under load
+  # finds it before its first report, and against an instance that never reports
+  # and never gets requests.
+  Scenario: An instance of unknown version gets no requests at first
+    Given a service with old instances only, under load
     When a new instance starts that sends no report
     Then no request reaches version "v2" for 3 s
+    And requests reach version "v2" within 4 s
 
   # Guards against a bad version that gets too many requests, by whatever it is
   # bad, and against requests to it after the roll-out has ended.
--- a/features/steps/rollout_decisions_steps.py
+++ b/features/steps/rollout_decisions_steps.py
@@ -315,12 +315,23 @@
     context.versions = VersionTable(
         context.members, VirtualClock(), lambda zone: True
     )
-    context.members.update_own()
-    context.members.merge(_make_member("b2", "v1", 2_000))
-    context.members.merge(_make_member("c1", "v2", 3_000))
+
+    async def run_step() -> None:
+        context.members.update_own()
+        context.members.merge(_make_member("b2", "v1", 2_000))
+        context.members.merge(_make_member("c1", "v2", 3_000))
+
+    trio.run(run_step)
 
 
 def _replace_old(context: Context, **changes: object) -> None:
+    async def run_step() -> None:
+        _replace_members(context, **changes)
+
+    trio.run(run_step)
+
+
+def _replace_members(context: Context, **changes: object) -> None:
     for node_id in ("b1", "b2"):
         member = context.members.get(node_id)
         upstream = member.upstream._replace(**changes)
@@ -343,7 +354,10 @@
 
 @when('an instance of "v2" has a lower node id')
 def step_lower_id(context: Context) -> None:
-    context.members.merge(_make_member("a1", "v2", 3_500))
+    async def run_step() -> None:
+        context.members.merge(_make_member("a1", "v2", 3_500))
+
+    trio.run(run_step)
 
 
 @then('the version in use is "{version}"')
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -60,8 +60,17 @@
     async def start_version(self, name: str, version: str, zone: str) -> None:
         """Starts a host with an instance that reports its version."""
         self.versions[name] = version
-        self._born += 100
         await self.start_host(name, zone)
+        self._start_reports(name, version)
+
+    def replace_instance(self, name: str, version: str) -> None:
+        """Replaces the instance of a host by one of another version."""
+        self.stop_reports(name)
+        self._start_reports(name, version)
+
+    def _start_reports(self, name: str, version: str) -> None:
+        self.versions[name] = version
+        self._born += 100
         scope = self._reporting[name] = trio.CancelScope()
         self._nursery.start_soon(self._report, name, self._born, scope)
 
@@ -102,6 +111,16 @@
             await trio.sleep(0.02)
         raise AssertionError(f"not {state} in {limit} s: {self.list_states()}")
 
+    async def wait_for_arrival(self, version: str, limit: float) -> None:
+        """Waits until another request reaches a version."""
+        started = trio.current_time()
+        count = self.count_arrivals(version)
+        while trio.current_time() - started < limit:
+            if self.count_arrivals(version) > count:
+                return
+            await trio.sleep(0.02)
+        raise AssertionError(f"no request reached {version} in {limit} s")
+
     def list_arrivals(self, version: str) -> list[str]:
         """Returns the ids of the requests that reached a version."""
         return [
--- a/src/rhubarbpaddle/rollout/current_rollout.py
+++ b/src/rhubarbpaddle/rollout/current_rollout.py
@@ -22,3 +22,8 @@
     def is_counting(self) -> bool:
         """Whether responses are counted for a comparison."""
         return self.phase in (RolloutPhase.TRIAL, RolloutPhase.PROMOTION)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the state in the store is a terminal one."""
+        return self.phase is not None and self.phase.is_terminal
--- a/src/rhubarbpaddle/rollout/rollout_controller.py
+++ b/src/rhubarbpaddle/rollout/rollout_controller.py
@@ -141,6 +141,7 @@
     ) -> None:
         if isinstance(notice, CountReport):
             return
+        self._versions.record_order(notice.service, notice.target_version)
         if notice.phase is RolloutPhase.COMPLETED:
             self._versions.set_used_version(
                 notice.service, notice.target_version
--- a/src/rhubarbpaddle/rollout/version_gate.py
+++ b/src/rhubarbpaddle/rollout/version_gate.py
@@ -12,6 +12,7 @@
 from rhubarbpaddle.rollout.rollout_table import RolloutTable
 from rhubarbpaddle.rollout.rollout_terms import RolloutTerms
 from rhubarbpaddle.rollout.service_versions import ServiceVersions
+from rhubarbpaddle.rollout.version_probation import VersionProbation
 from rhubarbpaddle.rollout.version_table import VersionTable
 
 # The part of the permitted share that is used. The rest covers differences
@@ -22,6 +23,8 @@
 # ones are used. After a loss of power all instances have reported again within
 # this time.
 _FALLBACK_SECONDS = 3.0
+# Stands for the number of an order while there is none.
+_NO_ORDER = -1
 _NONE: frozenset[str] = frozenset()
 
 
@@ -56,6 +59,7 @@
         self._share = _USED_PART * terms.exposure_share
         self._has_slack = terms.exposure_slack >= 1
         self._versions = versions
+        self._probation = VersionProbation(versions, clock)
         self._rollouts = rollouts
         self._contact = contact
         self._sees_majority = sees_majority
@@ -68,9 +72,14 @@
     def record_request(self, service: str) -> None:
         """Records a request to a service, which earns credit."""
         rollout = self._rollouts.get_current(service)
-        if rollout is not None and (
-            rollout.phase is None or rollout.is_counting
-        ):
+        if rollout is None or rollout.has_ended:
+            used = self._get_used(service, rollout)
+            earns = used is not None and self._probation.is_active(
+                service, used
+            )
+        else:
+            earns = rollout.phase is None or rollout.is_counting
+        if earns:
             self._get_credit(service, rollout).earn()
         else:
             self._credits.pop(service, None)
@@ -90,8 +99,13 @@
         ):
             if not versions.get_nodes(target):
                 return _NONE
-            return versions.get_other_nodes(target)
-        return self._get_unproven(service, versions, rollout)
+            excluded = versions.get_other_nodes(target)
+        else:
+            excluded = self._get_unproven(service, versions, rollout)
+        used = self._get_used(service, rollout)
+        if rollout.has_ended and used is not None and excluded:
+            excluded -= self._probation.get_released(service, used)
+        return excluded
 
     def get_canary_excluded(self, service: str) -> frozenset[str] | None:
         """Returns the nodes to exclude to reach the target version.
@@ -99,7 +113,9 @@
         None if the next request must not be sent there.
         """
         rollout = self._rollouts.get_current(service)
-        if rollout is None or rollout.phase is not RolloutPhase.TRIAL:
+        if rollout is None or rollout.has_ended:
+            return self._get_probation_excluded(service, rollout)
+        if rollout.phase is not RolloutPhase.TRIAL:
             return None
         versions = self._versions.get_versions(service)
         if (
@@ -111,18 +127,44 @@
         return versions.get_other_nodes(rollout.target_version)
 
     def record_canary(self, service: str) -> None:
-        """Records that a request is sent to the target version."""
+        """Records that a request is sent to an unproven version."""
         rollout = self._rollouts.get_current(service)
-        if rollout is not None:
-            self._get_credit(service, rollout).spend()
+        self._get_credit(service, rollout).spend()
+
+    def _get_used(
+        self, service: str, rollout: CurrentRollout | None
+    ) -> str | None:
+        """Returns the version in use before or after a roll-out."""
+        if rollout is None:
+            return self._versions.get_used_version(service, None)
+        if rollout.phase is RolloutPhase.COMPLETED:
+            return rollout.target_version
+        return self._versions.get_used_version(service, rollout.target_version)
+
+    def _get_probation_excluded(
+        self, service: str, rollout: CurrentRollout | None
+    ) -> frozenset[str] | None:
+        """Returns the nodes to exclude to reach a version without an order.
+
+        None if there is no new version, or its share is used up.
+        """
+        used = self._get_used(service, rollout)
+        if used is None:
+            return None
+        limited = self._probation.get_limited(service, used)
+        if not limited or not self._get_credit(service, rollout).can_spend():
+            return None
+        accepting = self._versions.get_versions(service).accepting
+        return _NONE.union(*accepting.values()) - limited
 
     def _get_credit(
-        self, service: str, rollout: CurrentRollout
+        self, service: str, rollout: CurrentRollout | None
     ) -> ExposureCredit:
+        order = _NO_ORDER if rollout is None else rollout.order
         number, credit = self._credits.get(service, (None, None))
-        if credit is None or number != rollout.order:
+        if credit is None or number != order:
             credit = ExposureCredit(self._share, self._first_cost())
-            self._credits[service] = rollout.order, credit
+            self._credits[service] = order, credit
         return credit
 
     def _first_cost(self) -> float:
@@ -137,13 +179,21 @@
     ) -> frozenset[str]:
         """Returns the nodes to exclude while there is no order.
 
-        A later order may name any version that is not in use yet.
+        An order that this node does not know yet may name a new version.
         """
         used = self._versions.get_used_version(service, None)
         if used is None or not versions.get_nodes(used):
             return _NONE
+        excluded = versions.get_other_nodes(used)
+        if not excluded:
+            return _NONE
         # Nodes of earlier releases don't report a version.
-        return versions.get_other_nodes(used) - versions.get_nodes(NO_VERSION)
+        return (
+            excluded
+            - versions.get_nodes(NO_VERSION)
+            - self._probation.get_unreported(service)
+            - self._probation.get_released(service, used)
+        )
 
     def _get_unproven(
         self,
--- a/src/rhubarbpaddle/rollout/version_table.py
+++ b/src/rhubarbpaddle/rollout/version_table.py
@@ -53,6 +53,14 @@
         self._first_starts: dict[tuple[str, str], int] = {}
         # The version in use and since when, by service.
         self._used: dict[str, tuple[str, float]] = {}
+        # When this node first saw a version, by service and version, and an
+        # instance of unknown version, by node.
+        self._first_seen: dict[tuple[str, str], float] = {}
+        self._unknown_since: dict[str, float] = {}
+        # The versions that orders have named, by service, and when a roll-out
+        # was last completed.
+        self._ordered: defaultdict[str, set[str]] = defaultdict(set)
+        self._completed_at: dict[str, float] = {}
         table.add_listener(self._on_member_change)
 
     def get_versions(self, service: str) -> ServiceVersions:
@@ -70,6 +78,30 @@
         """Records that a completed roll-out has put a version into use."""
         self._used[service] = version, float("-inf")
         self._first_starts[service, version] = 0
+        self._completed_at[service] = self._clock.monotonic()
+
+    def record_order(self, service: str, version: str) -> None:
+        """Records that an order has named a version."""
+        self._ordered[service].add(version)
+
+    def is_barred(self, service: str, version: str) -> bool:
+        """Returns whether a version may get requests only if it is in use.
+
+        These are the versions that an order has named, and those that a
+        completed roll-out has replaced.
+        """
+        return version in self._ordered.get(service, ()) or (
+            self.get_first_seen(service, version)
+            <= self._completed_at.get(service, float("-inf"))
+        )
+
+    def get_first_seen(self, service: str, version: str) -> float:
+        """Returns when this node first saw an instance of a version."""
+        return self._first_seen[service, version]
+
+    def get_unknown_since(self, node_id: str) -> float:
+        """Returns since when the version of a node's instance is unknown."""
+        return self._unknown_since[node_id]
 
     def is_used(self, service: str, version: str) -> bool:
         """Returns whether a version has been in use for a while."""
@@ -109,11 +141,17 @@
     def _on_member_change(self, member: Member, source: str | None) -> None:
         self._services = None
         upstream = member.upstream
+        if upstream is None or upstream.version != UNKNOWN_VERSION:
+            self._unknown_since.pop(member.node_id, None)
+        elif member.node_id not in self._unknown_since:
+            self._unknown_since[member.node_id] = self._clock.monotonic()
         if upstream is not None and upstream.version not in (
             NO_VERSION,
             UNKNOWN_VERSION,
         ):
             service_version = upstream.service, upstream.version
+            if service_version not in self._first_seen:
+                self._first_seen[service_version] = self._clock.monotonic()
             self._first_starts[service_version] = min(
                 upstream.incarnation,
                 self._first_starts.get(service_version, upstream.incarnation),
