Group versions without an order once for each change

Cause: each request determined the version in use three times and grouped the versions without an order twice.

Change: VersionProbation keeps the groups until the members, the orders or the groups change by time, and VersionTable keeps the version in use until then. A service with one version is not grouped at all.

--- a/src/rhubarbpaddle/rollout/version_gate.py
+++ b/src/rhubarbpaddle/rollout/version_gate.py
@@ -8,6 +8,7 @@
 from rhubarbpaddle.rollout.current_rollout import CurrentRollout
 from rhubarbpaddle.rollout.exposure_credit import ExposureCredit
 from rhubarbpaddle.rollout.instance_version import NO_VERSION
+from rhubarbpaddle.rollout.probation_groups import ProbationGroups
 from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
 from rhubarbpaddle.rollout.rollout_table import RolloutTable
 from rhubarbpaddle.rollout.rollout_terms import RolloutTerms
@@ -73,10 +74,7 @@
         """Records a request to a service, which earns credit."""
         rollout = self._rollouts.get_current(service)
         if rollout is None or rollout.has_ended:
-            used = self._get_used(service, rollout)
-            earns = used is not None and self._probation.is_active(
-                service, used
-            )
+            earns = self._get_probation(service, rollout).is_active
         else:
             earns = rollout.phase is None or rollout.is_counting
         if earns:
@@ -102,9 +100,8 @@
             excluded = versions.get_other_nodes(target)
         else:
             excluded = self._get_unproven(service, versions, rollout)
-        used = self._get_used(service, rollout)
-        if rollout.has_ended and used is not None and excluded:
-            excluded -= self._probation.get_released(service, used)
+        if rollout.has_ended and excluded:
+            excluded -= self._get_probation(service, rollout).released
         return excluded
 
     def get_canary_excluded(self, service: str) -> frozenset[str] | None:
@@ -131,15 +128,16 @@
         rollout = self._rollouts.get_current(service)
         self._get_credit(service, rollout).spend()
 
-    def _get_used(
+    def _get_probation(
         self, service: str, rollout: CurrentRollout | None
-    ) -> str | None:
-        """Returns the version in use before or after a roll-out."""
-        if rollout is None:
-            return self._versions.get_used_version(service, None)
-        if rollout.phase is RolloutPhase.COMPLETED:
-            return rollout.target_version
-        return self._versions.get_used_version(service, rollout.target_version)
+    ) -> ProbationGroups:
+        """Returns the versions without an order, outside of roll-outs."""
+        target = None if rollout is None else rollout.target_version
+        if rollout is not None and rollout.phase is RolloutPhase.COMPLETED:
+            used = target
+        else:
+            used = self._versions.get_used_version(service, target)
+        return self._probation.get_groups(service, used)
 
     def _get_probation_excluded(
         self, service: str, rollout: CurrentRollout | None
@@ -148,10 +146,7 @@
 
         None if there is no new version, or its share is used up.
         """
-        used = self._get_used(service, rollout)
-        if used is None:
-            return None
-        limited = self._probation.get_limited(service, used)
+        limited = self._get_probation(service, rollout).limited
         if not limited or not self._get_credit(service, rollout).can_spend():
             return None
         accepting = self._versions.get_versions(service).accepting
@@ -184,15 +179,14 @@
         used = self._versions.get_used_version(service, None)
         if used is None or not versions.get_nodes(used):
             return _NONE
-        excluded = versions.get_other_nodes(used)
-        if not excluded:
+        if len(versions.accepting) == 1:
             return _NONE
+        excluded = versions.get_other_nodes(used)
         # Nodes of earlier releases don't report a version.
-        return (
-            excluded
-            - versions.get_nodes(NO_VERSION)
-            - self._probation.get_unreported(service)
-            - self._probation.get_released(service, used)
+        return excluded.difference(
+            versions.get_nodes(NO_VERSION),
+            self._probation.get_unreported(service),
+            self._probation.get_groups(service, used).released,
         )
 
     def _get_unproven(
--- a/src/rhubarbpaddle/rollout/version_probation.py
+++ b/src/rhubarbpaddle/rollout/version_probation.py
@@ -1,7 +1,11 @@
 """How soon instances of a new version get requests without an order."""
 
+import math
+
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.rollout.instance_version import NO_VERSION, UNKNOWN_VERSION
+from rhubarbpaddle.rollout.probation_groups import ProbationGroups
+from rhubarbpaddle.rollout.service_versions import ServiceVersions
 from rhubarbpaddle.rollout.version_table import VersionTable
 
 # Instances that are started together with an order report up to a second before
@@ -11,6 +15,7 @@
 # force (2.5 s). Twice that time allows for a slow store.
 _PROBATION_SECONDS = 5.0
 _NONE: frozenset[str] = frozenset()
+_NO_GROUPS = ProbationGroups(_NONE, _NONE, False, math.inf)
 
 
 class VersionProbation:
@@ -31,40 +36,34 @@
         """
         self._versions = versions
         self._clock = clock
+        # The groups with the versions that they were made of, by service.
+        self._known: dict[
+            str, tuple[ServiceVersions, str, ProbationGroups]
+        ] = {}
 
-    def is_active(self, service: str, used: str) -> bool:
-        """Returns whether a version is new, so that its share is limited."""
-        earliest = self._clock.monotonic() - _PROBATION_SECONDS
-        return any(
-            self._versions.get_first_seen(service, version) > earliest
-            for version in self._list_unordered(service, used)
-        )
-
-    def get_limited(self, service: str, used: str) -> frozenset[str]:
-        """Returns the nodes whose instance gets a limited share."""
-        now = self._clock.monotonic()
-        versions = self._versions.get_versions(service)
-        return _NONE.union(
-            *(
-                versions.get_nodes(version)
-                for version in self._list_unordered(service, used)
-                if _HOLD_SECONDS
-                <= now - self._versions.get_first_seen(service, version)
-                < _PROBATION_SECONDS
-            )
-        )
+    def get_groups(self, service: str, used: str | None) -> ProbationGroups:
+        """Returns the groups of a service.
 
-    def get_released(self, service: str, used: str) -> frozenset[str]:
-        """Returns the nodes whose instance gets requests without a limit."""
-        earliest = self._clock.monotonic() - _PROBATION_SECONDS
+        Args:
+            service: The service.
+            used: The version in use, or None if none is known.
+        """
         versions = self._versions.get_versions(service)
-        return _NONE.union(
-            *(
-                versions.get_nodes(version)
-                for version in self._list_unordered(service, used)
-                if self._versions.get_first_seen(service, version) <= earliest
-            )
+        if used is None or len(versions.accepting) < 2:
+            return _NO_GROUPS
+        # Each request asks for the groups, which rarely change.
+        known, known_used, groups = self._known.get(
+            service, (None, None, _NO_GROUPS)
         )
+        now = self._clock.monotonic()
+        if (
+            known is not versions
+            or known_used != used
+            or now >= groups.valid_until
+        ):
+            groups = self._group(service, versions, used, now)
+            self._known[service] = versions, used, groups
+        return groups
 
     def get_unreported(self, service: str) -> frozenset[str]:
         """Returns the nodes whose instance has sent no report for long.
@@ -79,10 +78,25 @@
             if self._versions.get_unknown_since(node_id) <= earliest
         )
 
-    def _list_unordered(self, service: str, used: str) -> list[str]:
-        return [
-            version
-            for version in self._versions.get_versions(service).accepting
-            if version not in (used, NO_VERSION, UNKNOWN_VERSION)
-            and not self._versions.is_barred(service, version)
-        ]
+    def _group(
+        self, service: str, versions: ServiceVersions, used: str, now: float
+    ) -> ProbationGroups:
+        limited, released, changes = _NONE, _NONE, []
+        for version, node_ids in versions.accepting.items():
+            if version in (
+                used,
+                NO_VERSION,
+                UNKNOWN_VERSION,
+            ) or self._versions.is_barred(service, version):
+                continue
+            first_seen = self._versions.get_first_seen(service, version)
+            if now >= first_seen + _PROBATION_SECONDS:
+                released |= node_ids
+            elif now >= first_seen + _HOLD_SECONDS:
+                limited |= node_ids
+                changes.append(first_seen + _PROBATION_SECONDS)
+            else:
+                changes.append(first_seen + _HOLD_SECONDS)
+        return ProbationGroups(
+            limited, released, bool(changes), min(changes, default=math.inf)
+        )
--- a/src/rhubarbpaddle/rollout/version_table.py
+++ b/src/rhubarbpaddle/rollout/version_table.py
@@ -47,6 +47,8 @@
         self._clock = clock
         self._is_in_service = is_in_service
         self._services: dict[str, ServiceVersions] | None = None
+        # The results of `get_used_version` for the present groups.
+        self._used_by_target: dict[tuple[str, str | None], str | None] = {}
         self._remembered: dict[tuple[str, str], str] = {}
         # The first known start of an instance, by service and version. It is
         # kept when the instance starts again.
@@ -71,18 +73,21 @@
         return self._services.get(service, _NO_VERSIONS)
 
     def invalidate(self) -> None:
-        """Regroups the members, as after a change of zones in service."""
+        """Regroups the members, as after a change of zones or orders."""
         self._services = None
+        self._used_by_target.clear()
 
     def set_used_version(self, service: str, version: str) -> None:
         """Records that a completed roll-out has put a version into use."""
         self._used[service] = version, float("-inf")
         self._first_starts[service, version] = 0
         self._completed_at[service] = self._clock.monotonic()
+        self.invalidate()
 
     def record_order(self, service: str, version: str) -> None:
         """Records that an order has named a version."""
         self._ordered[service].add(version)
+        self.invalidate()
 
     def is_barred(self, service: str, version: str) -> bool:
         """Returns whether a version may get requests only if it is in use.
@@ -125,21 +130,29 @@
         Returns:
             The version, or None if no instance has a known version.
         """
+        key = service, target
+        if key not in self._used_by_target:
+            version = self._find_first_started(service, target)
+            self._used_by_target[key] = version
+            used, _ = self._used.get(service, (None, 0.0))
+            if version is not None and version != used:
+                self._used[service] = version, self._clock.monotonic()
+        return self._used_by_target[key]
+
+    def _find_first_started(
+        self, service: str, target: str | None
+    ) -> str | None:
         present = self.get_versions(service).present.difference(
             (target, NO_VERSION, UNKNOWN_VERSION)
         )
-        version = min(
+        return min(
             present,
             key=lambda name: (self._first_starts[service, name], name),
             default=None,
         )
-        used, _ = self._used.get(service, (None, 0.0))
-        if version is not None and version != used:
-            self._used[service] = version, self._clock.monotonic()
-        return version
 
     def _on_member_change(self, member: Member, source: str | None) -> None:
-        self._services = None
+        self.invalidate()
         upstream = member.upstream
         if upstream is None or upstream.version != UNKNOWN_VERSION:
             self._unknown_since.pop(member.node_id, None)
