Treat a version that returns after a minute as a new one

Cause: the version in use is the one whose first instance started first, and that start was kept for ever. After a replacement without an order, instances of the earlier version that operators start beside the present ones for a roll-out back to it counted as the version in use: they got requests at once, before the order.

Change: VersionTable forgets the first start and the first sight of a version when it returns after 60 s in which only other versions were present. 60 s exceed a partition (8 s) and the restart of a host.

--- a/src/rhubarbpaddle/rollout/version_table.py
+++ b/src/rhubarbpaddle/rollout/version_table.py
@@ -1,7 +1,7 @@
 """The versions of all instances, and which version a service uses."""
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Set
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.membership import (
@@ -20,6 +20,9 @@
 # A node that starts learns of the instances one after another. After this time
 # it knows those of the version in use.
 _SETTLE_SECONDS = 3.0
+# A version whose instances have been absent for this time, while others were
+# present, is a new one if it returns. Partitions last 8 s.
+_FORGET_SECONDS = 60.0
 _MAX_REMEMBERED_INSTANCES = 4096
 
 
@@ -59,6 +62,8 @@
         # instance of unknown version, by node.
         self._first_seen: dict[tuple[str, str], float] = {}
         self._unknown_since: dict[str, float] = {}
+        # Since when only other versions are present, by service and version.
+        self._absent_since: dict[tuple[str, str], float] = {}
         # The versions that orders have named, by service, and when a roll-out
         # was last completed.
         self._ordered: defaultdict[str, set[str]] = defaultdict(set)
@@ -163,6 +168,7 @@
             UNKNOWN_VERSION,
         ):
             service_version = upstream.service, upstream.version
+            self._forget_absent(service_version)
             if service_version not in self._first_seen:
                 self._first_seen[service_version] = self._clock.monotonic()
             self._first_starts[service_version] = min(
@@ -175,6 +181,22 @@
                 del self._remembered[next(iter(self._remembered))]
             self._remembered[key] = upstream.version
 
+    def _forget_absent(self, service_version: tuple[str, str]) -> None:
+        """Forgets a version that returns after others have replaced it."""
+        absent_since = self._absent_since.get(service_version, float("inf"))
+        if self._clock.monotonic() - absent_since >= _FORGET_SECONDS:
+            del self._absent_since[service_version]
+            del self._first_starts[service_version]
+            del self._first_seen[service_version]
+
+    def _record_absent(self, present: Mapping[str, Set[str]]) -> None:
+        now = self._clock.monotonic()
+        for service, version in self._first_seen:
+            if service in present and version not in present[service]:
+                self._absent_since.setdefault((service, version), now)
+            else:
+                self._absent_since.pop((service, version), None)
+
     def _group_members(self) -> dict[str, ServiceVersions]:
         accepting: defaultdict[str, defaultdict[str, set[str]]] = defaultdict(
             lambda: defaultdict(set)
@@ -194,6 +216,7 @@
                 member.availability_zone
             ):
                 accepting[upstream.service][version].add(member.node_id)
+        self._record_absent(present)
         return {
             service: ServiceVersions(
                 {
