Wait for the version in use anew in each roll-out

Cause: a gateway without an instance of the version in use refuses requests for 3 s before it uses an unproven version. The start of this time was only discarded when the version in use returned during the same roll-out. In a later roll-out the time had passed already, so that the first gap sent all requests to the target version at once.

Change: the time is discarded whenever no such roll-out runs.

--- a/features/rollout_gate.feature
+++ b/features/rollout_gate.feature
@@ -32,6 +32,18 @@
     Then the excluded instances are "h2"
     And 6 s later the excluded instances are "none"
 
+  # Guards against requests to an unproven version as soon as no instance of the
+  # version in use is left, because none was left in an earlier roll-out either.
+  Scenario: Each roll-out waits anew for the version in use
+    Given a gateway that knows the versions "v2"
+    And order 1 for "v2" is on trial
+    When order 1 for "v2" is on completed
+    And 70 s later the instance of "h1" has version "v3"
+    And the instance of "h0" stops
+    And order 2 for "v3" is on trial
+    Then the excluded instances are "h1"
+    And 4 s later the excluded instances are "none"
+
   # Guards against requests of a node that may have missed that the version was
   # stopped while its process was paused.
   Scenario: A process that resumes sends nothing before it has news
--- a/src/rhubarbpaddle/rollout/version_gate.py
+++ b/src/rhubarbpaddle/rollout/version_gate.py
@@ -87,6 +87,7 @@
         versions = self._versions.get_versions(service)
         rollout = self._rollouts.get_current(service)
         if rollout is None:
+            self._without_proven_since.pop(service, None)
             return self._get_unordered(service, versions)
         target = rollout.target_version
         if rollout.phase is None and self._versions.is_used(service, target):
@@ -95,6 +96,7 @@
             rollout.phase is RolloutPhase.PROMOTION
             and self._contact.has_contact()
         ):
+            self._without_proven_since.pop(service, None)
             if not versions.get_nodes(target):
                 return _NONE
             excluded = versions.get_other_nodes(target)
