Tell later versions from replaced ones after a restart

Cause: a gateway that learned of a completed roll-out took all versions that it had seen before for replaced ones. If it had started after the roll-out, while a later version replaced others without an order, it sent that version nothing.

Change: a version counts as replaced if its first instance started before that of the completed target. The instances' own start times are known to every node. VersionTable learns all phases through one method, and prefers the completed target as the version in use instead of changing its start time.

--- a/features/rollout_gate.feature
+++ b/features/rollout_gate.feature
@@ -44,6 +44,22 @@
     Then the excluded instances are "h1"
     And 4 s later the excluded instances are "none"
 
+  # Guards against a gateway that was started during a replacement without an
+  # order, and takes the new version for one that a roll-out has replaced.
+  Scenario: A node starts after a roll-out, while a later version replaces others
+    Given a gateway that knows the versions "v2 v3"
+    When order 1 for "v2" is on completed
+    Then the excluded instances are "h1"
+    And 6 s later the excluded instances are "none"
+
+  # Guards against requests to a version that has stopped without draining.
+  Scenario: The versions before a completed roll-out get no requests
+    Given a gateway that knows the versions "v1 v2"
+    And order 1 for "v2" is on trial
+    When order 1 for "v2" is on completed
+    Then the excluded instances are "h0"
+    And 6 s later the excluded instances are "h0"
+
   # Guards against requests of a node that may have missed that the version was
   # stopped while its process was paused.
   Scenario: A process that resumes sends nothing before it has news
--- a/features/support/gate_world.py
+++ b/features/support/gate_world.py
@@ -55,10 +55,9 @@
 
     def set_phase(self, order: int, target: str, phase: RolloutPhase) -> None:
         """Announces the phase of an order."""
-        self._board.merge(PhaseNotice(SERVICE, order, phase, target))
-        self._versions.record_order(SERVICE, target)
-        if phase is RolloutPhase.COMPLETED:
-            self._versions.set_used_version(SERVICE, target)
+        notice = PhaseNotice(SERVICE, order, phase, target)
+        self._board.merge(notice)
+        self._versions.record_phase(notice)
 
     def get_excluded(self) -> set[str]:
         """Returns the nodes that a request must not be sent to."""
--- a/src/rhubarbpaddle/rollout/rollout_controller.py
+++ b/src/rhubarbpaddle/rollout/rollout_controller.py
@@ -13,7 +13,6 @@
 from rhubarbpaddle.rollout.response_recorder import ResponseRecorder
 from rhubarbpaddle.rollout.rollout_board import RolloutBoard
 from rhubarbpaddle.rollout.rollout_decider import RolloutDecider
-from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
 from rhubarbpaddle.rollout.rollout_table import RolloutTable
 from rhubarbpaddle.rollout.version_table import VersionTable
 
@@ -141,11 +140,7 @@
     ) -> None:
         if isinstance(notice, CountReport):
             return
-        self._versions.record_order(notice.service, notice.target_version)
-        if notice.phase is RolloutPhase.COMPLETED:
-            self._versions.set_used_version(
-                notice.service, notice.target_version
-            )
+        self._versions.record_phase(notice)
         if not notice.phase.is_terminal:
             self._is_counting.set()
         self._log.info(
--- a/src/rhubarbpaddle/rollout/version_table.py
+++ b/src/rhubarbpaddle/rollout/version_table.py
@@ -1,5 +1,6 @@
 """The versions of all instances, and which version a service uses."""
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Mapping, Set
 
@@ -12,6 +13,8 @@
     UpstreamSummary,
 )
 from rhubarbpaddle.rollout.instance_version import NO_VERSION, UNKNOWN_VERSION
+from rhubarbpaddle.rollout.phase_notice import PhaseNotice
+from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
 from rhubarbpaddle.rollout.service_versions import ServiceVersions
 
 _ACCEPTING_STATES = (UpstreamState.COLD, UpstreamState.WARM)
@@ -64,10 +67,10 @@
         self._unknown_since: dict[str, float] = {}
         # Since when only other versions are present, by service and version.
         self._absent_since: dict[tuple[str, str], float] = {}
-        # The versions that orders have named, by service, and when a roll-out
-        # was last completed.
+        # The versions that orders have named, and the target of the last
+        # completed one, by service.
         self._ordered: defaultdict[str, set[str]] = defaultdict(set)
-        self._completed_at: dict[str, float] = {}
+        self._completed: dict[str, str] = {}
         table.add_listener(self._on_member_change)
 
     def get_versions(self, service: str) -> ServiceVersions:
@@ -82,28 +85,28 @@
         self._services = None
         self._used_by_target.clear()
 
-    def set_used_version(self, service: str, version: str) -> None:
-        """Records that a completed roll-out has put a version into use."""
-        self._used[service] = version, float("-inf")
-        self._first_starts[service, version] = 0
-        self._completed_at[service] = self._clock.monotonic()
-        self.invalidate()
-
-    def record_order(self, service: str, version: str) -> None:
-        """Records that an order has named a version."""
+    def record_phase(self, notice: PhaseNotice) -> None:
+        """Records which version a roll-out names or has put into use."""
+        service, version = notice.service, notice.target_version
         self._ordered[service].add(version)
+        if notice.phase is RolloutPhase.COMPLETED:
+            self._used[service] = version, float("-inf")
+            self._completed[service] = version
         self.invalidate()
 
     def is_barred(self, service: str, version: str) -> bool:
         """Returns whether a version may get requests only if it is in use.
 
-        These are the versions that an order has named, and those that a
-        completed roll-out has replaced.
+        These are the versions that an order has named, and those that started
+        before the target of the last completed roll-out, which has replaced
+        them. A node that has started since then can tell them from later ones.
         """
-        return version in self._ordered.get(service, ()) or (
-            self.get_first_seen(service, version)
-            <= self._completed_at.get(service, float("-inf"))
-        )
+        if version in self._ordered.get(service, ()):
+            return True
+        completed = self._completed.get(service)
+        return completed is not None and self._first_starts[
+            service, version
+        ] < self._first_starts.get((service, completed), math.inf)
 
     def get_first_seen(self, service: str, version: str) -> float:
         """Returns when this node first saw an instance of a version."""
@@ -123,9 +126,10 @@
     def get_used_version(self, service: str, target: str | None) -> str | None:
         """Returns the version that a service uses apart from roll-outs.
 
-        It is the version whose first instance started before those of all
-        others: instances of a version that an order will name are started
-        beside those in use.
+        It is the target of the last completed roll-out. Without one, it is the
+        version whose first instance started before those of all others:
+        instances of a version that an order will name are started beside those
+        in use.
 
         Args:
             service: The service.
@@ -150,9 +154,14 @@
         present = self.get_versions(service).present.difference(
             (target, NO_VERSION, UNKNOWN_VERSION)
         )
+        completed = self._completed.get(service)
         return min(
             present,
-            key=lambda name: (self._first_starts[service, name], name),
+            key=lambda name: (
+                name != completed,
+                self._first_starts[service, name],
+                name,
+            ),
             default=None,
         )
 
