Test roll-outs under clock jumps, lost history and one-way links

These faults are in the specification and had no scenario: wall clocks that jump by 5 s while all nodes are restarted, a store that deletes the history of its topics during the trial, and a host whose messages are lost in one direction. VirtualClock can jump for this.

--- a/features/rollouts_faults.feature
+++ b/features/rollouts_faults.feature
@@ -111,3 +111,44 @@
     When operators order the new version
     And 2 s later the node beside a new instance is cut off
     Then no request reaches that instance from 3 s to 7 s after that
+
+  # Guards against a roll-out that ends early or never because the age of its
+  # order is taken from a clock that has jumped.
+  Scenario Outline: The clocks jump while all nodes are restarted
+    Given a service with old and new instances under load
+    When operators order the new version
+    And 1.5 s later all nodes are killed and started again
+    And the clocks jump by <seconds> s
+    Then the roll-out is "running" within 6 s
+    And the roll-out is "completed" within 16 s
+    And one terminal state was written
+
+    Examples:
+      | seconds |
+      | -5      |
+      | 5       |
+
+  # Guards against a roll-out that is taken for a deleted one, or a second
+  # terminal state, because the store has deleted the records of its topics.
+  Scenario: The store loses its history during the trial
+    Given a service with old and new instances under load
+    When operators order the new version
+    And 3 s later the store deletes its history
+    Then the roll-out is "completed" within 9 s
+    And one terminal state was written
+
+  # Guards against a bad version that is not stopped, or gets too many requests,
+  # because a link of an instance delivers messages in one direction only.
+  Scenario Outline: A bad version behind a one-way link
+    Given a service with old and new instances under load
+    When the new version fails 50 % of its requests
+    And operators order the new version
+    And 1 s later nothing <direction> the node beside a new instance arrives
+    Then the roll-out is "rolled_back" within 12 s
+    And the new version has got at most its share
+    And one terminal state was written
+
+    Examples:
+      | direction |
+      | from      |
+      | to        |
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -1,3 +1,5 @@
+from datetime import timedelta
+
 import trio
 from behave import given, then, when
 from behave.runner import Context
@@ -256,6 +258,31 @@
             world.fabric.block_both_ways("n0", other)
 
 
+@when("the clocks jump by {seconds:g} s")
+@deferred
+async def step_jump(context: Context, seconds: float) -> None:
+    context.world.clock.wall_offset += timedelta(seconds=seconds)
+
+
+@when("3 s later the store deletes its history")
+@deferred
+async def step_delete_history(context: Context) -> None:
+    await trio.sleep(3)
+    for topic in ("keyed.op", "keyed.status"):
+        context.world.store.discard_history(topic)
+
+
+@when("1 s later nothing {direction} the node beside a new instance arrives")
+@deferred
+async def step_block_one_way(context: Context, direction: str) -> None:
+    world: RolloutWorld = context.world
+    await trio.sleep(1)
+    for other in (*world.nodes, "store"):
+        if other != "n0":
+            pair = ("n0", other) if direction == "from" else (other, "n0")
+            world.fabric.blocked.add(pair)
+
+
 @then("no request reaches that instance from 3 s to 7 s after that")
 @deferred
 async def step_check_cut_off(context: Context) -> None:
