Describe unproven versions; remove an unused refund of credit

ExposureCredit.refund had no caller: a request that the new instance refuses keeps its cost, so that the exposure stays below the share.

--- a/src/rhubarbpaddle/execution/version_policy.py
+++ b/src/rhubarbpaddle/execution/version_policy.py
@@ -16,14 +16,15 @@
         ...
 
     def get_canary_excluded(self, service: str) -> Set[str] | None:
-        """Returns the nodes to exclude to reach a version on trial.
+        """Returns the nodes to exclude to reach an unproven version.
 
-        None if the next request must not be sent there.
+        It is one on trial, or a new one without an order. None if the next
+        request must not be sent there.
         """
         ...
 
     def record_canary(self, service: str) -> None:
-        """Records that a request is sent to the version on trial."""
+        """Records that a request is sent to an unproven version."""
         ...
 
 
@@ -38,7 +39,7 @@
         return frozenset()
 
     def get_canary_excluded(self, service: str) -> Set[str] | None:
-        """Returns None, as no version is on trial."""
+        """Returns None, as no version is limited."""
         return None
 
     def record_canary(self, service: str) -> None:
--- a/src/rhubarbpaddle/rollout/exposure_credit.py
+++ b/src/rhubarbpaddle/rollout/exposure_credit.py
@@ -38,7 +38,3 @@
     def spend(self) -> None:
         """Records a request that is sent to the target version."""
         self._balance -= 1
-
-    def refund(self) -> None:
-        """Records that such a request has not reached the instance."""
-        self._balance = min(self._balance + 1, _MAX_CREDIT)
--- a/src/rhubarbpaddle/rollout/version_gate.py
+++ b/src/rhubarbpaddle/rollout/version_gate.py
@@ -107,7 +107,7 @@
         return excluded
 
     def get_canary_excluded(self, service: str) -> frozenset[str] | None:
-        """Returns the nodes to exclude to reach the target version.
+        """Returns the nodes to exclude to reach an unproven version.
 
         None if the next request must not be sent there.
         """
