Withhold allowances while the fleet's size is unknown

Cause: a node without contact, without known members and with an unread directory takes itself for a fleet of one. Its local allowance was then all that substitutes may grant, at each node of a fleet that restarts cut off.

Change: such a node grants no allowance. It has a lower bound of the fleet's size as soon as it knows another node or has read the directory.

--- a/src/rhubarbpaddle/usage/fleet_view.py
+++ b/src/rhubarbpaddle/usage/fleet_view.py
@@ -79,6 +79,11 @@
             1 + (self._count_listed_nodes() or 0),
         )
 
+    @property
+    def is_size_known(self) -> bool:
+        """Whether this node knows other nodes or has read the directory."""
+        return len(self._table) > 1 or self._count_listed_nodes() is not None
+
     @property
     def has_contact(self) -> bool:
         """Whether another node has sent anything recently, or none exists."""
--- a/src/rhubarbpaddle/usage/usage_gate.py
+++ b/src/rhubarbpaddle/usage/usage_gate.py
@@ -229,6 +229,10 @@
         Raises:
             RefusedError: There is none.
         """
+        if not self._fleet.is_size_known:
+            # Each node of a fleet that has just restarted would take itself for
+            # the only one.
+            raise self._make_refusal(account, _MAX_SEARCH_SECONDS)
         now = self._clock.monotonic()
         rate = cap.substitute_rate / self._fleet.size
         if account.allowance is None:
