Test the mechanisms of usage caps that the state machine misses

Cause: by its author's trial the state machine does not notice five disabled mechanisms, whose excess is below the tolerance in its fleet.

Change: five directed scenarios on a fleet without a network, each with the order of events in which one mechanism alone keeps the bound.

--- a/features/support/usage_fleet.py
+++ b/features/support/usage_fleet.py
@@ -15,7 +15,7 @@
 
 # When nodes learn that another one is silent, that its process has ended, that
 # it leaves, and that it responds again; see `Overlay` and `Suspicion`.
-_LINK_SILENCE_SECONDS = 1.25
+LINK_SILENCE_SECONDS = 1.25
 _SILENCE_SECONDS = 3.0
 _END_SECONDS = 0.2
 _REFUTATION_SECONDS = 2.0
@@ -34,6 +34,7 @@
             would have refused none of their requests in the last second.
         refused: All refusals, by organisation.
         requests: All requests.
+        has_directory: Whether nodes can read the node directory.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self.needless: Counter[str] = Counter()
         self.refused: Counter[str] = Counter()
         self.requests = 0
+        self.has_directory = True
         self._incarnation = 0
         self._reference: dict[str, TokenBucket] = {}
         self._exceeded_at: dict[str, float] = {}
@@ -71,7 +73,7 @@
                 self._incarnation,
                 self._has_link,
                 self.nodes.__getitem__,
-                lambda: len(self.nodes) - 1,
+                lambda: len(self.nodes) - 1 if self.has_directory else None,
                 self._caps.get,
             )
             if previous is not None:
@@ -182,7 +184,7 @@
             for other in self.nodes.values()
             if other is not node
         ):
-            self._links_lost_at[node_id] = now + _LINK_SILENCE_SECONDS
+            self._links_lost_at[node_id] = now + LINK_SILENCE_SECONDS
         return now < self._links_lost_at.get(node_id, 0.0)
 
     async def _spread_loss(self, seconds: float) -> None:
--- a/features/support/usage_fleet_node.py
+++ b/features/support/usage_fleet_node.py
@@ -58,7 +58,7 @@
         incarnation: int,
         has_link: Callable[[str], bool],
         find_node: Callable[[str], "UsageFleetNode"],
-        count_listed: Callable[[], int],
+        count_listed: Callable[[], int | None],
         get_cap: Callable[[str], UsageCap | None],
     ) -> None:
         clock = VirtualClock()
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -70,6 +70,39 @@
     When 30 requests a second are sent for 12 s and the cap is 4 a second after 2 s
     Then at most 32 requests ran in the last 2.5 s
 
+  # Guards against a new owner that grants the burst a second time.
+  Scenario: The burst is not granted again by the next owner
+    Given 6 gateways that share a cap of 20 and a burst of 100
+    When the owner's process ends after it has granted its burst
+    Then the gateways stay within the tolerated excess
+
+  # Guards against tokens that gateways keep and use in a later window, in
+  # addition to those of that window.
+  Scenario: Tokens in advance expire
+    Given 3 gateways that share a cap of 100 and a burst of 100
+    When a gateway has tokens in advance and no request for 0.5 s
+    Then the next request needs a query
+
+  # Guards against nodes that each take themselves for a fleet of one node.
+  Scenario: Nodes without contact do not each grant the cap
+    Given 6 gateways that share a cap of 20 and a burst of 100
+    When all nodes restart without contact or a directory
+    Then each gateway ran at most its part of a tenth of the cap
+
+  # Guards against an owner whose links work in one direction only: it has a full
+  # bucket and does not know that another node granted the cap meanwhile.
+  Scenario: An owner that was suspected hears of the other owner
+    Given 6 gateways that share a cap of 20 and a burst of 100
+    When all others suspect the owner for 9 s and ask the next node meanwhile
+    Then the gateways stay within the tolerated excess
+
+  # Guards against a frozen owner that resumes with a full bucket: its own
+  # gateway has had no token of the other owner.
+  Scenario: An owner that resumes does not grant its burst
+    Given 6 gateways that share a cap of 20 and a burst of 100
+    When the owner resumes after 12 s while the next node grants tokens
+    Then the gateways stay within the tolerated excess
+
   # Guards against an order of partitions, restarts, frozen processes, leaving
   # nodes and changed caps in which the nodes together grant more than the cap.
   Scenario: The sum invariant holds under every order of faults
