Keep nodes that are cut off alone from being their own substitutes

Cause: a node whose links are silent has contact, by its own view, for 1.25 s. It found the nodes before it in the ranking silent and was a substitute for its own gateway. Where several nodes were each cut off, each granted the 4 tokens and 0.8 a second that one substitute may. The slack covers one or two of these.

Change: a node is a substitute for its own gateway only while a query of another gateway has reached it within the last second. Otherwise the gateway uses its allowance, and asks no later node, which would be one more substitute.

--- a/features/steps/usage_fleet_steps.py
+++ b/features/steps/usage_fleet_steps.py
@@ -154,6 +154,25 @@
     run(context, scenario)
 
 
+@when("the owner and the next {count:d} nodes are each cut off alone for 8 s")
+def step_cut_off_alone(context: Context, count: int) -> None:
+    ranking = sorted(
+        context.node_ids,
+        key=lambda name: get_weight("club", name),
+        reverse=True,
+    )
+    groups = {name: i for i, name in enumerate(ranking[: count + 1], start=1)}
+
+    async def scenario(fleet: UsageFleet, nursery: trio.Nursery) -> None:
+        await send_excess(fleet, context.node_ids, 0.3)
+        fleet.partition(nursery, groups)
+        await send_excess(fleet, context.node_ids, 8)
+        fleet.partition(nursery, dict.fromkeys(groups, 0))
+        await send_excess(fleet, context.node_ids, 5)
+
+    run(context, scenario)
+
+
 @then("the gateways stay within the tolerated excess")
 def step_check_limit(context: Context) -> None:
     most = context.fleet.get_most_in_window("club")
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -103,6 +103,13 @@
     When the owner resumes after 12 s while the next node grants tokens
     Then the gateways stay within the tolerated excess
 
+  # Guards against nodes that each grant their own gateway what one substitute
+  # may, until they notice that they are cut off.
+  Scenario: Nodes that are cut off alone are no substitutes for themselves
+    Given 12 gateways that share a cap of 1 and a burst of 1
+    When the owner and the next 4 nodes are each cut off alone for 8 s
+    Then the gateways stay within the tolerated excess
+
   # Guards against an order of partitions, restarts, frozen processes, leaving
   # nodes and changed caps in which the nodes together grant more than the cap.
   Scenario: The sum invariant holds under every order of faults
--- a/src/rhubarbpaddle/usage/owned_usage.py
+++ b/src/rhubarbpaddle/usage/owned_usage.py
@@ -13,6 +13,8 @@
             not been the owner.
         substitute_bucket: The tokens that it grants in place of the owner, or
             None if it has granted none.
+        reached_at: Monotonic seconds of the last query of another gateway, or
+            None if there was none.
         refused_at: Monotonic seconds of the last refusal, or None if the
             organisation is within its cap.
     """
@@ -21,4 +23,5 @@
         self.demand = DemandRate(now)
         self.bucket: TokenBucket | None = None
         self.substitute_bucket: TokenBucket | None = None
+        self.reached_at: float | None = None
         self.refused_at: float | None = None
--- a/src/rhubarbpaddle/usage/usage_gate.py
+++ b/src/rhubarbpaddle/usage/usage_gate.py
@@ -188,6 +188,9 @@
             )
             if grant is not None and grant.role is not OwnerRole.NONE:
                 return member, grant
+            if member.node_id == self._node_id:
+                # A later node would be one more substitute.
+                return None
         return None
 
     async def _ask(
@@ -195,7 +198,7 @@
     ) -> UsageGrant | None:
         """Returns a node's response, or None if it does not respond."""
         if member.node_id == self._node_id:
-            return self._owner.grant(query)
+            return self._owner.grant_own(query)
         if not (
             self._fleet.has_contact
             and self._clock.monotonic() < until
--- a/src/rhubarbpaddle/usage/usage_owner.py
+++ b/src/rhubarbpaddle/usage/usage_owner.py
@@ -16,6 +16,9 @@
 # Tokens for later requests are granted only while the bucket is at least this
 # full: those that expire unused must not be missing for other gateways.
 _MIN_LEVEL_FOR_EXTRA = 0.5
+# For how long a query of another gateway shows that this node is not cut off. A
+# link without heartbeats counts as lost after a similar time.
+_MAX_REACHED_SECONDS = 1.0
 # An organisation is within its cap again after this time without a refusal.
 _EXCESS_END_SECONDS = 2.0
 
@@ -50,7 +53,20 @@
         self._exceeding: set[str] = set()
 
     def grant(self, query: UsageQuery) -> UsageGrant:
-        """Responds to a gateway's query."""
+        """Responds to the query of another node's gateway."""
+        return self._grant(query, is_own=False)
+
+    def grant_own(self, query: UsageQuery) -> UsageGrant:
+        """Responds to this node's own gateway.
+
+        A node that has just been cut off alone takes its silent predecessors
+        for gone. It is a substitute for its own gateway only if another gateway
+        has reached it recently: otherwise each such node grants what one
+        substitute may.
+        """
+        return self._grant(query, is_own=True)
+
+    def _grant(self, query: UsageQuery, *, is_own: bool) -> UsageGrant:
         now = self._clock.monotonic()
         cap = self._get_cap(query.organisation)
         standing = self._fleet.get_standing(query.organisation)
@@ -62,6 +78,13 @@
         usage = self._usages.get(query.organisation)
         if usage is None:
             usage = self._usages[query.organisation] = OwnedUsage(now)
+        if not is_own:
+            usage.reached_at = now
+        elif standing.role is OwnerRole.SUBSTITUTE and (
+            usage.reached_at is None
+            or now - usage.reached_at > _MAX_REACHED_SECONDS
+        ):
+            return UsageGrant(OwnerRole.NONE)
         granted = 0
         if standing.role is OwnerRole.OWNER:
             bucket = self._refill_bucket(usage, cap, standing, query, now)
