Ask the owner of a usage cap again at least once a second

Cause: a gateway refused locally, without asking, until the time that the owner had named. The owner of a small part of a fleet grants a small rate and names a long wait; the gateway refused for as long after the partition had healed, or after the cap was raised (two of twelve nodes at 0.5 a second: 12 s).

Change: a gateway refuses for at most 1 s without asking. The Retry-After still names the whole wait. It costs at most one query a second for each organisation and gateway.

--- a/features/steps/usage_fleet_steps.py
+++ b/features/steps/usage_fleet_steps.py
@@ -173,6 +173,26 @@
     run(context, scenario)
 
 
+@when("2 gateways are cut off together for 8 s and use up their part")
+def step_cut_off_pair(context: Context) -> None:
+    owner = find_owner(context)
+    pair = [name for name in context.node_ids if name != owner][:2]
+
+    async def scenario(fleet: UsageFleet, nursery: trio.Nursery) -> None:
+        fleet.partition(nursery, dict.fromkeys(pair, 1))
+        await send_excess(fleet, pair, 8)
+        fleet.partition(nursery, dict.fromkeys(pair, 0))
+        await trio.sleep(2)
+        context.is_admitted = await fleet.send(pair[0], "club")
+
+    run(context, scenario)
+
+
+@then("they admit a request 2 s after the partition")
+def step_check_admitted_after(context: Context) -> None:
+    assert context.is_admitted
+
+
 @then("the gateways stay within the tolerated excess")
 def step_check_limit(context: Context) -> None:
     most = context.fleet.get_most_in_window("club")
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -110,6 +110,13 @@
     When the owner and the next 4 nodes are each cut off alone for 8 s
     Then the gateways stay within the tolerated excess
 
+  # Guards against a gateway that refuses without asking for as long as the owner
+  # of a small part of the fleet said, after the partition has healed.
+  Scenario: A long wait ends with the partition
+    Given 12 gateways that share a cap of 0.5 and a burst of 1
+    When 2 gateways are cut off together for 8 s and use up their part
+    Then they admit a request 2 s after the partition
+
   # Guards against an order of partitions, restarts, frozen processes, leaving
   # nodes and changed caps in which the nodes together grant more than the cap.
   Scenario: The sum invariant holds under every order of faults
--- a/src/rhubarbpaddle/usage/usage_account.py
+++ b/src/rhubarbpaddle/usage/usage_account.py
@@ -14,6 +14,10 @@
 # The time for which a gateway asks for tokens in advance. A gateway with less
 # than five requests a second asks for each.
 _LEASE_SECONDS = 0.2
+# How long a gateway refuses without asking. An owner with a small part of the
+# fleet names a long wait, which ends early when a partition heals or the cap is
+# raised.
+_MAX_LOCAL_REFUSAL_SECONDS = 1.0
 
 
 class UsageAccount:
@@ -36,7 +40,8 @@
         self.returnable = 0
         self.allowance: TokenBucket | None = None
         self._tokens: list[UsageToken] = []
-        self._refused_until = 0.0
+        self._next_token_at = 0.0
+        self._ask_again_at = 0.0
         self._owner_id = ""
         self._owner_granted_at: float | None = None
 
@@ -67,8 +72,10 @@
         return int(self.demand.get(now) * _LEASE_SECONDS)
 
     def get_wait(self, now: float) -> float:
-        """Returns the seconds until the owner has a token, as far as known."""
-        return max(0.0, self._refused_until - now)
+        """Returns the seconds until the owner has a token; 0 if not known."""
+        if now >= self._ask_again_at:
+            return 0.0
+        return self._next_token_at - now
 
     def get_other_owner_age(self, node_id: str, now: float) -> float | None:
         """Returns how long ago an owner other than a node granted tokens."""
@@ -86,7 +93,8 @@
         self._tokens.extend([token] * grant.granted)
         if grant.role is not OwnerRole.OWNER:
             return
-        self._refused_until = now + grant.wait
+        self._next_token_at = now + grant.wait
+        self._ask_again_at = now + min(grant.wait, _MAX_LOCAL_REFUSAL_SECONDS)
         if grant.granted:
             self._owner_id = node_id
             self._owner_granted_at = now
