Give the soak's callers organisations, keys and usage caps

The soak published configurations without organisations, so that keys, usage caps and their settings were only tested without node processes.

Each caller now belongs to one of three organisations and sends a key: the permanent one, the newest one, one that was withdrawn, or an unknown one. Each configuration adds a key and withdraws older ones. One organisation sends several times its usual requests for 6 s. OrganisationOracle checks what ran and what was refused. The choice of what a fault permits moves to FaultEffects, which both oracles use, and the configurations move from SoakDeployment to ConfigurationHistory.

--- a/features/soak_oracle.feature
+++ b/features/soak_oracle.feature
@@ -19,6 +19,13 @@
       | an instance of a withdrawn zone runs a request      | EVAC     |
       | a cold instance gets 13 requests in a second        | FAILBACK |
       | a run starts a second after its caller disconnected | GONE     |
+      | an instance receives a key                          | LEAK     |
+      | a request runs for another organisation             | TENANT   |
+      | a request with an unknown key runs                  | KEY      |
+      | a request with a withdrawn key runs                 | KEY      |
+      | a known key gets 401                                | KEY      |
+      | an organisation runs 300 requests in 5 s            | QUOTA    |
+      | an organisation with one request gets 429           | CAPPED   |
 
   # Guards against reports of failures that an unplanned fault permits.
   Scenario Outline: A failure that an unplanned fault permits is not reported
@@ -31,6 +38,25 @@
       | a response arrives a second after the deadline      |
       | an instance of a withdrawn zone runs a request      |
       | a run starts a second after its caller disconnected |
+      | an organisation with one request gets 429           |
+
+  # Guards against faults that excuse a key that was never valid, a leaked key or
+  # more requests than the usage cap permits.
+  Scenario Outline: A failure of keys or caps during a crash is reported
+    Given a history in which <event> during a crash
+    Then the oracle reports "<check>" only
+
+    Examples:
+      | event                                    | check |
+      | an instance receives a key               | LEAK  |
+      | a request with an unknown key runs       | KEY   |
+      | a known key gets 401                     | KEY   |
+      | an organisation runs 300 requests in 5 s | QUOTA |
+
+  # Guards against reports of refusals in a surge, which the cap asks for.
+  Scenario: The refusal of the last request of a surge is not reported
+    Given a history in which the last of 100 requests at once gets 429
+    Then the oracle reports nothing
 
   # Guards against silent connections to the store, which the soak causes in most
   # of its time, that excuse any other failure.
--- a/features/steps/soak_oracle_steps.py
+++ b/features/steps/soak_oracle_steps.py
@@ -3,11 +3,15 @@
 from behave import given, then
 from behave.runner import Context
 
+from soak.fault_effects import FaultEffects
+from soak.key_state import KeyState
 from soak.oracle import Oracle
+from soak.organisation_oracle import OrganisationOracle
 from soak.records import Fault, Run, SentRequest
 
 _DEADLINE_SECONDS = 1.5
 _MAX_COLD_PER_SECOND = 12.0
+_CAP = 32.0
 _REQUEST = SentRequest(
     request_id="one",
     host="h0",
@@ -32,6 +36,34 @@
     return sent, [_RUN._replace(request_id=name, is_cold=True) for name in ids]
 
 
+def _make_usage() -> History:
+    sent = [
+        _REQUEST._replace(
+            request_id=f"r{index}",
+            body=f"r{index}".encode(),
+            organisation="amber",
+        )
+        for index in range(300)
+    ]
+    return sent, [
+        _RUN._replace(
+            request_id=request.request_id,
+            organisation="amber",
+            started_at=10.0 + index / 100,
+        )
+        for index, request in enumerate(sent)
+    ]
+
+
+def _make_refused_surge() -> History:
+    served = [
+        _REQUEST._replace(request_id=f"r{index}", body=f"r{index}".encode())
+        for index in range(99)
+    ]
+    runs = [_RUN._replace(request_id=entry.request_id) for entry in served]
+    return [*served, _REQUEST._replace(status=429)], runs
+
+
 _HISTORIES: dict[str, Callable[[], History]] = {
     "no guarantee is violated": lambda: ([_REQUEST], [_RUN]),
     "an instance runs a request that no caller sent": lambda: (
@@ -84,6 +116,29 @@
         [_RUN._replace(host="h-withdrawn")],
     ),
     "a cold instance gets 13 requests in a second": _make_cold_burst,
+    "an instance receives a key": lambda: (
+        [_REQUEST],
+        [_RUN._replace(has_key=True)],
+    ),
+    "a request runs for another organisation": lambda: (
+        [_REQUEST._replace(organisation="amber")],
+        [_RUN._replace(organisation="birch")],
+    ),
+    "a request with an unknown key runs": lambda: (
+        [_REQUEST._replace(key_state=KeyState.UNKNOWN)],
+        [_RUN],
+    ),
+    "a request with a withdrawn key runs": lambda: (
+        [_REQUEST._replace(key_state=KeyState.WITHDRAWN)],
+        [_RUN],
+    ),
+    "a known key gets 401": lambda: ([_REQUEST._replace(status=401)], []),
+    "an organisation runs 300 requests in 5 s": _make_usage,
+    "an organisation with one request gets 429": lambda: (
+        [_REQUEST._replace(status=429)],
+        [],
+    ),
+    "the last of 100 requests at once gets 429": _make_refused_surge,
 }
 
 
@@ -116,14 +171,17 @@
 
 def _get_violated(context: Context) -> set[str]:
     sent, runs = context.history
-    oracle = Oracle(sent, runs, context.faults, _DEADLINE_SECONDS)
+    effects = FaultEffects(context.faults)
+    oracle = Oracle(sent, runs, effects, _DEADLINE_SECONDS)
+    organisation_oracle = OrganisationOracle(sent, runs, effects, _CAP)
     violations = oracle.iter_violations(
         {"i-departed": 10.0},
         [("b", 10.0, 11.0)],
         {"h0": "a", "h-withdrawn": "b"},
         _MAX_COLD_PER_SECOND,
     )
-    return {line.split()[0] for line in violations}
+    lines = (*violations, *organisation_oracle.iter_violations())
+    return {line.split()[0] for line in lines}
 
 
 @then('the oracle reports "{check}" only')
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import h11
 import trio
@@ -11,6 +11,12 @@
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
 from rhubarbpaddle.tcp_network import TcpNetwork
+from soak.configuration_history import (
+    PERMANENT_PREFIX,
+    ConfigurationHistory,
+    make_key,
+)
+from soak.key_state import KeyState
 from soak.records import SentRequest
 
 DEADLINE_SECONDS = 1.5
@@ -26,6 +32,9 @@
 # The share of idempotent requests that have a body, which is sent in chunks.
 _BODY_PROBABILITY = 0.3
 _MAX_BODY_BYTES = 100_000
+# The shares of requests whose key was withdrawn or is unknown.
+_WITHDRAWN_PROBABILITY = 0.05
+_UNKNOWN_PROBABILITY = 0.03
 
 
 class Caller:
@@ -36,7 +45,8 @@
         name: str,
         host: str,
         address: str,
-        get_prefixes: Callable[[], tuple[str, str]],
+        organisation: str,
+        configurations: ConfigurationHistory,
         sent: list[SentRequest],
         rng: random.Random,
     ) -> None:
@@ -46,29 +56,46 @@
             name: The prefix of the ids of its requests.
             host: The node's host.
             address: The node's `IP:PORT` for callers.
-            get_prefixes: Returns the path prefix that every configuration has,
-                and the one that was added last among those that must be in
-                force.
+            organisation: The organisation that it belongs to.
+            configurations: The configurations that operators published.
             sent: The list to which it appends its requests.
             rng: The random number generator.
         """
         self._ids = self._iter_ids(name)
         self._host = host
         self._address = address
-        self._get_prefixes = get_prefixes
+        self._organisation = organisation
+        self._configurations = configurations
         self._sent = sent
         self._rng = rng
         # A separate generator, so that seeds that failed before this choice was
         # added keep their other choices.
         self._abandon_rng = random.Random(name)
         self._body_rng = random.Random(f"body-{name}")
+        self._key_rng = random.Random(f"key-{name}")
         self._conn: ClientConnection | None = None
 
-    async def run(self, stopped: trio.Event) -> None:
-        """Sends requests until stopped, and completes the one in progress."""
+    async def run(
+        self, stopped: trio.Event, pause: float = _MEAN_PAUSE_SECONDS
+    ) -> None:
+        """Sends requests until stopped, and completes the one in progress.
+
+        Args:
+            stopped: Ends it.
+            pause: The mean time between requests, in seconds.
+        """
         while not stopped.is_set():
-            await self.send(self._choose_timeout())
-            await trio.sleep(self._rng.uniform(0, 2 * _MEAN_PAUSE_SECONDS))
+            key_state = self._choose_key_state()
+            await self.send(self._choose_timeout(), key_state)
+            await trio.sleep(self._rng.uniform(0, 2 * pause))
+
+    def _choose_key_state(self) -> KeyState:
+        choice = self._key_rng.random()
+        if choice < _UNKNOWN_PROBABILITY:
+            return KeyState.UNKNOWN
+        if choice < _UNKNOWN_PROBABILITY + _WITHDRAWN_PROBABILITY:
+            return KeyState.WITHDRAWN
+        return KeyState.KNOWN
 
     def _choose_timeout(self) -> float:
         if self._abandon_rng.random() < _ABANDON_PROBABILITY:
@@ -76,29 +103,37 @@
         return DEADLINE_SECONDS + TIMEOUT_SLACK_SECONDS
 
     async def send(
-        self, timeout: float = DEADLINE_SECONDS + TIMEOUT_SLACK_SECONDS
+        self,
+        timeout: float = DEADLINE_SECONDS + TIMEOUT_SLACK_SECONDS,
+        key_state: KeyState = KeyState.KNOWN,
     ) -> SentRequest | None:
         """Sends one request; returns None if it could not connect.
 
         Args:
             timeout: Seconds after which the caller closes its connection.
+            key_state: The state of its key. If no key has been withdrawn, it is
+                sent with a known one.
         """
         conn = self._conn or await self._connect()
         if conn is None:
             return None
         self._conn = conn
-        permanent_prefix, newest_prefix = self._get_prefixes()
         uses_newest_path = self._rng.random() < 0.5
-        prefix = newest_prefix if uses_newest_path else permanent_prefix
+        started_at = trio.current_time()
+        prefix = (
+            self._configurations.get_newest_prefix(started_at)
+            if uses_newest_path
+            else PERMANENT_PREFIX
+        )
+        key, key_state = self._choose_key(key_state, uses_newest_path)
         idempotent = self._rng.random() < 0.5
         request_id = next(self._ids)
         request_body = self._make_body() if idempotent else b""
-        started_at = trio.current_time()
         status, body, is_signed = 0, b"", False
         with trio.move_on_after(timeout) as scope:
             try:
                 head = self._make_head(
-                    request_id, prefix, idempotent, bool(request_body)
+                    request_id, prefix, key, idempotent, bool(request_body)
                 )
                 await conn.send_request(head, BytesBody(request_body))
                 response, response_body = await conn.receive_response()
@@ -121,6 +156,8 @@
             is_signed,
             scope.cancelled_caught and timeout < DEADLINE_SECONDS,
             request_body,
+            self._organisation,
+            key_state,
         )
         self._sent.append(request)
         if status == 0 or not conn.is_reusable():
@@ -137,8 +174,32 @@
         size = int(_MAX_BODY_BYTES ** self._body_rng.random())
         return self._body_rng.randbytes(size)
 
+    def _choose_key(
+        self, key_state: KeyState, is_newest: bool
+    ) -> tuple[str, KeyState]:
+        now = trio.current_time()
+        if key_state is KeyState.UNKNOWN:
+            return make_key("nobody"), key_state
+        if key_state is KeyState.WITHDRAWN:
+            withdrawn = self._configurations.find_withdrawn_key(
+                self._organisation, now
+            )
+            if withdrawn is not None:
+                return withdrawn, key_state
+        if is_newest:
+            newest = self._configurations.get_newest_key(
+                self._organisation, now
+            )
+            return newest, KeyState.KNOWN
+        return make_key(self._organisation), KeyState.KNOWN
+
     def _make_head(
-        self, request_id: str, prefix: str, idempotent: bool, has_body: bool
+        self,
+        request_id: str,
+        prefix: str,
+        key: str,
+        idempotent: bool,
+        has_body: bool,
     ) -> h11.Request:
         host = "club.example" if idempotent else "desk.example"
         method = "PUT" if has_body else "GET"
@@ -152,6 +213,7 @@
             target=f"{prefix}x",
             headers=[
                 ("host", host),
+                ("authorization", f"Token {key}"),
                 ("request-id", request_id),
                 ("deadline-ms", str(int(DEADLINE_SECONDS * 1000))),
                 framing,
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -1,30 +1,26 @@
 """The programs and stand-ins of a soak run, and the records of the run."""
 
-import json
 import os
 import random
 from pathlib import Path
-from typing import Any
 
 import trio
 
 from demo.process_group import wait_for_http
 from soak.caller import Caller
+from soak.configuration_history import ORGANISATIONS, ConfigurationHistory
 from soak.host import SERVICE, SoakHost
 from soak.instance import COLD_SECONDS
 from soak.records import Fault, Run, SentRequest
-from standins.platform_documents import (
-    make_configuration_document,
-    make_route_entry,
-)
 from standins.platform_store import PlatformStore
 
 ZONES = ("a", "b", "c")
-# Nodes apply a published configuration within this time.
-CONFIGURATION_DELAY_SECONDS = 2.0
 COLD_PER_SECOND = 5.0
 _START_TIMEOUT_SECONDS = 20.0
 _CALLERS_PER_HOST = 2
+_SURGE_SECONDS = 6.0
+_MAX_SURGE_DELAY_SECONDS = 2.0
+_SURGE_PAUSE_SECONDS = 0.01
 
 
 class SoakDeployment:
@@ -33,6 +29,7 @@
     Attributes:
         hosts: All hosts.
         store: The stand-in for the platform's store.
+        configurations: The configurations that operators published.
         sent: The requests that callers sent.
         runs: The requests that instances ran.
         faults: The injected faults.
@@ -69,7 +66,9 @@
         self.drain_deadlines: dict[str, float] = {}
         self.withdrawals: list[tuple[str, float, float]] = []
         self.late_exits: list[tuple[str, float]] = []
-        self._added_prefixes: list[tuple[float, str]] = []
+        self.configurations = ConfigurationHistory(
+            SERVICE, hosts, COLD_PER_SECOND, COLD_SECONDS
+        )
         self._store_port = 7000
         self._store_ip = f"127.{os.getpid() % 200 + 20}.255.1"
         self.hosts = [
@@ -117,51 +116,59 @@
                 f"{label}-{host.name}-{number}",
                 host.name,
                 host.caller_address,
-                self._get_prefixes,
+                ORGANISATIONS[
+                    (index * _CALLERS_PER_HOST + number) % len(ORGANISATIONS)
+                ],
+                self.configurations,
                 self.sent,
                 self.rng,
             )
-            for host in self.hosts
+            for index, host in enumerate(self.hosts)
             for number in range(_CALLERS_PER_HOST)
         ]
 
+    async def surge(self, seed: int) -> None:
+        """Makes an organisation send several times its usual requests.
+
+        Args:
+            seed: The seed of the run.
+        """
+        # The other choices of a seed stay the same.
+        rng = random.Random(f"surge-{seed}")
+        await trio.sleep(rng.uniform(0.0, _MAX_SURGE_DELAY_SECONDS))
+        organisation = rng.choice(ORGANISATIONS)
+        started_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            stopped = trio.Event()
+            for host in self.hosts:
+                caller = Caller(
+                    f"s-{host.name}",
+                    host.name,
+                    host.caller_address,
+                    organisation,
+                    self.configurations,
+                    self.sent,
+                    rng,
+                )
+                nursery.start_soon(caller.run, stopped, _SURGE_PAUSE_SECONDS)
+            await trio.sleep(_SURGE_SECONDS)
+            stopped.set()
+        self.faults.append(
+            Fault(
+                "surge",
+                "all",
+                started_at,
+                trio.current_time(),
+                is_planned=True,
+            )
+        )
+
     def change_configuration(self) -> None:
         """Publishes a configuration with a new path, as operators do."""
-        number = len(self._added_prefixes)
-        self._added_prefixes.append((trio.current_time(), f"/v{number}/"))
-        document = _make_configuration(
-            number + 1,
-            ["/lanes/", *(prefix for _, prefix in self._added_prefixes)],
-        )
-        self.store.put("keyed.op", "config", json.dumps(document).encode())
+        text = self.configurations.publish(trio.current_time())
+        self.store.put("keyed.op", "config", text)
 
     def kill_all(self) -> None:
         """Kills all node processes that were started."""
         for host in self.hosts:
             host.kill()
-
-    def _get_prefixes(self) -> tuple[str, str]:
-        published_before = trio.current_time() - CONFIGURATION_DELAY_SECONDS
-        in_force = [
-            prefix
-            for published_at, prefix in self._added_prefixes
-            if published_at <= published_before
-        ]
-        return "/lanes/", (in_force or ["/lanes/"])[-1]
-
-
-def _make_configuration(version: int, prefixes: list[str]) -> dict[str, Any]:
-    route_kinds = {
-        "club.example": "idempotent",
-        "desk.example": "non_idempotent",
-    }
-    routes = [
-        make_route_entry(
-            f"{kind}{prefix}", host, prefix, kind, SERVICE, timeoutMs=2000
-        )
-        for prefix in prefixes
-        for host, kind in route_kinds.items()
-    ]
-    return make_configuration_document(
-        version, routes, SERVICE, COLD_PER_SECOND, COLD_SECONDS
-    )
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from soak.deployment import CONFIGURATION_DELAY_SECONDS, ZONES, SoakDeployment
+from soak.configuration_history import CONFIGURATION_DELAY_SECONDS
+from soak.deployment import ZONES, SoakDeployment
 from soak.host import SoakHost
 from soak.instance_faults import InstanceFaults
 from soak.records import Fault
--- a/soak/host.py
+++ b/soak/host.py
@@ -12,6 +12,11 @@
 import trio
 
 from soak.instance import SoakInstance
+from soak.organisation_oracle import (
+    QUOTA_OVERAGE,
+    QUOTA_SLACK,
+    QUOTA_WINDOW_SECONDS,
+)
 from soak.proxy import LoopbackProxy
 from soak.records import Run
 from standins.platform_documents import make_settings_document
@@ -176,6 +181,12 @@
             "readiness": self.readiness_address,
             "control": self._get_address(7005),
         }
-        return make_settings_document(
+        document = make_settings_document(
             self.name, self.availability_zone, SERVICE, addresses, 500
         )
+        document["terms"]["bounds"] |= {
+            "quotaWindowS": QUOTA_WINDOW_SECONDS,
+            "quotaOverage": QUOTA_OVERAGE,
+            "quotaSlack": QUOTA_SLACK,
+        }
+        return document
--- a/soak/instance.py
+++ b/soak/instance.py
@@ -111,6 +111,7 @@
         def record(request_id: str) -> None:
             now = trio.current_time()
             is_cold = now < self._warm_at
+            headers = self.server.heads[-1]
             runs.append(
                 Run(
                     request_id,
@@ -119,6 +120,9 @@
                     now,
                     is_cold,
                     self.server.bodies[-1],
+                    headers.get("tenant-id", ""),
+                    "authorization" in headers
+                    or any("key-" in value for value in headers.values()),
                 )
             )
 
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -5,17 +5,13 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator, Mapping, Sequence
 
-from soak.records import Fault, Run, SentRequest
+from soak.fault_effects import FaultEffects
+from soak.records import Run, SentRequest
 
 # A response with one of these guarantees that the request has not run and never
 # will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _COLD_WINDOW_SECONDS = 1.0
-# How long the effects of a fault may last after it: reconnecting, replacing a
-# reader of the store, or receiving a configuration.
-_RECOVERY_SECONDS = 3.0
-# Faults that affect the calls of all hosts to the store.
-_STORE_FAULTS = frozenset({"reject_store_calls", "lose_store_responses"})
 _RESPONSE_SLACK_SECONDS = 0.5
 _DISCONNECT_SLACK_SECONDS = 0.5
 
@@ -27,7 +23,7 @@
         self,
         sent: Sequence[SentRequest],
         runs: Sequence[Run],
-        faults: Sequence[Fault],
+        effects: FaultEffects,
         deadline: float,
     ) -> None:
         """Creates an oracle for the records of one run.
@@ -35,12 +31,12 @@
         Args:
             sent: All requests of callers.
             runs: All runs, in order of their start.
-            faults: The injected faults.
+            effects: The effects of the injected faults.
             deadline: The time limit of each request, in seconds.
         """
         self._sent = sent
         self._runs = runs
-        self._faults = faults
+        self._effects = effects
         self._deadline = deadline
         self._run_counts = Counter(run.request_id for run in runs)
 
@@ -78,7 +74,7 @@
             late_exits: Hosts, and when their node received SIGTERM.
         """
         for host, stopped_at in late_exits:
-            if not self._has_unplanned_fault(stopped_at, stopped_at):
+            if not self._effects.has_unplanned_fault(stopped_at, stopped_at):
                 yield f"GRACE {host}: killed at the end of its grace period"
 
     def _check_responses(self) -> Iterator[str]:
@@ -109,13 +105,16 @@
             ):
                 yield f"MIXED {request.request_id}: got {request.body!r}"
             if request.status == 404 and not (
-                request.uses_newest_path and self._may_be_outdated(request)
+                request.uses_newest_path
+                and self._effects.may_be_outdated(request)
             ):
                 yield f"DENIED {request.request_id}: 404 from {request.host}"
 
     def _check_completion(self) -> Iterator[str]:
         for request in self._sent:
-            if request.is_abandoned or self._may_be_affected(request):
+            if request.is_abandoned or self._effects.has_unplanned_fault(
+                request.sent_at, request.ended_at
+            ):
                 continue
             elapsed = request.ended_at - request.sent_at
             if elapsed > self._deadline + _RESPONSE_SLACK_SECONDS:
@@ -134,7 +133,7 @@
             delay = run.started_at - disconnect_time
             if (
                 delay > _DISCONNECT_SLACK_SECONDS
-                and not self._has_unplanned_fault(
+                and not self._effects.has_unplanned_fault(
                     disconnect_time, run.started_at
                 )
             ):
@@ -143,36 +142,6 @@
                     " caller disconnected"
                 )
 
-    def _may_be_affected(self, request: SentRequest) -> bool:
-        """Returns whether an unplanned fault may have affected a request."""
-        return self._has_unplanned_fault(request.sent_at, request.ended_at)
-
-    def _may_be_outdated(self, request: SentRequest) -> bool:
-        """Returns whether a fault may have kept a change from the node.
-
-        Only faults of the node's own host or of the store may; those of other
-        hosts must not.
-        """
-        return any(
-            (fault.host == request.host or fault.name in _STORE_FAULTS)
-            and self._is_relevant(fault, request.sent_at, request.ended_at)
-            for fault in self._faults
-        )
-
-    def _has_unplanned_fault(self, start: float, end: float) -> bool:
-        return any(
-            self._is_relevant(fault, start, end) for fault in self._faults
-        )
-
-    def _is_relevant(self, fault: Fault, start: float, end: float) -> bool:
-        """Returns whether a fault permits failures within a time."""
-        return (
-            not fault.is_planned
-            and fault.permits_failures
-            and fault.started_at < end
-            and start < fault.ended_at + _RECOVERY_SECONDS
-        )
-
     def _check_drained(
         self, drain_deadlines: Mapping[str, float]
     ) -> Iterator[str]:
@@ -193,7 +162,9 @@
                 if (
                     host_zones[run.host] == zone
                     and start < started_at < end
-                    and not self._has_unplanned_fault(started_at, started_at)
+                    and not self._effects.has_unplanned_fault(
+                        started_at, started_at
+                    )
                 ):
                     yield f"EVAC {run.request_id}: ran in withdrawn zone {zone}"
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from soak.key_state import KeyState
+
 
 class SentRequest(NamedTuple):
     """A request and its result, as observed by its caller.
@@ -21,6 +23,8 @@
         is_abandoned: Whether the caller closed its connection, at `ended_at`,
             without waiting for the response.
         request_body: The body that was sent with the request.
+        organisation: The organisation that the caller belongs to.
+        key_state: Whether the key that was sent belongs to the organisation.
     """
 
     request_id: str
@@ -34,6 +38,8 @@
     is_signed: bool
     is_abandoned: bool = False
     request_body: bytes = b""
+    organisation: str = ""
+    key_state: KeyState = KeyState.KNOWN
 
 
 class Run(NamedTuple):
@@ -46,6 +52,8 @@
         started_at: When it started, in seconds.
         is_cold: Whether the instance was in its cold start.
         body: The body of the request.
+        organisation: The organisation that the instance was told, or empty.
+        has_key: Whether the instance received a key.
     """
 
     request_id: str
@@ -54,6 +62,8 @@
     started_at: float
     is_cold: bool
     body: bytes = b""
+    organisation: str = ""
+    has_key: bool = False
 
 
 class Fault(NamedTuple):
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,8 +9,10 @@
 
 from soak.caller import DEADLINE_SECONDS
 from soak.deployment import COLD_PER_SECOND, SoakDeployment
+from soak.fault_effects import FaultEffects
 from soak.fault_schedule import FaultSchedule
 from soak.oracle import Oracle
+from soak.organisation_oracle import OrganisationOracle
 
 # The time in which faults end, cached connection failures expire and cold
 # instances warm up.
@@ -66,16 +68,24 @@
                 schedule = FaultSchedule(
                     deployment, seed % _PLANNED_ONLY_DIVISOR == 0, seed
                 )
+                caller_nursery.start_soon(deployment.surge, seed)
                 with trio.move_on_after(seconds):
                     await schedule.run()
+                # Withdraws keys, whatever changes the faults made.
+                deployment.change_configuration()
                 await trio.sleep(_SETTLE_SECONDS)
                 stopped.set()
             failures = await _check_recovery(deployment)
         finally:
             deployment.kill_all()
         nursery.cancel_scope.cancel()
-    oracle = Oracle(
-        deployment.sent, deployment.runs, deployment.faults, DEADLINE_SECONDS
+    effects = FaultEffects(deployment.faults)
+    oracle = Oracle(deployment.sent, deployment.runs, effects, DEADLINE_SECONDS)
+    organisation_oracle = OrganisationOracle(
+        deployment.sent,
+        deployment.runs,
+        effects,
+        deployment.configurations.cap,
     )
     violations = oracle.iter_violations(
         deployment.drain_deadlines,
@@ -89,6 +99,7 @@
         Counter(fault.name for fault in deployment.faults),
         [
             *violations,
+            *organisation_oracle.iter_violations(),
             *oracle.iter_late_exits(deployment.late_exits),
             *failures,
         ],
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -235,9 +235,9 @@
         self.runs.append(request_id)
         self.runs_at.append(trio.current_time())
         self.bodies.append(body)
+        self.heads.append(headers)
         if self._on_run is not None:
             self._on_run(request_id)
-        self.heads.append(headers)
         self._running += 1
         try:
             work_seconds = self.work_seconds_by_id.get(
