Request large and pipelined responses in the soak

Routes of kind `download` and several requests at once on one connection were only tested without node processes.

8 % of the requests now ask for 90 to 540 KB, which the instance sends with a length or in chunks; the body repeats the request's id, so that the oracle's MIXED check also finds a large response that was cut off or mixed. Callers also send two to five idempotent requests at once on a connection of its own and read their responses in order. Requests behind a response that ends the connection count as not read. Nodes pace their responses by a link of 100 Mbit/s. The stand-in sends a large body only with status 200, so that refusals stay short.

--- a/features/soak_oracle.feature
+++ b/features/soak_oracle.feature
@@ -19,6 +19,7 @@
       | an instance of a withdrawn zone runs a request      | EVAC     |
       | a cold instance gets 13 requests in a second        | FAILBACK |
       | a run starts a second after its caller disconnected | GONE     |
+      | a large response is cut off without an error        | MIXED    |
       | an instance receives a key                          | LEAK     |
       | a request runs for another organisation             | TENANT   |
       | a request with an unknown key runs                  | KEY      |
--- a/features/steps/soak_oracle_steps.py
+++ b/features/steps/soak_oracle_steps.py
@@ -133,6 +133,10 @@
         [_RUN],
     ),
     "a known key gets 401": lambda: ([_REQUEST._replace(status=401)], []),
+    "a large response is cut off without an error": lambda: (
+        [_REQUEST._replace(large_length=100_000, body=b"one\n" * 1000)],
+        [_RUN],
+    ),
     "an organisation runs 300 requests in 5 s": _make_usage,
     "an organisation with one request gets 429": lambda: (
         [_REQUEST._replace(status=429)],
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,10 +31,16 @@
             f"{status}:{number}"
             for status, number in sorted(report.statuses.items())
         )
-        faults = " ".join(
-            f"{name}:{number}" for name, number in sorted(report.faults.items())
+        kinds, faults = (
+            " ".join(
+                f"{name}:{number}" for name, number in sorted(counts.items())
+            )
+            for counts in (report.kinds, report.faults)
+        )
+        print(
+            f"seed={seed} responses {statuses} {kinds} faults {faults}",
+            flush=True,
         )
-        print(f"seed={seed} responses {statuses} faults {faults}", flush=True)
         for violation in report.violations:
             print(f"  {violation}")
         if report.violations:
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -1,5 +1,6 @@
 """A caller that reuses its connection until the node closes it."""
 
+import contextlib
 import itertools
 import random
 from collections.abc import Iterator
@@ -17,6 +18,9 @@
     make_key,
 )
 from soak.key_state import KeyState
+from soak.large_content import make_large_target
+from soak.pipelined_exchange import send_pipelined
+from soak.pipelined_response import PipelinedResponse
 from soak.records import SentRequest
 
 DEADLINE_SECONDS = 1.5
@@ -32,6 +36,13 @@
 # The share of idempotent requests that have a body, which is sent in chunks.
 _BODY_PROBABILITY = 0.3
 _MAX_BODY_BYTES = 100_000
+# The share of requests for a large response.
+_LARGE_PROBABILITY = 0.08
+_MIN_LARGE_BYTES = 90_000
+_MAX_LARGE_BYTES = 540_000
+# How often several idempotent requests are sent at once.
+_PIPELINE_PROBABILITY = 0.05
+_MAX_PIPELINED = 5
 # The shares of requests whose key was withdrawn or is unknown.
 _WITHDRAWN_PROBABILITY = 0.05
 _UNKNOWN_PROBABILITY = 0.03
@@ -73,6 +84,8 @@
         self._abandon_rng = random.Random(name)
         self._body_rng = random.Random(f"body-{name}")
         self._key_rng = random.Random(f"key-{name}")
+        self._large_rng = random.Random(f"large-{name}")
+        self._pipeline_rng = random.Random(f"pipeline-{name}")
         self._conn: ClientConnection | None = None
 
     async def run(
@@ -87,6 +100,8 @@
         while not stopped.is_set():
             key_state = self._choose_key_state()
             await self.send(self._choose_timeout(), key_state)
+            if self._pipeline_rng.random() < _PIPELINE_PROBABILITY:
+                await self.send_pipelined()
             await trio.sleep(self._rng.uniform(0, 2 * pause))
 
     def _choose_key_state(self) -> KeyState:
@@ -126,14 +141,21 @@
             else PERMANENT_PREFIX
         )
         key, key_state = self._choose_key(key_state, uses_newest_path)
-        idempotent = self._rng.random() < 0.5
+        large_length = self._choose_large_length()
+        idempotent = self._rng.random() < 0.5 or large_length > 0
         request_id = next(self._ids)
-        request_body = self._make_body() if idempotent else b""
+        has_body = idempotent and not large_length
+        request_body = self._make_body() if has_body else b""
         status, body, is_signed = 0, b"", False
         with trio.move_on_after(timeout) as scope:
             try:
                 head = self._make_head(
-                    request_id, prefix, key, idempotent, bool(request_body)
+                    request_id,
+                    prefix,
+                    key,
+                    idempotent,
+                    bool(request_body),
+                    large_length,
                 )
                 await conn.send_request(head, BytesBody(request_body))
                 response, response_body = await conn.receive_response()
@@ -158,6 +180,7 @@
             request_body,
             self._organisation,
             key_state,
+            large_length,
         )
         self._sent.append(request)
         if status == 0 or not conn.is_reusable():
@@ -167,6 +190,61 @@
             conn.h11.start_next_cycle()
         return request
 
+    async def send_pipelined(self) -> None:
+        """Sends idempotent requests at once, on a connection of their own."""
+        conn = await self._connect()
+        if conn is None:
+            return
+        ids_and_lengths = [
+            (next(self._ids), self._choose_large_length())
+            for _ in range(self._pipeline_rng.randint(2, _MAX_PIPELINED))
+        ]
+        key = make_key(self._organisation)
+        heads = [
+            self._make_head(
+                request_id, PERMANENT_PREFIX, key, True, False, length
+            )
+            for request_id, length in ids_and_lengths
+        ]
+        started_at = trio.current_time()
+        responses: list[PipelinedResponse] = []
+        with trio.move_on_after(DEADLINE_SECONDS + TIMEOUT_SLACK_SECONDS):
+            # The requests without a response are recorded below.
+            with contextlib.suppress(RhubarbpaddleError):
+                await send_pipelined(conn, heads, responses)
+        await conn.aclose()
+        is_ended = bool(responses) and responses[-1].ends_connection
+        missing = PipelinedResponse(
+            0, b"", False, is_ended, trio.current_time()
+        )
+        self._sent += [
+            SentRequest(
+                request_id,
+                self._host,
+                idempotent=True,
+                uses_newest_path=False,
+                sent_at=started_at,
+                ended_at=response.ended_at,
+                status=response.status,
+                body=response.body,
+                is_signed=response.is_signed,
+                # Requests behind a response that ends the connection count as
+                # not read, although they may have run.
+                is_abandoned=response.status == 0 and is_ended,
+                organisation=self._organisation,
+                large_length=length,
+                is_pipelined=True,
+            )
+            for (request_id, length), response in itertools.zip_longest(
+                ids_and_lengths, responses, fillvalue=missing
+            )
+        ]
+
+    def _choose_large_length(self) -> int:
+        if self._large_rng.random() >= _LARGE_PROBABILITY:
+            return 0
+        return self._large_rng.randint(_MIN_LARGE_BYTES, _MAX_LARGE_BYTES)
+
     def _make_body(self) -> bytes:
         if self._body_rng.random() >= _BODY_PROBABILITY:
             return b""
@@ -200,8 +278,13 @@
         key: str,
         idempotent: bool,
         has_body: bool,
+        large_length: int,
     ) -> h11.Request:
         host = "club.example" if idempotent else "desk.example"
+        target = f"{prefix}x"
+        if large_length:
+            host = "archive.example"
+            target = make_large_target(prefix, large_length)
         method = "PUT" if has_body else "GET"
         framing = (
             ("transfer-encoding", "chunked")
@@ -210,7 +293,7 @@
         )
         return h11.Request(
             method=method if idempotent else "POST",
-            target=f"{prefix}x",
+            target=target,
             headers=[
                 ("host", host),
                 ("authorization", f"Token {key}"),
--- a/soak/configuration_history.py
+++ b/soak/configuration_history.py
@@ -22,6 +22,7 @@
 _HOSTS_BY_KIND = {
     "idempotent": "club.example",
     "non_idempotent": "desk.example",
+    "download": "archive.example",
 }
 
 
--- a/soak/host.py
+++ b/soak/host.py
@@ -23,6 +23,8 @@
 
 SERVICE = "lanes"
 GRACE_PERIOD_SECONDS = 6.0
+# Paces large responses, but does not delay them beyond their deadlines.
+_LINK_MEGABITS = 100
 _ROOT = Path(__file__).parents[1]
 
 
@@ -189,4 +191,5 @@
             "quotaOverage": QUOTA_OVERAGE,
             "quotaSlack": QUOTA_SLACK,
         }
+        document["local"]["limits"] = {"linkMbps": _LINK_MEGABITS}
         return document
--- a/soak/instance.py
+++ b/soak/instance.py
@@ -14,6 +14,7 @@
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
 from rhubarbpaddle.tcp_network import TcpNetwork
+from soak.large_content import find_large_response
 from soak.records import Run
 from standins.platform_instance import PlatformInstance
 
@@ -71,6 +72,11 @@
         self.server = PlatformInstance(
             self.instance_id, on_run=self._make_recorder(runs)
         )
+        self.server.find_large_response = lambda target, request_id: (
+            find_large_response(
+                target, request_id, self.server.truncated_length is not None
+            )
+        )
 
     async def run(
         self,
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 
 from soak.fault_effects import FaultEffects
+from soak.large_content import make_content
 from soak.records import Run, SentRequest
 
 # A response with one of these guarantees that the request has not run and never
@@ -100,10 +101,11 @@
                     f"REFUSED {request.request_id}: {request.status}, but ran"
                 )
             if request.status == 200 and (
-                request.body != request.request_id.encode()
+                request.body
+                != make_content(request.request_id, request.large_length)
                 or not request.is_signed
             ):
-                yield f"MIXED {request.request_id}: got {request.body!r}"
+                yield f"MIXED {request.request_id}: got {request.body[:100]!r}"
             if request.status == 404 and not (
                 request.uses_newest_path
                 and self._effects.may_be_outdated(request)
--- a/soak/records.py
+++ b/soak/records.py
@@ -25,6 +25,8 @@
         request_body: The body that was sent with the request.
         organisation: The organisation that the caller belongs to.
         key_state: Whether the key that was sent belongs to the organisation.
+        large_length: The length of the large response, or 0 if it is short.
+        is_pipelined: Whether it was sent together with others.
     """
 
     request_id: str
@@ -40,6 +42,8 @@
     request_body: bytes = b""
     organisation: str = ""
     key_state: KeyState = KeyState.KNOWN
+    large_length: int = 0
+    is_pipelined: bool = False
 
 
 class Run(NamedTuple):
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import NamedTuple
 
@@ -13,6 +14,7 @@
 from soak.fault_schedule import FaultSchedule
 from soak.oracle import Oracle
 from soak.organisation_oracle import OrganisationOracle
+from soak.records import SentRequest
 
 # The time in which faults end, cached connection failures expire and cold
 # instances warm up.
@@ -31,12 +33,14 @@
     Attributes:
         seed: The seed of the run.
         statuses: How often callers got each status; 0 means no response.
+        kinds: How often callers got large and pipelined responses.
         faults: How often each fault was injected.
         violations: A line for each violation of a guarantee.
     """
 
     seed: int
     statuses: Counter[int]
+    kinds: Counter[str]
     faults: Counter[str]
     violations: list[str]
 
@@ -96,6 +100,7 @@
     return SoakReport(
         seed,
         Counter(request.status for request in deployment.sent),
+        Counter(_iter_kinds(deployment.sent)),
         Counter(fault.name for fault in deployment.faults),
         [
             *violations,
@@ -106,6 +111,14 @@
     )
 
 
+def _iter_kinds(sent: Iterable[SentRequest]) -> Iterator[str]:
+    for request in sent:
+        if request.status == 200 and request.large_length:
+            yield "large"
+        if request.status == 200 and request.is_pipelined:
+            yield "pipelined"
+
+
 async def _check_recovery(deployment: SoakDeployment) -> list[str]:
     """Returns a line for each request that fails after all faults ended."""
     failures = []
--- a/standins/large_response.py
+++ b/standins/large_response.py
@@ -12,13 +12,16 @@
         fails_after: The connection is closed after so many bytes of the body;
             None if it is sent to its end.
         pause_seconds: The pause after each part of 16 KiB.
+        pattern: What the body repeats.
     """
 
     length: int
     chunked: bool = False
     fails_after: int | None = None
     pause_seconds: float = 0.0
+    pattern: bytes = bytes(range(251))
 
     def make_body(self) -> bytes:
         """Returns the whole body."""
-        return (bytes(range(251)) * (self.length // 251 + 1))[: self.length]
+        count = self.length // len(self.pattern) + 1
+        return (self.pattern * count)[: self.length]
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -62,6 +62,8 @@
         response_length: The length of its last response to a request.
         large_response: What it responds to requests in place of their id, if
             not None.
+        find_large_response: Returns the large response to a request by its
+            target and id, or None if `large_response` applies.
         sent_bytes: The number of bytes that it sent of these bodies.
         broken_at: When sending such a body failed because the connection was
             closed, in seconds of trio's clock; None if none failed.
@@ -110,6 +112,9 @@
         self.bodies: list[bytes] = []
         self.body_parts: list[int] = []
         self.large_response: LargeResponse | None = None
+        self.find_large_response: Callable[[str, str], LargeResponse | None] = (
+            lambda target, request_id: None
+        )
         self.sent_bytes = 0
         self.broken_at: float | None = None
         self._running = 0
@@ -137,10 +142,13 @@
                 if self.endless_chunk and request_id:
                     await self._send_endlessly(stream, request_id)
                     return
-                if self.large_response is not None and request_id:
-                    await self._send_large(
-                        stream, request_id, self.large_response
-                    )
+                large = self.large_response or self.find_large_response(
+                    head.target.decode(), request_id
+                )
+                # Refusals and failures are short.
+                is_ok = response.startswith(b"HTTP/1.1 200")
+                if large is not None and request_id and is_ok:
+                    await self._send_large(stream, request_id, large)
                     conn.start_next_cycle()
                     continue
                 if self.garbage and request_id:
