Roll out a good or a bad version in each run of the soak

Roll-outs were only tested on in-memory streams, without node processes that are killed, paused or cut off from the store meanwhile.

Two further hosts get instances of a new version, and an order follows. RolloutOracle checks the exposure, requests before the order and after the roll-back, and that a final state stays. features/soak.feature requires that each run had a roll-out, refusals by key and by cap, and large and pipelined responses.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,6 +5,8 @@
   Scenario Outline: A short soak run violates no guarantee
     When the soak runs seed <seed> with 4 hosts for 6 s
     Then no guarantee was violated and more than 100 requests succeeded
+    And the run had a roll-out and refusals by key and by usage cap
+    And the run had large and pipelined responses
 
     Examples:
       | seed |
--- a/features/soak_oracle.feature
+++ b/features/soak_oracle.feature
@@ -6,27 +6,30 @@
     Then the oracle reports "<check>" only
 
     Examples:
-      | event                                               | check    |
-      | an instance runs a request that no caller sent      | UNASKED  |
-      | a non-idempotent request runs twice                 | TWICE    |
-      | a non-idempotent request gets 503 but has run       | REFUSED  |
-      | a caller gets the body of another request           | MIXED    |
-      | a caller gets 200 without a signature               | MIXED    |
-      | a path of every configuration gets 404              | DENIED   |
-      | a response arrives a second after the deadline      | LATE     |
-      | a request runs but gets no response                 | LOST     |
-      | an instance runs a request after its departure      | DRAIN    |
-      | an instance of a withdrawn zone runs a request      | EVAC     |
-      | a cold instance gets 13 requests in a second        | FAILBACK |
-      | a run starts a second after its caller disconnected | GONE     |
-      | a large response is cut off without an error        | MIXED    |
-      | an instance receives a key                          | LEAK     |
-      | a request runs for another organisation             | TENANT   |
-      | a request with an unknown key runs                  | KEY      |
-      | a request with a withdrawn key runs                 | KEY      |
-      | a known key gets 401                                | KEY      |
-      | an organisation runs 300 requests in 5 s            | QUOTA    |
-      | an organisation with one request gets 429           | CAPPED   |
+      | event                                                 | check    |
+      | an instance runs a request that no caller sent        | UNASKED  |
+      | a non-idempotent request runs twice                   | TWICE    |
+      | a non-idempotent request gets 503 but has run         | REFUSED  |
+      | a caller gets the body of another request             | MIXED    |
+      | a caller gets 200 without a signature                 | MIXED    |
+      | a path of every configuration gets 404                | DENIED   |
+      | a response arrives a second after the deadline        | LATE     |
+      | a request runs but gets no response                   | LOST     |
+      | an instance runs a request after its departure        | DRAIN    |
+      | an instance of a withdrawn zone runs a request        | EVAC     |
+      | a cold instance gets 13 requests in a second          | FAILBACK |
+      | a run starts a second after its caller disconnected   | GONE     |
+      | a large response is cut off without an error          | MIXED    |
+      | an instance receives a key                            | LEAK     |
+      | a request runs for another organisation               | TENANT   |
+      | a request with an unknown key runs                    | KEY      |
+      | a request with a withdrawn key runs                   | KEY      |
+      | a known key gets 401                                  | KEY      |
+      | an organisation runs 300 requests in 5 s              | QUOTA    |
+      | an organisation with one request gets 429             | CAPPED   |
+      | the target version runs a request before the order    | EARLY    |
+      | the target version runs a request after its roll-back | BACK     |
+      | a bad version runs 61 of 61 requests                  | EXPOSED  |
 
   # Guards against reports of failures that an unplanned fault permits.
   Scenario Outline: A failure that an unplanned fault permits is not reported
@@ -48,11 +51,28 @@
     Then the oracle reports "<check>" only
 
     Examples:
-      | event                                    | check |
-      | an instance receives a key               | LEAK  |
-      | a request with an unknown key runs       | KEY   |
-      | a known key gets 401                     | KEY   |
-      | an organisation runs 300 requests in 5 s | QUOTA |
+      | event                                    | check   |
+      | an instance receives a key               | LEAK    |
+      | a request with an unknown key runs       | KEY     |
+      | a known key gets 401                     | KEY     |
+      | an organisation runs 300 requests in 5 s | QUOTA   |
+      | a bad version runs 61 of 61 requests     | EXPOSED |
+
+  # Guards against a roll-out whose final state changes without a report.
+  Scenario Outline: A final state that changes is reported
+    Given a roll-out with the states "<states>" in the store
+    Then the oracle reports "FINAL" only
+
+    Examples:
+      | states                        |
+      | running rolled_back completed |
+      | running completed running     |
+
+  # Guards against reports of a final state that was written twice, because the
+  # response of the first write was lost.
+  Scenario: A final state that was written twice is not reported
+    Given a roll-out with the states "running completed completed" in the store
+    Then the oracle reports nothing
 
   # Guards against reports of refusals in a surge, which the cap asks for.
   Scenario: The refusal of the last request of a surge is not reported
--- a/features/steps/soak_oracle_steps.py
+++ b/features/steps/soak_oracle_steps.py
@@ -8,10 +8,20 @@
 from soak.oracle import Oracle
 from soak.organisation_oracle import OrganisationOracle
 from soak.records import Fault, Run, SentRequest
+from soak.rollout_oracle import RolloutOracle
+from soak.rollout_record import RolloutRecord
 
 _DEADLINE_SECONDS = 1.5
 _MAX_COLD_PER_SECOND = 12.0
 _CAP = 32.0
+_ROLLOUT = RolloutRecord(
+    "v2",
+    is_bad=True,
+    ordered_at=10.0,
+    deadline=22.0,
+    states=("running", "rolled_back"),
+    ended_at=20.0,
+)
 _REQUEST = SentRequest(
     request_id="one",
     host="h0",
@@ -36,6 +46,14 @@
     return sent, [_RUN._replace(request_id=name, is_cold=True) for name in ids]
 
 
+def _make_exposure() -> History:
+    ids = [f"r{index}" for index in range(61)]
+    sent = [
+        _REQUEST._replace(request_id=name, body=name.encode()) for name in ids
+    ]
+    return sent, [_RUN._replace(request_id=name, version="v2") for name in ids]
+
+
 def _make_usage() -> History:
     sent = [
         _REQUEST._replace(
@@ -132,6 +150,15 @@
         [_REQUEST._replace(key_state=KeyState.WITHDRAWN)],
         [_RUN],
     ),
+    "the target version runs a request before the order": lambda: (
+        [_REQUEST],
+        [_RUN._replace(version="v2", started_at=9.5)],
+    ),
+    "the target version runs a request after its roll-back": lambda: (
+        [_REQUEST],
+        [_RUN._replace(version="v2", started_at=21.0)],
+    ),
+    "a bad version runs 61 of 61 requests": _make_exposure,
     "a known key gets 401": lambda: ([_REQUEST._replace(status=401)], []),
     "a large response is cut off without an error": lambda: (
         [_REQUEST._replace(large_length=100_000, body=b"one\n" * 1000)],
@@ -167,6 +194,13 @@
     context.faults = [fault._replace(permits_failures=False)]
 
 
+@given('a roll-out with the states "{states}" in the store')
+def step_rollout_states(context: Context, states: str) -> None:
+    context.history = [_REQUEST], [_RUN]
+    context.faults = []
+    context.states = tuple(states.split())
+
+
 @given("a history in which {event}")
 def step_history(context: Context, event: str) -> None:
     context.history = _HISTORIES[event]()
@@ -175,6 +209,7 @@
 
 def _get_violated(context: Context) -> set[str]:
     sent, runs = context.history
+    states = getattr(context, "states", _ROLLOUT.states)
     effects = FaultEffects(context.faults)
     oracle = Oracle(sent, runs, effects, _DEADLINE_SECONDS)
     organisation_oracle = OrganisationOracle(sent, runs, effects, _CAP)
@@ -184,7 +219,12 @@
         {"h0": "a", "h-withdrawn": "b"},
         _MAX_COLD_PER_SECOND,
     )
-    lines = (*violations, *organisation_oracle.iter_violations())
+    rollout_oracle = RolloutOracle(runs, _ROLLOUT, states)
+    lines = (
+        *violations,
+        *organisation_oracle.iter_violations(),
+        *rollout_oracle.iter_violations(),
+    )
     return {line.split()[0] for line in lines}
 
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -19,6 +19,22 @@
     )
 
 
+@then("the run had a roll-out and refusals by key and by usage cap")
+def step_rollout_and_refusals(context: Context) -> None:
+    _require(context, " rollout_", " 401:", " 429:")
+
+
+@then("the run had large and pipelined responses")
+def step_large_and_pipelined(context: Context) -> None:
+    _require(context, " large:", " pipelined:")
+
+
+def _require(context: Context, *names: str) -> None:
+    output = context.process.stdout
+    missing = [name for name in names if name not in output]
+    assert not missing, (missing, output)
+
+
 @then("no guarantee was violated and more than {count:d} requests succeeded")
 def step_no_violation(context: Context, count: int) -> None:
     output = context.process.stdout
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -1,5 +1,6 @@
 """The programs and stand-ins of a soak run, and the records of the run."""
 
+import itertools
 import os
 import random
 from pathlib import Path
@@ -18,6 +19,7 @@
 COLD_PER_SECOND = 5.0
 _START_TIMEOUT_SECONDS = 20.0
 _CALLERS_PER_HOST = 2
+_TARGET_HOSTS = 2
 _SURGE_SECONDS = 6.0
 _MAX_SURGE_DELAY_SECONDS = 2.0
 _SURGE_PAUSE_SECONDS = 0.01
@@ -27,7 +29,8 @@
     """Hosts in three availability zones, the store and callers.
 
     Attributes:
-        hosts: All hosts.
+        hosts: The hosts that have callers and faults.
+        target_hosts: Those for the new instances of a roll-out.
         store: The stand-in for the platform's store.
         configurations: The configurations that operators published.
         sent: The requests that callers sent.
@@ -71,7 +74,7 @@
         )
         self._store_port = 7000
         self._store_ip = f"127.{os.getpid() % 200 + 20}.255.1"
-        self.hosts = [
+        all_hosts = [
             SoakHost(
                 index,
                 ZONES[index % len(ZONES)],
@@ -80,8 +83,10 @@
                 self.runs,
                 rng,
             )
-            for index in range(hosts)
+            for index in range(hosts + _TARGET_HOSTS)
         ]
+        self.hosts = all_hosts[:hosts]
+        self.target_hosts = all_hosts[hosts:]
 
     async def start(self) -> None:
         """Starts everything and waits until all nodes are ready."""
@@ -92,11 +97,12 @@
         self.nursery.start_soon(
             trio.serve_listeners, self.store.handle, listeners
         )
-        for host in self.hosts:
+        for host in (*self.hosts, *self.target_hosts):
             await host.start_proxies(self.nursery)
-            await host.start_instance(self.nursery, is_cold=False)
             host.start_node()
         for host in self.hosts:
+            await host.start_instance(self.nursery, is_cold=False)
+        for host in (*self.hosts, *self.target_hosts):
             await trio.to_thread.run_sync(
                 wait_for_http,
                 f"http://{host.readiness_address}/ready",
@@ -140,9 +146,11 @@
         started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             stopped = trio.Event()
-            for host in self.hosts:
+            for host, number in itertools.product(
+                self.hosts, range(_CALLERS_PER_HOST)
+            ):
                 caller = Caller(
-                    f"s-{host.name}",
+                    f"s-{host.name}-{number}",
                     host.name,
                     host.caller_address,
                     organisation,
@@ -170,5 +178,5 @@
 
     def kill_all(self) -> None:
         """Kills all node processes that were started."""
-        for host in self.hosts:
+        for host in (*self.hosts, *self.target_hosts):
             host.kill()
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -20,7 +20,11 @@
 
 
 class FaultSchedule:
-    """Injects random faults into a deployment."""
+    """Injects random faults into a deployment.
+
+    Attributes:
+        busy_hosts: The names of the hosts that have a fault.
+    """
 
     def __init__(
         self, deployment: SoakDeployment, planned_only: bool, seed: int
@@ -35,7 +39,7 @@
         """
         self._deployment = deployment
         self._rng = deployment.rng
-        self._busy_hosts: set[str] = set()
+        self.busy_hosts: set[str] = set()
         self._withdrawn_zones: set[str] = set()
         planned: list[FaultInjector] = [
             self._stop_node,
@@ -62,7 +66,7 @@
         # The other faults of a seed stay the same.
         self._silence_rng = random.Random(seed)
         self._instance_faults = InstanceFaults(
-            deployment, self._busy_hosts, seed
+            deployment, self.busy_hosts, seed
         )
 
     async def run(self) -> None:
@@ -75,8 +79,8 @@
                 for _ in range(self._rng.randint(1, _MAX_FAULTS_PER_ROUND)):
                     injector = self._rng.choice(self._injectors)
                     host = self._rng.choice(self._deployment.hosts)
-                    if host.name not in self._busy_hosts:
-                        self._busy_hosts.add(host.name)
+                    if host.name not in self.busy_hosts:
+                        self.busy_hosts.add(host.name)
                         nursery.start_soon(self._inject, injector, host)
                 await trio.sleep(self._rng.uniform(0.2, 2.0))
 
@@ -120,7 +124,7 @@
             await injector(host)
         ended_at = trio.current_time()
         self._deployment.faults[index] = fault._replace(ended_at=ended_at)
-        self._busy_hosts.discard(host.name)
+        self.busy_hosts.discard(host.name)
 
     async def _stop_node(self, host: SoakHost) -> None:
         stopped_at = trio.current_time()
--- a/soak/host.py
+++ b/soak/host.py
@@ -19,6 +19,7 @@
 )
 from soak.proxy import LoopbackProxy
 from soak.records import Run
+from soak.rollout_oracle import EXPOSURE_SHARE, EXPOSURE_SLACK, ROLLBACK_MS
 from standins.platform_documents import make_settings_document
 
 SERVICE = "lanes"
@@ -41,6 +42,8 @@
         caller_address: `IP:PORT` at which its node serves callers.
         readiness_address: `IP:PORT` of its node's readiness check.
         instance: The running instance, or None.
+        version: The version of the instances that it starts.
+        failure_share: The share of their requests that they fail.
     """
 
     def __init__(
@@ -72,6 +75,8 @@
         self.caller_address = self._get_address(7004)
         self.readiness_address = self._get_address(7007)
         self.instance: SoakInstance | None = None
+        self.version = "v1"
+        self.failure_share = 0.0
         self._runs = runs
         self._rng = rng
         self._folder = folder
@@ -153,6 +158,8 @@
             self._rng,
             is_cold,
             SERVICE,
+            self.version,
+            self.failure_share,
         )
         self._instance_scope = trio.CancelScope()
         await nursery.start(self._run_instance, instance)
@@ -190,6 +197,9 @@
             "quotaWindowS": QUOTA_WINDOW_SECONDS,
             "quotaOverage": QUOTA_OVERAGE,
             "quotaSlack": QUOTA_SLACK,
+            "exposureShare": EXPOSURE_SHARE,
+            "exposureSlack": EXPOSURE_SLACK,
+            "rollbackMs": ROLLBACK_MS,
         }
         document["local"]["limits"] = {"linkMbps": _LINK_MEGABITS}
         return document
--- a/soak/instance.py
+++ b/soak/instance.py
@@ -45,6 +45,8 @@
         rng: random.Random,
         is_cold: bool,
         service: str,
+        version: str,
+        failure_share: float,
     ) -> None:
         """Creates an instance that does not serve yet.
 
@@ -56,8 +58,11 @@
             rng: The random number generator for slowdowns.
             is_cold: Whether it starts cold.
             service: Its service.
+            version: Its version.
+            failure_share: The share of its requests that it fails.
         """
         self._service = service
+        self._version = version
         self.instance_id = f"i-{host}-{number}"
         self.departure_acknowledged_at: float | None = None
         self._host = host
@@ -72,6 +77,9 @@
         self.server = PlatformInstance(
             self.instance_id, on_run=self._make_recorder(runs)
         )
+        self.server.get_status = lambda target: (
+            500 if rng.random() < failure_share else 200
+        )
         self.server.find_large_response = lambda target, request_id: (
             find_large_response(
                 target, request_id, self.server.truncated_length is not None
@@ -129,6 +137,7 @@
                     headers.get("tenant-id", ""),
                     "authorization" in headers
                     or any("key-" in value for value in headers.values()),
+                    self._version,
                 )
             )
 
@@ -152,7 +161,7 @@
             "service": self._service,
             "address": "-",
             "zone": "-",
-            "version": "v1",
+            "version": self._version,
             "slots": 6,
             "state": "draining" if self._leaving else "ready",
             "coldRemainingMs": int(remaining * 1000),
--- a/soak/records.py
+++ b/soak/records.py
@@ -58,6 +58,7 @@
         body: The body of the request.
         organisation: The organisation that the instance was told, or empty.
         has_key: Whether the instance received a key.
+        version: The instance's version.
     """
 
     request_id: str
@@ -68,6 +69,7 @@
     body: bytes = b""
     organisation: str = ""
     has_key: bool = False
+    version: str = "v1"
 
 
 class Fault(NamedTuple):
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,8 @@
 from soak.oracle import Oracle
 from soak.organisation_oracle import OrganisationOracle
 from soak.records import SentRequest
+from soak.rollout_course import RolloutCourse
+from soak.rollout_oracle import RolloutOracle
 
 # The time in which faults end, cached connection failures expire and cold
 # instances warm up.
@@ -73,6 +75,10 @@
                     deployment, seed % _PLANNED_ONLY_DIVISOR == 0, seed
                 )
                 caller_nursery.start_soon(deployment.surge, seed)
+                course = RolloutCourse(
+                    deployment, schedule.busy_hosts, seed, seconds
+                )
+                caller_nursery.start_soon(course.run)
                 with trio.move_on_after(seconds):
                     await schedule.run()
                 # Withdraws keys, whatever changes the faults made.
@@ -91,10 +97,17 @@
         effects,
         deployment.configurations.cap,
     )
+    rollout = course.get_record()
+    rollout_oracle = RolloutOracle(
+        deployment.runs, rollout, course.read_states()
+    )
     violations = oracle.iter_violations(
         deployment.drain_deadlines,
         deployment.withdrawals,
-        {host.name: host.availability_zone for host in deployment.hosts},
+        {
+            host.name: host.availability_zone
+            for host in (*deployment.hosts, *deployment.target_hosts)
+        },
         COLD_PER_SECOND * _COLD_MULTIPLIER + _COLD_SLACK,
     )
     return SoakReport(
@@ -105,6 +118,7 @@
         [
             *violations,
             *organisation_oracle.iter_violations(),
+            *rollout_oracle.iter_violations(),
             *oracle.iter_late_exits(deployment.late_exits),
             *failures,
         ],
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -80,6 +80,10 @@
         """Returns the number of calls other than reads that wait."""
         return self.calls - self.long_polls
 
+    async def wait_for_record(self) -> None:
+        """Waits until the next record is appended to any topic."""
+        await self._appended.wait()
+
     async def wait_for_call(self) -> None:
         """Waits until the next call arrives."""
         await self._called.wait()
