Shorten the soak's recovery check and split the choice of keys

features/soak.feature took 115 s of its two minutes, because the callers of the recovery check sent their requests one caller after another.

The callers now run at the same time; each still sends five requests one after another, all of which must succeed. The choice of keys moves from Caller to KeyChooser.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -17,6 +17,7 @@
     ConfigurationHistory,
     make_key,
 )
+from soak.key_chooser import KeyChooser
 from soak.key_state import KeyState
 from soak.large_content import make_large_target
 from soak.pipelined_exchange import send_pipelined
@@ -43,9 +44,6 @@
 # How often several idempotent requests are sent at once.
 _PIPELINE_PROBABILITY = 0.05
 _MAX_PIPELINED = 5
-# The shares of requests whose key was withdrawn or is unknown.
-_WITHDRAWN_PROBABILITY = 0.05
-_UNKNOWN_PROBABILITY = 0.03
 
 
 class Caller:
@@ -83,7 +81,9 @@
         # added keep their other choices.
         self._abandon_rng = random.Random(name)
         self._body_rng = random.Random(f"body-{name}")
-        self._key_rng = random.Random(f"key-{name}")
+        self._keys = KeyChooser(
+            organisation, configurations, random.Random(f"key-{name}")
+        )
         self._large_rng = random.Random(f"large-{name}")
         self._pipeline_rng = random.Random(f"pipeline-{name}")
         self._conn: ClientConnection | None = None
@@ -98,20 +98,12 @@
             pause: The mean time between requests, in seconds.
         """
         while not stopped.is_set():
-            key_state = self._choose_key_state()
+            key_state = self._keys.choose_state()
             await self.send(self._choose_timeout(), key_state)
             if self._pipeline_rng.random() < _PIPELINE_PROBABILITY:
                 await self.send_pipelined()
             await trio.sleep(self._rng.uniform(0, 2 * pause))
 
-    def _choose_key_state(self) -> KeyState:
-        choice = self._key_rng.random()
-        if choice < _UNKNOWN_PROBABILITY:
-            return KeyState.UNKNOWN
-        if choice < _UNKNOWN_PROBABILITY + _WITHDRAWN_PROBABILITY:
-            return KeyState.WITHDRAWN
-        return KeyState.KNOWN
-
     def _choose_timeout(self) -> float:
         if self._abandon_rng.random() < _ABANDON_PROBABILITY:
             return self._abandon_rng.uniform(0, _MAX_ABANDON_SECONDS)
@@ -140,7 +132,9 @@
             if uses_newest_path
             else PERMANENT_PREFIX
         )
-        key, key_state = self._choose_key(key_state, uses_newest_path)
+        key, key_state = self._keys.choose(
+            key_state, uses_newest_path, started_at
+        )
         large_length = self._choose_large_length()
         idempotent = self._rng.random() < 0.5 or large_length > 0
         request_id = next(self._ids)
@@ -252,25 +246,6 @@
         size = int(_MAX_BODY_BYTES ** self._body_rng.random())
         return self._body_rng.randbytes(size)
 
-    def _choose_key(
-        self, key_state: KeyState, is_newest: bool
-    ) -> tuple[str, KeyState]:
-        now = trio.current_time()
-        if key_state is KeyState.UNKNOWN:
-            return make_key("nobody"), key_state
-        if key_state is KeyState.WITHDRAWN:
-            withdrawn = self._configurations.find_withdrawn_key(
-                self._organisation, now
-            )
-            if withdrawn is not None:
-                return withdrawn, key_state
-        if is_newest:
-            newest = self._configurations.get_newest_key(
-                self._organisation, now
-            )
-            return newest, KeyState.KNOWN
-        return make_key(self._organisation), KeyState.KNOWN
-
     def _make_head(
         self,
         request_id: str,
--- a/soak/rollout_oracle.py
+++ b/soak/rollout_oracle.py
@@ -1,5 +1,6 @@
 """Checks the guarantees of roll-outs."""
 
+import itertools
 from collections.abc import Iterator, Sequence
 
 from soak.records import Run
@@ -36,18 +37,12 @@
     def iter_violations(self) -> Iterator[str]:
         """Yields a line for each violation of a guarantee."""
         rollout = self._rollout
-        final_states = [
-            state for state in self._states if state in FINAL_STATES
-        ]
-        first_final = next(
-            (
-                index
-                for index, state in enumerate(self._states)
-                if state in FINAL_STATES
-            ),
-            len(self._states),
+        final_states = list(
+            itertools.dropwhile(
+                lambda state: state not in FINAL_STATES, self._states
+            )
         )
-        if len(set(self._states[first_final:])) > 1:
+        if len(set(final_states)) > 1:
             yield f"FINAL {rollout.target_version}: {' '.join(self._states)}"
         is_rolled_back = final_states[:1] == ["rolled_back"]
         for run in self._runs:
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from soak.caller import DEADLINE_SECONDS
+from soak.caller import DEADLINE_SECONDS, Caller
 from soak.deployment import COLD_PER_SECOND, SoakDeployment
 from soak.fault_effects import FaultEffects
 from soak.fault_schedule import FaultSchedule
@@ -135,15 +135,20 @@
 
 async def _check_recovery(deployment: SoakDeployment) -> list[str]:
     """Returns a line for each request that fails after all faults ended."""
-    failures = []
-    for caller in deployment.make_callers("r"):
-        for _ in range(_RECOVERY_REQUESTS):
-            request = await caller.send()
-            if request is None:
-                failures.append("RECOVER no connection")
-            elif request.status != 200:
-                failures.append(
-                    f"RECOVER {request.request_id}: {request.status}"
-                    f" from {request.host}"
-                )
+    failures: list[str] = []
+    async with trio.open_nursery() as nursery:
+        for caller in deployment.make_callers("r"):
+            nursery.start_soon(_check_caller, caller, failures)
     return failures
+
+
+async def _check_caller(caller: Caller, failures: list[str]) -> None:
+    for _ in range(_RECOVERY_REQUESTS):
+        request = await caller.send()
+        if request is None:
+            failures.append("RECOVER no connection")
+        elif request.status != 200:
+            failures.append(
+                f"RECOVER {request.request_id}: {request.status}"
+                f" from {request.host}"
+            )
