--- a/soak/instance.py
+++ b/soak/instance.py
@@ -14,6 +14,7 @@
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
 from rhubarbpaddle.tcp_network import TcpNetwork
+from soak.large_content import find_large_response
 from soak.records import Run
 from standins.platform_instance import PlatformInstance
 
@@ -44,6 +45,8 @@
         rng: random.Random,
         is_cold: bool,
         service: str,
+        version: str,
+        failure_share: float,
     ) -> None:
         """Creates an instance that does not serve yet.
 
@@ -55,8 +58,11 @@
             rng: The random number generator for slowdowns.
             is_cold: Whether it starts cold.
             service: Its service.
+            version: Its version.
+            failure_share: The share of its requests that it fails.
         """
         self._service = service
+        self._version = version
         self.instance_id = f"i-{host}-{number}"
         self.departure_acknowledged_at: float | None = None
         self._host = host
@@ -71,6 +77,14 @@
         self.server = PlatformInstance(
             self.instance_id, on_run=self._make_recorder(runs)
         )
+        self.server.get_status = lambda target: (
+            500 if rng.random() < failure_share else 200
+        )
+        self.server.find_large_response = lambda target, request_id: (
+            find_large_response(
+                target, request_id, self.server.truncated_length is not None
+            )
+        )
 
     async def run(
         self,
@@ -111,6 +125,7 @@
         def record(request_id: str) -> None:
             now = trio.current_time()
             is_cold = now < self._warm_at
+            headers = self.server.heads[-1]
             runs.append(
                 Run(
                     request_id,
@@ -119,6 +134,10 @@
                     now,
                     is_cold,
                     self.server.bodies[-1],
+                    headers.get("tenant-id", ""),
+                    "authorization" in headers
+                    or any("key-" in value for value in headers.values()),
+                    self._version,
                 )
             )
 
@@ -142,7 +161,7 @@
             "service": self._service,
             "address": "-",
             "zone": "-",
-            "version": "v1",
+            "version": self._version,
             "slots": 6,
             "state": "draining" if self._leaving else "ready",
             "coldRemainingMs": int(remaining * 1000),
--- a/soak/records.py
+++ b/soak/records.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from soak.key_state import KeyState
+
 
 class SentRequest(NamedTuple):
     """A request and its result, as observed by its caller.
@@ -21,6 +23,10 @@
         is_abandoned: Whether the caller closed its connection, at `ended_at`,
             without waiting for the response.
         request_body: The body that was sent with the request.
+        organisation: The organisation that the caller belongs to.
+        key_state: Whether the key that was sent belongs to the organisation.
+        large_length: The length of the large response, or 0 if it is short.
+        is_pipelined: Whether it was sent together with others.
     """
 
     request_id: str
@@ -34,6 +40,10 @@
     is_signed: bool
     is_abandoned: bool = False
     request_body: bytes = b""
+    organisation: str = ""
+    key_state: KeyState = KeyState.KNOWN
+    large_length: int = 0
+    is_pipelined: bool = False
 
 
 class Run(NamedTuple):
@@ -46,6 +56,9 @@
         started_at: When it started, in seconds.
         is_cold: Whether the instance was in its cold start.
         body: The body of the request.
+        organisation: The organisation that the instance was told, or empty.
+        has_key: Whether the instance received a key.
+        version: The instance's version.
     """
 
     request_id: str
@@ -54,6 +67,9 @@
     started_at: float
     is_cold: bool
     body: bytes = b""
+    organisation: str = ""
+    has_key: bool = False
+    version: str = "v1"
 
 
 class Fault(NamedTuple):
