--- a/src/rhubarbpaddle/execution/attempt_sender.py
+++ b/src/rhubarbpaddle/execution/attempt_sender.py
@@ -31,7 +31,7 @@
 
 
 class AttemptSender:
-    """Makes one attempt within the deadline and tells the router its result."""
+    """Makes one attempt within the deadline and reports it to the router."""
 
     def __init__(
         self, router: InstanceRouter, dispatcher: Dispatcher, clock: Clock
--- a/src/rhubarbpaddle/execution/instance_chooser.py
+++ b/src/rhubarbpaddle/execution/instance_chooser.py
@@ -189,7 +189,7 @@
         if candidate is None or self._router.is_busy(candidate):
             return None
         if history.full_count and self._spillover.is_full(candidate):
-            # A second refusal would tell little.
+            # Another instance of a full zone would probably refuse too.
             return None
         if self._router.is_local(candidate):
             return InstanceChoice(candidate, False, SpilloverReason.OWN_ZONE)
--- a/src/rhubarbpaddle/rollout/rollout_board.py
+++ b/src/rhubarbpaddle/rollout/rollout_board.py
@@ -19,7 +19,7 @@
 
 
 class RolloutBoard:
-    """Holds the newest notices and tells listeners of new ones.
+    """Stores the newest notices and notifies listeners of new ones.
 
     Without a roll-out there are none, so that nothing is sent to other nodes.
     """
--- a/src/rhubarbpaddle/rollout/version_gate.py
+++ b/src/rhubarbpaddle/rollout/version_gate.py
@@ -24,7 +24,7 @@
 # ones are used. After a loss of power all instances have reported again within
 # this time.
 _FALLBACK_SECONDS = 3.0
-# Stands for the number of an order while there is none.
+# The order number that is used while there is no order.
 _NO_ORDER = -1
 _NONE: frozenset[str] = frozenset()
 
