Keep requests that crash instances blocked after a loss of all nodes

Change: the node that records the crash by which a request is blocked writes it to the store's topic keyed.nodes, under a key of its own. Nodes that start read that topic anyway, so reading costs no call; writing costs one call for each request that is blocked, none for a request. Crashes below the limit are not kept: most have other causes, and a write for each would cost more than it saves. A store that does not respond delays the write, which is repeated.

The repeated calls to the store are a type of their own (StoreRetry), which the directory uses too.

Measured: "A request that crashes instances stays blocked after all nodes restart" ran 4 times before and at most 2 now; odd entries under the new key stop no node (three cases).

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -21,6 +21,9 @@
       | bytes that are not UTF-8      |
       | an address that is a list     |
       | a key with spaces             |
+      | crash records in 400 lists    |
+      | crash records of numbers      |
+      | crash records at 2^63         |
 
   # Guards against a node that ends or stops following the configuration
   # because one version can't be read. The versions before and after it hold.
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -117,6 +117,13 @@
     When a request that crashes each instance is sent 6 times
     Then it has run at most 4 times and another request is served
 
+  # Guards against a request that crashes two more instances after each loss of
+  # all nodes, because what they counted was only in their memory.
+  Scenario: A request that crashes instances stays blocked after all nodes restart
+    Given a platform with hosts "h1, h2, h3"
+    When a request that crashes each instance is sent 6 times and all nodes restart halfway
+    Then it has run at most 2 times and another request is served
+
   # Guards against a request that waits for a dead host until its deadline, as
   # after a power loss in a zone: nothing closes the connection.
   Scenario: A request on a silent connection is sent to another host
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -71,13 +71,23 @@
     "bytes that are not UTF-8": b'{"peer_address": "\xff"}',
     "an address that is a list": b'{"peer_address": [[[]]]}',
     "a key with spaces": _make_entry("h9:1"),
+    "crash records in 400 lists": _NESTED_LESS,
+    "crash records of numbers": b'[["f", 0, [1, 2], 3]]',
+    "crash records at 2^63": b'[["f", 0, [["h9", 1]], 9223372036854775808]]',
 }
+# The keys of entries other than those of nodes.
+_DIRECTORY_KEYS = {"a key": "a b&c\n", "crash records": "crashed/h9"}
 
 
 @given("the directory of nodes holds an entry with {content}")
 def step_odd_entry(context: Context, content: str) -> None:
     context.entry = _DIRECTORY_ENTRIES[content]
-    context.key = "a b&c\n" if content == "a key with spaces" else "odd"
+    keys = (
+        key
+        for start, key in _DIRECTORY_KEYS.items()
+        if content.startswith(start)
+    )
+    context.key = next(keys, "odd")
 
 
 @when("two hosts start and a caller of one needs the other's instance")
@@ -86,7 +96,7 @@
         await world.start_store(make_configuration())
         world.store.put("keyed.nodes", context.key, context.entry)
         # A second page of entries starts after the odd key.
-        for index in range(600 if context.key != "odd" else 0):
+        for index in range(600 if " " in context.key else 0):
             world.store.put("keyed.nodes", f"a {index}", _make_entry("h9:1"))
         (await world.start_host("h1")).healthy = False
         await world.start_host("h2")
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -5,6 +5,7 @@
 from features.support.host_network import HostNetwork
 from features.support.platform_scenario import run_on_platform
 from features.support.platform_world import (
+    SETTLE_SECONDS,
     PlatformWorld,
     make_call,
     make_configuration,
@@ -368,20 +369,44 @@
     assert seconds - 0.01 < context.elapsed < seconds + 0.5, context.elapsed
 
 
+async def _crash_instances(world: PlatformWorld, indexes: range) -> None:
+    for instance in world.instances.values():
+        instance.disconnect_target = "/lanes/crash"
+    for index in indexes:
+        response = await world.send_request("h1", f"c{index}", "/lanes/crash")
+        assert response.status >= 500, response.status
+        # Each instance restarts after its crash.
+        for name in world.instances:
+            await world.report(name, born=2_000 + index, seq=1)
+        await trio.sleep(0.5)
+
+
 @when("a request that crashes each instance is sent {count:d} times")
 def step_crash_instances(context: Context, count: int) -> None:
     async def scenario(world: PlatformWorld) -> None:
-        for instance in world.instances.values():
-            instance.disconnect_target = "/lanes/crash"
-        for index in range(count):
-            response = await world.send_request(
-                "h1", f"c{index}", "/lanes/crash"
-            )
-            assert response.status >= 500, response.status
-            # Each instance restarts after its crash.
-            for name in world.instances:
-                await world.report(name, born=2_000 + index, seq=1)
-            await trio.sleep(0.5)
+        await _crash_instances(world, range(count))
+        context.response = await world.send_request("h2", "other", "/lanes/x")
+
+    run_on_platform(context, scenario)
+
+
+@when(
+    "a request that crashes each instance is sent {count:d} times and all nodes"
+    " restart halfway"
+)
+def step_crash_around_restart(context: Context, count: int) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        await _crash_instances(world, range(count // 2))
+        names = list(world.nodes)
+        for name in names:
+            await world.stop_node(name)
+        for name in names:
+            await world.start_node(name, is_first_start=False)
+        await trio.sleep(SETTLE_SECONDS)
+        for name in names:
+            await world.report(name, born=1_999 + count // 2, seq=2)
+        await trio.sleep(SETTLE_SECONDS)
+        await _crash_instances(world, range(count // 2, count))
         context.response = await world.send_request("h2", "other", "/lanes/x")
 
     run_on_platform(context, scenario)
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -68,6 +68,8 @@
 from rhubarbpaddle.platform.store_configuration_follower import (
     StoreConfigurationFollower,
 )
+from rhubarbpaddle.platform.store_retry import StoreRetry
+from rhubarbpaddle.platform.stored_crashes import StoredCrashes
 from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
 from rhubarbpaddle.platform.usage_caps import UsageCaps
 from rhubarbpaddle.routing.instance_router import InstanceRouter
@@ -155,6 +157,10 @@
             clock, crash_ledger, self._handle_instance_lost, get_logger("door")
         )
         store = StoreClient(network, settings.store_address)
+        store_retry = StoreRetry(clock, rng)
+        self._stored_crashes = StoredCrashes(
+            settings.node_id, crash_ledger, store, store_retry
+        )
         store_access = StoreAccessTable(self.table)
         self._currency = ConfigurationCurrency(clock)
         self.configuration = StoreConfigurationFollower(
@@ -190,12 +196,13 @@
             settings.peer_address,
             store,
             clock,
-            rng,
+            store_retry,
             network.is_valid_address,
             self._get_link_count,
             self.configuration.store_responded.wait,
             lambda: self.overlay.handle_seeds_changed(),
             lambda boot: self.registry.handle_earlier_departure(boot),
+            self._stored_crashes.read,
             settings.is_first_start,
         )
         identity = PeerIdentity(
@@ -381,6 +388,7 @@
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self._directory.run)
             nursery.start_soon(self._directory.run_departures)
+            nursery.start_soon(self._stored_crashes.run)
             nursery.start_soon(self.overlay.run)
             nursery.start_soon(self._stream_watch.run)
             nursery.start_soon(self.registry.run)
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -1,20 +1,19 @@
 """The directory of node addresses in the platform's store."""
 
 import json
-import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
 from rhubarbpaddle.json_document import decode_json
-from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.node.departures import Departures
 from rhubarbpaddle.node.instance_boot import InstanceBoot
 from rhubarbpaddle.platform.keyed_record import KeyedRecord
 from rhubarbpaddle.platform.store_client import StoreClient
+from rhubarbpaddle.platform.store_retry import StoreRetry
+from rhubarbpaddle.platform.stored_crashes import CRASHES_PREFIX
 from rhubarbpaddle.telemetry import get_logger
 
 _TOPIC = "keyed.nodes"
@@ -26,7 +25,6 @@
 _STORE_TIMEOUT_SECONDS = 0.4
 # How long a node that starts waits for the entries.
 _FIRST_READ_SECONDS = 0.4
-_BACKOFF_LIMIT = timedelta(seconds=1)
 # A node that is connected to others learns the remaining addresses from them.
 # A node without connections rereads them: first after the shorter time, because
 # all nodes may have started together, then at growing intervals, because the
@@ -53,12 +51,13 @@
         peer_address: str,
         store: StoreClient,
         clock: Clock,
-        rng: random.Random,
+        retry: StoreRetry,
         is_valid_address: Callable[[str], bool],
         get_link_count: Callable[[], int],
         wait_for_store: Callable[[], Awaitable[None]],
         on_change: Callable[[], None],
         on_departure: Callable[[InstanceBoot], None],
+        on_crashes: Callable[[KeyedRecord], None],
         is_first_start: bool,
     ) -> None:
         """Creates a directory without addresses of other nodes.
@@ -68,7 +67,7 @@
             peer_address: The `IP:PORT` of this node for other nodes.
             store: The platform's store.
             clock: The source of time.
-            rng: The source of jitter for retries.
+            retry: Repeats failed calls to the store.
             is_valid_address: Returns whether connections to an address can be
                 attempted; entries with others are ignored.
             get_link_count: Returns the number of open control connections.
@@ -77,11 +76,13 @@
             on_change: Called after the entries were read.
             on_departure: Called with each departure of this node's instances
                 that is read.
+            on_crashes: Called with each entry of crash records.
             is_first_start: Whether the whole fleet starts for the first time.
         """
         self._wait_for_store = wait_for_store
         self._on_change = on_change
         self._on_departure = on_departure
+        self._on_crashes = on_crashes
         self._is_first_start = is_first_start
         self._get_link_count = get_link_count
         self._is_valid_address = is_valid_address
@@ -89,7 +90,7 @@
         self._peer_address = peer_address
         self._store = store
         self._clock = clock
-        self._rng = rng
+        self._retry = retry
         self._addresses: tuple[str, ...] = ()
         self._is_registered = False
         self._entries_read = trio.Event()
@@ -112,15 +113,15 @@
         if self._is_first_start:
             # Nodes that start together find each other only if each has
             # registered before it reads.
-            await self._retry(self._register)
-        await self._retry(self._read_entries)
+            await self._retry.run(self._register)
+        await self._retry.run(self._read_entries)
         if not self._is_registered:
-            await self._retry(self._register)
+            await self._retry.run(self._register)
         interval = _MIN_REREAD_INTERVAL
         while True:
             await self._clock.sleep(interval)
             if self._get_link_count() == 0:
-                await self._retry(self._read_entries)
+                await self._retry.run(self._read_entries)
                 interval = min(2 * interval, _MAX_REREAD_INTERVAL)
             else:
                 interval = _MAX_REREAD_INTERVAL
@@ -148,7 +149,7 @@
             await self._departure_recorded.wait()
             self._departure_recorded = trio.Event()
             stored = self._departure_stored
-            await self._retry(self._store_departure)
+            await self._retry.run(self._store_departure)
             stored.set()
 
     async def _store_departure(self) -> None:
@@ -157,17 +158,6 @@
         await self._store.put(_TOPIC, key, json.dumps(document).encode())
         _log.info("departures_stored", instances=",".join(document))
 
-    async def _retry(self, operation: Callable[[], Awaitable[None]]) -> None:
-        backoff = Backoff(self._rng, _BACKOFF_LIMIT)
-        while True:
-            try:
-                await operation()
-            except (AppendUnknownError, LogUnavailableError) as exc:
-                _log.warn("directory_failed", error=exc)
-                await self._clock.sleep(backoff.next_delay())
-            else:
-                return
-
     async def _register(self) -> None:
         value = json.dumps({"peer_address": self._peer_address}).encode()
         await self._store.put(_TOPIC, self._node_id, value)
@@ -180,6 +170,9 @@
             if record.key.startswith(_DEPARTURE_PREFIX):
                 self._read_departure(record)
                 continue
+            if record.key.startswith(CRASHES_PREFIX):
+                self._on_crashes(record)
+                continue
             try:
                 address = str(decode_json(record.value)["peer_address"])
             except (ValueError, KeyError, TypeError) as exc:
