Bound what the rate limit of cold starts keeps of a warm instance

Cause: the times of requests older than a second were dropped only when somebody asked for the capacity, which nobody does while the instance is warm.

Change: they are dropped when a request is recorded, too.

--- a/features/instance_admission.feature
+++ b/features/instance_admission.feature
@@ -170,3 +170,9 @@
     Given an instance with 6 slots and slowdown factor 4
     When it has been slow for 2 s and a request with 0.6 s to its target and 2 s to its deadline queues
     Then it starts within 0.05 s
+
+  # Guards against memory that grows with each request of a warm instance, whose
+  # rate nobody asks for.
+  Scenario: Only the requests of the last second are kept
+    When the rate limit of a warm instance records 100 requests a second for 200 s
+    Then it occupies at most 8000 bytes more than before
--- a/features/steps/instance_admission_steps.py
+++ b/features/steps/instance_admission_steps.py
@@ -1,3 +1,5 @@
+import tracemalloc
+
 import trio
 from behave import given, then, when
 from behave.runner import Context
@@ -7,6 +9,7 @@
     InstanceAdmissionHarness,
     run_scenario,
 )
+from rhubarbpaddle.admission.cold_start_rate_limit import ColdStartRateLimit
 from rhubarbpaddle.measuring import EvidenceKind
 
 
@@ -583,3 +586,27 @@
 def step_check_started_within(context: Context, seconds: float) -> None:
     ((_, at),) = context.harness.started
     assert at - context.queued_at <= seconds, at - context.queued_at
+
+
+@when(
+    "the rate limit of a warm instance records {rate:d} requests a second for"
+    " {seconds:d} s"
+)
+def step_record_warm_requests(
+    context: Context, rate: int, seconds: int
+) -> None:
+    limit = ColdStartRateLimit(5.0)
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        for index in range(rate * seconds):
+            limit.add(index / rate)
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    context.bytes_added = after - before
+
+
+@then("it occupies at most {count:d} bytes more than before")
+def step_check_bytes_added(context: Context, count: int) -> None:
+    assert context.bytes_added <= count, context.bytes_added
--- a/src/rhubarbpaddle/admission/cold_start_rate_limit.py
+++ b/src/rhubarbpaddle/admission/cold_start_rate_limit.py
@@ -23,6 +23,8 @@
 
     def add(self, now: float) -> None:
         """Records a request that is sent now."""
+        # Nobody asks for the capacity while the instance is warm.
+        self._discard_old(now)
         self._sent_at.append(now)
 
     def assume_used_until(self, end: float) -> None:
@@ -56,6 +58,9 @@
 
     def has_capacity(self, now: float) -> bool:
         """Returns whether one more request may be sent now."""
+        self._discard_old(now)
+        return len(self._sent_at) < max(1.0, self.limit)
+
+    def _discard_old(self, now: float) -> None:
         while self._sent_at and self._sent_at[0] <= now - PERIOD_SECONDS:
             self._sent_at.popleft()
-        return len(self._sent_at) < max(1.0, self.limit)
