Split the instance admission by decision

InstanceAdmission had 498 lines and took seven decisions over one set of fields: whether the instance has room, whether it is slow, what the end of a request is evidence of, how long the queue lasts, which requests may queue, when queued ones start, and how a refusal is described. A reader had to know all fields to follow any one of them.

Each decision is now a type in a file of its own, and InstanceAdmission composes them: ColdStart, InstanceSpeed, RunningRequests, InstanceCapacity, QueueWaitEstimator, QueueAdmission, QueueScheduler and InstanceRefusals. The rate limit of a cold start is reached through `cold_start.rate_limit`; `is_cold`, which nothing called from outside, is gone. The decisions about organisations are in FairShare, YieldingStarts and QueueAdmission.

--- a/src/rhubarbpaddle/node/instance_factory.py
+++ b/src/rhubarbpaddle/node/instance_factory.py
@@ -80,14 +80,18 @@
         ):
             # An instance that started again may have got requests before it
             # reported its new incarnation.
-            admission.cold_start_limit = previous.admission.cold_start_limit
-            admission.cold_start_limit.limit = limits.cold_rate
+            admission.cold_start.rate_limit = (
+                previous.admission.cold_start.rate_limit
+            )
+            admission.cold_start.rate_limit.limit = limits.cold_rate
         remaining = report.cold_time.total_seconds()
         cold_since = self._clock.monotonic() - (
             limits.cold_start.total_seconds() - remaining
         )
         if remaining > 0 and cold_since < process_started_at:
-            admission.cold_start_limit.assume_used_until(process_started_at)
+            admission.cold_start.rate_limit.assume_used_until(
+                process_started_at
+            )
         client = HttpUpstreamClient(
             self._network,
             self._clock,
--- a/src/rhubarbpaddle/node/instance_registry.py
+++ b/src/rhubarbpaddle/node/instance_registry.py
@@ -219,7 +219,7 @@
             return
         limits = self._get_limits(attached.summary.service)
         if limits is not None:
-            attached.admission.cold_start_limit.limit = limits.cold_rate
+            attached.admission.cold_start.rate_limit.limit = limits.cold_rate
 
     async def discover(self, service: str) -> None:
         """Attaches an instance that may have run before this process.
