Split the platform's node by responsibility

PlatformNode had 551 lines: the assembly of a node with four decisions in between, which a reader had to find among the constructors. They were when to reread the settings file, whether the node is ready, what the configuration in force means for this node, and how callers' requests reach an instance.

These are now SettingsFile, ReadinessHandler, ConfigurationView and RequestPath. RequestPath also decides whether all services can be routed, for the start gate, and holds the limits of callers' connections.

No log line, metric, setting or order of start-up changes. The listeners of the member table are called in another order: the router's after those of the usage caps, which don't depend on each other.

node.py: 551 to 414 lines. What is left constructs and connects the parts and starts their tasks; it takes no decision and keeps no state of its own, so it isn't cut further.

--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import Self
 
-import h11
 import trio
 from trio import TaskStatus
 
@@ -15,19 +14,11 @@
 from rhubarbpaddle.configuration.routing_configuration import (
     RoutingConfiguration,
 )
-from rhubarbpaddle.configuration.service_limits import ServiceLimits
 from rhubarbpaddle.exceptions import SettingsError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.deadline_limit import DeadlineLimit
-from rhubarbpaddle.execution.instance_chooser import InstanceChooser
 from rhubarbpaddle.execution.instance_proxy import InstanceProxy
-from rhubarbpaddle.execution.request_handler import RequestHandler
-from rhubarbpaddle.execution.route_gateway import RouteGateway
-from rhubarbpaddle.execution.shared_retry_budget import SharedRetryBudget
-from rhubarbpaddle.execution.zone_choice_record import ZoneChoiceRecord
-from rhubarbpaddle.http import CallerHandler
-from rhubarbpaddle.http.limits import CallerLimits
-from rhubarbpaddle.http.request_responder import RequestResponder, ShortResponse
+from rhubarbpaddle.http.request_responder import RequestResponder
 from rhubarbpaddle.measuring import EventLoopLoad
 from rhubarbpaddle.membership import (
     Member,
@@ -57,22 +48,22 @@
 from rhubarbpaddle.peer.overlay import Overlay
 from rhubarbpaddle.peer.pool import PeerPool
 from rhubarbpaddle.peer.remote_dispatcher import RemoteDispatcher
-from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
+from rhubarbpaddle.platform.configuration_view import ConfigurationView
 from rhubarbpaddle.platform.node_directory import NodeDirectory
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
 from rhubarbpaddle.platform.reader_duty import ReaderDuty
+from rhubarbpaddle.platform.readiness_handler import ReadinessHandler
 from rhubarbpaddle.platform.report_handler import ReportHandler
+from rhubarbpaddle.platform.request_path import RequestPath
 from rhubarbpaddle.platform.rollouts import Rollouts
 from rhubarbpaddle.platform.settings import SETTINGS_VARIABLE, PlatformSettings
+from rhubarbpaddle.platform.settings_file import SettingsFile
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_configuration_follower import (
     StoreConfigurationFollower,
 )
 from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
 from rhubarbpaddle.platform.usage_caps import UsageCaps
-from rhubarbpaddle.routing.instance_router import InstanceRouter
-from rhubarbpaddle.routing.traffic_split import TrafficSplit
-from rhubarbpaddle.routing.zone_spillover import ZoneSpillover
 from rhubarbpaddle.stream_watch import StreamWatch
 from rhubarbpaddle.system_clock import SystemClock
 from rhubarbpaddle.tcp_network import TcpNetwork
@@ -93,13 +84,6 @@
 _HANDOVER_TIME = timedelta(milliseconds=250)
 # Time to exit between the end of the shutdown and SIGKILL.
 _GRACE_MARGIN = timedelta(milliseconds=500)
-_SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
-# Callers reuse connections for up to four fifths of the configured idle
-# timeout, which may change while a connection is idle.
-_IDLE_TIMEOUT_SECONDS = 120.0
-# Callers are on the same host and have deadlines of a few seconds. Hosts and
-# processes may freeze for 3 s.
-_SEND_TIMEOUT_SECONDS = 5.0
 
 _log = get_logger("node")
 
@@ -108,7 +92,6 @@
     """Serves callers, other nodes and the instance on one host.
 
     Attributes:
-        settings: The settings of this process, as last read from the file.
         table: The members of the cluster.
         instance_proxy: The proxy of the instance on this host.
         configuration: Holds the configuration in force.
@@ -139,15 +122,10 @@
             rng: Breaks ties and gives jitter.
             age: For how long at least the process has run.
         """
-        self._path = path
-        self.settings = settings
+        self._settings_file = SettingsFile(path, settings, clock)
         self._network = network
         self._clock = clock
         self._age = age
-        self._stopping = False
-        # `_watch_settings` compares with this time, so that it also applies a
-        # change made while the node starts.
-        self._modified_at = self._read_modification_time()
         incarnation = int(clock.now().timestamp() * 1_000_000)
         self.table = MemberTable(_make_own_member(settings, incarnation))
         crash_ledger = CrashLedger(settings.node_id, clock)
@@ -156,7 +134,7 @@
         )
         store = StoreClient(network, settings.store_address)
         store_access = StoreAccessTable(self.table)
-        self._currency = ConfigurationCurrency(clock)
+        currency = ConfigurationCurrency(clock)
         self.configuration = StoreConfigurationFollower(
             store,
             clock,
@@ -172,15 +150,19 @@
                 clock,
             ),
             PollSchedule.from_config(settings),
-            self._currency,
+            currency,
+        )
+        get_configuration = self.configuration.get_configuration
+        view = ConfigurationView(
+            get_configuration, currency, self._settings_file
         )
         self._rollouts = Rollouts(
             settings.rollout_terms,
             self.table,
             store,
             lambda: self.overlay.has_active_link(),
-            self._is_in_service,
-            self.configuration.get_configuration,
+            view.is_in_service,
+            get_configuration,
             clock,
             rng,
         )
@@ -213,7 +195,7 @@
             crash_ledger,
             store_access,
             self._rollouts.board,
-            self._currency if settings.revocation_deadline else None,
+            currency if settings.revocation_deadline else None,
         )
         self.registry = InstanceRegistry(
             InstanceFactory(
@@ -226,7 +208,7 @@
             self.table,
             clock,
             lambda: self.settings.service,
-            self._get_limits,
+            view.get_limits,
             self._wait_for_departures,
         )
         pool = PeerPool(network, connector, clock)
@@ -234,38 +216,11 @@
         remote_dispatcher = RemoteDispatcher(
             pool, clock, self.configuration.get_version, pacer
         )
-        self._router = InstanceRouter(
-            self.table,
-            clock,
-            rng,
-            self._is_in_service,
-            self._rollouts.policy.get_excluded,
-        )
-        self._start_gate = StartGate(clock, self._can_serve_callers)
-        zone_choices = ZoneChoiceRecord(clock, get_logger("gateway"))
-        gateway: RequestHandler = RouteGateway(
-            self._router,
-            InstanceChooser(
-                self._router,
-                ZoneSpillover(self._router, clock, rng),
-                zone_choices,
-                clock,
-                self._rollouts.policy,
-            ),
-            NodeDispatcher(
-                settings.node_id, self.instance_proxy, remote_dispatcher
-            ),
-            SharedRetryBudget(
-                settings.retry_terms, clock, lambda: len(self.table)
-            ),
-            clock,
-            get_logger("gateway"),
-        )
         self.usage_caps: UsageCaps | None = None
         if settings.quota_terms is not None:
             self.usage_caps = UsageCaps.from_config(
                 settings.quota_terms,
-                self.configuration.get_configuration,
+                get_configuration,
                 self.table,
                 self.overlay.has_active_link,
                 self._directory.count_listed,
@@ -273,37 +228,36 @@
                 connector,
                 clock,
             )
-            gateway = self.usage_caps.wrap(gateway)
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
         if settings.rollout_terms is not None:
             self.metrics.observe_rollouts(self._rollouts.board.list_readings)
-        self.metrics.observe_zone_choices(zone_choices.get_totals)
-        if self.usage_caps is not None:
-            self.metrics.observe_usage(self.usage_caps.gate.results)
         self._stream_watch = StreamWatch(network, clock)
         deadline_limit = DeadlineLimit()
-        self._caller_handler = CallerHandler(
-            gateway,
-            clock,
-            self.metrics,
-            PlatformCallerDialect(
-                lambda: self.settings.service,
-                clock,
-                TrafficSplit(rng),
-                self.configuration.get_configuration,
-                self._may_accept_keys,
+        request_path = RequestPath(
+            self._settings_file,
+            get_configuration,
+            view,
+            self.table,
+            self._rollouts.policy,
+            self.usage_caps,
+            NodeDispatcher(
+                settings.node_id, self.instance_proxy, remote_dispatcher
             ),
+            self.metrics,
             network,
             self._stream_watch,
             deadline_limit,
-            CallerLimits(
-                idle_seconds=_IDLE_TIMEOUT_SECONDS,
-                send_seconds=_SEND_TIMEOUT_SECONDS,
-                keeps_half_closed=False,
-            ),
+            clock,
+            rng,
         )
+        self._caller_handler = request_path.handler
+        self._start_gate = StartGate(clock, request_path.can_route)
+        self.metrics.observe_zone_choices(request_path.zone_choices.get_totals)
+        if self.usage_caps is not None:
+            self.metrics.observe_usage(self.usage_caps.gate.results)
+        self._readiness = ReadinessHandler(get_configuration, self.metrics)
         exchange_server = ExchangeServer(
             self.instance_proxy,
             clock,
@@ -319,7 +273,7 @@
             peer_handlers["usage"] = self.usage_caps.server
         self._peer_listener = PeerListener(identity, peer_handlers)
         self._shutdown = Shutdown(
-            self._fail_readiness,
+            self._readiness.fail,
             deadline_limit,
             self._drain,
             {
@@ -351,6 +305,11 @@
         network, clock, rng = TcpNetwork(), SystemClock(), random.Random()
         return cls(path, settings, network, clock, rng, age)
 
+    @property
+    def settings(self) -> PlatformSettings:
+        """The settings of this process, as last read from the file."""
+        return self._settings_file.settings
+
     async def run(
         self, *, task_status: TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -364,7 +323,7 @@
             self.registry, self._directory.record_departure
         )
         reports = RequestResponder(report_handler.respond)
-        readiness = RequestResponder(self._handle_readiness)
+        readiness = RequestResponder(self._readiness.respond)
         listeners = (
             (settings.peer_address, self._peer_listener.handle),
             (settings.report_address, reports.handle),
@@ -385,7 +344,7 @@
             nursery.start_soon(self._stream_watch.run)
             nursery.start_soon(self.registry.run)
             nursery.start_soon(self.registry.discover, settings.service)
-            nursery.start_soon(self._watch_settings)
+            nursery.start_soon(self._settings_file.run)
             nursery.start_soon(self.metrics.run)
             nursery.start_soon(self._rollouts.run)
             if self.usage_caps is not None:
@@ -403,19 +362,6 @@
             nursery.start_soon(self.overlay.wait_for_first_entries)
             nursery.start_soon(self._directory.wait_for_entries)
 
-    def _can_serve_callers(self) -> bool:
-        """Returns whether instances and the owners of usage caps are known."""
-        return self._has_all_services() and (
-            self.usage_caps is None or self.usage_caps.has_contact()
-        )
-
-    def _has_all_services(self) -> bool:
-        """Returns whether each service has an instance that takes requests."""
-        cfg = self.configuration.get_configuration()
-        return cfg is not None and all(
-            self._router.has_instance(service) for service in cfg.services
-        )
-
     async def run_until_signal(self) -> bool:
         """Runs until SIGTERM or SIGINT; see `node_runner.run_until_signal`.
 
@@ -423,73 +369,13 @@
             Whether all work ended before the shutdown's time limit.
         """
         return await run_until_signal(
-            self.run, self.shut_down, self.reload_settings
+            self.run, self.shut_down, self._settings_file.reload
         )
 
     async def shut_down(self) -> bool:
         """Shuts the node down gracefully; see `Shutdown.run`."""
         return await self._shutdown.run()
 
-    def reload_settings(self) -> None:
-        """Rereads the settings file; keeps the old settings if it is invalid.
-
-        Objects that received a setting when the node was created keep the old
-        value.
-        """
-        try:
-            settings = PlatformSettings.from_file(self._path)
-        except SettingsError as exc:
-            _log.warn("settings_invalid", error=exc)
-            return
-        changed = [
-            name
-            for name, old, new in zip(
-                settings._fields, self.settings, settings, strict=True
-            )
-            if old != new
-        ]
-        self.settings = settings
-        _log.info("settings_reloaded", changed=",".join(changed))
-
-    async def _watch_settings(self) -> None:
-        """Reloads the settings if the file changes without a SIGHUP."""
-        while True:
-            await self._clock.sleep(_SETTINGS_CHECK_INTERVAL)
-            modified_at = self._read_modification_time()
-            if modified_at != self._modified_at:
-                self._modified_at = modified_at
-                self.reload_settings()
-
-    def _read_modification_time(self) -> int:
-        try:
-            return self._path.stat().st_mtime_ns
-        except OSError as exc:
-            _log.warn("settings_unreadable", reason=exc)
-            return 0
-
-    async def _handle_readiness(
-        self, head: h11.Request, content: bytes
-    ) -> ShortResponse:
-        if head.target == b"/metrics":
-            return (
-                200,
-                b"text/plain; version=0.0.4",
-                await self.metrics.render(),
-            )
-        if self._stopping:
-            return 503, b"text/plain", b"shutting down\n"
-        if self.configuration.get_configuration() is None:
-            return 503, b"text/plain", b"no configuration\n"
-        return 200, b"text/plain", b"ready\n"
-
-    def _fail_readiness(self) -> None:
-        """Makes the readiness check fail.
-
-        The instance still runs, so other nodes may send requests to it until
-        the node starts to drain.
-        """
-        self._stopping = True
-
     def _drain(self) -> None:
         """Accepts no new requests; those that run are completed."""
         self.instance_proxy.leaving = True
@@ -503,29 +389,6 @@
         self._rollouts.apply(self.configuration.get_orders())
         self.overlay.announce_configuration()
 
-    def _is_in_service(self, availability_zone: str) -> bool:
-        cfg = self.configuration.get_configuration()
-        return cfg is None or cfg.is_in_service(availability_zone)
-
-    def _may_accept_keys(self) -> bool:
-        """Returns whether the keys of the configuration may still be valid."""
-        deadline = self.settings.revocation_deadline
-        return (
-            deadline is None
-            or self._currency.get_age() <= deadline.total_seconds()
-        )
-
-    def _get_limits(self, service: str) -> ServiceLimits | None:
-        cfg = self.configuration.get_configuration()
-        limits = cfg.services.get(service) if cfg else None
-        if limits is None:
-            return None
-        # Operators tolerate this rate within a second. A part of what they
-        # tolerate beyond it (`coldSlack`) stays unused, for requests whose
-        # times of sending and of arrival differ.
-        rate = limits.cold_rate * self.settings.cold_multiplier
-        return limits._replace(cold_rate=rate)
-
     def _get_instance(self) -> str | None:
         attached = self.instance_proxy.attached
         return attached.summary.instance if attached else None
