Split the instance registry by responsibility

It checked the order of reports, attached and published the instance, searched for one that was running before the process, rechecked one that was down, and decided what reports and departures mean, with fifteen fields that most of its methods could change.

ReportSequence now decides which report is the newest, PublishedInstance keeps the proxy and the member table consistent, InstanceDiscovery attaches an instance by its health check, and InstanceRecovery rechecks one that is down. InstanceRegistry keeps the meaning of reports, departures and lost connections. The node runs the tasks of `discovery` and `recovery` directly.

--- a/src/rhubarbpaddle/node/instance_boot.py
+++ b/src/rhubarbpaddle/node/instance_boot.py
@@ -1,5 +1,6 @@
 """One start of an instance."""
 
+from datetime import datetime
 from typing import NamedTuple
 
 
@@ -13,3 +14,8 @@
 
     instance: str
     incarnation: int
+
+
+def compute_incarnation(now: datetime) -> int:
+    """Returns the incarnation of a boot: milliseconds since the epoch."""
+    return int(now.timestamp() * 1000)
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -315,7 +315,7 @@
     ) -> None:
         """Runs all tasks until cancelled."""
         settings = self.settings
-        self.registry.process_started_at = (
+        self.registry.discovery.process_started_at = (
             self._clock.monotonic() - self._age.total_seconds()
         )
         host, _ = split_address(settings.readiness_address)
@@ -342,8 +342,8 @@
             nursery.start_soon(self._directory.run_departures)
             nursery.start_soon(self.overlay.run)
             nursery.start_soon(self._stream_watch.run)
-            nursery.start_soon(self.registry.run)
-            nursery.start_soon(self.registry.discover, settings.service)
+            nursery.start_soon(self.registry.recovery.run)
+            nursery.start_soon(self.registry.discovery.run, settings.service)
             nursery.start_soon(self._settings_file.run)
             nursery.start_soon(self.metrics.run)
             nursery.start_soon(self._rollouts.run)
