Split the request answerer by responsibility

The flag that closes connections was set through it by CallerHandler, which also sent its own refusals through it.

CallerHandler uses the sender directly. The calls and awaits of a request are the same.

--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -16,6 +16,7 @@
 from rhubarbpaddle.http.read_request import ReadRequest
 from rhubarbpaddle.http.request_answerer import RequestAnswerer
 from rhubarbpaddle.http.request_pipeline import RequestPipeline
+from rhubarbpaddle.http.response_sender import ResponseSender
 from rhubarbpaddle.http.server_connection import ServerConnection
 from rhubarbpaddle.network import Network
 from rhubarbpaddle.outcome import Outcome
@@ -44,8 +45,9 @@
         deadline_limit: DeadlineLimit,
         limits: CallerLimits = DEFAULT_LIMITS,
     ) -> None:
+        self._sender = ResponseSender(dialect, metrics, network)
         self._answerer = RequestAnswerer(
-            gateway, clock, metrics, dialect, network, deadline_limit
+            gateway, clock, metrics, dialect, self._sender, deadline_limit
         )
         self._metrics = metrics
         self._network = network
@@ -57,14 +59,14 @@
 
     def announce_close(self) -> None:
         """Adds `Connection: close` to each response from now on."""
-        self._answerer.closing = True
+        self._sender.closing = True
 
     def drain(self) -> None:
         """Closes idle connections now and the others after their response.
 
         Requests that arrive later are refused as `not-run`.
         """
-        self._answerer.closing = True
+        self._sender.closing = True
         self._answerer.draining = True
         self._idle.close_all(self._network.has_input)
 
@@ -77,7 +79,7 @@
                 await self._serve(conn)
             conn.raise_if_head_timed_out()
         except RefusedError as exc:
-            await self._answerer.refuse(conn, None, b"GET", "-", "-", exc)
+            await self._sender.refuse(conn, None, b"GET", "-", "-", exc)
             await conn.discard_input()
         except RhubarbpaddleError as exc:
             # A truncated response must not look complete, not even one whose
@@ -94,14 +96,14 @@
                 outcome=Outcome.UNKNOWN,
             )
             self._network.reset_on_close(stream)
-            await self._answerer.refuse(conn, None, b"GET", "-", "-", failure)
+            await self._sender.refuse(conn, None, b"GET", "-", "-", failure)
         finally:
             self._idle.remove(conn)
             await conn.aclose()
 
     def may_read_ahead(self) -> bool:
         """Returns whether requests behind the current one may be read."""
-        return not self._answerer.closing
+        return not self._sender.closing
 
     def take_request(
         self,
