Separate the capacity of an upstream from its queue

Besides the queue and the slots in use, it held the announced state, the ramp, the limit of a warm upstream and the counters that detect a cold one, and switched between them.

UpstreamCapacity now holds the state and both limits and decides which one applies; ColdStartDetector decides whether a warm upstream has become cold. AdaptiveAdmission keeps the slots in use, the queue and its refusals.

--- a/src/rhubarbpaddle/admission/adaptive_admission.py
+++ b/src/rhubarbpaddle/admission/adaptive_admission.py
@@ -6,12 +6,11 @@
 
 import trio
 
-from rhubarbpaddle.admission.cold_start_ramp import ColdStartRamp
-from rhubarbpaddle.admission.concurrency_limit import ConcurrencyLimit
 from rhubarbpaddle.admission.fair_queue import FairQueue
 from rhubarbpaddle.admission.slot import Slot
 from rhubarbpaddle.admission.slot_waiter import SlotWaiter
 from rhubarbpaddle.admission.ticket import Ticket
+from rhubarbpaddle.admission.upstream_capacity import UpstreamCapacity
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration.organisation import Organisation
 from rhubarbpaddle.configuration.service import Service
@@ -23,36 +22,13 @@
 # Weight of the newest request in the mean time for which a slot is held.
 _HOLD_TIME_WEIGHT = 0.1
 _MIN_RETRY_AFTER = timedelta(milliseconds=50)
-# The upstream counts as cold again after this many consecutive responses that
-# each took at least this multiple of the warm latency, although at most half
-# the proven concurrency was in flight.
-_COLD_LATENCY_RATIO = 3.0
-_COLD_SLOW_RESPONSES = 3
-# Consecutive timeouts at low concurrency that indicate a cold upstream.
-_COLD_TIMEOUTS = 2
-# Consecutive responses with status 500 or above that indicate a cold upstream.
-# An overloaded upstream doesn't always report that it sheds load.
-_COLD_FAILURES = 3
-# A timeout counts against the upstream only if the request ran for at least
-# this multiple of the warm latency. With a shorter deadline, a warm upstream
-# may time out as well.
-_MIN_TIMEOUT_RATIO = 2.0
-# How long an announced `cold` state keeps the limit at 1. It is bounded in case
-# the upstream never announces another state.
-_ANNOUNCED_COLD_SECONDS = 30.0
-_ACCEPTING_STATES = (UpstreamState.COLD, UpstreamState.WARM)
-# Requests that end in these ways indicate a probable restart, after which the
-# upstream is cold.
-_RESTART_KINDS = (EvidenceKind.LOST, EvidenceKind.UNREACHABLE)
 
 
 class AdaptiveAdmission:
     """Limits the concurrency of one upstream and queues the excess fairly.
 
-    The limit rises step by step during a cold start (`ColdStartRamp`) and
-    follows the latency afterwards (`ConcurrencyLimit`). Requests in flight
-    never exceed the slots, and no request is admitted while the number in
-    flight has reached the current limit.
+    Requests in flight never exceed the slots, and no request is admitted while
+    the number in flight has reached the current limit (`UpstreamCapacity`).
     """
 
     def __init__(
@@ -73,20 +49,13 @@
             queue_length: The maximum number of queued requests; by default 4
                 for each slot.
         """
-        now = clock.monotonic()
         self._slots = slots
         self._clock = clock
         self._queue = FairQueue()
         self._queue_length = queue_length or slots * _QUEUE_LENGTH_PER_SLOT
         self._in_flight = 0
-        self._announced_state = UpstreamState.WARM
-        self._announced_at = now
-        self._limit = ConcurrencyLimit(slots, now, baseline)
-        self._ramp: ColdStartRamp | None = ColdStartRamp(slots, baseline, now)
+        self._capacity = UpstreamCapacity(slots, baseline, clock)
         self._mean_hold_seconds: float | None = None
-        self._slow_responses = 0
-        self._timeouts = 0
-        self._failures = 0
         self._last_evidence_at = float("-inf")
 
     @classmethod
@@ -105,7 +74,7 @@
     async def acquire(self, ticket: Ticket) -> Slot:
         """Waits for a slot."""
         self._check_state()
-        if self._in_flight < self._get_limit() and not self._queue:
+        if self._in_flight < self._capacity.get_limit() and not self._queue:
             self._in_flight += 1
             return self._create_slot()
         waiter = SlotWaiter(ticket)
@@ -141,28 +110,15 @@
         `cold`, and any transition from `leaving` or `down` to a state that
         accepts work, begins a cold start. `warm` does not end one.
         """
-        resumed = (
-            self._announced_state not in _ACCEPTING_STATES
-            and state in _ACCEPTING_STATES
-        )
-        turned_cold = (
-            state is UpstreamState.COLD
-            and self._announced_state is not UpstreamState.COLD
-        )
-        if state is not self._announced_state:
-            self._announced_at = self._clock.monotonic()
-        self._announced_state = state
-        if resumed or turned_cold:
-            self._start_ramp()
-        if state not in _ACCEPTING_STATES:
+        self._capacity.set_state(state)
+        if not self._capacity.is_accepting:
             for waiter in self._queue.drain():
                 waiter.refuse(_make_state_refusal(state))
         self._grant_slots()
 
     def begin_cold_start(self) -> None:
         """Begins a cold start unless one is in progress."""
-        if self._ramp is None:
-            self._start_ramp()
+        self._capacity.begin_cold_start()
 
     def configure(
         self, service: Service, organisations: Mapping[str, Organisation]
@@ -175,43 +131,29 @@
         if service.slots != self._slots:
             self._slots = service.slots
             self._queue_length = service.slots * _QUEUE_LENGTH_PER_SLOT
-            self._limit.set_slots(service.slots)
-            if self._ramp is not None:
-                self._ramp.set_slots(service.slots)
+            self._capacity.set_slots(service.slots)
         self._grant_slots()
 
     def get_report(self) -> LoadReport:
         """Returns the current load."""
-        state = self._announced_state
-        if state is UpstreamState.WARM and self._ramp is not None:
-            state = UpstreamState.COLD
         return LoadReport(
             in_flight=self._in_flight,
             queued=len(self._queue),
-            limit=self._get_limit(),
-            state=state,
+            limit=self._capacity.get_limit(),
+            state=self._capacity.get_state(),
         )
 
     def get_baseline(self) -> float | None:
         """Returns the warm latency in seconds, or None if it is unknown."""
-        return self._limit.baseline
+        return self._capacity.baseline
 
     def get_evidence_age(self) -> float:
         """Returns the seconds since the last request that yielded evidence."""
         return self._clock.monotonic() - self._last_evidence_at
 
     def _check_state(self) -> None:
-        if self._announced_state not in _ACCEPTING_STATES:
-            raise _make_state_refusal(self._announced_state)
-
-    def _get_limit(self) -> int:
-        if self._ramp is None:
-            return min(self._slots, self._limit.get())
-        if self._announced_state is UpstreamState.COLD:
-            age = self._clock.monotonic() - self._announced_at
-            if age < _ANNOUNCED_COLD_SECONDS:
-                return 1
-        return min(self._slots, self._ramp.limit)
+        if not self._capacity.is_accepting:
+            raise _make_state_refusal(self._capacity.announced_state)
 
     def _enqueue(self, waiter: SlotWaiter) -> None:
         if not waiter.ticket.may_queue:
@@ -255,7 +197,9 @@
         """Returns the expected wait in seconds behind `ahead` requests."""
         if self._mean_hold_seconds is None:
             return 0.0
-        return (ahead + 1) * self._mean_hold_seconds / self._get_limit()
+        return (
+            (ahead + 1) * self._mean_hold_seconds / self._capacity.get_limit()
+        )
 
     def _get_retry_after(self, ahead: int) -> timedelta:
         wait = timedelta(seconds=self._estimate_wait(ahead))
@@ -269,7 +213,7 @@
             self._queue.remove(waiter)
 
     def _grant_slots(self) -> None:
-        while self._queue and self._in_flight < self._get_limit():
+        while self._queue and self._in_flight < self._capacity.get_limit():
             self._in_flight += 1
             self._queue.pop().grant()
 
@@ -297,71 +241,14 @@
         self._mean_hold_seconds = mean + _HOLD_TIME_WEIGHT * (elapsed - mean)
         if (
             evidence.kind is EvidenceKind.TIMED_OUT
-            and self._is_deadline_too_short(elapsed)
+            and self._capacity.is_deadline_too_short(elapsed)
         ):
             evidence = Evidence(EvidenceKind.NONE)
         if evidence.kind is not EvidenceKind.NONE:
             self._last_evidence_at = now
-            self._record(evidence, started, concurrency, now)
+            self._capacity.record(evidence, started, concurrency, now)
         self._grant_slots()
 
-    def _is_deadline_too_short(self, elapsed: float) -> bool:
-        baseline = self._limit.baseline
-        return baseline is not None and elapsed < _MIN_TIMEOUT_RATIO * baseline
-
-    def _record(
-        self, evidence: Evidence, started: float, concurrency: int, now: float
-    ) -> None:
-        if self._ramp is not None:
-            self._ramp.record(evidence, started, concurrency, now)
-            if self._ramp.finished:
-                self._limit.restart(
-                    self._ramp.limit, self._ramp.lowest_mean, now
-                )
-                self._ramp = None
-            return
-        if self._indicates_cold_start(evidence, concurrency):
-            self._start_ramp()
-            return
-        self._limit.record(evidence, started, concurrency, now)
-
-    def _indicates_cold_start(
-        self, evidence: Evidence, concurrency: int
-    ) -> bool:
-        proven_concurrency = self._limit.proven_concurrency
-        has_low_concurrency = concurrency <= max(1, proven_concurrency // 2)
-        slow = (
-            evidence.kind is EvidenceKind.RESPONDED
-            and evidence.latency is not None
-            and self._limit.baseline is not None
-            and evidence.latency >= _COLD_LATENCY_RATIO * self._limit.baseline
-        )
-        self._slow_responses = (
-            self._slow_responses + 1 if slow and has_low_concurrency else 0
-        )
-        if evidence.kind is EvidenceKind.TIMED_OUT and has_low_concurrency:
-            self._timeouts += 1
-        elif evidence.kind is EvidenceKind.RESPONDED:
-            self._timeouts = 0
-        failed = evidence.kind is EvidenceKind.FAILED
-        self._failures = self._failures + 1 if failed else 0
-        return (
-            evidence.kind in _RESTART_KINDS
-            # The upstream sheds load at a concurrency that it sustained before.
-            or (
-                evidence.kind is EvidenceKind.SHED
-                and concurrency <= proven_concurrency
-            )
-            or self._slow_responses >= _COLD_SLOW_RESPONSES
-            or self._timeouts >= _COLD_TIMEOUTS
-            or self._failures >= _COLD_FAILURES
-        )
-
-    def _start_ramp(self) -> None:
-        now = self._clock.monotonic()
-        self._slow_responses = self._timeouts = self._failures = 0
-        self._ramp = ColdStartRamp(self._slots, self._limit.baseline, now)
-
 
 class _AdmittedSlot:
     def __init__(
