Keep received lines out of the texts of protocol errors

A caller whose head is malformed near its key, for example with a space before the colon of `Authorization`, found the key in the node's log: h11 quotes the offending line, and `request_refused` and `caller_connection_ended` print h11's message. Request lines, chunk heads and trailers were quoted in the same way.

`describe_protocol_error` removes the quoted bytes from the message, for connections of callers, instances, the store and peers alike. What is wrong is still named ("illegal header line").

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -35,6 +35,19 @@
       | a key of 8000 bytes                      |
       | two authorization lines                  |
 
+  # Guards against a parser's error that quotes the line with the key in the log.
+  Scenario Outline: A malformed request doesn't bring its key into the log
+    Given a platform with organisations and hosts "h1"
+    When the request "<head>" is sent as it is
+    Then it gets status <status> and the log doesn't contain its key
+
+    Examples:
+      | head                                                                                        | status |
+      | GET /lanes/x HTTP/1.1\r\nhost: club.example\r\nauthorization : Token key-club\r\n\r\n         | 400    |
+      | GET /lanes/x HTTP/1.1\r\nhost: club.example\r\nauthorization Token key-club\r\n\r\n          | 400    |
+      | authorization: Token key-club\r\n\r\n                                                       | 400    |
+      | GET /public/x HTTP/1.1\r\nhost: club.example\r\ntransfer-encoding: chunked\r\n\r\nkey-club\r\n | 502    |
+
   # Guards against a public route that asks for a key, and against an
   # organisation on it that the caller made up.
   Scenario Outline: A public route needs no key
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import h11
+import logbook
 import trio
 from behave import given, then, when
 from behave.runner import Context
@@ -144,6 +145,19 @@
     send(context, *lines, ("tenant-id", other), target=target)
 
 
+@when('the request "{text}" is sent as it is')
+def step_send_raw(context: Context, text: str) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        stream = await HostNetwork(world.fabric, "h1").connect("h1:2")
+        await stream.send_all(text.encode().decode("unicode_escape").encode())
+        context.status = int((await stream.receive_some(100)).split()[1])
+
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        run_on_platform(context, scenario)
+    context.log = [str(record.message) for record in handler.records]
+
+
 @when('the key "{key}" is taken away while a connection is open')
 def step_take_key(context: Context, key: str) -> None:
     async def scenario(world: PlatformWorld) -> None:
@@ -247,6 +261,13 @@
     assert not any(instance.arrivals for instance in instances)
 
 
+@then("it gets status {status:d} and the log doesn't contain its key")
+def step_check_log(context: Context, status: int) -> None:
+    assert context.status == status, context.status
+    assert any("request_refused" in line for line in context.log)
+    assert not [line for line in context.log if "key-club" in line]
+
+
 @then("the requests on the connection get 200 before and 401 after")
 def step_check_taken(context: Context) -> None:
     assert context.statuses == [200, 401], context.statuses
--- a/src/rhubarbpaddle/http/connection.py
+++ b/src/rhubarbpaddle/http/connection.py
@@ -13,6 +13,7 @@
     TruncatedError,
 )
 from rhubarbpaddle.http.chunk_merger import ChunkMerger
+from rhubarbpaddle.http.protocol_error_text import describe_protocol_error
 
 _RECEIVE_BYTES = 1 << 16
 _HEAD_END = re.compile(rb"\n\r?\n")
@@ -64,7 +65,9 @@
         try:
             data = b"".join([self.h11.send(event) or b"" for event in events])
         except h11.LocalProtocolError as exc:
-            raise ProtocolError(str(exc), step="send", peer=self.peer) from exc
+            raise ProtocolError(
+                describe_protocol_error(exc), step="send", peer=self.peer
+            ) from exc
         if data:
             await self.send_bytes(data)
 
@@ -125,7 +128,7 @@
             return self.h11.next_event()
         except h11.RemoteProtocolError as exc:
             raise ProtocolError(
-                str(exc), step="receive", peer=self.peer
+                describe_protocol_error(exc), step="receive", peer=self.peer
             ) from exc
 
     async def parse_bytes(self, data: bytes) -> None:
--- a/src/rhubarbpaddle/http/server_connection.py
+++ b/src/rhubarbpaddle/http/server_connection.py
@@ -18,6 +18,7 @@
 from rhubarbpaddle.http.connection import HttpConnection
 from rhubarbpaddle.http.h11_body import H11Body, get_length
 from rhubarbpaddle.http.limits import DEFAULT_LIMITS, CallerLimits
+from rhubarbpaddle.http.protocol_error_text import describe_protocol_error
 from rhubarbpaddle.http.strict_head import (
     HEAD_END,
     check_head,
@@ -80,7 +81,9 @@
         try:
             event = self.h11.next_event()
         except h11.RemoteProtocolError as exc:
-            raise make_bad_request(str(exc), exc.error_status_hint) from exc
+            raise make_bad_request(
+                describe_protocol_error(exc), exc.error_status_hint
+            ) from exc
         if not isinstance(event, h11.Request):
             return None
         check_head(event)
