Keep the content of documents out of the texts of decoding errors

`decode_json` quoted a number that is out of range, and passed on `UnicodeDecodeError`, whose representation holds all bytes that were to be decoded. The first brought a key that was written as a long number into the log (`configuration_invalid`). The second brought the store's whole response into it (`malformed response`), with the configuration in base64, if one byte of it was not UTF-8.

Both errors now say what is wrong and, for a byte, where, and nothing of the content.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -70,7 +70,7 @@
     Then the requests on the connection get 200 before and 401 after
 
   # Guards against one key that identifies two organisations, of which each node
-  # may take another.
+  # may take another, and against keys in the texts of errors.
   Scenario Outline: A configuration with unclear organisations is refused as a whole
     When a configuration is read in which <fault>
     Then it is refused with "<reason>"
@@ -81,6 +81,8 @@
       | an organisation occurs twice | two organisations                 |
       | a key is not a string        | a key is not a token              |
       | a key contains a space       | a key is not a token              |
+      | a key is a long number       | number out of range               |
+      | a byte is not UTF-8          | not UTF-8 text                    |
       | a rate is negative           | ratePerS is -1                    |
       | a rate is infinite           | ratePerS is inf                   |
       | a name contains a line break | is not the name of an organisation |
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -188,6 +188,10 @@
             spec["apiKeys"] = [17]
         case "a key contains a space":
             spec["apiKeys"] = ["key club"]
+        case "a key is a long number":
+            spec["apiKeys"] = [98765432109876543210]
+        case "a byte is not UTF-8":
+            club["metadata"]["name"] = "\xff"
         case "a rate is negative":
             spec["ratePerS"] = -1
         case "a rate is infinite":
@@ -196,9 +200,10 @@
             club["metadata"]["name"] = "club\r\nx-y: z"
         case _:
             raise ValueError(fault)
+    content = json.dumps(document, ensure_ascii=False).encode("latin-1")
     context.error = ""
     try:
-        parse_configuration_document(json.dumps(document))
+        parse_configuration_document(content)
     except ConfigurationError as exc:
         context.error = str(exc)
 
@@ -277,6 +282,7 @@
 def step_check_refused(context: Context, reason: str) -> None:
     assert reason in context.error, context.error
     assert "key-" not in context.error, context.error
+    assert "98765" not in context.error, context.error
 
 
 @then('the priorities are {club:d} for "club" and {parish:d} for "parish"')
--- a/src/rhubarbpaddle/json_document.py
+++ b/src/rhubarbpaddle/json_document.py
@@ -2,7 +2,8 @@
 
 The store, instances, peers and operators may send anything. A document that
 could exhaust the stack or that holds numbers which no field can have is
-rejected as a whole, by one kind of error.
+rejected as a whole, by one kind of error, which does not quote the document:
+configurations hold the keys of organisations.
 """
 
 import json
@@ -15,6 +16,7 @@
 # this length.
 _MAX_INTEGER = 2**63 - 1
 _MAX_NUMBER_LENGTH = 32
+_OUT_OF_RANGE = "number out of range"
 
 
 def decode_json(content: bytes | str) -> Any:
@@ -34,6 +36,9 @@
         )
     except RecursionError as exc:
         raise ValueError("the document is nested too deeply") from exc
+    except UnicodeDecodeError as exc:
+        # The representation of the original error holds the whole content.
+        raise ValueError(f"not UTF-8 text: {exc}") from exc
     _check_depth(document)
     return document
 
@@ -43,7 +48,7 @@
         value = int(text)
         if -_MAX_INTEGER <= value <= _MAX_INTEGER:
             return value
-    raise ValueError(f"number out of range: {text[:_MAX_NUMBER_LENGTH]}")
+    raise ValueError(_OUT_OF_RANGE)
 
 
 def _parse_float(text: str) -> float:
@@ -51,7 +56,7 @@
     # Whatever is converted to an integer afterwards stays in its range.
     if -_MAX_INTEGER <= value <= _MAX_INTEGER:
         return value
-    raise ValueError(f"number out of range: {text[:_MAX_NUMBER_LENGTH]}")
+    raise ValueError(_OUT_OF_RANGE)
 
 
 def _reject_constant(name: str) -> None:
