Refuse waiting requests whose key is taken away

A request that waited in an instance's queue, or behind another one on its connection, when its key was taken away was still run, for as long as its route's timeout permits.

The gateway now checks the key directly before each attempt (`RequestPermission`, which is not sent to other nodes). The node beside the instance doesn't know the key. When a request leaves the queue and its organisation lost a key meanwhile, it returns the request as not run (`keys_changed`), and the gateway decides: 401, or another attempt if the request carries another key of the organisation. Such a refusal excludes neither the instance nor its queue. The comparison is one of two references unless the configuration has changed.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -69,6 +69,22 @@
     When the key "key-club" is taken away while a connection is open
     Then the requests on the connection get 200 before and 401 after
 
+  # Guards against a request that still runs although its key was taken away
+  # while it was queued at an instance, or behind another one of its connection,
+  # and against one that is refused because of another key of its organisation.
+  Scenario Outline: A key is taken away while a request waits
+    Given a platform with organisations and hosts "<hosts>"
+    When a key is taken away while a request with <key> waits <place>
+    Then the running request gets 200 and the one that waits <status>
+
+    Examples:
+      | hosts  | key             | place                 | status |
+      | h1     | this key        | at the instance       | 401    |
+      | h1     | another key     | at the instance       | 200    |
+      | h1     | this key        | behind another one    | 401    |
+      | h1, h2 | this key        | at a distant instance | 401    |
+      | h1, h2 | another key     | at a distant instance | 200    |
+
   # Guards against one key that identifies two organisations, of which each node
   # may take another, and against keys in the texts of errors.
   Scenario Outline: A configuration with unclear organisations is refused as a whole
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -33,8 +33,10 @@
 Entry = dict[str, Any]
 
 
-def make_document(version: int = 1, club_keys: Any = ("key-club",)) -> Entry:
-    document = make_configuration(version)
+def make_document(
+    version: int = 1, club_keys: Any = ("key-club",), **changes: Any
+) -> Entry:
+    document = make_configuration(version, **changes)
     document["resources"] += [
         make_route_entry("maps", "club.example", "/maps/", "download", SERVICE),
         make_route_entry(
@@ -55,17 +57,30 @@
     return [
         ("host", "club.example"),
         ("request-id", request_id),
-        ("deadline-ms", "1000"),
+        ("deadline-ms", "5000"),
         *lines,
     ]
 
 
+async def send_head(
+    conn: ClientConnection, method: str, headers: Any, target: str = "/lanes/x"
+) -> None:
+    encoded = [(name, value.encode("latin-1")) for name, value in headers]
+    head = h11.Request(method=method, target=target, headers=encoded)
+    await conn.send_request(head, BytesBody(b""))
+
+
+async def receive_status(conn: ClientConnection) -> int:
+    response, content = await conn.receive_response()
+    while await content.receive():
+        pass
+    return response.status_code
+
+
 async def exchange(
     conn: ClientConnection, target: str, headers: Any
 ) -> tuple[int, bytes]:
-    encoded = [(name, value.encode("latin-1")) for name, value in headers]
-    head = h11.Request(method="GET", target=target, headers=encoded)
-    await conn.send_request(head, BytesBody(b""))
+    await send_head(conn, "GET", headers, target)
     response, content = await conn.receive_response()
     received = b""
     while chunk := await content.receive():
@@ -174,6 +189,52 @@
     run_on_platform(context, scenario)
 
 
+@when("a key is taken away while a request with {key} waits {place}")
+def step_take_key_in_queue(context: Context, key: str, place: str) -> None:
+    keys = ["key-club", "key-kept"]
+    limits = {"timeoutMs": 5000, "targetLatencyMs": 5000}
+    context.configuration = make_document(1, keys, **limits)
+    own_key = keys[key != "this key"]
+    method = "POST" if place == "behind another one" else "GET"
+
+    async def scenario(world: PlatformWorld) -> None:
+        if place == "at a distant instance":
+            world.fabric.stop_listening("h1:9")
+        for name in world.instances:
+            assert await world.report(name, slots=1, born=2_000) == 200
+        await trio.sleep(4)
+        for instance in world.instances.values():
+            instance.work_seconds = 1.5
+        running = await connect(world, "h1")
+        waiting = running if method == "POST" else await connect(world, "h1")
+        headers = make_headers("running", ("authorization", "Token key-club"))
+        await send_head(running, "GET", headers)
+        await trio.sleep(0.3)
+        headers = make_headers("waits", ("authorization", f"Token {own_key}"))
+        if method == "POST":
+            headers.append(("content-length", "0"))
+            waiting = ClientConnection(running.stream, running.peer)
+        await send_head(waiting, method, headers)
+        await trio.sleep(0.3)
+        world.put_configuration(make_document(2, keys[1:], **limits))
+        context.statuses = [await receive_status(running)]
+        waiting.unparsed = running.h11.trailing_data[0]
+        context.statuses.append(await receive_status(waiting))
+        context.runs = [
+            request_id
+            for instance in world.instances.values()
+            for request_id in instance.runs
+        ]
+
+    run_on_platform(context, scenario)
+
+
+@then("the running request gets {running:d} and the one that waits {waiting:d}")
+def step_check_waiting(context: Context, running: int, waiting: int) -> None:
+    assert context.statuses == [running, waiting], context.statuses
+    assert ("waits" in context.runs) is (waiting == 200), context.runs
+
+
 @when("a configuration is read in which {fault}")
 def step_read_configuration(context: Context, fault: str) -> None:
     document = make_document()
--- a/src/rhubarbpaddle/configuration/organisation_table.py
+++ b/src/rhubarbpaddle/configuration/organisation_table.py
@@ -16,15 +16,18 @@
         self,
         organisations: Mapping[str, Organisation],
         names_by_key: Mapping[str, str],
+        keys_by_name: Mapping[str, frozenset[str]],
     ) -> None:
         """Creates a table.
 
         Args:
             organisations: The organisations by name.
             names_by_key: The name of the organisation that holds each key.
+            keys_by_name: The keys of each organisation.
         """
         self._organisations = organisations
         self._names_by_key = names_by_key
+        self._keys_by_name = keys_by_name
 
     @classmethod
     def from_entries(
@@ -38,18 +41,20 @@
         """
         organisations: dict[str, Organisation] = {}
         names_by_key: dict[str, str] = {}
+        keys_by_name: dict[str, frozenset[str]] = {}
         for organisation, keys in entries:
             if organisation.name in organisations:
                 raise ValueError(f"two organisations {organisation.name!r}")
             organisations[organisation.name] = organisation
-            for key in keys:
+            own_keys = keys_by_name[organisation.name] = frozenset(keys)
+            for key in own_keys:
                 holder = names_by_key.setdefault(key, organisation.name)
                 if holder != organisation.name:
                     raise ValueError(
                         f"organisations {holder!r} and"
                         f" {organisation.name!r} have the same key"
                     )
-        return cls(organisations, names_by_key)
+        return cls(organisations, names_by_key, keys_by_name)
 
     def __len__(self) -> int:
         return len(self._organisations)
@@ -66,5 +71,18 @@
         name = self._names_by_key.get(key)
         return self._organisations[name] if name is not None else None
 
+    def has_lost_key(self, name: str, earlier: "OrganisationTable") -> bool:
+        """Returns whether an organisation held a key that it holds no longer.
 
-NO_ORGANISATIONS = OrganisationTable({}, {})
+        Args:
+            name: The name of the organisation.
+            earlier: The table that was in force before this one, or the same.
+        """
+        if earlier is self:
+            return False
+        no_keys: frozenset[str] = frozenset()
+        earlier_keys = earlier._keys_by_name.get(name, no_keys)
+        return not earlier_keys <= self._keys_by_name.get(name, no_keys)
+
+
+NO_ORGANISATIONS = OrganisationTable({}, {}, {})
--- a/src/rhubarbpaddle/execution/instance_proxy.py
+++ b/src/rhubarbpaddle/execution/instance_proxy.py
@@ -6,6 +6,10 @@
 
 from rhubarbpaddle.admission.ticket import Ticket
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration.organisation_table import (
+    NO_ORGANISATIONS,
+    OrganisationTable,
+)
 from rhubarbpaddle.exceptions import RefusedError, RhubarbpaddleError
 from rhubarbpaddle.execution.attached_instance import AttachedInstance
 from rhubarbpaddle.execution.body import Body
@@ -29,6 +33,7 @@
     NO_OBSERVER,
     ResponseObserver,
 )
+from rhubarbpaddle.execution.route_attempt_history import KEYS_CHANGED_CODE
 from rhubarbpaddle.measuring import (
     NO_EVIDENCE,
     Evidence,
@@ -64,6 +69,8 @@
             requests and completes those that are queued or running.
         crashes: The crash counts of requests.
         observer: Learns how requests end at the instance.
+        get_organisations: Returns the organisations of the configuration in
+            force.
     """
 
     def __init__(
@@ -87,6 +94,9 @@
         self.leaving = False
         self.crashes = crashes
         self.observer: ResponseObserver = NO_OBSERVER
+        self.get_organisations: Callable[[], OrganisationTable] = lambda: (
+            NO_ORGANISATIONS
+        )
         self._suspects = CrashSuspects(crashes, clock)
         self._clock = clock
         self._on_instance_gone = on_instance_gone
@@ -134,12 +144,14 @@
         )
         attached = self._get_attached(request, instance, incarnation)
         self._check_fingerprint(fingerprint)
+        organisations = self.get_organisations()
         slot = await attached.admission.acquire(_make_ticket(request))
         evidence = NO_EVIDENCE
         try:
             # While the request was queued, the deadline may have passed or the
             # incarnation ended, for example if the process was paused.
             attached = self._get_attached(request, instance, incarnation)
+            self._check_keys(request, organisations)
             self._check_reading(attached)
             self._check_fingerprint(fingerprint)
             started = self._clock.monotonic()
@@ -260,6 +272,25 @@
                 + timedelta(seconds=1),
             )
 
+    def _check_keys(
+        self, request: Request, organisations: OrganisationTable
+    ) -> None:
+        """Refuses a request if its organisation lost a key while it waited.
+
+        Only the gateway knows the key of the request, so that it decides
+        whether to send the request again.
+
+        Args:
+            request: The request.
+            organisations: The organisations when it arrived.
+        """
+        if self.get_organisations().has_lost_key(
+            request.organisation, organisations
+        ):
+            raise _make_refusal(
+                KEYS_CHANGED_CODE, "a key of the organisation was taken away"
+            )
+
     def _check_reading(self, attached: AttachedInstance) -> None:
         reading = attached.monitor.reading
         if attached.monitor.refused:
--- a/src/rhubarbpaddle/execution/request.py
+++ b/src/rhubarbpaddle/execution/request.py
@@ -7,6 +7,8 @@
     ALWAYS_CONNECTED_CALLER,
 )
 from rhubarbpaddle.execution.caller_presence import CallerPresence
+from rhubarbpaddle.execution.permanent_permission import PERMANENT_PERMISSION
+from rhubarbpaddle.execution.request_permission import RequestPermission
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -46,6 +48,8 @@
             its usage cap, or 0 if unknown.
         caller: Detects whether the sender has disconnected. Each node checks
             this before it begins a step. It is not sent to other nodes.
+        permission: What entitles the caller to the request. The gateway checks
+            it before each attempt. It is not sent to other nodes.
         spillover: Whether it was sent to another zone although its own has
             instances of the service.
     """
@@ -72,4 +76,5 @@
     large_response: bool = False
     usage_ratio: float = 0.0
     caller: CallerPresence = ALWAYS_CONNECTED_CALLER
+    permission: RequestPermission = PERMANENT_PERMISSION
     spillover: bool = False
--- a/src/rhubarbpaddle/execution/route_attempt_history.py
+++ b/src/rhubarbpaddle/execution/route_attempt_history.py
@@ -15,6 +15,9 @@
 # Queues that may refuse the request before the gateway refuses it.
 _MAX_QUEUE_REFUSALS = 3
 _SLOW_CODE = "instance_slow"
+# Code of the refusal of a queued request whose organisation lost a key. It says
+# nothing about the instance, so that the request may be sent there again.
+KEYS_CHANGED_CODE = "keys_changed"
 # Codes of refusals by a node whose instance can probably serve soon.
 _TEMPORARY_CODES = frozenset(
     {
@@ -103,6 +106,9 @@
             could_queue: Whether the request was permitted to queue there.
         """
         self.sent += 1
+        self.refusal = refusal
+        if refusal.code == KEYS_CHANGED_CODE:
+            return
         self.excluded.add(node_id)
         if could_queue:
             self.refused_queues.add(node_id)
@@ -113,7 +119,6 @@
             self.attempts += 1
         if refusal.outcome is Outcome.UNKNOWN:
             self.may_have_run = True
-        self.refusal = refusal
 
 
 def never_reached_instance(refusal: RefusedError) -> bool:
--- a/src/rhubarbpaddle/execution/route_gateway.py
+++ b/src/rhubarbpaddle/execution/route_gateway.py
@@ -88,6 +88,11 @@
                 )
             if request.caller.has_disconnected():
                 raise make_caller_left_refusal("route", history.may_have_run)
+            try:
+                request.permission.check()
+            except RefusedError as exc:
+                history.refusal = exc
+                raise _make_final_refusal(history) from exc
             choice = self._chooser.choose(request, history)
             if choice is None:
                 raise _make_final_refusal(history)
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -15,10 +15,14 @@
 )
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Headers, Request
+from rhubarbpaddle.execution.permanent_permission import PERMANENT_PERMISSION
+from rhubarbpaddle.execution.request_permission import RequestPermission
 from rhubarbpaddle.http.headers import get_header, remove_hop_by_hop
 from rhubarbpaddle.http.strict_head import make_bad_request
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.platform import header_names
+from rhubarbpaddle.platform.key_permission import KeyPermission
+from rhubarbpaddle.platform.key_refusal import make_unknown_key_refusal
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
 
 # Not forwarded: the instance proxy sets its own values.
@@ -98,7 +102,8 @@
                 step="route",
                 status=404,
             )
-        organisation = _find_organisation(cfg, route, head)
+        key = _find_key(head) if cfg.organisations else None
+        organisation = _find_organisation(cfg, route, key)
         if cfg.organisations and not (route.public or self._may_accept_keys()):
             raise RefusedError(
                 "keys_unconfirmed",
@@ -132,8 +137,17 @@
             max_attempts=route.max_attempts,
             calling_service=self._get_service(),
             large_response=route.kind is RouteKind.DOWNLOAD,
+            permission=self._make_permission(route, organisation, key),
         )
 
+    def _make_permission(
+        self, route: Route, organisation: Organisation | None, key: str | None
+    ) -> RequestPermission:
+        """Returns what entitles a caller to a request that was accepted."""
+        if organisation is None or key is None or route.public:
+            return PERMANENT_PERMISSION
+        return KeyPermission(organisation.name, key, self._get_configuration)
+
     def make_refusal(
         self, exc: RefusedError, request_id: str
     ) -> tuple[int, Headers, bytes]:
@@ -164,39 +178,37 @@
         return []
 
 
+def _find_key(head: h11.Request) -> str | None:
+    """Returns the key that a request carries, or None without exactly one."""
+    values = [
+        value
+        for name, value in head.headers
+        if name == header_names.AUTHORIZATION
+    ]
+    match = _KEY.fullmatch(values[0]) if len(values) == 1 else None
+    return match[1].decode("ascii") if match else None
+
+
 def _find_organisation(
-    cfg: RoutingConfiguration, route: Route, head: h11.Request
+    cfg: RoutingConfiguration, route: Route, key: str | None
 ) -> Organisation | None:
-    """Returns the organisation whose key a request carries.
+    """Returns the organisation that holds the key of a request.
 
     Returns:
         None if callers need no keys, or the route is public and the request
         has no known key.
 
     Raises:
-        RefusedError: The route needs a key, and the request does not carry
-            exactly one that an organisation holds.
+        RefusedError: The route needs a key, and no organisation holds that of
+            the request.
     """
     if not cfg.organisations:
         return None
-    values = [
-        value
-        for name, value in head.headers
-        if name == header_names.AUTHORIZATION
-    ]
-    match = _KEY.fullmatch(values[0]) if len(values) == 1 else None
     organisation = (
-        cfg.organisations.find_by_key(match[1].decode("ascii"))
-        if match
-        else None
+        cfg.organisations.find_by_key(key) if key is not None else None
     )
     if organisation is None and not route.public:
-        raise RefusedError(
-            "unknown_key",
-            "no organisation holds the key of the request",
-            step="authorize",
-            status=401,
-        )
+        raise make_unknown_key_refusal()
     return organisation
 
 
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -12,6 +12,10 @@
 from trio import TaskStatus
 
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration.organisation_table import (
+    NO_ORGANISATIONS,
+    OrganisationTable,
+)
 from rhubarbpaddle.configuration.routing_configuration import (
     RoutingConfiguration,
 )
@@ -185,6 +189,7 @@
             rng,
         )
         self.instance_proxy.observer = self._rollouts.observer
+        self.instance_proxy.get_organisations = self._get_organisations
         self._directory = NodeDirectory(
             settings.node_id,
             settings.peer_address,
@@ -507,6 +512,10 @@
         cfg = self.configuration.get_configuration()
         return cfg is None or cfg.is_in_service(availability_zone)
 
+    def _get_organisations(self) -> OrganisationTable:
+        cfg = self.configuration.get_configuration()
+        return NO_ORGANISATIONS if cfg is None else cfg.organisations
+
     def _may_accept_keys(self) -> bool:
         """Returns whether the keys of the configuration may still be valid."""
         deadline = self.settings.revocation_deadline
