Enforce failClosed from a node's start, announce ages after a reload

When `failClosed` was written into the settings of running nodes, those that don't read the store refused all requests with keys from 5 s after the reload on (`keys_unconfirmed`): they applied the new bound, but the heartbeats of their neighbours had no age of the configuration, which was decided when a node started. A single node that was restarted with the bound among running ones met the same.

A node now applies the bound that it was started with, and sends ages as soon as its present settings have the bound. An operator writes it into the settings of all nodes and then restarts them one after the other.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -132,3 +132,17 @@
     And keys are refused while the configuration can't be confirmed
     When the store comes back after 8 s without it
     Then public requests get 200 all the time and those with keys get 503, then 200
+
+  # Guards against nodes that refuse all keys once `failClosed` is set while they
+  # run, or after the restart of one of them, because their neighbours don't
+  # confirm the configuration to them.
+  Scenario Outline: A reload of the settings doesn't end the service
+    Given a platform with organisations and hosts "h1, h2, h3, h4"
+    When the settings are reloaded with a bound of 5 s, <restarted>, and 8 s pass
+    Then the requests get 200, 200, 200, 200
+
+    Examples:
+      | restarted       |
+      | no node starts  |
+      | "h1" starts     |
+      | "h3" starts     |
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -1,6 +1,7 @@
 import json
 import random
 from collections.abc import Iterable
+from datetime import timedelta
 from typing import Any
 
 import h11
@@ -384,13 +385,38 @@
     run_on_platform(context, scenario)
 
 
+@when(
+    "the settings are reloaded with a bound of 5 s, {restarted}, and 8 s pass"
+)
+def step_reload_settings(context: Context, restarted: str) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        for node in world.nodes.values():
+            node.settings = node.settings._replace(
+                revocation_deadline=timedelta(seconds=5)
+            )
+        if restarted.startswith('"'):
+            name = restarted.split('"')[1]
+            world.bounds = {"failClosed": True, "revokeMs": 5000}
+            await world.stop_node(name)
+            await world.start_node(name)
+        await trio.sleep(8)
+        context.statuses = [
+            await send_with_key(world, "/lanes/x", name)
+            for name in sorted(world.nodes)
+        ]
+
+    run_on_platform(context, scenario)
+
+
 def block_store(world: PlatformWorld, names: Iterable[str]) -> None:
     for name in names:
         world.fabric.block_both_ways(name, "store")
 
 
-async def send_with_key(world: PlatformWorld, target: str) -> int:
-    conn = await connect(world, "h1")
+async def send_with_key(
+    world: PlatformWorld, target: str, name: str = "h1"
+) -> int:
+    conn = await connect(world, name)
     headers = make_headers("one", ("authorization", "Token key-club"))
     status, _ = await exchange(conn, target, headers)
     await conn.aclose()
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -210,7 +210,7 @@
 
     def _get_age_ms(self) -> int | None:
         """Returns how long ago the configuration was confirmed, if known."""
-        if self._currency is None:
+        if self._currency is None or not self._currency.may_be_needed():
             return None
         age = self._currency.get_age()
         return None if math.isinf(age) else math.ceil(age * 1000)
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -160,7 +160,12 @@
         )
         store = StoreClient(network, settings.store_address)
         store_access = StoreAccessTable(self.table)
-        self._currency = ConfigurationCurrency(clock)
+        self._currency = ConfigurationCurrency(
+            clock, lambda: self.settings.revocation_deadline is not None
+        )
+        # Reloaded settings do not replace it: until all nodes have the bound in
+        # their settings, some neighbours don't confirm the configuration.
+        self._revocation_deadline = settings.revocation_deadline
         self.configuration = StoreConfigurationFollower(
             store,
             clock,
@@ -218,7 +223,7 @@
             crash_ledger,
             store_access,
             self._rollouts.board,
-            self._currency if settings.revocation_deadline else None,
+            self._currency,
         )
         self.registry = InstanceRegistry(
             InstanceFactory(
@@ -518,7 +523,7 @@
 
     def _may_accept_keys(self) -> bool:
         """Returns whether the keys of the configuration may still be valid."""
-        deadline = self.settings.revocation_deadline
+        deadline = self._revocation_deadline
         return (
             deadline is None
             or self._currency.get_age() <= deadline.total_seconds()
