Add the time in transit to the age of a configuration

With `failClosed`, a heartbeat confirmed the configuration as of its arrival less the age that it carries. One that was read late, because the process was paused or the link was slow, confirmed it for too long: a node whose heartbeats arrived 1.4 s late, and that was cut off then, took an age of 0.34 s when at least 0.8 s had passed since the last of them was sent. After a pause, messages of its whole length are read.

Heartbeats that carry an age now also carry the sender's monotonic time. The receiver adds what the heartbeat took longer than the fastest one of the link (`TransitDelay`), so that neither clock has to be right. Without `failClosed` a heartbeat is one byte longer (an absent value).

The new example with 503 failed before (200). The test's memory pipes can hold bytes back for this.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -125,6 +125,19 @@
       | refused  | "h1"        | 8       | 200, 200      |
       | accepted | all         | 8       | 200, 200      |
 
+  # Guards against a heartbeat that arrives late, for example after a pause of
+  # the process, and confirms the configuration as if it had just been sent.
+  Scenario Outline: Late heartbeats confirm the configuration for less time
+    Given a platform with organisations and hosts "h1, h2, h3, h4"
+    And keys are refused while the configuration can't be confirmed
+    When the last heartbeats to "<host>" arrive 1.4 s late and <seconds> s pass
+    Then the requests get <statuses>
+
+    Examples:
+      | host | seconds | statuses |
+      | h1   | 2.0     | 200      |
+      | h1   | 4.3     | 503      |
+
   # Guards against public routes that are refused for the sake of keys, and
   # against nodes that stay closed after the store is back.
   Scenario: Keys are accepted again once the configuration is confirmed
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -371,6 +371,23 @@
     run_on_platform(context, scenario)
 
 
+@when(
+    'the last heartbeats to "{name}" arrive 1.4 s late and {seconds:g} s pass'
+)
+def step_delay_heartbeats(context: Context, name: str, seconds: float) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        block_store(world, [name])
+        with world.fabric.hold(name):
+            await trio.sleep(0.6)
+            for other in world.nodes.keys() - {name}:
+                world.fabric.block_both_ways(name, other)
+            await trio.sleep(0.8)
+        await trio.sleep(seconds)
+        context.statuses = [await send_with_key(world, "/lanes/x", name)]
+
+    run_on_platform(context, scenario)
+
+
 @when("the store comes back after {seconds:d} s without it")
 def step_return_store(context: Context, seconds: int) -> None:
     async def scenario(world: PlatformWorld) -> None:
--- a/features/support/memory_fabric.py
+++ b/features/support/memory_fabric.py
@@ -1,6 +1,7 @@
 """In-memory network between the hosts of a test."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from itertools import pairwise
 
 import trio
@@ -87,6 +88,16 @@
         for pipe in pipes[2 * skipped :]:
             pipe.silenced = True
 
+    @contextmanager
+    def hold(self, target: str) -> Iterator[None]:
+        """Delays the bytes of open connections to a host until the end."""
+        pipes = [pipe for _, other, pipe in self._pipes if other == target]
+        for pipe in pipes:
+            pipe.held = True
+        yield
+        for pipe in pipes:
+            pipe.release()
+
     def block_both_ways(self, *hosts: str) -> None:
         """Blocks all traffic between each two consecutive hosts of a list."""
         for first, second in pairwise(hosts):
--- a/features/support/memory_pipe.py
+++ b/features/support/memory_pipe.py
@@ -13,6 +13,7 @@
 
     Attributes:
         silenced: Whether written bytes are dropped without an error.
+        held: Whether written bytes are delivered later, after `release`.
         total_bytes: The number of bytes written to all pipes of the process.
         ended: Whether the writer has ended the stream.
         broken: Whether reads and writes fail.
@@ -22,6 +23,7 @@
 
     def __init__(self, is_blocked: Callable[[], bool]) -> None:
         self.silenced = False
+        self.held = False
         self._is_blocked = is_blocked
         self._buffer = bytearray()
         self.ended = False
@@ -30,7 +32,8 @@
 
     def has_input(self) -> bool:
         """Returns whether a read would not wait."""
-        return bool(self._buffer) or self.ended or self.broken
+        received = bool(self._buffer) and not self.held
+        return received or self.ended or self.broken
 
     async def write(self, data: bytes) -> None:
         """Writes bytes; waits while the buffer is full."""
@@ -83,6 +86,11 @@
         self._changed.unpark_all()
         return data
 
+    def release(self) -> None:
+        """Delivers the bytes that were held."""
+        self.held = False
+        self._changed.unpark_all()
+
     def end(self) -> None:
         """Ends the stream; has no effect if it is silenced."""
         if not (self.silenced or self._is_blocked()):
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -31,6 +31,7 @@
 )
 from rhubarbpaddle.peer.messages.member_update import MEMBERS_PER_MESSAGE
 from rhubarbpaddle.peer.rollout_notices import RolloutNotices
+from rhubarbpaddle.peer.transit_delay import TransitDelay
 from rhubarbpaddle.rollout.rollout_board import Notice, RolloutBoard
 from rhubarbpaddle.telemetry import get_logger
 
@@ -83,6 +84,7 @@
         self._is_valid_address = is_valid_address
         self._store_access = store_access
         self._currency = currency
+        self._transit_delay = TransitDelay()
         self._pending_store_access = {
             entry.node_id: entry for entry in store_access.list_changed()
         }
@@ -204,8 +206,10 @@
         ):
             self._heartbeat_at = now
             self._announced_version = version
+            age_ms = self._get_age_ms()
+            sent_ms = None if age_ms is None else int(now * 1000)
             await self._conn.send(
-                Heartbeat(self._table.digest, version, self._get_age_ms())
+                Heartbeat(self._table.digest, version, age_ms, sent_ms)
             )
 
     def _get_age_ms(self) -> int | None:
@@ -309,14 +313,15 @@
         """Applies the neighbour's confirmation of the configuration.
 
         One of a version that this node doesn't hold yet says nothing about the
-        version that it holds.
+        version that it holds. The age has grown while the message was on its
+        way, for seconds if the process was paused.
         """
-        if (
-            self._currency is not None
-            and heartbeat.configuration_age_ms is not None
-            and heartbeat.configuration_version <= self._get_own_version()
-        ):
-            self._currency.confirm(heartbeat.configuration_age_ms / 1000)
+        age_ms, sent_ms = heartbeat.configuration_age_ms, heartbeat.sent_ms
+        if self._currency is None or age_ms is None or sent_ms is None:
+            return
+        delay = self._transit_delay.measure(sent_ms / 1000, self.received_at)
+        if heartbeat.configuration_version <= self._get_own_version():
+            self._currency.confirm(age_ms / 1000 + delay)
 
     def _adopt_configuration(self, update: ConfigurationUpdate) -> None:
         if self._get_own_version() >= update.version:
--- a/src/rhubarbpaddle/peer/messages/heartbeat.py
+++ b/src/rhubarbpaddle/peer/messages/heartbeat.py
@@ -12,8 +12,11 @@
             has no configuration.
         configuration_age_ms: How long ago that version was known to be the
             newest, or None if the sender doesn't know or nobody asks for it.
+        sent_ms: Monotonic milliseconds of the sender if it sends an age, so
+            that the receiver can add the time in transit.
     """
 
     members_digest: int
     configuration_version: int
     configuration_age_ms: int | None = None
+    sent_ms: int | None = None
--- /dev/null
+++ b/src/rhubarbpaddle/peer/transit_delay.py
@@ -0,0 +1,26 @@
+"""Measures how late the messages of a connection arrive."""
+
+import math
+
+
+class TransitDelay:
+    """Compares the delays of messages that carry the sender's time.
+
+    The clocks of sender and receiver are unrelated. The message with the
+    shortest transit so far shows the difference between them, apart from its
+    own transit time.
+    """
+
+    def __init__(self) -> None:
+        self._min_difference = math.inf
+
+    def measure(self, sent_at: float, received_at: float) -> float:
+        """Returns how much longer a message took than the fastest one.
+
+        Args:
+            sent_at: Monotonic seconds of the sender.
+            received_at: Monotonic seconds of the receiver.
+        """
+        difference = received_at - sent_at
+        self._min_difference = min(self._min_difference, difference)
+        return difference - self._min_difference
