Require a key for public paths with a parent segment

A request for `/public/../lanes/x` matched the public route `/public/`, needed no key, and was forwarded as it was. An instance that resolves dot segments, as RFC 3986 asks, then ran it as `/lanes/x`, which needs a key. The same held for `%2e`, `%2f`, backslashes and `..;a`, which common servers treat alike.

Such a path now needs a key whatever its route. It is not rewritten or rejected: the meaning of a path is the instance's, and requests with a key, and deployments without organisations, are served as before. The check of keys moves into a type of its own (`KeyCheck`).

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -62,6 +62,24 @@
       | authorization "Token key-unknown" |              |
       | authorization "Token key-club"    | club         |
 
+  # Guards against a public path that leads to one which needs a key, once the
+  # instance has resolved its dot segments.
+  Scenario Outline: A public path with a parent segment needs a key
+    Given a platform with organisations and hosts "h1"
+    When a request with <authorization> and the header of "parish" is sent for "<target>"
+    Then the request gets status <status>
+
+    Examples:
+      | authorization                  | target                   | status |
+      | no authorization               | /public/../lanes/x       | 401    |
+      | no authorization               | /public/%2e%2E/lanes/x   | 401    |
+      | no authorization               | /public/..;a/lanes/x     | 401    |
+      | no authorization               | /public/..%2flanes/x     | 401    |
+      | no authorization               | /public/..\lanes/x       | 401    |
+      | no authorization               | /public/a/..             | 401    |
+      | authorization "Token key-club" | /public/../lanes/x       | 200    |
+      | no authorization               | /public/..a/...?b=/../c  | 200    |
+
   # Guards against a key that was taken away and is still accepted on a
   # connection that was open before.
   Scenario: A key that is taken away is refused on open connections
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Callable
-from datetime import timedelta
 
 import h11
 
@@ -15,14 +14,11 @@
 )
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.execution import Headers, Request
-from rhubarbpaddle.execution.permanent_permission import PERMANENT_PERMISSION
-from rhubarbpaddle.execution.request_permission import RequestPermission
 from rhubarbpaddle.http.headers import get_header, remove_hop_by_hop
 from rhubarbpaddle.http.strict_head import make_bad_request
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.platform import header_names
-from rhubarbpaddle.platform.key_permission import KeyPermission
-from rhubarbpaddle.platform.key_refusal import make_unknown_key_refusal
+from rhubarbpaddle.platform.key_check import KeyCheck
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
 
 # Not forwarded: the instance proxy sets its own values.
@@ -38,10 +34,7 @@
 )
 # Instances must not see the keys of organisations.
 _REPLACED_WITH_KEYS = _REPLACED_HEADERS | {header_names.AUTHORIZATION}
-_KEY = re.compile(rb"token +([!-~]+) *", re.IGNORECASE)
 _NUMBER = re.compile(r"[0-9]{1,9}")
-# About the time that another reader takes to confirm the configuration.
-_KEYS_RETRY_AFTER = timedelta(seconds=1)
 # Callers take these to mean that the request has not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -71,7 +64,7 @@
         self._clock = clock
         self._split = split
         self._get_configuration = get_configuration
-        self._may_accept_keys = may_accept_keys
+        self._key_check = KeyCheck(get_configuration, may_accept_keys)
 
     def get_request_id(self, head: h11.Request) -> str:
         """Returns the request id that the caller sent, or `-`."""
@@ -102,15 +95,7 @@
                 step="route",
                 status=404,
             )
-        key = _find_key(head) if cfg.organisations else None
-        organisation = _find_organisation(cfg, route, key)
-        if cfg.organisations and not (route.public or self._may_accept_keys()):
-            raise RefusedError(
-                "keys_unconfirmed",
-                "the configuration's keys were not confirmed in time",
-                step="authorize",
-                retry_after=_KEYS_RETRY_AFTER,
-            )
+        organisation, permission = self._key_check.authorize(cfg, route, head)
         replaced = (
             _REPLACED_WITH_KEYS if cfg.organisations else _REPLACED_HEADERS
         )
@@ -137,17 +122,9 @@
             max_attempts=route.max_attempts,
             calling_service=self._get_service(),
             large_response=route.kind is RouteKind.DOWNLOAD,
-            permission=self._make_permission(route, organisation, key),
+            permission=permission,
         )
 
-    def _make_permission(
-        self, route: Route, organisation: Organisation | None, key: str | None
-    ) -> RequestPermission:
-        """Returns what entitles a caller to a request that was accepted."""
-        if organisation is None or key is None or route.public:
-            return PERMANENT_PERMISSION
-        return KeyPermission(organisation.name, key, self._get_configuration)
-
     def make_refusal(
         self, exc: RefusedError, request_id: str
     ) -> tuple[int, Headers, bytes]:
@@ -178,40 +155,6 @@
         return []
 
 
-def _find_key(head: h11.Request) -> str | None:
-    """Returns the key that a request carries, or None without exactly one."""
-    values = [
-        value
-        for name, value in head.headers
-        if name == header_names.AUTHORIZATION
-    ]
-    match = _KEY.fullmatch(values[0]) if len(values) == 1 else None
-    return match[1].decode("ascii") if match else None
-
-
-def _find_organisation(
-    cfg: RoutingConfiguration, route: Route, key: str | None
-) -> Organisation | None:
-    """Returns the organisation that holds the key of a request.
-
-    Returns:
-        None if callers need no keys, or the route is public and the request
-        has no known key.
-
-    Raises:
-        RefusedError: The route needs a key, and no organisation holds that of
-            the request.
-    """
-    if not cfg.organisations:
-        return None
-    organisation = (
-        cfg.organisations.find_by_key(key) if key is not None else None
-    )
-    if organisation is None and not route.public:
-        raise make_unknown_key_refusal()
-    return organisation
-
-
 def _get_priority(route: Route, organisation: Organisation | None) -> int:
     if organisation is None or organisation.priority is None:
         return route.priority
