Drop headers that servers take for those the node sets

A caller with the key of one organisation could send `Tenant_Id` with the name of another. The node drops only `Tenant-Id` and forwarded both its own header and the caller's. CGI and WSGI servers give both one name (`HTTP_TENANT_ID`), so that the instance may take the caller's. The same held for the other headers that the node sets.

Each name is now also dropped with underscores, by the same set look-up.

The new example failed before.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -2,12 +2,18 @@
 
   # Guards against a request that an instance takes for another organisation's
   # because its caller set the header, and against a key that instances see.
-  Scenario: An instance learns the organisation and not the key
+  # CGI and WSGI servers don't tell `_` in the name of a header from `-`.
+  Scenario Outline: An instance learns the organisation and not the key
     Given a platform with organisations and hosts "h1, h2"
-    When a request with key "key-club" and the header of "parish" is sent to "h1"
+    When a request with key "key-club" and "<header>" of "parish" is sent to "h1"
     Then the request gets status 200
     And the instance gets the organisation "club" and no key
 
+    Examples:
+      | header    |
+      | tenant-id |
+      | Tenant_Id |
+
   # Guards against a configuration of large responses that is refused as a
   # whole, so that no request is served.
   Scenario: A route with large responses is served
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -133,11 +133,13 @@
 
 
 @when(
-    'a request with key "{key}" and the header of "{other}" is sent to "{name}"'
+    'a request with key "{key}" and "{header}" of "{other}" is sent to "{name}"'
 )
-def step_send_key(context: Context, key: str, other: str, name: str) -> None:
+def step_send_key(
+    context: Context, key: str, header: str, other: str, name: str
+) -> None:
     authorization = ("authorization", f"Token {key}")
-    send(context, authorization, ("tenant-id", other), name=name)
+    send(context, authorization, (header, other), name=name)
 
 
 @when('a request with key "{key}" is sent for "{target}"')
@@ -319,6 +321,7 @@
     assert heads[0].get("tenant-id") == name, heads
     assert "authorization" not in heads[0]
     assert not any("key-club" in value for value in heads[0].values())
+    assert "parish" not in heads[0].values()
 
 
 @then("the request gets status 401 and nothing ran")
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -21,17 +21,21 @@
 from rhubarbpaddle.platform.key_check import KeyCheck
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
 
-# Not forwarded: the instance proxy sets its own values.
-_REPLACED_HEADERS = frozenset(
+# The instance proxy sets its own values.
+_SET_HEADERS = frozenset(
     {
-        b"content-length",
-        b"expect",
         header_names.CALLING_SERVICE,
         header_names.DEADLINE,
         header_names.EXPECTED_INSTANCE,
         header_names.ORGANISATION,
     }
 )
+# Not forwarded. CGI and WSGI servers take `_` in a name for `-`.
+_REPLACED_HEADERS = (
+    _SET_HEADERS
+    | {name.replace(b"-", b"_") for name in _SET_HEADERS}
+    | {b"content-length", b"expect"}
+)
 # Instances must not see the keys of organisations.
 _REPLACED_WITH_KEYS = _REPLACED_HEADERS | {header_names.AUTHORIZATION}
 _NUMBER = re.compile(r"[0-9]{1,9}")
