Count requests that are refused for their key

Operators saw refusals for keys only in the general counter of refusals, where a missing key, an unknown one and one that was taken away have the same code.

`rhubarbpaddle_keys_refused_total` counts them by `reason`: `missing`, `unknown`, `withdrawn` or `unconfirmed`. `KeyCheck` holds the counts, which are read at a scrape. No series exists before the first refusal, so that a node without organisations exports none, and no label holds a key.

Tested by a new scenario for each reason and by a step of the scenario for keys that are taken away.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -100,14 +100,15 @@
     Given a platform with organisations and hosts "<hosts>"
     When a key is taken away while a request with <key> waits <place>
     Then the running request gets 200 and the one that waits <status>
+    And the metrics count the refusals "<reasons>"
 
     Examples:
-      | hosts  | key             | place                 | status |
-      | h1     | this key        | at the instance       | 401    |
-      | h1     | another key     | at the instance       | 200    |
-      | h1     | this key        | behind another one    | 401    |
-      | h1, h2 | this key        | at a distant instance | 401    |
-      | h1, h2 | another key     | at a distant instance | 200    |
+      | hosts  | key             | place                 | status | reasons   |
+      | h1     | this key        | at the instance       | 401    | withdrawn |
+      | h1     | another key     | at the instance       | 200    |           |
+      | h1     | this key        | behind another one    | 401    | withdrawn |
+      | h1, h2 | this key        | at a distant instance | 401    | withdrawn |
+      | h1, h2 | another key     | at a distant instance | 200    |           |
 
   # Guards against one key that identifies two organisations, of which each node
   # may take another, and against keys in the texts of errors.
@@ -162,6 +163,21 @@
       | h1   | 2.0     | 200      |
       | h1   | 4.3     | 503      |
 
+  # Guards against refusals that operators can't tell apart, and against series
+  # of keys at nodes without organisations.
+  Scenario Outline: The metrics count refusals by reason
+    Given a platform with organisations and hosts "h1"
+    And keys are refused while the configuration can't be confirmed
+    When a request with <authorization> is sent after <seconds> s without the store
+    Then the metrics count the refusals "<reasons>"
+
+    Examples:
+      | authorization                     | seconds | reasons     |
+      | no authorization                  | 0       | missing     |
+      | authorization "Token key-unknown" | 0       | unknown     |
+      | authorization "Token key-club"    | 8       | unconfirmed |
+      | authorization "Token key-club"    | 0       |             |
+
   # Guards against public routes that are refused for the sake of keys, and
   # against nodes that stay closed after the store is back.
   Scenario: Keys are accepted again once the configuration is confirmed
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -1,5 +1,6 @@
 import json
 import random
+import re
 from collections.abc import Iterable
 from datetime import timedelta
 from typing import Any
@@ -338,6 +339,24 @@
     assert not [line for line in context.log if "key-club" in line]
 
 
+@then('the metrics count the refusals "{reasons}"')
+def step_check_refusals(context: Context, reasons: str) -> None:
+    check_refusals(context, [reasons])
+
+
+@then('the metrics count the refusals ""')
+def step_check_no_refusals(context: Context) -> None:
+    check_refusals(context, [])
+
+
+def check_refusals(context: Context, reasons: list[str]) -> None:
+    text = trio.run(context.world.nodes["h1"].metrics.render).decode()
+    name = "rhubarbpaddle_keys_refused_total"
+    pattern = rf'^{name}{{[^}}]*reason="(\w+)"}} 1.0$'
+    assert re.findall(pattern, text, re.MULTILINE) == reasons, text
+    assert "key-" not in text
+
+
 @then("the requests on the connection get 200 before and 401 after")
 def step_check_taken(context: Context) -> None:
     assert context.statuses == [200, 401], context.statuses
@@ -428,6 +447,23 @@
     run_on_platform(context, scenario)
 
 
+@when(
+    "a request with {authorization} is sent after {seconds:d} s without the"
+    " store"
+)
+def step_send_without_store(
+    context: Context, authorization: str, seconds: int
+) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        if seconds:
+            block_store(world, context.zones)
+        await trio.sleep(seconds)
+        headers = make_headers("one", *parse_authorization(authorization))
+        await exchange(await connect(world, "h1"), "/lanes/x", headers)
+
+    run_on_platform(context, scenario)
+
+
 def block_store(world: PlatformWorld, names: Iterable[str]) -> None:
     for name in names:
         world.fabric.block_both_ways(name, "store")
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -44,7 +44,11 @@
 
 
 class PlatformCallerDialect:
-    """Finds the route of a request; reports a refusal by its status alone."""
+    """Finds the route of a request; reports a refusal by its status alone.
+
+    Attributes:
+        key_check: Checks the keys of organisations.
+    """
 
     def __init__(
         self,
@@ -68,7 +72,7 @@
         self._clock = clock
         self._split = split
         self._get_configuration = get_configuration
-        self._key_check = KeyCheck(get_configuration, may_accept_keys)
+        self.key_check = KeyCheck(get_configuration, may_accept_keys)
 
     def get_request_id(self, head: h11.Request) -> str:
         """Returns the request id that the caller sent, or `-`."""
@@ -99,7 +103,7 @@
                 step="route",
                 status=404,
             )
-        organisation, permission = self._key_check.authorize(cfg, route, head)
+        organisation, permission = self.key_check.authorize(cfg, route, head)
         replaced = (
             _REPLACED_WITH_KEYS if cfg.organisations else _REPLACED_HEADERS
         )
--- a/src/rhubarbpaddle/platform/key_check.py
+++ b/src/rhubarbpaddle/platform/key_check.py
@@ -1,6 +1,7 @@
 """Checks the keys of organisations that callers send."""
 
 import re
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -23,7 +24,13 @@
 
 
 class KeyCheck:
-    """Finds the organisation of a request by its key."""
+    """Finds the organisation of a request by its key.
+
+    Attributes:
+        refusals: How many requests were refused because their key was
+            `missing`, `unknown`, or `withdrawn` while they waited, or because
+            the keys of the configuration were `unconfirmed`.
+    """
 
     def __init__(
         self,
@@ -39,6 +46,7 @@
         """
         self._get_configuration = get_configuration
         self._may_accept_keys = may_accept_keys
+        self.refusals: Counter[str] = Counter()
 
     def authorize(
         self, cfg: RoutingConfiguration, route: Route, head: h11.Request
@@ -63,8 +71,10 @@
         if route.public and is_below_prefix(head.target.decode("ascii")):
             return Authorization(organisation)
         if organisation is None or key is None:
+            self.refusals["missing" if key is None else "unknown"] += 1
             raise make_unknown_key_refusal()
         if not self._may_accept_keys():
+            self.refusals["unconfirmed"] += 1
             raise RefusedError(
                 "keys_unconfirmed",
                 "the configuration's keys were not confirmed in time",
@@ -73,9 +83,17 @@
             )
         return Authorization(
             organisation,
-            KeyPermission(organisation.name, key, self._get_configuration),
+            KeyPermission(
+                organisation.name,
+                key,
+                self._get_configuration,
+                self._record_withdrawn,
+            ),
         )
 
+    def _record_withdrawn(self) -> None:
+        self.refusals["withdrawn"] += 1
+
 
 def _find_key(head: h11.Request) -> str | None:
     """Returns the key that a request carries, or None without exactly one."""
--- a/src/rhubarbpaddle/platform/key_permission.py
+++ b/src/rhubarbpaddle/platform/key_permission.py
@@ -20,6 +20,7 @@
         organisation: str,
         key: str,
         get_configuration: Callable[[], RoutingConfiguration | None],
+        on_withdrawn: Callable[[], None],
     ) -> None:
         """Creates the permission of one request.
 
@@ -27,10 +28,12 @@
             organisation: The organisation that held the key.
             key: The key.
             get_configuration: Returns the configuration in force.
+            on_withdrawn: Called when the request is refused.
         """
         self._organisation = organisation
         self._key = key
         self._get_configuration = get_configuration
+        self._on_withdrawn = on_withdrawn
 
     def check(self) -> None:
         """Checks that the organisation still holds the key.
@@ -43,4 +46,5 @@
             return
         organisation = cfg.organisations.find_by_key(self._key)
         if organisation is None or organisation.name != self._organisation:
+            self._on_withdrawn()
             raise make_unknown_key_refusal()
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -292,19 +292,21 @@
         self.metrics.observe_zone_choices(zone_choices.get_totals)
         if self.usage_caps is not None:
             self.metrics.observe_usage(self.usage_caps.gate.results)
+        dialect = PlatformCallerDialect(
+            lambda: self.settings.service,
+            clock,
+            TrafficSplit(rng),
+            self.configuration.get_configuration,
+            self._may_accept_keys,
+        )
+        self.metrics.observe_key_refusals(dialect.key_check.refusals)
         self._stream_watch = StreamWatch(network, clock)
         deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
             gateway,
             clock,
             self.metrics,
-            PlatformCallerDialect(
-                lambda: self.settings.service,
-                clock,
-                TrafficSplit(rng),
-                self.configuration.get_configuration,
-                self._may_accept_keys,
-            ),
+            dialect,
             network,
             self._stream_watch,
             deadline_limit,
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -167,11 +167,19 @@
         """Adds the counts of a `UsageGate`, which are read at each scrape."""
         self._meter.create_observable_counter(
             f"{_PREFIX}usage.results",
-            [lambda _: _observe_results(results)],
+            [lambda _: _observe_counts(results, "result")],
             description="Requests of organisations with a usage cap, by"
             " result, and the queries sent to other nodes",
         )
 
+    def observe_key_refusals(self, refusals: Mapping[str, int]) -> None:
+        """Adds a counter of requests that were refused for their key."""
+        self._meter.create_observable_counter(
+            f"{_PREFIX}keys.refused",
+            [lambda _: _observe_counts(refusals, "reason")],
+            description="Requests refused for the key of an organisation",
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         text = PrometheusText()
@@ -218,8 +226,7 @@
     ]
 
 
-def _observe_results(results: Mapping[str, int]) -> list[Observation]:
+def _observe_counts(counts: Mapping[str, int], label: str) -> list[Observation]:
     return [
-        Observation(count, {"result": result})
-        for result, count in results.items()
+        Observation(count, {label: value}) for value, count in counts.items()
     ]
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -92,6 +92,16 @@
             lambda instruments: instruments.observe_usage(results)
         )
 
+    def observe_key_refusals(self, refusals: Mapping[str, int]) -> None:
+        """Adds a counter of requests that were refused for their key.
+
+        Args:
+            refusals: The counts by reason, which are read at each scrape.
+        """
+        self._observers.append(
+            lambda instruments: instruments.observe_key_refusals(refusals)
+        )
+
     def record_request(
         self, organisation: str, service: str, status: int, seconds: float
     ) -> None:
