Show in the metrics how many requests and organisations yield

Fair queueing between organisations was visible in log lines only.

`rhubarbpaddle_share_requests_total` counts the requests that were queued behind those of other organisations (`yielded`) or refused for their sake (`refused`); `rhubarbpaddle_share_organisations` is the number of organisations that yield at the instance at the time of the scrape. `InstanceFactory` holds the counts, so that they outlast an instance. Nothing is labelled by organisation, and without usage ratios there is no series.

Tested through a node's instance proxy by two new scenarios: the count of refusals equals that of the callers' refusals, and the gauge is 1, then 0 after 3 s.

--- a/features/fair_queueing.feature
+++ b/features/fair_queueing.feature
@@ -89,3 +89,17 @@
     When a request of "club" with usage ratio 1.5 fails at an instance
     Then the instance's queue gets the ratio 1.5 of "club"
     And a retry is asked for "club"
+
+  # Guards against counts that miss requests, and against a number of
+  # organisations that stays when they have stopped.
+  Scenario: The metrics show how many requests and organisations yield
+    Given a node whose instance runs one request at a time
+    When 12 requests of an organisation above its share arrive at once
+    Then the metrics count those refused for it and those that yielded
+    And they show 1 organisation that yields, and 0 after 3 s
+
+  # Guards against series at nodes whose requests belong to no organisation.
+  Scenario: Requests without a usage ratio leave no trace in the metrics
+    Given a node whose instance runs one request at a time
+    When 12 requests without a usage ratio arrive at once
+    Then the metrics show nothing of shares
--- a/src/rhubarbpaddle/admission/fair_share.py
+++ b/src/rhubarbpaddle/admission/fair_share.py
@@ -116,6 +116,19 @@
         fraction = self._ratios.get_reference() / use.ratio
         return use.credit + max(_MIN_SHARE_FRACTION, min(1.0, fraction))
 
+    def count_above_share(self, now: float) -> int | None:
+        """Returns how many organisations are above their share.
+
+        Args:
+            now: Monotonic seconds.
+
+        Returns:
+            The number, or None before the first usage ratio.
+        """
+        if self._ratios.is_empty():
+            return None
+        return sum(use.is_above_share for use in self._ratios.list_recent(now))
+
     def get_excess_seconds(self, organisation: str) -> float:
         """Returns how long an organisation must pause to be within its share.
 
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -1,6 +1,7 @@
 """Admission control by the slots, speed and cold start of an instance."""
 
 import math
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -69,6 +70,7 @@
         monitor: InstanceMonitor,
         clock: Clock,
         on_share_change: Callable[[ShareChange], None] | None = None,
+        share_results: Counter[str] | None = None,
     ) -> None:
         """Creates the admission control of an idle instance.
 
@@ -80,6 +82,9 @@
             clock: The source of time.
             on_share_change: Called when an organisation goes above its share
                 or returns to it.
+            share_results: Counts the requests that were queued behind those of
+                other organisations (`yielded`), or refused for the same reason
+                (`refused`).
         """
         self.regular_slots = max(1, int(slots * REGULAR_SLOT_FRACTION))
         self.slots = max(self.regular_slots, slots)
@@ -94,6 +99,9 @@
         self._last_slot_starts = 0
         self._queue = RequestQueue()
         self._fair_share = FairShare(on_share_change)
+        self._share_results = (
+            Counter() if share_results is None else share_results
+        )
         self._yielding_starts = YieldingStarts()
         # Queued requests that have not left a zone with instances.
         self._preferred_queued = 0
@@ -117,6 +125,13 @@
             self._get_relative_slowdown(_CHECK_INTERVAL_SECONDS * 2),
         )
 
+    def count_above_share(self) -> int | None:
+        """Returns how many organisations are above their share.
+
+        The result is None if no request has carried a usage ratio.
+        """
+        return self._fair_share.count_above_share(self._clock.monotonic())
+
     async def acquire(self, ticket: Ticket) -> InstanceSlot:
         """Waits until the instance can accept a request.
 
@@ -282,7 +297,8 @@
         )
         wait = self._estimate_wait(request, now)
         is_late = wait > 0 and now + wait + work > useful_until
-        if request.is_above_share and wait > 0:
+        must_yield = request.is_above_share and wait > 0
+        if must_yield:
             self._refuse_if_others_suffer(request, ticket, is_late, now)
         if is_late:
             request = request._replace(latest_start=-math.inf)
@@ -292,6 +308,8 @@
                 or now + wait + work > ticket.deadline
             ):
                 raise self._make_refusal(BlockReason.FULL, wait)
+        if must_yield:
+            self._share_results["yielded"] += 1
         self._queue.add(request)
         self._preferred_queued += not ticket.spillover
         try:
@@ -340,6 +358,7 @@
             self._estimate_wait_behind(len(self._queue), now),
             self._fair_share.get_excess_seconds(ticket.organisation),
         )
+        self._share_results["refused"] += 1
         raise RefusedError(
             "organisation_above_share",
             f"the organisation uses {ticket.usage_ratio:.2f} of its cap, more"
--- a/src/rhubarbpaddle/admission/recent_usage_ratios.py
+++ b/src/rhubarbpaddle/admission/recent_usage_ratios.py
@@ -41,6 +41,21 @@
         """Replaces the use of a known organisation, with an equal ratio."""
         self._uses[organisation] = use
 
+    def list_recent(self, now: float) -> list[OrganisationUse]:
+        """Returns the uses that count at a time.
+
+        Old uses are discarded only when the next one is recorded.
+        """
+        return [
+            use
+            for use in self._uses.values()
+            if now - use.seen_at <= PERIOD_SECONDS
+        ]
+
+    def is_empty(self) -> bool:
+        """Returns whether no ratio was recorded, or the last one long ago."""
+        return not self._uses
+
     def get_reference(self) -> float:
         """Returns the usual ratio that high ratios are compared with.
 
--- a/src/rhubarbpaddle/node/instance_factory.py
+++ b/src/rhubarbpaddle/node/instance_factory.py
@@ -1,5 +1,7 @@
 """Creates the objects that send requests to the instance on this host."""
 
+from collections import Counter
+
 import trio
 
 from rhubarbpaddle.admission.instance_admission import InstanceAdmission
@@ -26,7 +28,11 @@
 
 
 class InstanceFactory:
-    """Creates instances at one address, and checks who serves there."""
+    """Creates instances at one address, and checks who serves there.
+
+    Attributes:
+        share_results: The counts of all instances; see `InstanceAdmission`.
+    """
 
     def __init__(
         self,
@@ -47,6 +53,7 @@
         self._network = network
         self._clock = clock
         self._dialect = dialect
+        self.share_results: Counter[str] = Counter()
 
     def create(
         self,
@@ -73,6 +80,7 @@
             monitor,
             self._clock,
             _log_share_change,
+            self.share_results,
         )
         if (
             previous is not None
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -225,13 +225,14 @@
             self._rollouts.board,
             self._currency,
         )
+        instance_factory = InstanceFactory(
+            settings.instance_address,
+            network,
+            clock,
+            PlatformUpstreamDialect(self._get_instance),
+        )
         self.registry = InstanceRegistry(
-            InstanceFactory(
-                settings.instance_address,
-                network,
-                clock,
-                PlatformUpstreamDialect(self._get_instance),
-            ),
+            instance_factory,
             self.instance_proxy,
             self.table,
             clock,
@@ -300,6 +301,9 @@
             self._may_accept_keys,
         )
         self.metrics.observe_key_refusals(dialect.key_check.refusals)
+        self.metrics.observe_shares(
+            instance_factory.share_results, self._count_above_share
+        )
         self._stream_watch = StreamWatch(network, clock)
         deadline_limit = DeadlineLimit()
         self._caller_handler = CallerHandler(
@@ -546,6 +550,10 @@
         attached = self.instance_proxy.attached
         return attached.summary.instance if attached else None
 
+    def _count_above_share(self) -> int | None:
+        attached = self.instance_proxy.attached
+        return attached.admission.count_above_share() if attached else None
+
     def _get_link_count(self) -> int:
         return self.overlay.link_count
 
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -180,6 +180,29 @@
             description="Requests refused for the key of an organisation",
         )
 
+    def observe_shares(
+        self,
+        results: Mapping[str, int],
+        count_above_share: Callable[[], int | None],
+    ) -> None:
+        """Adds metrics of the fair queueing between organisations."""
+        self._meter.create_observable_counter(
+            f"{_PREFIX}share.requests",
+            [lambda _: _observe_counts(results, "result")],
+            description="Requests that yielded to other organisations, or were"
+            " refused for their sake",
+        )
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            count = count_above_share()
+            return [] if count is None else [Observation(count)]
+
+        self._meter.create_observable_gauge(
+            f"{_PREFIX}share.organisations",
+            [observe],
+            description="Organisations that yield to others at the instance",
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         text = PrometheusText()
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -102,6 +102,25 @@
             lambda instruments: instruments.observe_key_refusals(refusals)
         )
 
+    def observe_shares(
+        self,
+        results: Mapping[str, int],
+        count_above_share: Callable[[], int | None],
+    ) -> None:
+        """Adds metrics of the fair queueing between organisations.
+
+        Args:
+            results: The counts of requests by result, which are read at each
+                scrape.
+            count_above_share: Returns how many organisations yield, or None if
+                there are none; called at each scrape.
+        """
+        self._observers.append(
+            lambda instruments: instruments.observe_shares(
+                results, count_above_share
+            )
+        )
+
     def record_request(
         self, organisation: str, service: str, status: int, seconds: float
     ) -> None:
