Keep the durations of the last 200 routes of an instance

`MeanWorkTimes` kept the mean duration of each route that an instance ever served. It grew with each route that a configuration named, the waits of queued requests were estimated from the mean over routes of which most were gone, and the sum over them was made for each estimate.

It now keeps the routes that were used last, as `TransferSizes` does. The usage ratios of organisations are bounded already, by those seen within 2 s; the scenario checks this too.

The new scenario failed before (more than 200 of 5,000 routes known).

--- a/features/fair_queueing.feature
+++ b/features/fair_queueing.feature
@@ -77,6 +77,14 @@
     When the usage ratios of an organisation, relative to the others, are "1.3 1.5 1.3 1.1 1.3"
     Then it is above its share for "1.5 1.3"
 
+  # Guards against memory that grows with each route that a configuration names
+  # and each organisation that sends, and against a mean over routes that no
+  # longer exist.
+  Scenario: An instance forgets routes and organisations that are gone
+    When 5000 routes and organisations are used one after another for 50 s
+    Then at most 200 routes are known, among them the last one
+    And at most 201 organisations are known, and the mean is that of the last routes
+
   # Guards against a queue of two positions that finds another first request
   # than a scan of the whole queue would.
   Scenario: The first request has the lowest rank with requests above their share
--- a/features/steps/fair_queueing_steps.py
+++ b/features/steps/fair_queueing_steps.py
@@ -13,7 +13,10 @@
 from features.support.organisation_load import OrganisationLoad, send_load
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.admission.fair_share import FairShare
+from rhubarbpaddle.admission.mean_work_times import MeanWorkTimes
+from rhubarbpaddle.admission.organisation_use import OrganisationUse
 from rhubarbpaddle.admission.queued_request import QueuedRequest
+from rhubarbpaddle.admission.recent_usage_ratios import RecentUsageRatios
 from rhubarbpaddle.admission.request_queue import RequestQueue
 from rhubarbpaddle.admission.share_change import ShareChange
 from rhubarbpaddle.exceptions import RefusedError
@@ -253,6 +256,34 @@
     assert context.harness.started[-1][0] == "after"
 
 
+@when(
+    "{count:d} routes and organisations are used one after another for"
+    " {seconds:d} s"
+)
+def step_use_many(context: Context, count: int, seconds: int) -> None:
+    context.names = [str(number) for number in range(count)]
+    context.times, context.ratios = MeanWorkTimes(), RecentUsageRatios()
+    for number, name in enumerate(context.names):
+        context.times.record(name, 1.0 if number < count // 2 else 0.1)
+        use = OrganisationUse(0.5, number * seconds / count)
+        context.ratios.record(name, use)
+
+
+@then("at most {limit:d} routes are known, among them the last one")
+def step_check_routes(context: Context, limit: int) -> None:
+    assert sum(map(context.times.is_known, context.names)) <= limit
+    assert context.times.is_known(context.names[-1])
+
+
+@then(
+    "at most {limit:d} organisations are known, and the mean is that of the"
+    " last routes"
+)
+def step_check_organisations_known(context: Context, limit: int) -> None:
+    assert len(context.ratios) <= limit, len(context.ratios)
+    assert abs(context.times.get_mean() - 0.1) < 1e-9
+
+
 @when(
     "the usage ratios of an organisation, relative to the others, are"
     ' "{factors}"'
--- a/src/rhubarbpaddle/admission/fair_share.py
+++ b/src/rhubarbpaddle/admission/fair_share.py
@@ -125,7 +125,7 @@
         Returns:
             The number, or None before the first usage ratio.
         """
-        if self._ratios.is_empty():
+        if not self._ratios:
             return None
         return sum(use.is_above_share for use in self._ratios.list_recent(now))
 
--- a/src/rhubarbpaddle/admission/mean_work_times.py
+++ b/src/rhubarbpaddle/admission/mean_work_times.py
@@ -2,14 +2,21 @@
 
 # Weight of the newest request in the mean of its route.
 _NEWEST_WEIGHT = 0.1
+# Routes come and go with the configuration, several a minute. An instance
+# serves those of one service.
+_MAX_ROUTES = 200
 # Assumed duration before the first request of a route has completed.
 DEFAULT_WORK_SECONDS = 0.1
 
 
 class MeanWorkTimes:
-    """Moving averages of the time that requests take at normal speed."""
+    """Moving averages of the time that requests take at normal speed.
+
+    Those of the routes that were used last are kept.
+    """
 
     def __init__(self) -> None:
+        # In order of the latest request.
         self._means: dict[str, float] = {}
 
     def record(self, route: str, seconds: float) -> None:
@@ -20,8 +27,10 @@
             seconds: The time from its admission to the response head, divided
                 by the instance's slowdown factor when it was admitted.
         """
-        mean = self._means.setdefault(route, seconds)
+        mean = self._means.pop(route, seconds)
         self._means[route] = mean + _NEWEST_WEIGHT * (seconds - mean)
+        if len(self._means) > _MAX_ROUTES:
+            del self._means[next(iter(self._means))]
 
     def is_known(self, route: str) -> bool:
         """Returns whether a request of a route has been recorded."""
--- a/src/rhubarbpaddle/admission/recent_usage_ratios.py
+++ b/src/rhubarbpaddle/admission/recent_usage_ratios.py
@@ -24,6 +24,9 @@
         self._uses: dict[str, OrganisationUse] = {}
         self._sorted_ratios: list[float] = []
 
+    def __len__(self) -> int:
+        return len(self._uses)
+
     def get(self, organisation: str) -> OrganisationUse | None:
         """Returns what is known of an organisation, or None."""
         return self._uses.get(organisation)
@@ -52,10 +55,6 @@
             if now - use.seen_at <= PERIOD_SECONDS
         ]
 
-    def is_empty(self) -> bool:
-        """Returns whether no ratio was recorded, or the last one long ago."""
-        return not self._uses
-
     def get_reference(self) -> float:
         """Returns the usual ratio that high ratios are compared with.
 
