Don't confirm a configuration by a response that was read too late

With `failClosed`, a reader took its configuration for confirmed whenever a read of the store succeeded. A process that was paused during a read finds the old response in its socket afterwards, and its time-out doesn't fire, since the bytes are there first. If the store couldn't be reached from then on, the node and those that it confirmed the configuration to accepted keys for the length of the pause longer than `revokeMs`.

A response that comes later than any of the time-outs permits doesn't confirm the configuration any more. The next read, which follows at once, does.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -163,6 +163,14 @@
       | h1   | 2.0     | 200      |
       | h1   | 4.3     | 503      |
 
+  # Guards against an old response of the store, read after a pause of the
+  # process, that confirms the configuration as if it were new.
+  Scenario: A response that was read too late doesn't confirm the configuration
+    Given a platform with organisations and hosts "h1"
+    And keys are refused while the configuration can't be confirmed
+    When the node reads a response of the store 8 s late and none after it
+    Then the requests get 200, 503
+
   # Guards against refusals that operators can't tell apart, and against series
   # of keys at nodes without organisations.
   Scenario Outline: The metrics count refusals by reason
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 from typing import Any
+from unittest import mock
 
 import h11
 import logbook
@@ -410,6 +411,27 @@
     run_on_platform(context, scenario)
 
 
+@when("the node reads a response of the store 8 s late and none after it")
+def step_read_late(context: Context) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        store = world.nodes["h1"].configuration._store
+        read = store.read
+
+        async def read_late(*arguments: Any) -> Any:
+            response = await read(*arguments)
+            block_store(world, ["h1"])
+            await trio.sleep(8)
+            return response
+
+        with mock.patch.object(store, "read", read_late):
+            await trio.sleep(4)
+            context.statuses = [await send_with_key(world, "/lanes/x")]
+            await trio.sleep(7)
+            context.statuses.append(await send_with_key(world, "/lanes/x"))
+
+    run_on_platform(context, scenario)
+
+
 @when("the store comes back after {seconds:d} s without it")
 def step_return_store(context: Context, seconds: int) -> None:
     async def scenario(world: PlatformWorld) -> None:
--- a/src/rhubarbpaddle/platform/store_client.py
+++ b/src/rhubarbpaddle/platform/store_client.py
@@ -25,7 +25,7 @@
 from rhubarbpaddle.platform.store_silent import StoreSilentError
 
 # A healthy store responds in 4 ms, a slow one in up to 100 times as long.
-_RESPONSE_TIMEOUT = timedelta(seconds=2)
+RESPONSE_TIMEOUT = timedelta(seconds=2)
 # How much longer than requested a read may be held. It is shorter than the
 # timeout of other calls, because it adds to the time that a silent connection
 # goes undetected.
@@ -77,7 +77,7 @@
         target = f"/log-append?topic={topic}&part=0{condition}"
         conn = await self._acquire("append")
         try:
-            with trio.fail_after(_RESPONSE_TIMEOUT.total_seconds()):
+            with trio.fail_after(RESPONSE_TIMEOUT.total_seconds()):
                 status, _ = await self._client.exchange(
                     conn, "POST", target, encode_record(key, value)
                 )
@@ -179,7 +179,7 @@
         await self._client.purge()
 
     async def _get(self, target: str, wait: timedelta) -> tuple[int, bytes]:
-        timeout = wait + HELD_READ_TIMEOUT if wait else _RESPONSE_TIMEOUT
+        timeout = wait + HELD_READ_TIMEOUT if wait else RESPONSE_TIMEOUT
         conn: ClientConnection | None = None
         try:
             with trio.fail_after(timeout.total_seconds()):
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -24,7 +24,10 @@
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
 from rhubarbpaddle.platform.reader_duty import ReaderDuty
 from rhubarbpaddle.platform.rollout_orders import RolloutOrders
-from rhubarbpaddle.platform.store_client import StoreClient
+from rhubarbpaddle.platform.store_client import (
+    RESPONSE_TIMEOUT,
+    StoreClient,
+)
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
 )
@@ -140,6 +143,7 @@
             position = self._duty.get_position()
             self._log_reader_change(position is not None)
             self._call_started_at = self._clock.monotonic()
+            wait = timedelta()
             try:
                 if self._end_offset is None:
                     await self._read_all()
@@ -151,7 +155,7 @@
                 else:
                     wait = self._choose_wait(position)
                     await self._read_new_records(self._end_offset, wait)
-                self._record_success()
+                self._record_success(wait)
                 self._backoff.reset()
             except HistoryLostError:
                 _log.info("configuration_history_lost", offset=self._end_offset)
@@ -259,10 +263,19 @@
         self._on_change(cfg)
         return True
 
-    def _record_success(self) -> None:
+    def _record_success(self, wait: timedelta) -> None:
+        """Records that a call to the store has succeeded.
+
+        Args:
+            wait: How long the store might hold the call.
+        """
         self._retries_silence = False
         self._duty.record_success()
-        self._currency.confirm()
+        elapsed = self._clock.monotonic() - self._call_started_at
+        # A response that comes later than any timeout was read after a pause
+        # of the process, and may be as old as the pause.
+        if elapsed <= (wait + RESPONSE_TIMEOUT).total_seconds():
+            self._currency.confirm()
         if self._unreachable_since is not None:
             seconds = self._clock.monotonic() - self._unreachable_since
             _log.info("store_regained", lost_ms=round(seconds * 1000))
