Accept confirmations from nodes of an earlier release

Since the time in transit is added to the age of a configuration, a heartbeat without the time of sending confirmed nothing. With `failClosed`, nodes of this release whose neighbours were of an earlier one refused all keys 5 s later, for the length of an upgrade.

Such a heartbeat now confirms the configuration by its age alone, as before.

The new scenario failed before: two of four nodes gave 503.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -163,6 +163,14 @@
       | h1   | 2.0     | 200      |
       | h1   | 4.3     | 503      |
 
+  # Guards against nodes that refuse keys during an upgrade, because their
+  # neighbours of the earlier release don't send when a heartbeat was sent.
+  Scenario: Heartbeats of an earlier release confirm the configuration
+    Given a platform with organisations and hosts "h1, h2, h3, h4"
+    And keys are refused while the configuration can't be confirmed
+    When all heartbeats are those of an earlier release for 8 s
+    Then the requests get 200, 200, 200, 200
+
   # Guards against an old response of the store, read after a pause of the
   # process, that confirms the configuration as if it were new.
   Scenario: A response that was read too late doesn't confirm the configuration
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -8,6 +8,7 @@
 
 import h11
 import logbook
+import msgspec
 import trio
 from behave import given, then, when
 from behave.runner import Context
@@ -23,6 +24,8 @@
 from rhubarbpaddle.exceptions import ConfigurationError
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.messages import Heartbeat, Message
 from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
 from rhubarbpaddle.platform.configuration_document import (
     parse_configuration_document,
@@ -432,6 +435,25 @@
     run_on_platform(context, scenario)
 
 
+@when("all heartbeats are those of an earlier release for {seconds:d} s")
+def step_send_old_heartbeats(context: Context, seconds: int) -> None:
+    send = PeerConnection.send
+
+    async def send_old(conn: PeerConnection, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            message = msgspec.structs.replace(message, sent_ms=None)
+        await send(conn, message)
+
+    async def scenario(world: PlatformWorld) -> None:
+        await trio.sleep(seconds)
+        context.statuses = [
+            await send_with_key(world, "/lanes/x", name) for name in world.nodes
+        ]
+
+    with mock.patch.object(PeerConnection, "send", send_old):
+        run_on_platform(context, scenario)
+
+
 @when("the store comes back after {seconds:d} s without it")
 def step_return_store(context: Context, seconds: int) -> None:
     async def scenario(world: PlatformWorld) -> None:
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -317,9 +317,14 @@
         way, for seconds if the process was paused.
         """
         age_ms, sent_ms = heartbeat.configuration_age_ms, heartbeat.sent_ms
-        if self._currency is None or age_ms is None or sent_ms is None:
+        if self._currency is None or age_ms is None:
             return
-        delay = self._transit_delay.measure(sent_ms / 1000, self.received_at)
+        delay = 0.0
+        # Nodes of an earlier release don't send the time.
+        if sent_ms is not None:
+            delay = self._transit_delay.measure(
+                sent_ms / 1000, self.received_at
+            )
         if heartbeat.configuration_version <= self._get_own_version():
             self._currency.confirm(age_ms / 1000 + delay)
 
