--- a/features/fair_queueing.feature
+++ b/features/fair_queueing.feature
@@ -77,6 +77,14 @@
     When the usage ratios of an organisation, relative to the others, are "1.3 1.5 1.3 1.1 1.3"
     Then it is above its share for "1.5 1.3"
 
+  # Guards against memory that grows with each route that a configuration names
+  # and each organisation that sends, and against a mean over routes that no
+  # longer exist.
+  Scenario: An instance forgets routes and organisations that are gone
+    When 5000 routes and organisations are used one after another for 50 s
+    Then at most 200 routes are known, among them the last one
+    And at most 201 organisations are known, and the mean is that of the last routes
+
   # Guards against a queue of two positions that finds another first request
   # than a scan of the whole queue would.
   Scenario: The first request has the lowest rank with requests above their share
@@ -89,3 +97,17 @@
     When a request of "club" with usage ratio 1.5 fails at an instance
     Then the instance's queue gets the ratio 1.5 of "club"
     And a retry is asked for "club"
+
+  # Guards against counts that miss requests, and against a number of
+  # organisations that stays when they have stopped.
+  Scenario: The metrics show how many requests and organisations yield
+    Given a node whose instance runs one request at a time
+    When 12 requests of an organisation above its share arrive at once
+    Then the metrics count those refused for it and those that yielded
+    And they show 1 organisation that yields, and 0 after 3 s
+
+  # Guards against series at nodes whose requests belong to no organisation.
+  Scenario: Requests without a usage ratio leave no trace in the metrics
+    Given a node whose instance runs one request at a time
+    When 12 requests without a usage ratio arrive at once
+    Then the metrics show nothing of shares
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -1,9 +1,14 @@
 import json
 import random
+import re
 from collections.abc import Iterable
+from datetime import timedelta
 from typing import Any
+from unittest import mock
 
 import h11
+import logbook
+import msgspec
 import trio
 from behave import given, then, when
 from behave.runner import Context
@@ -19,6 +24,8 @@
 from rhubarbpaddle.exceptions import ConfigurationError
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.messages import Heartbeat, Message
 from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
 from rhubarbpaddle.platform.configuration_document import (
     parse_configuration_document,
@@ -32,8 +39,10 @@
 Entry = dict[str, Any]
 
 
-def make_document(version: int = 1, club_keys: Any = ("key-club",)) -> Entry:
-    document = make_configuration(version)
+def make_document(
+    version: int = 1, club_keys: Any = ("key-club",), **changes: Any
+) -> Entry:
+    document = make_configuration(version, **changes)
     document["resources"] += [
         make_route_entry("maps", "club.example", "/maps/", "download", SERVICE),
         make_route_entry(
@@ -54,17 +63,30 @@
     return [
         ("host", "club.example"),
         ("request-id", request_id),
-        ("deadline-ms", "1000"),
+        ("deadline-ms", "5000"),
         *lines,
     ]
 
 
+async def send_head(
+    conn: ClientConnection, method: str, headers: Any, target: str = "/lanes/x"
+) -> None:
+    encoded = [(name, value.encode("latin-1")) for name, value in headers]
+    head = h11.Request(method=method, target=target, headers=encoded)
+    await conn.send_request(head, BytesBody(b""))
+
+
+async def receive_status(conn: ClientConnection) -> int:
+    response, content = await conn.receive_response()
+    while await content.receive():
+        pass
+    return response.status_code
+
+
 async def exchange(
     conn: ClientConnection, target: str, headers: Any
 ) -> tuple[int, bytes]:
-    encoded = [(name, value.encode("latin-1")) for name, value in headers]
-    head = h11.Request(method="GET", target=target, headers=encoded)
-    await conn.send_request(head, BytesBody(b""))
+    await send_head(conn, "GET", headers, target)
     response, content = await conn.receive_response()
     received = b""
     while chunk := await content.receive():
@@ -116,11 +138,13 @@
 
 
 @when(
-    'a request with key "{key}" and the header of "{other}" is sent to "{name}"'
+    'a request with key "{key}" and "{header}" of "{other}" is sent to "{name}"'
 )
-def step_send_key(context: Context, key: str, other: str, name: str) -> None:
+def step_send_key(
+    context: Context, key: str, header: str, other: str, name: str
+) -> None:
     authorization = ("authorization", f"Token {key}")
-    send(context, authorization, ("tenant-id", other), name=name)
+    send(context, authorization, (header, other), name=name)
 
 
 @when('a request with key "{key}" is sent for "{target}"')
@@ -144,6 +168,19 @@
     send(context, *lines, ("tenant-id", other), target=target)
 
 
+@when('the request "{text}" is sent as it is')
+def step_send_raw(context: Context, text: str) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        stream = await HostNetwork(world.fabric, "h1").connect("h1:2")
+        await stream.send_all(text.encode().decode("unicode_escape").encode())
+        context.status = int((await stream.receive_some(100)).split()[1])
+
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        run_on_platform(context, scenario)
+    context.log = [str(record.message) for record in handler.records]
+
+
 @when('the key "{key}" is taken away while a connection is open')
 def step_take_key(context: Context, key: str) -> None:
     async def scenario(world: PlatformWorld) -> None:
@@ -160,6 +197,52 @@
     run_on_platform(context, scenario)
 
 
+@when("a key is taken away while a request with {key} waits {place}")
+def step_take_key_in_queue(context: Context, key: str, place: str) -> None:
+    keys = ["key-club", "key-kept"]
+    limits = {"timeoutMs": 5000, "targetLatencyMs": 5000}
+    context.configuration = make_document(1, keys, **limits)
+    own_key = keys[key != "this key"]
+    method = "POST" if place == "behind another one" else "GET"
+
+    async def scenario(world: PlatformWorld) -> None:
+        if place == "at a distant instance":
+            world.fabric.stop_listening("h1:9")
+        for name in world.instances:
+            assert await world.report(name, slots=1, born=2_000) == 200
+        await trio.sleep(4)
+        for instance in world.instances.values():
+            instance.work_seconds = 1.5
+        running = await connect(world, "h1")
+        waiting = running if method == "POST" else await connect(world, "h1")
+        headers = make_headers("running", ("authorization", "Token key-club"))
+        await send_head(running, "GET", headers)
+        await trio.sleep(0.3)
+        headers = make_headers("waits", ("authorization", f"Token {own_key}"))
+        if method == "POST":
+            headers.append(("content-length", "0"))
+            waiting = ClientConnection(running.stream, running.peer)
+        await send_head(waiting, method, headers)
+        await trio.sleep(0.3)
+        world.put_configuration(make_document(2, keys[1:], **limits))
+        context.statuses = [await receive_status(running)]
+        waiting.unparsed = running.h11.trailing_data[0]
+        context.statuses.append(await receive_status(waiting))
+        context.runs = [
+            request_id
+            for instance in world.instances.values()
+            for request_id in instance.runs
+        ]
+
+    run_on_platform(context, scenario)
+
+
+@then("the running request gets {running:d} and the one that waits {waiting:d}")
+def step_check_waiting(context: Context, running: int, waiting: int) -> None:
+    assert context.statuses == [running, waiting], context.statuses
+    assert ("waits" in context.runs) is (waiting == 200), context.runs
+
+
 @when("a configuration is read in which {fault}")
 def step_read_configuration(context: Context, fault: str) -> None:
     document = make_document()
@@ -174,6 +257,10 @@
             spec["apiKeys"] = [17]
         case "a key contains a space":
             spec["apiKeys"] = ["key club"]
+        case "a key is a long number":
+            spec["apiKeys"] = [98765432109876543210]
+        case "a byte is not UTF-8":
+            club["metadata"]["name"] = "\xff"
         case "a rate is negative":
             spec["ratePerS"] = -1
         case "a rate is infinite":
@@ -182,9 +269,10 @@
             club["metadata"]["name"] = "club\r\nx-y: z"
         case _:
             raise ValueError(fault)
+    content = json.dumps(document, ensure_ascii=False).encode("latin-1")
     context.error = ""
     try:
-        parse_configuration_document(json.dumps(document))
+        parse_configuration_document(content)
     except ConfigurationError as exc:
         context.error = str(exc)
 
@@ -238,6 +326,7 @@
     assert heads[0].get("tenant-id") == name, heads
     assert "authorization" not in heads[0]
     assert not any("key-club" in value for value in heads[0].values())
+    assert "parish" not in heads[0].values()
 
 
 @then("the request gets status 401 and nothing ran")
@@ -247,6 +336,31 @@
     assert not any(instance.arrivals for instance in instances)
 
 
+@then("it gets status {status:d} and the log doesn't contain its key")
+def step_check_log(context: Context, status: int) -> None:
+    assert context.status == status, context.status
+    assert any("request_refused" in line for line in context.log)
+    assert not [line for line in context.log if "key-club" in line]
+
+
+@then('the metrics count the refusals "{reasons}"')
+def step_check_refusals(context: Context, reasons: str) -> None:
+    check_refusals(context, [reasons])
+
+
+@then('the metrics count the refusals ""')
+def step_check_no_refusals(context: Context) -> None:
+    check_refusals(context, [])
+
+
+def check_refusals(context: Context, reasons: list[str]) -> None:
+    text = trio.run(context.world.nodes["h1"].metrics.render).decode()
+    name = "rhubarbpaddle_keys_refused_total"
+    pattern = rf'^{name}{{[^}}]*reason="(\w+)"}} 1.0$'
+    assert re.findall(pattern, text, re.MULTILINE) == reasons, text
+    assert "key-" not in text
+
+
 @then("the requests on the connection get 200 before and 401 after")
 def step_check_taken(context: Context) -> None:
     assert context.statuses == [200, 401], context.statuses
@@ -256,6 +370,7 @@
 def step_check_refused(context: Context, reason: str) -> None:
     assert reason in context.error, context.error
     assert "key-" not in context.error, context.error
+    assert "98765" not in context.error, context.error
 
 
 @then('the priorities are {club:d} for "club" and {parish:d} for "parish"')
@@ -282,6 +397,63 @@
     run_on_platform(context, scenario)
 
 
+@when(
+    'the last heartbeats to "{name}" arrive 1.4 s late and {seconds:g} s pass'
+)
+def step_delay_heartbeats(context: Context, name: str, seconds: float) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        block_store(world, [name])
+        with world.fabric.hold(name):
+            await trio.sleep(0.6)
+            for other in world.nodes.keys() - {name}:
+                world.fabric.block_both_ways(name, other)
+            await trio.sleep(0.8)
+        await trio.sleep(seconds)
+        context.statuses = [await send_with_key(world, "/lanes/x", name)]
+
+    run_on_platform(context, scenario)
+
+
+@when("the node reads a response of the store 8 s late and none after it")
+def step_read_late(context: Context) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        store = world.nodes["h1"].configuration._store
+        read = store.read
+
+        async def read_late(*arguments: Any) -> Any:
+            response = await read(*arguments)
+            block_store(world, ["h1"])
+            await trio.sleep(8)
+            return response
+
+        with mock.patch.object(store, "read", read_late):
+            await trio.sleep(4)
+            context.statuses = [await send_with_key(world, "/lanes/x")]
+            await trio.sleep(7)
+            context.statuses.append(await send_with_key(world, "/lanes/x"))
+
+    run_on_platform(context, scenario)
+
+
+@when("all heartbeats are those of an earlier release for {seconds:d} s")
+def step_send_old_heartbeats(context: Context, seconds: int) -> None:
+    send = PeerConnection.send
+
+    async def send_old(conn: PeerConnection, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            message = msgspec.structs.replace(message, sent_ms=None)
+        await send(conn, message)
+
+    async def scenario(world: PlatformWorld) -> None:
+        await trio.sleep(seconds)
+        context.statuses = [
+            await send_with_key(world, "/lanes/x", name) for name in world.nodes
+        ]
+
+    with mock.patch.object(PeerConnection, "send", send_old):
+        run_on_platform(context, scenario)
+
+
 @when("the store comes back after {seconds:d} s without it")
 def step_return_store(context: Context, seconds: int) -> None:
     async def scenario(world: PlatformWorld) -> None:
@@ -296,13 +468,55 @@
     run_on_platform(context, scenario)
 
 
+@when(
+    "the settings are reloaded with a bound of 5 s, {restarted}, and 8 s pass"
+)
+def step_reload_settings(context: Context, restarted: str) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        for node in world.nodes.values():
+            node.settings = node.settings._replace(
+                revocation_deadline=timedelta(seconds=5)
+            )
+        if restarted.startswith('"'):
+            name = restarted.split('"')[1]
+            world.bounds = {"failClosed": True, "revokeMs": 5000}
+            await world.stop_node(name)
+            await world.start_node(name)
+        await trio.sleep(8)
+        context.statuses = [
+            await send_with_key(world, "/lanes/x", name)
+            for name in sorted(world.nodes)
+        ]
+
+    run_on_platform(context, scenario)
+
+
+@when(
+    "a request with {authorization} is sent after {seconds:d} s without the"
+    " store"
+)
+def step_send_without_store(
+    context: Context, authorization: str, seconds: int
+) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        if seconds:
+            block_store(world, context.zones)
+        await trio.sleep(seconds)
+        headers = make_headers("one", *parse_authorization(authorization))
+        await exchange(await connect(world, "h1"), "/lanes/x", headers)
+
+    run_on_platform(context, scenario)
+
+
 def block_store(world: PlatformWorld, names: Iterable[str]) -> None:
     for name in names:
         world.fabric.block_both_ways(name, "store")
 
 
-async def send_with_key(world: PlatformWorld, target: str) -> int:
-    conn = await connect(world, "h1")
+async def send_with_key(
+    world: PlatformWorld, target: str, name: str = "h1"
+) -> int:
+    conn = await connect(world, name)
     headers = make_headers("one", ("authorization", "Token key-club"))
     status, _ = await exchange(conn, target, headers)
     await conn.aclose()
--- a/src/rhubarbpaddle/admission/instance_admission.py
+++ b/src/rhubarbpaddle/admission/instance_admission.py
@@ -1,5 +1,6 @@
 """Admission control by the slots, speed and cold start of an instance."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from rhubarbpaddle.admission.block_reason import BlockReason
@@ -56,6 +57,7 @@
         monitor: InstanceMonitor,
         clock: Clock,
         on_share_change: Callable[[ShareChange], None] | None = None,
+        share_results: Counter[str] | None = None,
     ) -> None:
         """Creates the admission control of an idle instance.
 
@@ -67,6 +69,9 @@
             clock: The source of time.
             on_share_change: Called when an organisation goes above its share
                 or returns to it.
+            share_results: Counts the requests that were queued behind those of
+                other organisations (`yielded`), or refused for the same reason
+                (`refused`).
         """
         self.regular_slots = max(1, int(slots * REGULAR_SLOT_FRACTION))
         self.slots = max(self.regular_slots, slots)
@@ -111,6 +116,7 @@
             self._fair_share,
             self._wait_estimator,
             self._refusals,
+            Counter() if share_results is None else share_results,
         )
         self._scheduler = QueueScheduler(
             self._queue,
@@ -143,6 +149,13 @@
             self._speed.get_relative_slowdown(now, CHECK_INTERVAL_SECONDS * 2),
         )
 
+    def count_above_share(self) -> int | None:
+        """Returns how many organisations are above their share.
+
+        The result is None if no request has carried a usage ratio.
+        """
+        return self._fair_share.count_above_share(self._clock.monotonic())
+
     async def acquire(self, ticket: Ticket) -> InstanceSlot:
         """Waits until the instance can accept a request.
 
--- a/src/rhubarbpaddle/admission/queue_admission.py
+++ b/src/rhubarbpaddle/admission/queue_admission.py
@@ -1,6 +1,7 @@
 """Which requests may queue for an instance."""
 
 import math
+from collections import Counter
 
 from rhubarbpaddle.admission.block_reason import BlockReason
 from rhubarbpaddle.admission.fair_share import FairShare
@@ -26,6 +27,7 @@
         fair_share: FairShare,
         wait_estimator: QueueWaitEstimator,
         refusals: InstanceRefusals,
+        results: Counter[str],
     ) -> None:
         """Creates the decision for a queue.
 
@@ -36,12 +38,16 @@
             fair_share: Decides which requests are within their share.
             wait_estimator: Estimates how long a request would queue.
             refusals: Creates the refusals.
+            results: Counts the requests that queue behind those of other
+                organisations (`yielded`), or are refused for the same reason
+                (`refused`).
         """
         self._slots = slots
         self._queue = queue
         self._fair_share = fair_share
         self._wait_estimator = wait_estimator
         self._refusals = refusals
+        self._results = results
 
     def create_request(
         self, ticket: Ticket, work: float, now: float
@@ -66,7 +72,8 @@
         )
         wait = self._wait_estimator.estimate(request, now)
         is_late = wait > 0 and now + wait + work > useful_until
-        if request.is_above_share and wait > 0:
+        must_yield = request.is_above_share and wait > 0
+        if must_yield:
             self._refuse_if_others_suffer(request, ticket, is_late, now)
         if is_late:
             request = request._replace(latest_start=-math.inf)
@@ -76,6 +83,8 @@
                 or now + wait + work > ticket.deadline
             ):
                 raise self._refusals.create(BlockReason.FULL, wait)
+        if must_yield:
+            self._results["yielded"] += 1
         return request
 
     def _refuse_if_others_suffer(
@@ -99,4 +108,5 @@
             self._wait_estimator.estimate_behind(len(self._queue), now),
             self._fair_share.get_excess_seconds(ticket.organisation),
         )
+        self._results["refused"] += 1
         raise self._refusals.create_above_share(ticket.usage_ratio, wait)
--- a/src/rhubarbpaddle/admission/recent_usage_ratios.py
+++ b/src/rhubarbpaddle/admission/recent_usage_ratios.py
@@ -24,6 +24,9 @@
         self._uses: dict[str, OrganisationUse] = {}
         self._sorted_ratios: list[float] = []
 
+    def __len__(self) -> int:
+        return len(self._uses)
+
     def get(self, organisation: str) -> OrganisationUse | None:
         """Returns what is known of an organisation, or None."""
         return self._uses.get(organisation)
@@ -41,6 +44,17 @@
         """Replaces the use of a known organisation, with an equal ratio."""
         self._uses[organisation] = use
 
+    def list_recent(self, now: float) -> list[OrganisationUse]:
+        """Returns the uses that count at a time.
+
+        Old uses are discarded only when the next one is recorded.
+        """
+        return [
+            use
+            for use in self._uses.values()
+            if now - use.seen_at <= PERIOD_SECONDS
+        ]
+
     def get_reference(self) -> float:
         """Returns the usual ratio that high ratios are compared with.
 
--- a/src/rhubarbpaddle/platform/caller_dialect.py
+++ b/src/rhubarbpaddle/platform/caller_dialect.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Callable
-from datetime import timedelta
 
 import h11
 
@@ -19,31 +18,37 @@
 from rhubarbpaddle.http.strict_head import make_bad_request
 from rhubarbpaddle.outcome import Outcome
 from rhubarbpaddle.platform import header_names
+from rhubarbpaddle.platform.key_check import KeyCheck
 from rhubarbpaddle.routing.traffic_split import TrafficSplit
 
-# Not forwarded: the instance proxy sets its own values.
-_REPLACED_HEADERS = frozenset(
+# The instance proxy sets its own values.
+_SET_HEADERS = frozenset(
     {
-        b"content-length",
-        b"expect",
         header_names.CALLING_SERVICE,
         header_names.DEADLINE,
         header_names.EXPECTED_INSTANCE,
         header_names.ORGANISATION,
     }
 )
+# Not forwarded. CGI and WSGI servers take `_` in a name for `-`.
+_REPLACED_HEADERS = (
+    _SET_HEADERS
+    | {name.replace(b"-", b"_") for name in _SET_HEADERS}
+    | {b"content-length", b"expect"}
+)
 # Instances must not see the keys of organisations.
 _REPLACED_WITH_KEYS = _REPLACED_HEADERS | {header_names.AUTHORIZATION}
-_KEY = re.compile(rb"token +([!-~]+) *", re.IGNORECASE)
 _NUMBER = re.compile(r"[0-9]{1,9}")
-# About the time that another reader takes to confirm the configuration.
-_KEYS_RETRY_AFTER = timedelta(seconds=1)
 # Callers take these to mean that the request has not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class PlatformCallerDialect:
-    """Finds the route of a request; reports a refusal by its status alone."""
+    """Finds the route of a request; reports a refusal by its status alone.
+
+    Attributes:
+        key_check: Checks the keys of organisations.
+    """
 
     def __init__(
         self,
@@ -67,7 +72,7 @@
         self._clock = clock
         self._split = split
         self._get_configuration = get_configuration
-        self._may_accept_keys = may_accept_keys
+        self.key_check = KeyCheck(get_configuration, may_accept_keys)
 
     def get_request_id(self, head: h11.Request) -> str:
         """Returns the request id that the caller sent, or `-`."""
@@ -98,14 +103,7 @@
                 step="route",
                 status=404,
             )
-        organisation = _find_organisation(cfg, route, head)
-        if cfg.organisations and not (route.public or self._may_accept_keys()):
-            raise RefusedError(
-                "keys_unconfirmed",
-                "the configuration's keys were not confirmed in time",
-                step="authorize",
-                retry_after=_KEYS_RETRY_AFTER,
-            )
+        organisation, permission = self.key_check.authorize(cfg, route, head)
         replaced = (
             _REPLACED_WITH_KEYS if cfg.organisations else _REPLACED_HEADERS
         )
@@ -132,6 +130,7 @@
             max_attempts=route.max_attempts,
             calling_service=self._get_service(),
             large_response=route.kind is RouteKind.DOWNLOAD,
+            permission=permission,
         )
 
     def make_refusal(
@@ -164,42 +163,6 @@
         return []
 
 
-def _find_organisation(
-    cfg: RoutingConfiguration, route: Route, head: h11.Request
-) -> Organisation | None:
-    """Returns the organisation whose key a request carries.
-
-    Returns:
-        None if callers need no keys, or the route is public and the request
-        has no known key.
-
-    Raises:
-        RefusedError: The route needs a key, and the request does not carry
-            exactly one that an organisation holds.
-    """
-    if not cfg.organisations:
-        return None
-    values = [
-        value
-        for name, value in head.headers
-        if name == header_names.AUTHORIZATION
-    ]
-    match = _KEY.fullmatch(values[0]) if len(values) == 1 else None
-    organisation = (
-        cfg.organisations.find_by_key(match[1].decode("ascii"))
-        if match
-        else None
-    )
-    if organisation is None and not route.public:
-        raise RefusedError(
-            "unknown_key",
-            "no organisation holds the key of the request",
-            step="authorize",
-            status=401,
-        )
-    return organisation
-
-
 def _get_priority(route: Route, organisation: Organisation | None) -> int:
     if organisation is None or organisation.priority is None:
         return route.priority
--- a/src/rhubarbpaddle/platform/configuration_view.py
+++ b/src/rhubarbpaddle/platform/configuration_view.py
@@ -2,6 +2,10 @@
 
 from collections.abc import Callable
 
+from rhubarbpaddle.configuration.organisation_table import (
+    NO_ORGANISATIONS,
+    OrganisationTable,
+)
 from rhubarbpaddle.configuration.routing_configuration import (
     RoutingConfiguration,
 )
@@ -31,15 +35,23 @@
         self._get_configuration = get_configuration
         self._currency = currency
         self._settings_file = settings_file
+        # Reloaded settings do not replace it: until all nodes have the bound in
+        # their settings, some neighbours don't confirm the configuration.
+        self._revocation_deadline = settings_file.settings.revocation_deadline
 
     def is_in_service(self, availability_zone: str) -> bool:
         """Returns whether a zone may receive new requests."""
         cfg = self._get_configuration()
         return cfg is None or cfg.is_in_service(availability_zone)
 
+    def get_organisations(self) -> OrganisationTable:
+        """Returns the organisations of the configuration."""
+        cfg = self._get_configuration()
+        return NO_ORGANISATIONS if cfg is None else cfg.organisations
+
     def may_accept_keys(self) -> bool:
         """Returns whether the keys of the configuration may still be valid."""
-        deadline = self._settings_file.settings.revocation_deadline
+        deadline = self._revocation_deadline
         return (
             deadline is None
             or self._currency.get_age() <= deadline.total_seconds()
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -140,7 +140,9 @@
             settings.node_id, crash_ledger, store, store_retry
         )
         store_access = StoreAccessTable(self.table)
-        currency = ConfigurationCurrency(clock)
+        currency = ConfigurationCurrency(
+            clock, lambda: self.settings.revocation_deadline is not None
+        )
         self.configuration = StoreConfigurationFollower(
             store,
             clock,
@@ -173,6 +175,7 @@
             rng,
         )
         self.instance_proxy.observer = self._rollouts.observer
+        self.instance_proxy.get_organisations = view.get_organisations
         self._directory = NodeDirectory(
             settings.node_id,
             settings.peer_address,
@@ -202,15 +205,16 @@
             crash_ledger,
             store_access,
             self._rollouts.board,
-            currency if settings.revocation_deadline else None,
+            currency,
+        )
+        instance_factory = InstanceFactory(
+            settings.instance_address,
+            network,
+            clock,
+            PlatformUpstreamDialect(self._get_instance),
         )
         self.registry = InstanceRegistry(
-            InstanceFactory(
-                settings.instance_address,
-                network,
-                clock,
-                PlatformUpstreamDialect(self._get_instance),
-            ),
+            instance_factory,
             self.instance_proxy,
             self.table,
             clock,
@@ -264,6 +268,10 @@
         self.metrics.observe_zone_choices(request_path.zone_choices.get_totals)
         if self.usage_caps is not None:
             self.metrics.observe_usage(self.usage_caps.gate.results)
+        self.metrics.observe_key_refusals(request_path.key_refusals)
+        self.metrics.observe_shares(
+            instance_factory.share_results, self._count_above_share
+        )
         self._readiness = ReadinessHandler(get_configuration, self.metrics)
         exchange_server = ExchangeServer(
             self.instance_proxy,
@@ -401,6 +409,10 @@
         attached = self.instance_proxy.attached
         return attached.summary.instance if attached else None
 
+    def _count_above_share(self) -> int | None:
+        attached = self.instance_proxy.attached
+        return attached.admission.count_above_share() if attached else None
+
     def _get_link_count(self) -> int:
         return self.overlay.link_count
 
--- a/src/rhubarbpaddle/platform/request_path.py
+++ b/src/rhubarbpaddle/platform/request_path.py
@@ -43,6 +43,7 @@
     Attributes:
         handler: Serves the connections.
         zone_choices: Counts why requests left their zone.
+        key_refusals: Counts the requests that were refused for their key.
     """
 
     def __init__(
@@ -102,17 +103,19 @@
         )
         if usage_caps is not None:
             gateway = usage_caps.wrap(gateway)
+        dialect = PlatformCallerDialect(
+            lambda: settings_file.settings.service,
+            clock,
+            TrafficSplit(rng),
+            get_configuration,
+            view.may_accept_keys,
+        )
+        self.key_refusals = dialect.key_check.refusals
         self.handler = CallerHandler(
             gateway,
             clock,
             metrics,
-            PlatformCallerDialect(
-                lambda: settings_file.settings.service,
-                clock,
-                TrafficSplit(rng),
-                get_configuration,
-                view.may_accept_keys,
-            ),
+            dialect,
             network,
             stream_watch,
             deadline_limit,
