--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -474,7 +474,7 @@
 def step_reload_settings(context: Context, restarted: str) -> None:
     async def scenario(world: PlatformWorld) -> None:
         for node in world.nodes.values():
-            node.settings = node.settings._replace(
+            node._settings_file.settings = node.settings._replace(
                 revocation_deadline=timedelta(seconds=5)
             )
         if restarted.startswith('"'):
