--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -215,3 +215,10 @@
       | no node starts  |
       | "h1" starts     |
       | "h3" starts     |
+
+  # Guards against keys that are refused on links that have been up for days,
+  # because the clocks of two hosts run at rates that differ slightly.
+  Scenario: Clocks of different rates make no heartbeat look late
+    When heartbeats of a host whose clock loses 4 s a day arrive for 3 days
+    Then none looks later than 0.05 s
+    And one that took 3 s longer looks at least 2.9 s late
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -26,6 +26,7 @@
 from rhubarbpaddle.http.client_connection import ClientConnection
 from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.messages import Heartbeat, Message
+from rhubarbpaddle.peer.transit_delay import TransitDelay
 from rhubarbpaddle.platform.caller_dialect import PlatformCallerDialect
 from rhubarbpaddle.platform.configuration_document import (
     parse_configuration_document,
@@ -537,3 +538,30 @@
         "/public/x": [200, 200],
         "/lanes/x": [503, 200],
     }, context.statuses
+
+
+@when(
+    "heartbeats of a host whose clock loses {loss:g} s a day arrive for"
+    " {days:d} days"
+)
+def step_receive_for_days(context: Context, loss: float, days: int) -> None:
+    rate = 1 - loss / 86_400
+    context.transit_delay = TransitDelay()
+    times = range(0, days * 86_400, 10)
+    context.delays = [
+        context.transit_delay.measure(rate * time, time + 0.002)
+        for time in times
+    ]
+    context.next_heartbeat = (rate * times.stop, times.stop)
+
+
+@then("none looks later than {seconds:g} s")
+def step_check_none_late(context: Context, seconds: float) -> None:
+    assert max(context.delays) <= seconds, max(context.delays)
+
+
+@then("one that took {delay:g} s longer looks at least {seconds:g} s late")
+def step_check_late(context: Context, delay: float, seconds: float) -> None:
+    sent_at, received_at = context.next_heartbeat
+    late = context.transit_delay.measure(sent_at, received_at + delay)
+    assert late >= seconds, late
