Link zones by a few nodes of each

Cause: two of three rings of neighbours joined the nodes of all zones, so that each change of a member crossed 1.5 links between zones for each node. A node without links joined by three random nodes, each of which exchanged the whole member table with it, and passed on all changes for 3 s.

Change: the three rings are those of the zone. Four nodes of each zone (its bridges) have links to those of other zones in place of the third ring. A node without links joins by nodes of its zone, as far as the directory says which these are (a new field), and one other; these links last for 1.5 s. The entries of earlier releases are read as before, and the links of both kinds of nodes join one graph. What returns of a zone without alive nodes is still looked for by the other zones.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -77,3 +77,20 @@
     Given 2 nodes that know each other
     When a node with another secret connects
     Then its connection is rejected and no member is added
+
+  # Guards against bytes between zones that grow with the square of the fleet: a
+  # sweep with 300 nodes sent 0.253 GB, since each change of a member crossed
+  # about 450 links between zones.
+  Scenario: Few links lead to other zones
+    When 800 nodes in 4 zones choose their neighbours
+    Then at most 24 links join different zones
+    And all nodes are connected, and so are those of each zone
+    And that holds when any 300 of them are lost
+
+  # Guards against a restart of all nodes in which each exchanges its member
+  # table with nodes of other zones, and against zones that never meet again.
+  Scenario: A node joins the fleet by nodes of its zone
+    Given addresses of 20 nodes, 5 of them in the node's zone
+    When it chooses 3 and 1 of them 100 times each
+    Then at most 1 of 3 is in another zone
+    And a single one is in another zone at least once
--- a/features/support/overlay_group.py
+++ b/features/support/overlay_group.py
@@ -75,6 +75,7 @@
             clock,
             random.Random(f"{seed} {name} {incarnation}"),
             lambda: seeds,
+            frozenset,
             CrashLedger(name, clock),
             StoreAccessTable(self.table),
         )
--- a/src/rhubarbpaddle/membership/neighbours.py
+++ b/src/rhubarbpaddle/membership/neighbours.py
@@ -1,20 +1,38 @@
 """The choice of the peers that a node keeps control links to."""
 
 import hashlib
+import math
+from collections import defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from functools import lru_cache
+from heapq import nsmallest
 
 # Each ring adds a link to one successor and, on average, a link from one
 # predecessor, so three rings give six links. The union of random rings has a
 # diameter that grows with the logarithm of the number of nodes.
 RINGS = 3
-# This ring joins the nodes of one availability zone, so that they stay
-# connected if the zone is cut off; the others join the nodes of all zones.
-_ZONE_RING = 0
+# These rings join all nodes of a zone, so that they stay connected if the zone
+# is cut off or some of them are lost.
+_ZONE_RINGS = (0, 1)
+# This ring joins the nodes of a zone that are no bridges.
+_INNER_RING = 2
+# This ring chooses the bridges of a zone, and which of them are linked.
+_BRIDGE_RING = 3
+# Each change of a member crosses each link between zones. With a link from each
+# node, the bytes between zones would grow with the square of the fleet.
+_MIN_BRIDGES = 4
+# At least as many links leave a zone, however few zones there are.
+_MIN_LINKS_BETWEEN_ZONES = 8
+# Missing neighbours are looked for on the ring of the zone and on rings of all
+# nodes, so that a zone without alive nodes is found again by the others.
+_MISSING_ZONE_RING = 0
 
 
 def choose_neighbours(own_id: str, zones: Mapping[str, str]) -> frozenset[str]:
-    """Returns the successors of a node on rings of hashed node ids.
+    """Returns the nodes that a node opens links to.
+
+    These are its successors on rings of the hashed ids in its zone. A few nodes
+    of each zone, its bridges, have links to the bridges of the other zones.
 
     Args:
         own_id: This node's id.
@@ -22,11 +40,54 @@
             node, by node id.
 
     Returns:
-        At most `RINGS` node ids. The graph of all nodes' choices is connected
-        if all of them know the same nodes, and so is the part of it within each
-        zone.
+        The node ids. The graph of all nodes' choices is connected if all of
+        them know the same nodes, and so is the part of it within each zone.
     """
-    return frozenset(_iter_successors(own_id, zones))
+    nodes_by_zone: defaultdict[str, list[str]] = defaultdict(list)
+    for node_id, zone in zones.items():
+        nodes_by_zone[zone].append(node_id)
+    return frozenset(_iter_neighbours(own_id, zones[own_id], nodes_by_zone))
+
+
+def _iter_neighbours(
+    own_id: str, own_zone: str, nodes_by_zone: Mapping[str, list[str]]
+) -> Iterator[str]:
+    zone_nodes = set(nodes_by_zone[own_zone]) - {own_id}
+    if zone_nodes:
+        for ring in _ZONE_RINGS:
+            yield _get_successor(ring, own_id, zone_nodes)
+    bridge_count = _count_bridges(len(nodes_by_zone))
+    own_bridges = _choose_bridges(nodes_by_zone[own_zone], bridge_count)
+    if own_id not in own_bridges:
+        inner_nodes = zone_nodes - own_bridges
+        if inner_nodes:
+            yield _get_successor(_INNER_RING, own_id, inner_nodes)
+        return
+    for zone, node_ids in nodes_by_zone.items():
+        # The zone with the higher name accepts the links of two zones. A node
+        # without others in its zone has no links but these.
+        if zone > own_zone or (zone != own_zone and not zone_nodes):
+            bridges = _choose_bridges(node_ids, bridge_count)
+            yield _get_successor(_BRIDGE_RING, own_id, bridges)
+
+
+def _count_bridges(zone_count: int) -> int:
+    """Returns the number of bridges in each zone; 0 if there is one zone."""
+    if zone_count == 1:
+        return 0
+    links_per_zone = math.ceil(_MIN_LINKS_BETWEEN_ZONES / (zone_count - 1))
+    return max(_MIN_BRIDGES, links_per_zone)
+
+
+def _choose_bridges(node_ids: Iterable[str], count: int) -> frozenset[str]:
+    """Returns the nodes of a zone that have links to other zones."""
+    return frozenset(
+        nsmallest(
+            count,
+            node_ids,
+            key=lambda node_id: _get_position(_BRIDGE_RING, node_id),
+        )
+    )
 
 
 def choose_missing_neighbours(
@@ -57,20 +118,13 @@
     return frozenset(missing)
 
 
-def _iter_successors(own_id: str, zones: Mapping[str, str]) -> Iterator[str]:
-    for ring in range(RINGS):
-        others = _list_others(ring, own_id, zones)
-        if others:
-            yield _get_successor(ring, own_id, others)
-
-
 def _list_others(ring: int, own_id: str, zones: Mapping[str, str]) -> list[str]:
-    """Returns the other nodes on a ring.
+    """Returns the other nodes on a ring of possible missing neighbours.
 
     The only node of a zone uses the ring of the zone as one of all nodes.
     """
     others = [node_id for node_id in zones if node_id != own_id]
-    if ring != _ZONE_RING:
+    if ring != _MISSING_ZONE_RING:
         return others
     own_zone = zones[own_id]
     return [
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -115,6 +115,7 @@
             clock,
             rng,
             self._seed_stream.get_addresses,
+            frozenset,
             self.crashes,
             StoreAccessTable(self.table),
         )
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -35,6 +35,7 @@
     ControlLink,
 )
 from rhubarbpaddle.peer.messages import Hello
+from rhubarbpaddle.peer.rejoin_choice import choose_rejoin_addresses
 from rhubarbpaddle.rollout.rollout_board import Notice, RolloutBoard
 from rhubarbpaddle.telemetry import get_logger
 
@@ -56,7 +57,7 @@
 # and how long such a link lasts. Two heartbeats suffice to exchange the member
 # tables.
 _REJOIN_INTERVAL_SECONDS = 5.0
-_REJOIN_LINK_SECONDS = 3.0
+_REJOIN_LINK_SECONDS = 1.5
 _MAX_REJOIN_LINKS = 3
 # How often a node tries to reach dead nodes that would be its neighbours, and
 # for how long after their death. A node that is started again without the log
@@ -79,6 +80,7 @@
         clock: Clock,
         rng: random.Random,
         get_seeds: Callable[[], Sequence[str]],
+        get_near_seeds: Callable[[], frozenset[str]],
         crashes: CrashLedger,
         store_access: StoreAccessTable,
         rollouts: RolloutBoard | None = None,
@@ -92,6 +94,7 @@
         self._clock = clock
         self._rng = rng
         self._get_seeds = get_seeds
+        self._get_near_seeds = get_near_seeds
         self._links: list[ControlLink] = []
         self._link_scopes: dict[str, trio.CancelScope] = {}
         self._members_changed = True
@@ -246,8 +249,9 @@
         if not addresses:
             return
         count = 1 if self._links else _MAX_REJOIN_LINKS
-        chosen = self._rng.sample(sorted(addresses), min(count, len(addresses)))
-        for address in chosen:
+        for address in choose_rejoin_addresses(
+            addresses, self._get_near_seeds(), count, self._rng
+        ):
             nursery.start_soon(self._run_rejoin_link, address)
 
     def _start_return_links(self, nursery: trio.Nursery) -> None:
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -179,6 +179,7 @@
         self._directory = NodeDirectory(
             settings.node_id,
             settings.peer_address,
+            settings.availability_zone,
             store,
             clock,
             store_retry,
@@ -202,6 +203,7 @@
             clock,
             rng,
             self._directory.get_addresses,
+            self._directory.get_near_addresses,
             crash_ledger,
             store_access,
             self._rollouts.board,
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -49,6 +49,7 @@
         self,
         node_id: str,
         peer_address: str,
+        availability_zone: str,
         store: StoreClient,
         clock: Clock,
         retry: StoreRetry,
@@ -65,6 +66,7 @@
         Args:
             node_id: The id of this node.
             peer_address: The `IP:PORT` of this node for other nodes.
+            availability_zone: The zone of this node.
             store: The platform's store.
             clock: The source of time.
             retry: Repeats failed calls to the store.
@@ -88,10 +90,12 @@
         self._is_valid_address = is_valid_address
         self._node_id = node_id
         self._peer_address = peer_address
+        self._availability_zone = availability_zone
         self._store = store
         self._clock = clock
         self._retry = retry
         self._addresses: tuple[str, ...] = ()
+        self._near_addresses: frozenset[str] = frozenset()
         self._is_registered = False
         self._entries_read = trio.Event()
         self._departures = Departures()
@@ -103,6 +107,10 @@
         """Returns the peer addresses of the other nodes."""
         return self._addresses
 
+    def get_near_addresses(self) -> frozenset[str]:
+        """Returns those of nodes in the same zone, as far as it is known."""
+        return self._near_addresses
+
     def count_listed(self) -> int | None:
         """Returns the number of other nodes listed; None before a read."""
         return len(self._addresses) if self._entries_read.is_set() else None
@@ -159,13 +167,18 @@
         _log.info("departures_stored", instances=",".join(document))
 
     async def _register(self) -> None:
-        value = json.dumps({"peer_address": self._peer_address}).encode()
+        document = {
+            "peer_address": self._peer_address,
+            "zone": self._availability_zone,
+        }
+        value = json.dumps(document).encode()
         await self._store.put(_TOPIC, self._node_id, value)
         self._is_registered = True
 
     async def _read_entries(self) -> None:
         newest = await self._store.read_newest(_TOPIC)
         addresses = []
+        near_addresses = []
         for record in newest.records:
             if record.key.startswith(_DEPARTURE_PREFIX):
                 self._read_departure(record)
@@ -174,7 +187,8 @@
                 self._on_crashes(record)
                 continue
             try:
-                address = str(decode_json(record.value)["peer_address"])
+                document = decode_json(record.value)
+                address = str(document["peer_address"])
             except (ValueError, KeyError, TypeError) as exc:
                 _log.warn("directory_entry_invalid", key=record.key, reason=exc)
                 continue
@@ -184,6 +198,9 @@
                 self._is_registered |= address == self._peer_address
             elif self._is_valid_address(address):
                 addresses.append(address)
+                # Entries of earlier releases have no zone.
+                if document.get("zone") == self._availability_zone:
+                    near_addresses.append(address)
             else:
                 _log.warn(
                     "directory_entry_invalid",
@@ -191,6 +208,7 @@
                     reason="not an IP address and a port",
                 )
         self._addresses = tuple(addresses)
+        self._near_addresses = frozenset(near_addresses)
         self._entries_read.set()
         self._on_change()
         _log.info("directory_read", nodes=len(addresses))
