Measure what hostile remote ends cost other requests

An instance stand-in can send one of the endless forms in place of the response to a request with a given id; a form with one-byte and two-byte chunks is new.

--- /dev/null
+++ b/bench/hostile/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what remote ends that use up a node cost other requests."""
--- a/standins/endless_instance.py
+++ b/standins/endless_instance.py
@@ -15,7 +15,7 @@
 _ENCODED_CHUNK = b"%x\r\n" % _CHUNK_BYTES + b"b" * _CHUNK_BYTES + b"\r\n"
 
 # The bytes that are sent first, and those that are repeated after them.
-_FORMS = {
+FORMS = {
     "header lines": (_HEAD, (b"x-more: " + b"a" * 100 + b"\r\n") * 40),
     "a header line": (_HEAD + b"x-long: ", b"a" * _CHUNK_BYTES),
     "bytes without a line end": (b"", b"\x00" * _CHUNK_BYTES),
@@ -30,6 +30,10 @@
         _HEAD + b"transfer-encoding: chunked\r\n\r\n",
         b"1\r\nb\r\n" * (_CHUNK_BYTES // 6),
     ),
+    "a body of one-byte and two-byte chunks": (
+        _HEAD + b"transfer-encoding: chunked\r\n\r\n",
+        b"1\r\nb\r\n2\r\nbb\r\n" * (_CHUNK_BYTES // 13),
+    ),
     "a chunk's head": (
         _HEAD + b"transfer-encoding: chunked\r\n\r\n1;",
         b"a" * _CHUNK_BYTES,
@@ -48,10 +52,10 @@
         """Creates an instance.
 
         Args:
-            form: The kind of response to send, a key of `_FORMS`.
+            form: The kind of response to send, a key of `FORMS`.
             get_health: Returns the response to a health check.
         """
-        self._first, self._repeated = _FORMS[form]
+        self._form = form
         self._get_health = get_health
         self.ended_after: list[float] = []
 
@@ -76,14 +80,25 @@
     async def _send_endlessly(self, stream: trio.abc.Stream) -> None:
         started = trio.current_time()
         try:
-            await stream.send_all(self._first)
-            while True:
-                await stream.send_all(self._repeated)
-                await trio.sleep(_CHUNK_INTERVAL_SECONDS)
+            await send_form(stream, self._form)
         finally:
             self.ended_after.append(trio.current_time() - started)
 
 
+async def send_form(stream: trio.abc.Stream, form: str) -> None:
+    """Sends a form of response until the connection is closed.
+
+    Args:
+        stream: The connection.
+        form: A key of `FORMS`.
+    """
+    first, repeated = FORMS[form]
+    await stream.send_all(first)
+    while True:
+        await stream.send_all(repeated)
+        await trio.sleep(_CHUNK_INTERVAL_SECONDS)
+
+
 async def _receive_request(
     stream: trio.abc.Stream, conn: h11.Connection
 ) -> bytes | None:
--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from standins.endless_instance import send_form
 from standins.large_response import LargeResponse
 
 _RECEIVE_BYTES = 1 << 16
@@ -50,6 +51,8 @@
             or 0 for none.
         endless_chunk: A chunk that it sends without end in place of the body of
             each response to a request, or no bytes.
+        endless_forms: The keys of `endless_instance.FORMS` that it sends in
+            place of the responses to requests, by request id.
         get_status: Returns the status of the response to a request for a
             target.
         refuses_all: Whether it refuses all requests as not run.
@@ -104,6 +107,7 @@
         self.response_length = 0
         self.garbage = b""
         self.endless_chunk = b""
+        self.endless_forms: dict[str, str] = {}
         self.load_figures = 4
         self.get_status: Callable[[str], int] = lambda target: 200
         self.refuses_all = False
@@ -139,6 +143,8 @@
                 request_id = _decode_headers(head).get("request-id", "")
                 if request_id and request_id == self.extra_refusal_id:
                     repeated = _REFUSAL
+                if request_id in self.endless_forms:
+                    await send_form(stream, self.endless_forms[request_id])
                 if self.endless_chunk and request_id:
                     await self._send_endlessly(stream, request_id)
                     return
