Give each connection a share of the processor

Cause: messages of nodes, requests to the control, readiness and metrics listeners, and requests of callers that are refused by their head were handled without a wait as long as they were buffered, since a send does not let other tasks run.

Change: `WorkShare` counts the estimated work of a connection and makes it wait once it has used more than 2.5 % of a core, after 20 ms of work that it may have saved up. Peer connections pass its checkpoint after 64 messages (long chunks of bodies are not counted), the short-request listeners after each response, and callers' connections after a request that was refused by its head. Connections are throttled, never closed. A listener starts at most one short request in an iteration of the event loop, because many connections may send one at the same time.

--- a/features/steps/small_chunks_steps.py
+++ b/features/steps/small_chunks_steps.py
@@ -13,6 +13,7 @@
 from trio.testing import MockClock
 
 from features.support.deferred_steps import defer_step
+from features.support.memory_source import MemorySource
 from features.support.platform_world import (
     PlatformWorld,
     make_configuration,
@@ -93,32 +94,12 @@
     defer_step(context, run)
 
 
-class _MemorySource(trio.abc.Stream):
-    """Returns prepared bytes without a wait."""
-
-    def __init__(self, data: bytes) -> None:
-        self._data = data
-
-    async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        part, self._data = self._data[:max_bytes], self._data[max_bytes:]
-        return part
-
-    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
-        pass
-
-    async def wait_send_all_might_not_block(self) -> None:
-        pass
-
-    async def aclose(self) -> None:
-        pass
-
-
 @when("a response of {count:d} chunks of {size:d} bytes is read from memory")
 def step_read(context: Context, count: int, size: int) -> None:
     content = bytes(count * size)
 
     async def run() -> None:
-        stream = _MemorySource(_RESPONSE_HEAD + _encode(content, [size]))
+        stream = MemorySource(_RESPONSE_HEAD + _encode(content, [size]))
         conn = ClientConnection(stream, "-")
         await conn.send_request(
             h11.Request(method="GET", target="/", headers=[("host", "-")]),
--- /dev/null
+++ b/features/steps/work_share_steps.py
@@ -0,0 +1,171 @@
+import h11
+import trio
+from behave import then, when
+from behave.runner import Context
+from trio.testing import MockClock
+
+from features.support.deferred_steps import defer_step
+from features.support.iteration_count import IterationCount
+from features.support.memory_pipe import MemoryPipe
+from features.support.memory_source import MemorySource
+from features.support.memory_stream import MemoryStream
+from features.support.raw_caller import RawCaller
+from rhubarbpaddle.http.request_responder import (
+    RequestResponder,
+    ShortResponse,
+)
+from rhubarbpaddle.peer.connection import PeerConnection
+from rhubarbpaddle.peer.messages import BodyChunk, Heartbeat, Message
+from rhubarbpaddle.work_share import WorkShare
+
+_REQUEST = b"GET / HTTP/1.1\r\nhost: -\r\n\r\n"
+
+
+@when(
+    "a connection causes {work:g} ms of work every {interval:g} ms for"
+    " {seconds:g} s"
+)
+def step_charge(
+    context: Context, work: float, interval: float, seconds: float
+) -> None:
+    share = WorkShare()
+    now = 1000.0
+    end = now + seconds
+    context.work_ms, context.has_waited = 0.0, False
+    while now < end:
+        share.charge(work / 1000, now)
+        wait = share.get_wait(now)
+        context.work_ms += work
+        context.has_waited = context.has_waited or wait > 0
+        now += max(wait, interval / 1000)
+
+
+@then("it has caused at most {total:g} ms of work and has waited {waits}")
+def step_check_work(context: Context, total: float, waits: str) -> None:
+    assert context.work_ms <= total, context.work_ms
+    assert context.has_waited == (waits == "often")
+
+
+async def _encode(messages: list[Message]) -> bytes:
+    pipe = MemoryPipe(lambda: False)
+    data = b""
+    sender = PeerConnection(MemoryStream(pipe, pipe), "-")
+    for message in messages:
+        await sender.send(message)
+        data += await pipe.read(None)
+    return data
+
+
+@when("{count:d} heartbeats of a node are received from memory")
+def step_receive(context: Context, count: int) -> None:
+    async def run() -> None:
+        data = await _encode([Heartbeat(1, 1)]) * count
+        conn = PeerConnection(MemorySource(data), "-")
+        context.counts = IterationCount()
+        trio.lowlevel.add_instrument(context.counts)
+        started_at = trio.current_time()
+        for _ in range(count):
+            await conn.receive()
+        context.elapsed = trio.current_time() - started_at
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then(
+    "receiving took at least {seconds:g} s and other tasks ran at least"
+    " {passes:d} times"
+)
+def step_check_received(context: Context, seconds: float, passes: int) -> None:
+    assert context.elapsed >= seconds, context.elapsed
+    assert context.counts.iterations >= passes, context.counts.iterations
+
+
+@when("{count:d} messages are received with waits of at most {ms:d} ms")
+def step_receive_cancelled(context: Context, count: int, ms: int) -> None:
+    async def run() -> None:
+        sent = [BodyChunk("1", b"%d" % number) for number in range(count)]
+        conn = PeerConnection(MemorySource(await _encode([*sent])), "-")
+        received: list[Message] = []
+        started_at = trio.current_time()
+        while len(received) < count:
+            with trio.move_on_after(ms / 1000):
+                received.append(await conn.receive())
+        context.is_equal = received == sent
+        context.elapsed = trio.current_time() - started_at
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("all messages arrived in order, over at least {seconds:g} s")
+def step_check_order(context: Context, seconds: float) -> None:
+    assert context.is_equal
+    assert context.elapsed >= seconds, context.elapsed
+
+
+def _answer(context: Context, requests: int, connections: int) -> None:
+    async def run() -> None:
+        counts = context.counts = IterationCount()
+
+        async def respond(head: h11.Request, content: bytes) -> ShortResponse:
+            counts.add()
+            return 200, b"text/plain", b"ok\n"
+
+        responder = RequestResponder(respond)
+        trio.lowlevel.add_instrument(counts)
+        started_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for _ in range(connections):
+                source = MemorySource(_REQUEST * requests)
+                nursery.start_soon(responder.handle, source)
+        context.elapsed = trio.current_time() - started_at
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@when(
+    "{count:d} requests of one connection to a responder are read from memory"
+)
+def step_answer_one(context: Context, count: int) -> None:
+    _answer(context, count, 1)
+
+
+@when("{count:d} connections to a responder send a request at the same time")
+def step_answer_many(context: Context, count: int) -> None:
+    _answer(context, 1, count)
+
+
+@then(
+    "answering took at least {seconds:g} s, at most {most:d} in an iteration of"
+    " the event loop"
+)
+def step_check_answered(context: Context, seconds: float, most: int) -> None:
+    assert context.elapsed >= seconds, context.elapsed
+    assert context.counts.most <= most, context.counts.most
+
+
+@when("a caller sends {count:d} requests without a route at once")
+def step_send_refused(context: Context, count: int) -> None:
+    async def run() -> None:
+        world = context.world
+        caller = RawCaller(await world.fabric.connect("caller", "h1:2"))
+        head = b"GET /none HTTP/1.1\r\nhost: unknown.example\r\n\r\n"
+        started_at = trio.current_time()
+        context.statuses = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(caller.send, head * count)
+            for _ in range(count):
+                response = await caller.receive()
+                assert response is not None, context.statuses
+                context.statuses.append(response.status)
+        context.elapsed = trio.current_time() - started_at
+
+    defer_step(context, run)
+
+
+@then("all of them get {status:d}, over at least {seconds:g} s")
+def step_check_refused(context: Context, status: int, seconds: float) -> None:
+    async def run() -> None:
+        assert set(context.statuses) == {status}, context.statuses
+        assert context.elapsed >= seconds, context.elapsed
+
+    defer_step(context, run)
--- a/src/rhubarbpaddle/http/caller_handler.py
+++ b/src/rhubarbpaddle/http/caller_handler.py
@@ -23,6 +23,10 @@
 from rhubarbpaddle.telemetry import Metrics, get_logger
 from rhubarbpaddle.work_count import WorkCount
 
+# The estimated processor time of a request that is refused by its head. Others
+# are bounded by the slots of instances and by usage caps.
+_REFUSAL_SECONDS = 0.3e-3
+
 _log = get_logger("caller")
 
 
@@ -242,6 +246,8 @@
         finally:
             self._watch.remove(conn)
         if conn.start_next_cycle():
+            if read.refusal is not None:
+                await conn.share.pass_checkpoint(_REFUSAL_SECONDS)
             return True
         self._discard_queued(conn, pipeline)
         await pipeline.wait_stopped()
--- a/src/rhubarbpaddle/http/connection.py
+++ b/src/rhubarbpaddle/http/connection.py
@@ -13,6 +13,7 @@
     TruncatedError,
 )
 from rhubarbpaddle.http.chunk_merger import ChunkMerger
+from rhubarbpaddle.work_share import WorkShare
 
 _RECEIVE_BYTES = 1 << 16
 _HEAD_END = re.compile(rb"\n\r?\n")
@@ -43,6 +44,7 @@
         sending: Whether a send is in progress.
         unparsed: Received bytes behind a head, which the state machine gets
             once it is known whether they begin a chunked body.
+        share: Limits the work for short requests and refusals.
     """
 
     def __init__(self, stream: trio.abc.Stream, role: Role, peer: str) -> None:
@@ -51,6 +53,7 @@
         self.stream = stream
         self.sending = False
         self.unparsed = b""
+        self.share = WorkShare()
         self._merger: ChunkMerger | None = None
         self._consecutive_events = 0
 
--- a/src/rhubarbpaddle/http/request_responder.py
+++ b/src/rhubarbpaddle/http/request_responder.py
@@ -12,6 +12,10 @@
 from rhubarbpaddle.telemetry import get_logger
 
 _MAX_BODY_BYTES = 64 * 1024
+# The estimated processor time of a request, and of each byte of its response.
+# Rendering 4 KB of metrics takes 0.25 ms.
+_REQUEST_SECONDS = 0.4e-3
+_SECONDS_PER_BYTE = 0.06e-6
 
 # Status, media type and body.
 ShortResponse = tuple[int, bytes, bytes]
@@ -33,6 +37,8 @@
             respond: Returns the response to a request's head and body.
         """
         self._respond = respond
+        # Many connections may send requests at the same time.
+        self._turn = trio.Lock()
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serves one connection until it closes."""
@@ -42,6 +48,10 @@
                 while received := await conn.receive_request():
                     head, body = received
                     content = await _read_body(body)
+                    # At most one request begins in an iteration of the event
+                    # loop.
+                    async with self._turn:
+                        await trio.lowlevel.checkpoint()
                     status, media_type, response_body = await self._respond(
                         head, content
                     )
@@ -53,6 +63,10 @@
                     )
                     if not conn.start_next_cycle():
                         break
+                    await conn.share.pass_checkpoint(
+                        _REQUEST_SECONDS
+                        + _SECONDS_PER_BYTE * len(response_body)
+                    )
         except RhubarbpaddleError as exc:
             _log.debug("admin_connection_ended", error=exc)
         except Exception as exc:
--- a/src/rhubarbpaddle/peer/connection.py
+++ b/src/rhubarbpaddle/peer/connection.py
@@ -10,14 +10,21 @@
     ProtocolError,
     TruncatedError,
 )
-from rhubarbpaddle.peer.messages import KeepAlive, Message
+from rhubarbpaddle.peer.messages import BodyChunk, KeepAlive, Message
 from rhubarbpaddle.remote_state import RemoteState
+from rhubarbpaddle.work_share import WorkShare
 
 MAX_FRAME_BYTES = 1 << 20
 _RECEIVE_BYTES = 1 << 16
 # One `KeepAlive` per second at the check interval of `StreamWatch`.
 _CHECKS_PER_KEEP_ALIVE = 10
 _LENGTH_PREFIX = struct.Struct(">I")
+# The estimated processor time to decode and handle a message.
+_MESSAGE_SECONDS = 20e-6
+# After this many messages, the connection counts them and other tasks run.
+_MESSAGES_PER_CHECKPOINT = 64
+# The work for a longer chunk of a body is bounded by the rate of its bytes.
+_LONG_CHUNK_BYTES = 1024
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
@@ -51,6 +58,9 @@
         self._received = bytearray()
         self._sending = False
         self._idle_checks = 0
+        self._share = WorkShare()
+        self._uncounted_messages = 0
+        self._must_wait = False
 
     async def send(self, *messages: Message) -> None:
         """Sends one or more messages in a single write.
@@ -90,11 +100,21 @@
         """Returns the next message.
 
         Safe to cancel and call again: a partly received frame stays buffered.
+        Waits if the connection has used up its share of the processor.
 
         Raises:
             TruncatedError: The connection ended.
             ProtocolError: The frame is too long or is not a valid message.
         """
+        if self._uncounted_messages >= _MESSAGES_PER_CHECKPOINT:
+            work_seconds = self._uncounted_messages * _MESSAGE_SECONDS
+            self._share.charge(work_seconds, trio.current_time())
+            self._uncounted_messages = 0
+            self._must_wait = True
+        if self._must_wait:
+            # Waits again if it was cancelled.
+            await self._share.wait()
+            self._must_wait = False
         received = self._received
         while True:
             if len(received) >= _LENGTH_PREFIX.size:
@@ -102,7 +122,13 @@
                 if len(received) >= end:
                     body = bytes(received[_LENGTH_PREFIX.size : end])
                     del received[:end]
-                    return self._decode(body)
+                    message = self._decode(body)
+                    if (
+                        not isinstance(message, BodyChunk)
+                        or len(message.content) < _LONG_CHUNK_BYTES
+                    ):
+                        self._uncounted_messages += 1
+                    return message
             received += await self._receive_some()
 
     async def receive_within(self, seconds: float) -> Message:
