--- a/src/rhubarbpaddle/http/connection.py
+++ b/src/rhubarbpaddle/http/connection.py
@@ -14,6 +14,7 @@
 )
 from rhubarbpaddle.http.chunk_merger import ChunkMerger
 from rhubarbpaddle.http.protocol_error_text import describe_protocol_error
+from rhubarbpaddle.work_share import WorkShare
 
 _RECEIVE_BYTES = 1 << 16
 _HEAD_END = re.compile(rb"\n\r?\n")
@@ -44,6 +45,7 @@
         sending: Whether a send is in progress.
         unparsed: Received bytes behind a head, which the state machine gets
             once it is known whether they begin a chunked body.
+        share: Limits the work for short requests and refusals.
     """
 
     def __init__(self, stream: trio.abc.Stream, role: Role, peer: str) -> None:
@@ -52,6 +54,7 @@
         self.stream = stream
         self.sending = False
         self.unparsed = b""
+        self.share = WorkShare()
         self._merger: ChunkMerger | None = None
         self._consecutive_events = 0
 
