Bound the idle connections for queries about usage caps

With 800 nodes a node could come to hold 799 idle connections in each direction, because a gateway closed an idle one only when it asked the same node again.

`PeerPool` closes the connection that was idle for longest when there are more than a maximum, 128 for usage queries.

--- a/src/rhubarbpaddle/peer/usage_client.py
+++ b/src/rhubarbpaddle/peer/usage_client.py
@@ -16,6 +16,9 @@
 # At 76 nodes and 930 requests a second, a gateway asks each owner once in 6 s.
 # A new connection for each query would cost three more round trips.
 _MAX_IDLE_SECONDS = 60.0
+# At 800 nodes a gateway reuses as many connections with this bound as without
+# one, because most queries are about few organisations.
+MAX_IDLE = 128
 # Above the time between zones and that of a small message behind a paced body
 # (38 ms at p99).
 _MIN_TIMEOUT_SECONDS = 0.08
@@ -29,7 +32,7 @@
     ) -> None:
         self._clock = clock
         self._pool = PeerPool(
-            network, connector, clock, PURPOSE, _MAX_IDLE_SECONDS
+            network, connector, clock, PURPOSE, _MAX_IDLE_SECONDS, MAX_IDLE
         )
 
     async def ask(
--- a/src/rhubarbpaddle/platform/usage_caps.py
+++ b/src/rhubarbpaddle/platform/usage_caps.py
@@ -79,7 +79,8 @@
             silent_nodes,
             clock,
         )
-        return cls(UsageServer(owner.grant), gate, get_cap, fleet, clock)
+        server = UsageServer(owner.grant, clock)
+        return cls(server, gate, get_cap, fleet, clock)
 
     def has_contact(self) -> bool:
         """Returns whether the owners of the caps may be known."""
