Measure a node with and without organisations and usage caps

bench.node_cost could no longer run: since the soak's configuration has organisations, its requests without a key got 401. What organisations and usage caps cost a node was not measured at all.

--- a/soak/configuration_history.py
+++ b/soak/configuration_history.py
@@ -1,6 +1,7 @@
 """The configurations of a run, each with a new path and new keys."""
 
 import json
+from collections.abc import Sequence
 from typing import Any
 
 from soak.published_configuration import PublishedConfiguration
@@ -40,6 +41,7 @@
         hosts: int,
         cold_per_second: float,
         cold_seconds: float,
+        organisations: Sequence[str] = ORGANISATIONS,
     ) -> None:
         """Creates an empty history.
 
@@ -48,11 +50,13 @@
             hosts: The number of hosts that have callers.
             cold_per_second: The rate of a cold instance.
             cold_seconds: The duration of a cold start.
+            organisations: The names of the organisations; none if empty.
         """
         self.cap = _CAP_PER_HOST * hosts
         self._service = service
         self._cold_per_second = cold_per_second
         self._cold_seconds = cold_seconds
+        self._organisations = organisations
         self._published: list[PublishedConfiguration] = []
 
     def publish(self, now: float) -> bytes:
@@ -129,7 +133,7 @@
                 ratePerS=self.cap,
                 burst=self.cap,
             )
-            for organisation in ORGANISATIONS
+            for organisation in self._organisations
         ]
         return make_configuration_document(
             number + 1,
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,6 +3,7 @@
 import itertools
 import os
 import random
+from collections.abc import Sequence
 from pathlib import Path
 
 import trio
@@ -51,6 +52,9 @@
         folder: Path,
         rng: random.Random,
         nursery: trio.Nursery,
+        organisations: Sequence[str] = ORGANISATIONS,
+        *,
+        has_quota_terms: bool = True,
     ) -> None:
         """Creates a deployment in which nothing runs.
 
@@ -59,6 +63,9 @@
             folder: The folder for settings and logs.
             rng: The random number generator of the run.
             nursery: Runs the stand-ins.
+            organisations: The names of the organisations. Without any, requests
+                need no keys, and `make_callers` and `surge` can't be used.
+            has_quota_terms: Whether the nodes apply usage caps.
         """
         self.rng = rng
         self.nursery = nursery
@@ -70,8 +77,9 @@
         self.withdrawals: list[tuple[str, float, float]] = []
         self.late_exits: list[tuple[str, float]] = []
         self.configurations = ConfigurationHistory(
-            SERVICE, hosts, COLD_PER_SECOND, COLD_SECONDS
+            SERVICE, hosts, COLD_PER_SECOND, COLD_SECONDS, organisations
         )
+        self._organisations = organisations
         self._store_port = 7000
         self._store_ip = f"127.{os.getpid() % 200 + 20}.255.1"
         all_hosts = [
@@ -82,6 +90,7 @@
                 folder,
                 self.runs,
                 rng,
+                has_quota_terms=has_quota_terms,
             )
             for index in range(hosts + _TARGET_HOSTS)
         ]
@@ -122,8 +131,9 @@
                 f"{label}-{host.name}-{number}",
                 host.name,
                 host.caller_address,
-                ORGANISATIONS[
-                    (index * _CALLERS_PER_HOST + number) % len(ORGANISATIONS)
+                self._organisations[
+                    (index * _CALLERS_PER_HOST + number)
+                    % len(self._organisations)
                 ],
                 self.configurations,
                 self.sent,
@@ -142,7 +152,7 @@
         # The other choices of a seed stay the same.
         rng = random.Random(f"surge-{seed}")
         await trio.sleep(rng.uniform(0.0, _MAX_SURGE_DELAY_SECONDS))
-        organisation = rng.choice(ORGANISATIONS)
+        organisation = rng.choice(self._organisations)
         started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             stopped = trio.Event()
--- a/soak/host.py
+++ b/soak/host.py
@@ -54,6 +54,8 @@
         folder: Path,
         runs: list[Run],
         rng: random.Random,
+        *,
+        has_quota_terms: bool,
     ) -> None:
         """Creates a host on which nothing runs.
 
@@ -64,6 +66,7 @@
             folder: The folder for settings and logs.
             runs: The list to which instances append their runs.
             rng: The random number generator.
+            has_quota_terms: Whether its node applies usage caps.
         """
         self.name = f"h{index}"
         self.availability_zone = availability_zone
@@ -79,6 +82,7 @@
         self.failure_share = 0.0
         self._runs = runs
         self._rng = rng
+        self._has_quota_terms = has_quota_terms
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
         self._processes: list[subprocess.Popen[bytes]] = []
@@ -194,12 +198,15 @@
             self.name, self.availability_zone, SERVICE, addresses, 500
         )
         document["terms"]["bounds"] |= {
-            "quotaWindowS": QUOTA_WINDOW_SECONDS,
-            "quotaOverage": QUOTA_OVERAGE,
-            "quotaSlack": QUOTA_SLACK,
             "exposureShare": EXPOSURE_SHARE,
             "exposureSlack": EXPOSURE_SLACK,
             "rollbackMs": ROLLBACK_MS,
         }
+        if self._has_quota_terms:
+            document["terms"]["bounds"] |= {
+                "quotaWindowS": QUOTA_WINDOW_SECONDS,
+                "quotaOverage": QUOTA_OVERAGE,
+                "quotaSlack": QUOTA_SLACK,
+            }
         document["local"]["limits"] = {"linkMbps": _LINK_MEGABITS}
         return document
