--- a/src/rhubarbpaddle/peer/idle_connections.py
+++ b/src/rhubarbpaddle/peer/idle_peer_connections.py
@@ -6,7 +6,7 @@
 from rhubarbpaddle.peer.connection import PeerConnection
 
 
-class IdleConnections:
+class IdlePeerConnections:
     """Limits the idle connections by closing the longest idle one.
 
     It addresses a node that all others ask in turn. A connection in frequent
--- a/src/rhubarbpaddle/peer/usage_server.py
+++ b/src/rhubarbpaddle/peer/usage_server.py
@@ -7,7 +7,7 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import ProtocolError
 from rhubarbpaddle.peer.connection import PeerConnection
-from rhubarbpaddle.peer.idle_connections import IdleConnections
+from rhubarbpaddle.peer.idle_peer_connections import IdlePeerConnections
 from rhubarbpaddle.peer.messages import Hello, UsageRequest, UsageResponse
 from rhubarbpaddle.usage.usage_grant import UsageGrant
 from rhubarbpaddle.usage.usage_query import UsageQuery
@@ -28,7 +28,7 @@
         self, grant: Callable[[UsageQuery], UsageGrant], clock: Clock
     ) -> None:
         self._grant = grant
-        self._idle = IdleConnections(MAX_IDLE, MIN_IDLE_SECONDS, clock)
+        self._idle = IdlePeerConnections(MAX_IDLE, MIN_IDLE_SECONDS, clock)
 
     async def serve(self, conn: PeerConnection, hello: Hello) -> None:
         """Responds to the queries of one connection until it closes."""
