Pass the search for owners to the gate of usage caps

UsageGate took four arguments only to create an OwnerSearch with them, and both wrote into one counter. The search is now passed in and counts its own queries; the metric has the same values.

--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -168,7 +168,7 @@
 def step_check_no_queries(context: Context) -> None:
     for node in context.world.nodes.values():
         caps = node.usage_caps
-        assert caps is None or not caps.gate.results, caps.gate.results
+        assert caps is None or not caps.gate.get_results()
 
 
 def find_owner(world: PlatformWorld) -> str:
@@ -301,8 +301,9 @@
 def step_check_no_query(context: Context) -> None:
     caps = context.world.nodes[find_owner(context.world)].usage_caps
     assert caps is not None
-    assert caps.gate.results["granted"] == len(context.responses)
-    assert caps.gate.results["sent"] == 0
+    results = caps.gate.get_results()
+    assert results["granted"] == len(context.responses), results
+    assert results["sent"] == 0, results
 
 
 @then("its last request had a usage ratio of about {ratio:g}")
--- a/features/support/usage_fleet_node.py
+++ b/features/support/usage_fleet_node.py
@@ -9,6 +9,7 @@
 from rhubarbpaddle.exceptions import PeerSilentError
 from rhubarbpaddle.membership import Member, MemberStatus, MemberTable
 from rhubarbpaddle.usage.fleet_view import FleetView
+from rhubarbpaddle.usage.owner_search import OwnerSearch
 from rhubarbpaddle.usage.silent_nodes import SilentNodes
 from rhubarbpaddle.usage.usage_cap import UsageCap
 from rhubarbpaddle.usage.usage_gate import UsageGate
@@ -74,7 +75,7 @@
             self.table, clock, lambda: has_link(node_id), count_listed
         )
         self.owner = UsageOwner(self.fleet, clock, get_cap, NoLog())
-        self.gate = UsageGate(
+        search = OwnerSearch(
             node_id,
             self.fleet,
             self.owner,
@@ -82,6 +83,7 @@
             SilentNodes(clock, NoLog()),
             clock,
         )
+        self.gate = UsageGate(self.fleet, self.owner, search, clock)
 
     def reaches(self, other: "UsageFleetNode") -> bool:
         return self.group == other.group and all(
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -269,7 +269,7 @@
         self._start_gate = StartGate(clock, request_path.can_route)
         self.metrics.observe_zone_choices(request_path.zone_choices.get_totals)
         if self.usage_caps is not None:
-            self.metrics.observe_usage(self.usage_caps.gate.results)
+            self.metrics.observe_usage(self.usage_caps.gate.get_results)
         self.metrics.observe_key_refusals(request_path.key_refusals)
         self.metrics.observe_shares(
             instance_factory.share_results, self._count_above_share
--- a/src/rhubarbpaddle/platform/usage_caps.py
+++ b/src/rhubarbpaddle/platform/usage_caps.py
@@ -16,6 +16,7 @@
 from rhubarbpaddle.peer.usage_server import UsageServer
 from rhubarbpaddle.telemetry import get_logger
 from rhubarbpaddle.usage.fleet_view import FleetView
+from rhubarbpaddle.usage.owner_search import OwnerSearch
 from rhubarbpaddle.usage.quota_terms import QuotaTerms
 from rhubarbpaddle.usage.silent_nodes import SilentNodes
 from rhubarbpaddle.usage.usage_cap import UsageCap
@@ -71,7 +72,7 @@
         owner = UsageOwner(fleet, clock, get_cap, log)
         silent_nodes = SilentNodes(clock, log)
         table.add_listener(silent_nodes.handle_member_change)
-        gate = UsageGate(
+        search = OwnerSearch(
             table.own.node_id,
             fleet,
             owner,
@@ -79,6 +80,7 @@
             silent_nodes,
             clock,
         )
+        gate = UsageGate(fleet, owner, search, clock)
         server = UsageServer(owner.grant, clock)
         return cls(server, gate, get_cap, fleet, clock)
 
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -163,11 +163,13 @@
             description="Responses by the reason for the zone that served them",
         )
 
-    def observe_usage(self, results: Mapping[str, int]) -> None:
+    def observe_usage(
+        self, get_results: Callable[[], Mapping[str, int]]
+    ) -> None:
         """Adds the counts of a `UsageGate`, which are read at each scrape."""
         self._meter.create_observable_counter(
             f"{_PREFIX}usage.results",
-            [lambda _: _observe_counts(results, "result")],
+            [lambda _: _observe_counts(get_results(), "result")],
             description="Requests of organisations with a usage cap, by"
             " result, and the queries sent to other nodes",
         )
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -86,10 +86,12 @@
             lambda instruments: instruments.observe_zone_choices(read)
         )
 
-    def observe_usage(self, results: Mapping[str, int]) -> None:
+    def observe_usage(
+        self, get_results: Callable[[], Mapping[str, int]]
+    ) -> None:
         """Adds the counts of a `UsageGate`, which are read at each scrape."""
         self._observers.append(
-            lambda instruments: instruments.observe_usage(results)
+            lambda instruments: instruments.observe_usage(get_results)
         )
 
     def observe_key_refusals(self, refusals: Mapping[str, int]) -> None:
--- a/src/rhubarbpaddle/usage/owner_search.py
+++ b/src/rhubarbpaddle/usage/owner_search.py
@@ -1,6 +1,5 @@
 """Finds the node that decides about a usage query."""
 
-from collections import Counter
 from collections.abc import Callable
 
 from rhubarbpaddle.clock import Clock
@@ -27,6 +26,9 @@
 
     It addresses owners that are gone, cut off or slow: the nodes behind them in
     the ranking are asked in turn, except those that were silent recently.
+
+    Attributes:
+        sent_count: The number of queries sent to other nodes.
     """
 
     def __init__(
@@ -37,7 +39,6 @@
         client: OwnerClient,
         silent_nodes: SilentNodes,
         clock: Clock,
-        results: Counter[str],
     ) -> None:
         """Creates a search that has asked no node.
 
@@ -48,7 +49,6 @@
             client: Sends queries to other nodes.
             silent_nodes: The nodes that did not respond.
             clock: The source of time.
-            results: Receives the number of queries `sent`.
         """
         self._node_id = node_id
         self._fleet = fleet
@@ -56,7 +56,7 @@
         self._client = client
         self._silent_nodes = silent_nodes
         self._clock = clock
-        self._results = results
+        self.sent_count = 0
 
     async def ask_in_turn(
         self,
@@ -123,7 +123,7 @@
         self, member: Member, query: UsageQuery, until: float
     ) -> UsageGrant | None:
         """Returns a node's response, or None if it has not decided."""
-        self._results["sent"] += 1
+        self.sent_count += 1
         try:
             grant = await self._client.ask(member.peer_address, query, until)
         except (OSError, RhubarbpaddleError) as exc:
--- a/src/rhubarbpaddle/usage/usage_gate.py
+++ b/src/rhubarbpaddle/usage/usage_gate.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Mapping
 from datetime import timedelta
 
 import trio
@@ -9,9 +10,7 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import RefusedError
 from rhubarbpaddle.usage.fleet_view import FleetView
-from rhubarbpaddle.usage.owner_client import OwnerClient
 from rhubarbpaddle.usage.owner_search import OwnerSearch
-from rhubarbpaddle.usage.silent_nodes import SilentNodes
 from rhubarbpaddle.usage.token_bucket import TokenBucket
 from rhubarbpaddle.usage.usage_account import UsageAccount
 from rhubarbpaddle.usage.usage_cap import UsageCap
@@ -34,39 +33,38 @@
 
     Attributes:
         results: How many requests were `granted` a token, how many of them of
-            the local `allowance`, how many were `refused`, and how many queries
-            were `sent` to other nodes.
+            the local `allowance`, and how many were `refused`.
     """
 
     def __init__(
         self,
-        node_id: str,
         fleet: FleetView,
         owner: UsageOwner,
-        client: OwnerClient,
-        silent_nodes: SilentNodes,
+        search: OwnerSearch,
         clock: Clock,
     ) -> None:
         """Creates a gate without tokens.
 
         Args:
-            node_id: The id of this node.
             fleet: Knows the owner of each cap.
             owner: Grants the tokens of the caps that this node owns.
-            client: Sends queries to other nodes.
-            silent_nodes: The nodes that did not respond.
+            search: Finds the node that decides about a query.
             clock: The source of time.
         """
         self._fleet = fleet
         self._owner = owner
+        self._search = search
         self._clock = clock
         self._accounts: dict[str, UsageAccount] = {}
         self._to_return: set[str] = set()
         self._has_returns = trio.Event()
         self.results: Counter[str] = Counter()
-        self._search = OwnerSearch(
-            node_id, fleet, owner, client, silent_nodes, clock, self.results
-        )
+
+    def get_results(self) -> Mapping[str, int]:
+        """Returns `results`, and the number of queries `sent` to others."""
+        if not self.results and not self._search.sent_count:
+            return {}
+        return {**self.results, "sent": self._search.sent_count}
 
     async def acquire(
         self, organisation: str, cap: UsageCap, until: float, latest: float
