Test that a zone without its bridges is linked again

Guards against a zone that stays cut off because the few nodes with links to other zones were lost at once: a configuration read in another zone reaches it within 4 s.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -87,6 +87,13 @@
     And all nodes are connected, and so are those of each zone
     And that holds when any 300 of them are lost
 
+  # Guards against a zone that is cut off for good, or for long, because the few
+  # nodes that linked it to others were lost.
+  Scenario: A zone that loses all its bridges is linked again
+    Given 24 nodes in 3 zones that know each other
+    When all nodes of a zone that have links to others are killed at once
+    Then a configuration that one node read then is in force on all within 4 s
+
   # Guards against a restart of all nodes in which each exchanges its member
   # table with nodes of other zones, and against zones that never meet again.
   Scenario: A node joins the fleet by nodes of its zone
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -35,7 +35,7 @@
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
-            group = OverlayGroup(nursery)
+            group = OverlayGroup(nursery, zone_count=context.zone_count)
             names = [f"n{index}" for index in range(context.count)]
             for name in names:
                 group.start(name, "n0:2")
@@ -50,7 +50,12 @@
 
 @given("{count:d} nodes that know each other")
 def step_count(context: Context, count: int) -> None:
-    context.count = count
+    context.count, context.zone_count = count, 1
+
+
+@given("{count:d} nodes in {zones:d} zones that know each other")
+def step_count_in_zones(context: Context, count: int, zones: int) -> None:
+    context.count, context.zone_count = count, zones
 
 
 @when("one node is killed")
@@ -132,6 +137,32 @@
     run_group(context, scenario)
 
 
+@when("all nodes of a zone that have links to others are killed at once")
+def step_kill_bridges(context: Context) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        bridges = [
+            name
+            for name, node in group.nodes.items()
+            if node.table.own.availability_zone == "z0"
+            and node.has_link_between_zones()
+        ]
+        assert 4 <= len(bridges) < context.count / context.zone_count, bridges
+        for name in bridges:
+            group.kill(name)
+        group.nodes["n1"].configuration.accepted = AcceptedConfiguration(
+            1, "digest", _TEXT, 0, parse_configuration(_TEXT)
+        )
+        started = trio.current_time()
+        while not all(
+            node.configuration.accepted for node in group.nodes.values()
+        ):
+            await trio.sleep(0.01)
+            assert trio.current_time() - started < _JOIN_SECONDS
+        context.elapsed = trio.current_time() - started
+
+    run_group(context, scenario)
+
+
 @when("one node reads a configuration from the log")
 def step_configuration(context: Context) -> None:
     async def scenario(group: OverlayGroup) -> None:
@@ -258,6 +289,10 @@
     assert not context.dead, context.dead
 
 
+@then(
+    "a configuration that one node read then is in force on all within"
+    " {seconds:g} s"
+)
 @then("it is in force on all nodes within {seconds:g} second")
 def step_in_force(context: Context, seconds: float) -> None:
     assert context.elapsed <= seconds, context.elapsed
--- a/features/support/overlay_group.py
+++ b/features/support/overlay_group.py
@@ -50,6 +50,7 @@
         incarnation: int,
         seeds: tuple[str, ...],
         seed: int,
+        zone: str = "z0",
     ) -> None:
         own = Member(
             node_id=name,
@@ -57,7 +58,7 @@
             version=1,
             status=MemberStatus.ALIVE,
             host=name,
-            availability_zone="a",
+            availability_zone=zone,
             peer_address=f"{name}:2",
             admin_address=f"{name}:3",
             upstream=None,
@@ -100,22 +101,41 @@
             if member.status is MemberStatus.ALIVE
         }
 
+    def has_link_between_zones(self) -> bool:
+        """Returns whether a link leads to a node of another zone."""
+        own_zone = self.table.own.availability_zone
+        peers = (
+            self.table.get(link.peer_id) for link in self.overlay.get_links()
+        )
+        return any(
+            peer is not None and peer.availability_zone != own_zone
+            for peer in peers
+        )
+
 
 class OverlayGroup:
     """Starts and kills nodes and waits until their member tables agree."""
 
-    def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, seed: int = 1, zone_count: int = 1
+    ) -> None:
         self.fabric = MemoryFabric()
         self.nodes: dict[str, OverlayNode] = {}
         self._nursery = nursery
         self._seed = seed
+        self._zone_count = zone_count
         self._incarnation = 0
 
     def start(self, name: str, *seeds: str) -> OverlayNode:
         """Starts a node that knows only the given peer addresses."""
         self._incarnation += 1
         node = OverlayNode(
-            name, self.fabric, self._incarnation, seeds, self._seed
+            name,
+            self.fabric,
+            self._incarnation,
+            seeds,
+            self._seed,
+            f"z{int(name[1:]) % self._zone_count}",
         )
         self.nodes[name] = node
         self._nursery.start_soon(node.run)
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -116,6 +116,10 @@
         """The number of open links."""
         return len(self._links)
 
+    def get_links(self) -> Sequence[ControlLink]:
+        """Returns the open links."""
+        return self._links
+
     def has_active_link(self) -> bool:
         """Returns whether a neighbour has sent anything very recently."""
         oldest = self._clock.monotonic() - _ACTIVE_SECONDS
