Let other tasks run while a long message of a neighbour is merged

Cause: a message of 1 MiB can carry some 20,000 members. 15,000 take 50 ms of processor time to merge in a table without listeners, in one iteration of the event loop, and a neighbour may send them again with new versions.

Change: a control link passes the checkpoint of its connection's share after 64 entries of a message. A table of 5,000 new entries is merged without a wait, so that the start of a large fleet takes no longer.

Result: the scenario with 15,000 members fails on the parent (15,000 in one iteration) and passes now (64). Not measured with real nodes.

--- a/features/steps/work_share_steps.py
+++ b/features/steps/work_share_steps.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import h11
 import trio
 from behave import then, when
@@ -10,14 +12,39 @@
 from features.support.memory_source import MemorySource
 from features.support.memory_stream import MemoryStream
 from features.support.raw_caller import RawCaller
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.exceptions import TruncatedError
+from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.http.request_responder import (
     RequestResponder,
     ShortResponse,
 )
+from rhubarbpaddle.membership import Member, MemberTable, StoreAccessTable
+from rhubarbpaddle.membership.member_status import MemberStatus
+from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.connection import PeerConnection
-from rhubarbpaddle.peer.messages import BodyChunk, Heartbeat, Message
+from rhubarbpaddle.peer.control_link import ControlLink
+from rhubarbpaddle.peer.messages import (
+    BodyChunk,
+    Heartbeat,
+    MemberUpdate,
+    Message,
+)
+from rhubarbpaddle.peer.versioned_text import VersionedText
+from rhubarbpaddle.rollout.rollout_board import RolloutBoard
 from rhubarbpaddle.work_share import WorkShare
 
+
+class _NoConfiguration:
+    """A node without a configuration."""
+
+    def get_accepted(self) -> VersionedText | None:
+        return None
+
+    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
+        return False
+
+
 _REQUEST = b"GET / HTTP/1.1\r\nhost: -\r\n\r\n"
 
 
@@ -102,6 +129,64 @@
     assert context.elapsed >= seconds, context.elapsed
 
 
+def _make_member(name: str) -> Member:
+    address = "127.0.0.1:1"
+    return Member(
+        name, 1, 1, MemberStatus.ALIVE, name, "a", address, address, None
+    )
+
+
+@when("a neighbour sends a message with {count:d} members")
+def step_send_members(context: Context, count: int) -> None:
+    context.expected = count + 1
+
+    async def run() -> None:
+        counts = context.counts = IterationCount()
+        table = MemberTable(_make_member("own"))
+        members = [_make_member(f"n{number}") for number in range(count)]
+        update = MemberUpdate.from_members(members)
+        pipe = MemoryPipe(lambda: False)
+        conn = PeerConnection(MemoryStream(pipe, pipe), "-")
+        data = b""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(conn.send, update)
+            while len(data) < 4 or len(data) < 4 + int.from_bytes(data[:4]):
+                data += await pipe.read(None)
+        clock = VirtualClock()
+
+        def is_valid_address(address: str) -> bool:
+            counts.add()
+            return True
+
+        link = ControlLink(
+            PeerConnection(MemorySource(data), "-"),
+            "n0",
+            table,
+            _NoConfiguration(),
+            ConfigurationRequests(clock),
+            clock,
+            CrashLedger("own", clock),
+            is_valid_address,
+            StoreAccessTable(table),
+            RolloutBoard(table),
+        )
+        trio.lowlevel.add_instrument(counts)
+        # The stream ends behind the message.
+        with contextlib.suppress(TruncatedError):
+            await link.run()
+        context.members = len(table)
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then(
+    "all of them are merged, at most {most:d} in an iteration of the event loop"
+)
+def step_check_members(context: Context, most: int) -> None:
+    assert context.members == context.expected, context.members
+    assert context.counts.most <= most, context.counts.most
+
+
 def _answer(context: Context, requests: int, connections: int) -> None:
     async def run() -> None:
         counts = context.counts = IterationCount()
--- a/features/work_share.feature
+++ b/features/work_share.feature
@@ -25,6 +25,11 @@
     When 5000 messages are received with waits of at most 1 ms
     Then all messages arrived in order, over at least 3 s
 
+  # Guards against one long message that is handled without a wait.
+  Scenario: Other tasks run while a long membership update is merged
+    When a neighbour sends a message with 15000 members
+    Then all of them are merged, at most 64 in an iteration of the event loop
+
   # Guards against requests that are answered without a wait as long as they are
   # buffered: reports without end made 117 of 240 requests of others fail.
   Scenario: Other tasks run while buffered requests are answered
--- a/src/rhubarbpaddle/peer/connection.py
+++ b/src/rhubarbpaddle/peer/connection.py
@@ -48,6 +48,7 @@
         stream: The byte stream.
         broken: Whether the connection must not be reused.
         idle_since: Monotonic time in seconds at which its last exchange ended.
+        share: Limits the work for its messages.
     """
 
     def __init__(self, stream: trio.abc.Stream, peer: str) -> None:
@@ -58,7 +59,7 @@
         self._received = bytearray()
         self._sending = False
         self._idle_checks = 0
-        self._share = WorkShare()
+        self.share = WorkShare()
         self._uncounted_messages = 0
         self._must_wait = False
 
@@ -108,12 +109,12 @@
         """
         if self._uncounted_messages >= _MESSAGES_PER_CHECKPOINT:
             work_seconds = self._uncounted_messages * _MESSAGE_SECONDS
-            self._share.charge(work_seconds, trio.current_time())
+            self.share.charge(work_seconds, trio.current_time())
             self._uncounted_messages = 0
             self._must_wait = True
         if self._must_wait:
             # Waits again if it was cancelled.
-            await self._share.wait()
+            await self.share.wait()
             self._must_wait = False
         received = self._received
         while True:
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -1,7 +1,8 @@
 """Control connection between two neighbours of the overlay."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import trio
 
@@ -45,6 +46,14 @@
 # digests differ in several consecutive heartbeats, and at most this often.
 _REPAIR_INTERVAL_SECONDS = 10.0
 _DIFFERENCES_BEFORE_REPAIR = 4
+# A message of 1 MiB can carry some 20,000 entries. Other tasks run after so
+# many of them.
+_ENTRIES_PER_CHECKPOINT = 64
+# The estimated processor time of an entry. A table of 5,000 new entries is
+# merged without a wait.
+_ENTRY_SECONDS = 4e-6
+
+_Entry = TypeVar("_Entry")
 
 _log = get_logger("control")
 
@@ -225,16 +234,26 @@
                     self._request_if_newer(message.configuration_version)
                     self._confirm(message)
                 case MemberUpdate(store_access=entries):
-                    self._merge_members(message.get_members())
-                    for entry in entries:
-                        self._store_access.merge(entry, self.peer_id)
-                    for phase in message.rollout_phases:
-                        self._rollouts.merge(phase, self.peer_id)
-                    for counts in message.rollout_counts:
-                        self._rollouts.merge(counts, self.peer_id)
+                    members = message.get_members()
+                    await self._merge_each(members, self._merge_member)
+                    await self._merge_each(
+                        entries,
+                        lambda entry: self._store_access.merge(
+                            entry, self.peer_id
+                        ),
+                    )
+                    notices: tuple[Notice, ...] = (
+                        *message.rollout_phases,
+                        *message.rollout_counts,
+                    )
+                    await self._merge_each(
+                        notices,
+                        lambda notice: self._rollouts.merge(
+                            notice, self.peer_id
+                        ),
+                    )
                 case CrashCounts(updates=updates):
-                    for update in updates:
-                        self._crashes.merge(update)
+                    await self._merge_each(updates, self._crashes.merge)
                 case ConfigurationRequest():
                     self._update_requested = True
                     self._wake.set()
@@ -245,25 +264,42 @@
                         message, "control_link"
                     )
 
-    def _merge_members(self, members: Iterable[Member]) -> None:
-        for member in members:
-            if not self._table.is_news(member):
-                continue
-            problem = find_member_problem(member, self._is_valid_address)
-            if problem is None:
-                self._table.merge(member, self.peer_id)
-                if member.node_id == self.peer_id:
-                    self._return_departure()
-            elif member.node_id not in self._rejected_ids:
-                # Neighbours send it again with each repair.
-                self._rejected_ids.add(member.node_id)
-                _log.warn(
-                    "member_invalid",
-                    member=member.node_id,
-                    peer=self.peer_id,
-                    reason=problem,
+    async def _merge_each(
+        self, entries: Sequence[_Entry], merge: Callable[[_Entry], object]
+    ) -> None:
+        """Merges the entries of a message, between which other tasks may run.
+
+        Args:
+            entries: The entries, of which a message may carry many.
+            merge: Merges one entry.
+        """
+        for start in range(0, len(entries), _ENTRIES_PER_CHECKPOINT):
+            batch = entries[start : start + _ENTRIES_PER_CHECKPOINT]
+            for entry in batch:
+                merge(entry)
+            if len(batch) == _ENTRIES_PER_CHECKPOINT:
+                await self._conn.share.pass_checkpoint(
+                    len(batch) * _ENTRY_SECONDS
                 )
 
+    def _merge_member(self, member: Member) -> None:
+        if not self._table.is_news(member):
+            return
+        problem = find_member_problem(member, self._is_valid_address)
+        if problem is None:
+            self._table.merge(member, self.peer_id)
+            if member.node_id == self.peer_id:
+                self._return_departure()
+        elif member.node_id not in self._rejected_ids:
+            # Neighbours send it again with each repair.
+            self._rejected_ids.add(member.node_id)
+            _log.warn(
+                "member_invalid",
+                member=member.node_id,
+                peer=self.peer_id,
+                reason=problem,
+            )
+
     def _return_departure(self) -> None:
         """Sends a restarted neighbour the departure of its instance."""
         entry = self._table.get_replaced_departure(self.peer_id)
