Wait for the upstreams before a test with processes asks them

The nodes' processes were ready and the stand-in's process, which starts at the same time, had not opened its listener yet.

Change: the start waits for the upstreams' own address, as it does for the nodes. What the scenario checks is unchanged.

--- a/features/support/process_cluster.py
+++ b/features/support/process_cluster.py
@@ -58,9 +58,11 @@
                 str(work_ms),
             )
         for node in self.nodes.values():
-            wait_for_http(
-                f"http://{node.admin_address}/healthz", _START_TIMEOUT_SECONDS
-            )
+            for url in (
+                f"http://{node.admin_address}/healthz",
+                f"http://{node.upstream_address}/runs",
+            ):
+                wait_for_http(url, _START_TIMEOUT_SECONDS)
         publish(write_configuration(self._directory, None), self._log_address)
         for node in self.nodes.values():
             wait_for_http(
