Don't complete a version that is suspicious at the end of its promotion

A node that was elected at that moment did not even apply its own verdict first: it completed 3 ms after its election.

Change: the decider stops a version at the end of the promotion if the evidence exceeds 50, the value above which a version with many responses is not promoted. A good version exceeds it in at most one of 50 roll-outs (Ville's inequality), beside the false alarms of the comparison itself.

--- a/features/rollout_decisions.feature
+++ b/features/rollout_decisions.feature
@@ -120,3 +120,15 @@
     Given an entry of an instance with version "v2"
     When an earlier and this release decode its message
     Then the earlier one reads the entry and this one also the version
+
+  # Guards against a promotion that is completed although much speaks against
+  # the version, if not enough to stop it earlier (soak, seed 35033).
+  Scenario Outline: A suspicious version is not completed
+    Given a promotion, and an old version of whose 88 responses 1 failed
+    When the promoted version has <failures> failures in 100 responses
+    Then the last state in the store is "<state>"
+
+    Examples:
+      | failures | state       |
+      | 30       | rolled_back |
+      | 2        | completed   |
--- a/src/rhubarbpaddle/rollout/rollout_decider.py
+++ b/src/rhubarbpaddle/rollout/rollout_decider.py
@@ -212,12 +212,18 @@
             return
         now = self._clock.monotonic()
         elapsed = now - self._promoted_at
+        verdict = self._evidence.get_recent_verdict(now)
         if (
-            self._evidence.get_recent_verdict(now) is None
+            verdict is None
             or elapsed < self._schedule.plan.promotion_seconds
             or not self._election.sees_majority()
         ):
             return
+        if verdict.is_suspicious:
+            # A node that has just been elected has not stopped a bad version
+            # yet, and the evidence may not suffice to stop one earlier.
+            self._phase.announce(RolloutPhase.STOPPED, verdict.reason)
+            return
         if not self._evidence.has_target():
             self._phase.announce(RolloutPhase.STOPPED, "no_instances")
             return
--- a/src/rhubarbpaddle/rollout/verdict.py
+++ b/src/rhubarbpaddle/rollout/verdict.py
@@ -12,7 +12,7 @@
             Nodes that do not decide require this, so that they don't increase
             the probability of a false alarm noticeably.
         is_suspicious: Whether the evidence suffices not to promote the version
-            yet.
+            yet, or not to complete its promotion.
         log_evidence: The strongest evidence against the version, as a natural
             logarithm; 0 is neutral.
         reason: The kind of bad responses and the route with that evidence.
--- a/src/rhubarbpaddle/rollout/version_comparison.py
+++ b/src/rhubarbpaddle/rollout/version_comparison.py
@@ -34,7 +34,8 @@
 # Evidence after which a version is not promoted until later responses have
 # weakened it. A single failure gives less, two of two give more. With many
 # responses, a version that fails a twentieth of its requests gives more than
-# the higher value.
+# the higher value, which a good version that is promoted exceeds in one of 50
+# cases at most.
 _SUSPICIOUS_LOG_EVIDENCE = math.log(5)
 _SUSPICIOUS_LOG_EVIDENCE_OF_MANY = math.log(50)
 _MANY_RESPONSES = 250
@@ -132,7 +133,8 @@
             strongest.log_evidence
             >= (
                 _SUSPICIOUS_LOG_EVIDENCE
-                if target.count_responses() < _MANY_RESPONSES
+                if self._promotion is None
+                and target.count_responses() < _MANY_RESPONSES
                 else _SUSPICIOUS_LOG_EVIDENCE_OF_MANY
             ),
             strongest.log_evidence,
