--- a/src/rhubarbpaddle/membership/neighbours.py
+++ b/src/rhubarbpaddle/membership/neighbours.py
@@ -21,7 +21,7 @@
 # Each change of a member crosses each link between zones. With a link from each
 # node, the bytes between zones would grow with the square of the fleet.
 _MIN_BRIDGES = 4
-# At least as many links leave a zone, however few zones there are.
+# At least this many links leave a zone, however few zones there are.
 _MIN_LINKS_BETWEEN_ZONES = 8
 # Missing neighbours are looked for on the ring of the zone and on rings of all
 # nodes, so that a zone without alive nodes is found again by the others.
@@ -93,10 +93,10 @@
 def choose_missing_neighbours(
     own_id: str, alive_zones: Mapping[str, str], dead_zones: Mapping[str, str]
 ) -> frozenset[str]:
-    """Returns the dead nodes that lie before the successors of a node.
+    """Returns the dead nodes that a node tries to reach.
 
-    If one of them returns, it becomes the node's successor. Each dead node is
-    missed by at least one alive node on each ring that has alive nodes.
+    They lie between it and the next alive node on a ring, so that each dead
+    node is looked for by at least one alive node on each ring that has some.
 
     Args:
         own_id: This node's id.
