Don't promote a version that fails much more often in its trial

Change: a version with few responses is also suspicious if at least three and a tenth of them are failures, more than three times as many as the old version's failure rates in the same zones would give. It applies only to the decision whether to promote, not to the alarms, whose false alarm probability stays.

Measured: "A version that fails more often than the old one is suspicious" fails without the rule for 6 of 22 beside 5 of 163, and is not suspicious with 6 of 22 beside 40 of 163 or with 2 of 22. The four features of roll-outs: 88 passed.

--- a/features/rollout_decisions.feature
+++ b/features/rollout_decisions.feature
@@ -132,3 +132,15 @@
       | failures | state       |
       | 30       | rolled_back |
       | 2        | completed   |
+
+  # Guards against a bad version that is promoted because the old one failed some
+  # requests too, under a fault of its hosts (soak, seeds 35033 and 203).
+  Scenario Outline: A version that fails more often than the old one is suspicious
+    When a trial has <failures> failures in 22 responses, and <old> in 163 of the old version
+    Then the version is <result>
+
+    Examples:
+      | failures | old | result         |
+      | 6        | 5   | suspicious     |
+      | 6        | 40  | not suspicious |
+      | 2        | 5   | not suspicious |
--- a/features/steps/rollout_decisions_steps.py
+++ b/features/steps/rollout_decisions_steps.py
@@ -414,3 +414,37 @@
     (earlier,) = context.earlier.members
     assert earlier.upstream == context.entry.upstream[:-1]
     assert context.decoded.get_members() == (context.entry,)
+
+
+@when(
+    "a trial has {failures:d} failures in {responses:d} responses, and {old:d}"
+    " in {old_responses:d} of the old version"
+)
+def step_run_trial(
+    context: Context,
+    failures: int,
+    responses: int,
+    old: int,
+    old_responses: int,
+) -> None:
+    # On each route and in each zone there are few responses.
+    target, used = (
+        VersionCounts(
+            {
+                ("a", f"r{index}"): RouteCounts(
+                    f"r{index}",
+                    count // 4,
+                    failed // 4 + (index < failed % 4),
+                    (),
+                )
+                for index in range(4)
+            }
+        )
+        for count, failed in ((responses, failures), (old_responses, old))
+    )
+    context.verdict = VersionComparison().evaluate(target, used, 0.0)
+
+
+@then("the version is {result}")
+def step_check_suspicious(context: Context, result: str) -> None:
+    assert context.verdict.is_suspicious == (result == "suspicious")
--- a/src/rhubarbpaddle/rollout/version_comparison.py
+++ b/src/rhubarbpaddle/rollout/version_comparison.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
+from rhubarbpaddle.rollout.failure_excess import has_failure_excess
 from rhubarbpaddle.rollout.latency_buckets import BUCKETS_PER_OCTAVE
 from rhubarbpaddle.rollout.odds_test import OddsTest, Stratum
 from rhubarbpaddle.rollout.route_counts import RouteCounts
@@ -130,13 +131,7 @@
         return Verdict(
             is_bad,
             is_bad and excess >= _CERTAINTY,
-            strongest.log_evidence
-            >= (
-                _SUSPICIOUS_LOG_EVIDENCE
-                if self._promotion is None
-                and target.count_responses() < _MANY_RESPONSES
-                else _SUSPICIOUS_LOG_EVIDENCE_OF_MANY
-            ),
+            self._is_suspicious(target, old, strongest.log_evidence),
             strongest.log_evidence,
             strongest.reason,
             target.count_responses(),
@@ -144,6 +139,18 @@
             target.count_latencies(),
         )
 
+    def _is_suspicious(
+        self, target: VersionCounts, old: VersionCounts, log_evidence: float
+    ) -> bool:
+        if (
+            self._promotion is not None
+            or target.count_responses() >= _MANY_RESPONSES
+        ):
+            return log_evidence >= _SUSPICIOUS_LOG_EVIDENCE_OF_MANY
+        return log_evidence >= _SUSPICIOUS_LOG_EVIDENCE or has_failure_excess(
+            target, old
+        )
+
     def _get_threshold(self, target: VersionCounts, is_recent: bool) -> float:
         """Returns the logarithm of the evidence that a test requires."""
         tests = 2 * (len(target.get_routes()) + 1)
--- a/src/rhubarbpaddle/rollout/version_counts.py
+++ b/src/rhubarbpaddle/rollout/version_counts.py
@@ -67,6 +67,17 @@
         """Returns the number of all failures."""
         return sum(counts.failures for counts in self.by_route.values())
 
+    def count_by_zone(self) -> dict[str, tuple[int, int]]:
+        """Returns the numbers of responses and of failures of each zone."""
+        totals: dict[str, tuple[int, int]] = {}
+        for (zone, _), counts in self.by_route.items():
+            responses, failures = totals.get(zone, (0, 0))
+            totals[zone] = (
+                responses + counts.responses,
+                failures + counts.failures,
+            )
+        return totals
+
     def count_latencies(self) -> int:
         """Returns the number of all responses with a known latency."""
         return sum(
