--- a/src/rhubarbpaddle/rollout/failure_excess.py
+++ b/src/rhubarbpaddle/rollout/failure_excess.py
@@ -29,12 +29,11 @@
         _MIN_FAILURES, _MIN_FAILED_FRACTION * target.count_responses()
     ):
         return False
+    old_by_zone = old.count_by_zone()
+    old_total = old.count_responses(), old.count_failures()
     expected = 0.0
     for zone, (responses, _) in target.count_by_zone().items():
-        old_responses, old_failures = old.count_by_zone().get(zone, (0, 0))
-        if not old_responses:
-            old_responses = old.count_responses()
-            old_failures = old.count_failures()
+        old_responses, old_failures = old_by_zone.get(zone, old_total)
         rate = (old_failures + _PRIOR_FAILURES) / (old_responses + 1)
         expected += responses * rate
     return failures > _TOLERATED_RATIO * expected
