--- a/soak/host.py
+++ b/soak/host.py
@@ -127,7 +127,7 @@
             self._process.send_signal(signum)
 
     async def reload_node(self) -> bool:
-        """Tells the node process that its settings may have changed.
+        """Sends the node process SIGHUP, as after a change of its settings.
 
         Returns:
             Whether the signal ended a process whose interpreter had not yet
--- a/src/rhubarbpaddle/admission/cold_start_rate_limit.py
+++ b/src/rhubarbpaddle/admission/cold_start_rate_limit.py
@@ -23,7 +23,7 @@
 
     def add(self, now: float) -> None:
         """Records a request that is sent now."""
-        # Nobody asks for the capacity while the instance is warm.
+        # While the instance is warm, `has_capacity` is not called.
         self._discard_old(now)
         self._sent_at.append(now)
 
--- a/src/rhubarbpaddle/platform/public_path.py
+++ b/src/rhubarbpaddle/platform/public_path.py
@@ -1,4 +1,4 @@
-"""Tells whether a path that matches a public route is served without a key."""
+"""Checks whether a path that matches a public route needs a key."""
 
 import re
 
