--- a/review/harness2/instance.py
+++ b/review/harness2/instance.py
@@ -38,6 +38,8 @@
         crashes_on: Returns whether a request crashes it.
         large_body: Returns the body of a response, and how much of it is sent
             before the connection breaks off, or None.
+        load_percent: Returns the fourth figure of its load: how long work
+            takes at this moment.
         cold_until: When it is warm, in seconds of the record.
         draining: Whether it is leaving.
         reports: Whether it sends status reports.
@@ -66,6 +68,7 @@
         self.large_body: Callable[[Message], tuple[bytes, int] | None] = (
             lambda _: None
         )
+        self.load_percent: Callable[[], int] = lambda: 100
         self.cold_until = -1.0
         self.draining = False
         self.reports = True
@@ -200,7 +203,8 @@
     ) -> bool:
         """Responds; returns whether the connection stays open."""
         _, target, _ = request.start.split(" ")
-        load = f"{self._running},{self._waiting},{self.slots},100"
+        load = f"{self._running},{self._waiting},{self.slots}"
+        load += f",{self.load_percent()}"
         if target == "/health":
             headers = [
                 ("Instance-Id", self.instance_id),
