--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """After one odd status report, a node follows no configuration any more."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -109,4 +110,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, run)
+    run_case(FOLDER, run, os.environ.get("TROUBLE", "1") != "0")
--- a/review/harness2/case.py
+++ b/review/harness2/case.py
@@ -1,7 +1,6 @@
 """Runs a case and turns its result into an exit code."""
 
 import asyncio
-import os
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -13,7 +12,9 @@
 
 
 def run_case(
-    folder: Path, case: Callable[[Record, bool], Awaitable[bool]]
+    folder: Path,
+    case: Callable[[Record, bool], Awaitable[bool]],
+    has_trouble: bool,
 ) -> None:
     """Runs a case and exits.
 
@@ -24,9 +25,10 @@
         folder: The folder of the case, which gets its record.
         case: Returns whether the rule was broken; its arguments are the record
             and whether the disruption takes place.
+        has_trouble: Whether the disruption takes place.
     """
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
+    record.write("start", trouble=has_trouble)
     code = 2
     try:
         broken = asyncio.run(_run(case, record, has_trouble))
