Record why, how often and after how long control links end

A failure to send ended a link with a line at debug level only, which nodes do not write, and the node that had accepted the link logged nothing.

Both directions of a link now report their failure in the same way, and both nodes record each end: a counter by code, and at most one line a second for each peer with the cause, the direction, the duration and the number of ends that were not logged.

--- /dev/null
+++ b/features/steps/control_links_steps.py
@@ -0,0 +1,90 @@
+from unittest.mock import patch
+
+import logbook
+import trio
+import trio.testing
+from behave import given, then, when
+from behave.runner import Context
+
+from features.steps.membership_steps import run_group
+from features.support.overlay_group import OverlayGroup
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.exceptions import TruncatedError
+from rhubarbpaddle.peer.control_link import ControlLink
+from rhubarbpaddle.peer.link_end import LinkEnd
+from rhubarbpaddle.peer.link_end_log import LinkEndLog
+
+
+@when("one node fails {count:d} times to send on its control links")
+def step_fail_to_send(context: Context, count: int) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        send_pending = ControlLink._send_pending
+        failures = iter(range(count))
+
+        async def fail(link: ControlLink) -> None:
+            if link.peer_id == "n1" and next(failures, None) is not None:
+                raise ValueError("can't send")
+            await send_pending(link)
+
+        with patch.object(ControlLink, "_send_pending", fail):
+            await trio.sleep(5)
+        context.link_ends = {
+            name: node.overlay.link_ends.counts
+            for name, node in group.nodes.items()
+        }
+
+    run_group(context, scenario)
+
+
+@then('that node has recorded ends of links with code "{code}"')
+def step_check_own_record(context: Context, code: str) -> None:
+    assert context.link_ends["n0"][code], context.link_ends
+
+
+@then('the other node has recorded ends of links with code "{code}"')
+def step_check_other_record(context: Context, code: str) -> None:
+    assert context.link_ends["n1"][code], context.link_ends
+
+
+@given("a record of link ends")
+def step_record(context: Context) -> None:
+    context.ends_seconds = 0.0
+
+
+@when(
+    "links with {peers:d} peers end {count:d} times each within {seconds:g} "
+    "seconds"
+)
+def step_end_often(
+    context: Context, peers: int, count: int, seconds: float
+) -> None:
+    async def run() -> LinkEndLog:
+        record = LinkEndLog(VirtualClock())
+        failure = TruncatedError("connection ended", step="receive_message")
+        for _ in range(count):
+            for peer in range(peers):
+                record.record(LinkEnd(f"n{peer}", True, failure, 0.001))
+            await trio.sleep(seconds / count)
+        return record
+
+    with logbook.TestHandler() as handler:
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        context.record = trio.run(run, clock=clock)
+    context.lines = handler.formatted_records
+
+
+@then(
+    "{count:d} lines are logged, which account for all ends but the last ones"
+)
+def step_check_link_lines(context: Context, count: int) -> None:
+    assert len(context.lines) == count, context.lines
+    counts = [int(line.rpartition("not_logged=")[2]) for line in context.lines]
+    # Each line counts the ends since the one before it. The ends after the last
+    # lines, half a second of 2.5, are not logged yet.
+    share = (sum(counts) + count) / sum(context.record.counts.values())
+    assert 0.8 <= share < 0.81, share
+
+
+@then("all {count:d} ends are counted")
+def step_check_counts(context: Context, count: int) -> None:
+    assert context.record.counts == {"truncated": count}
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -153,6 +153,7 @@
         )
         metrics = self._metrics = Metrics()
         metrics.observe_node(self._read_metrics)
+        metrics.observe_link_ends(self.overlay.link_ends.counts)
         self._stream_watch = StreamWatch(network, clock)
         self._upstream_registry = UpstreamRegistry(
             self.sidecar,
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -1,13 +1,17 @@
 """Control connection between two neighbours of the overlay."""
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
 import trio
 
 from rhubarbpaddle.clock import Clock
-from rhubarbpaddle.exceptions import ConfigurationError, ProtocolError
+from rhubarbpaddle.exceptions import (
+    ConfigurationError,
+    ProtocolError,
+    RhubarbpaddleError,
+)
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_update import CrashUpdate
 from rhubarbpaddle.membership import (
@@ -147,33 +151,53 @@
             RhubarbpaddleError: The connection closed, no message arrived for
                 `SILENCE_SECONDS`, or a message was unexpected or invalid.
         """
-        failure: Exception | None = None
+        failures: list[RhubarbpaddleError] = []
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_all, nursery.cancel_scope)
-            try:
-                await self._receive_all()
-            except Exception as exc:
-                failure = exc
-            nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-
-    async def _send_all(self, scope: trio.CancelScope) -> None:
+            for run in (self._send_all, self._receive_all):
+                nursery.start_soon(
+                    self._run_direction, run, nursery.cancel_scope, failures
+                )
+        if failures:
+            raise failures[0]
+
+    async def _run_direction(
+        self,
+        run: Callable[[], Awaitable[None]],
+        scope: trio.CancelScope,
+        failures: list[RhubarbpaddleError],
+    ) -> None:
+        """Sends or receives until that fails, which ends the link.
+
+        Args:
+            run: Sends or receives messages.
+            scope: The scope of both directions.
+            failures: Gets the failure.
+        """
         try:
-            while True:
-                self._wake = trio.Event()
-                await self._send_pending()
-                heartbeat_due = self._heartbeat_at + HEARTBEAT_INTERVAL_SECONDS
-                with trio.move_on_after(
-                    max(0.0, heartbeat_due - self._clock.monotonic())
-                ):
-                    await self._wake.wait()
-                elapsed = self._clock.monotonic() - self._sent_at
-                if elapsed < _MIN_SEND_INTERVAL_SECONDS:
-                    await trio.sleep(_MIN_SEND_INTERVAL_SECONDS - elapsed)
+            await run()
+        except RhubarbpaddleError as exc:
+            failures.append(exc)
         except Exception as exc:
-            _log.debug("control_send_failed", peer=self.peer_id, reason=exc)
-            scope.cancel()
+            # A fault in the handling of one message must not end the node.
+            failures.append(
+                RhubarbpaddleError(
+                    repr(exc), step="control_link", peer=self.peer_id
+                )
+            )
+        scope.cancel()
+
+    async def _send_all(self) -> None:
+        while True:
+            self._wake = trio.Event()
+            await self._send_pending()
+            heartbeat_due = self._heartbeat_at + HEARTBEAT_INTERVAL_SECONDS
+            with trio.move_on_after(
+                max(0.0, heartbeat_due - self._clock.monotonic())
+            ):
+                await self._wake.wait()
+            elapsed = self._clock.monotonic() - self._sent_at
+            if elapsed < _MIN_SEND_INTERVAL_SECONDS:
+                await trio.sleep(_MIN_SEND_INTERVAL_SECONDS - elapsed)
 
     async def _send_pending(self) -> None:
         self._sent_at = self._clock.monotonic()
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -34,6 +34,8 @@
     HEARTBEAT_INTERVAL_SECONDS,
     ControlLink,
 )
+from rhubarbpaddle.peer.link_end import LinkEnd
+from rhubarbpaddle.peer.link_end_log import LinkEndLog
 from rhubarbpaddle.peer.messages import Hello
 from rhubarbpaddle.peer.rejoin_choice import choose_rejoin_addresses
 from rhubarbpaddle.rollout.rollout_board import Notice, RolloutBoard
@@ -69,7 +71,11 @@
 
 
 class Overlay:
-    """Maintains links to the neighbours and broadcasts changes over them."""
+    """Maintains links to the neighbours and broadcasts changes over them.
+
+    Attributes:
+        link_ends: The record of the links that ended.
+    """
 
     def __init__(
         self,
@@ -95,6 +101,7 @@
         self._rng = rng
         self._get_seeds = get_seeds
         self._get_near_seeds = get_near_seeds
+        self.link_ends = LinkEndLog(clock)
         self._links: list[ControlLink] = []
         self._link_scopes: dict[str, trio.CancelScope] = {}
         self._members_changed = True
@@ -138,7 +145,7 @@
 
     async def serve(self, conn: PeerConnection, hello: Hello) -> None:
         """Runs a link that another node has opened, until it closes."""
-        await self._run_link(conn, hello.node_id)
+        await self._run_link(conn, hello.node_id, is_outgoing=False)
 
     async def run(self) -> None:
         """Opens and closes links as the set of members changes."""
@@ -220,7 +227,7 @@
                         _log.warn("member_suspected", peer=node_id, reason=exc)
                     await self._clock.sleep(_RECONNECT_DELAY)
                     continue
-                await self._run_link_logged(conn, node_id)
+                await self._run_outgoing_link(conn, node_id)
         if self._link_scopes.get(node_id) is scope:
             del self._link_scopes[node_id]
             self._members_changed = True
@@ -298,19 +305,21 @@
             _log.debug("contact_failed", peer=address, reason=exc)
             return
         with trio.move_on_after(_REJOIN_LINK_SECONDS):
-            await self._run_link_logged(conn, conn.peer)
+            await self._run_outgoing_link(conn, conn.peer)
 
-    async def _run_link_logged(
+    async def _run_outgoing_link(
         self, conn: PeerConnection, node_id: str
     ) -> None:
         try:
-            await self._run_link(conn, node_id)
-        except RhubarbpaddleError as exc:
-            _log.info("control_link_lost", peer=node_id, reason=exc.detail)
+            await self._run_link(conn, node_id, is_outgoing=True)
         finally:
             await conn.aclose()
 
-    async def _run_link(self, conn: PeerConnection, node_id: str) -> None:
+    async def _run_link(
+        self, conn: PeerConnection, node_id: str, is_outgoing: bool
+    ) -> None:
+        """Runs a link until it breaks, and records why."""
+        started_at = self._clock.monotonic()
         link = ControlLink(
             conn,
             node_id,
@@ -329,5 +338,8 @@
         try:
             link.enqueue(self._table.own)
             await link.run()
+        except RhubarbpaddleError as exc:
+            seconds = self._clock.monotonic() - started_at
+            self.link_ends.record(LinkEnd(node_id, is_outgoing, exc, seconds))
         finally:
             self._links.remove(link)
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -244,6 +244,7 @@
         self.load = EventLoopLoad(clock)
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
+        self.metrics.observe_link_ends(self.overlay.link_ends.counts)
         if settings.rollout_terms is not None:
             self.metrics.observe_rollouts(self._rollouts.board.list_readings)
         self._stream_watch = StreamWatch(network, clock)
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -182,6 +182,14 @@
             description="Requests refused for the key of an organisation",
         )
 
+    def observe_link_ends(self, counts: Mapping[str, int]) -> None:
+        """Adds a counter of control links that ended."""
+        self._meter.create_observable_counter(
+            f"{_PREFIX}control.links_ended",
+            [lambda _: _observe_counts(counts, "code")],
+            description="Control links that ended, by the code of the failure",
+        )
+
     def observe_shares(
         self,
         results: Mapping[str, int],
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -104,6 +104,17 @@
             lambda instruments: instruments.observe_key_refusals(refusals)
         )
 
+    def observe_link_ends(self, counts: Mapping[str, int]) -> None:
+        """Adds a counter of control links that ended.
+
+        Args:
+            counts: The counts by the code of the failure, which are read at
+                each scrape.
+        """
+        self._observers.append(
+            lambda instruments: instruments.observe_link_ends(counts)
+        )
+
     def observe_shares(
         self,
         results: Mapping[str, int],
