Reject documents whose strings can't be encoded again

JSON can hold such a string and UTF-8 can't: the version was published in the node's member entry, and each message with it raised UnicodeEncodeError, which ended the link.

The decoder of documents from outside now refuses such strings, raw or escaped, as names or values, at any depth. A document about one thing (report, directory entry, crash record, order, status) is rejected and its sender gets 400 where it waits for a response. In a document about many things (configuration, page of the store, state of a peer, settings) U+FFFD replaces what is not text, so that one name does not cost the other entries. The library's own decoder accepts encoded surrogates in bytes, so bytes are now decoded as UTF-8 first.

The same cause on related paths: crash records of the store with half a character ended links in the same way, and a configuration with such a route name got no response for that route.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -24,6 +24,8 @@
       | crash records in 400 lists    |
       | crash records of numbers      |
       | crash records at 2^63         |
+      | half a character as address   |
+      | crash records of half a character |
 
   # Guards against a node that ends or stops following the configuration
   # because one version can't be read. The versions before and after it hold.
@@ -42,6 +44,13 @@
       | a version of 5000 digits      |
       | 20000 nested lists in a zone  |
 
+  # Guards against a configuration of which no route is served because one name
+  # in it can't be encoded.
+  Scenario: A configuration with a name that is no text is in force
+    Given a configuration in which half a character is a route's name
+    When it is written to the store and two hosts have read it
+    Then both hosts serve that route and its other routes
+
   # Guards against an unhandled error in the listener for reports, which ends
   # the node, and against a state that is taken from such a report.
   Scenario Outline: A report with an odd value is rejected
@@ -60,6 +69,10 @@
       | a sequence far too high       |
       | a start of 2^62               |
       | a departure that is nested    |
+      | half a character as version   |
+      | half a character encoded      |
+      | half a character as new field |
+      | half a character of another id |
 
   # Guards against arithmetic that fails on the time since a report that there
   # was not.
@@ -120,3 +133,10 @@
       | records of the store          |
       | load headers                  |
       | publications                  |
+
+  # Guards against a value that is accepted where it enters and can't be encoded
+  # for a neighbour, the store or the log, which ended a link each time that it
+  # was opened (review/7).
+  Scenario: Each report that is accepted can be sent, stored and logged
+    When 500 generated reports with half characters are parsed
+    Then each one that is accepted can be encoded again
--- a/features/steps/control_links_steps.py
+++ b/features/steps/control_links_steps.py
@@ -1,3 +1,5 @@
+import json
+from typing import Any
 from unittest.mock import patch
 
 import logbook
@@ -7,7 +9,14 @@
 from behave.runner import Context
 
 from features.steps.membership_steps import run_group
+from features.support.connection_limit import limit_connections
 from features.support.overlay_group import OverlayGroup
+from features.support.platform_world import (
+    PlatformWorld,
+    make_configuration,
+    make_report,
+    run_platform_world,
+)
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.exceptions import TruncatedError
 from rhubarbpaddle.peer.control_link import ControlLink
@@ -88,3 +97,61 @@
 @then("all {count:d} ends are counted")
 def step_check_counts(context: Context, count: int) -> None:
     assert context.record.counts == {"truncated": count}
+
+
+@given("{count:d} hosts of which one gets a report with {content}")
+def step_report_content(context: Context, count: int, content: str) -> None:
+    context.count, context.content = count, content
+
+
+@when("a configuration with another route follows")
+def step_follow_configuration(context: Context) -> None:
+    sender = "i-h0" if context.content.endswith("version") else "i-other"
+    report = make_report(
+        sender, seq=9, born=2_000, version="v1-\ud83d", state="ready"
+    )
+
+    async def scenario(world: PlatformWorld) -> None:
+        hosts = [f"h{index}" for index in range(context.count)]
+        await world.start_store(make_configuration())
+        await world.start_serving(*hosts)
+        await trio.sleep(2)
+        with limit_connections(20 * len(hosts)):
+            ends = {host: get_link_ends(world, host) for host in hosts}
+            await send_instance_message(world, sender, "heartbeat", report)
+            if "departure" in context.content:
+                await send_instance_message(world, sender, "deregister", {})
+            await trio.sleep(2)
+            world.put_configuration(make_configuration(2, pathPrefix="/new/"))
+            await trio.sleep(2)
+        context.link_ends = {
+            host: get_link_ends(world, host) - ends[host] for host in hosts
+        }
+        context.statuses = [
+            (await world.send_request(host, f"id-{host}", "/new/x")).status
+            for host in hosts
+        ]
+
+    run_platform_world(scenario)
+
+
+def get_link_ends(world: PlatformWorld, host: str) -> int:
+    return world.nodes[host].overlay.link_ends.counts.total()
+
+
+async def send_instance_message(
+    world: PlatformWorld, sender: str, endpoint: str, document: dict[str, Any]
+) -> None:
+    target = f"/instances/{sender}/{endpoint}"
+    body = json.dumps(document).encode()
+    await world.send("h0:4", "POST", target, {}, body)
+
+
+@then("all hosts serve the new route within 2 seconds")
+def step_check_new_route(context: Context) -> None:
+    assert set(context.statuses) == {200}, context.statuses
+
+
+@then("no link has ended since the report")
+def step_check_no_ends(context: Context) -> None:
+    assert not any(context.link_ends.values()), context.link_ends
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -13,8 +13,10 @@
 from hypothesis import given as generate
 from hypothesis import strategies as st
 
+from features.support.connection_limit import limit_connections
 from features.support.host_network import HostNetwork
 from features.support.platform_world import (
+    SERVICE,
     SETTLE_SECONDS,
     PlatformWorld,
     make_configuration,
@@ -49,10 +51,15 @@
     StoreConfigurationState,
 )
 from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
+from rhubarbpaddle.telemetry.event_logger import format_event
+from standins.platform_documents import make_route_entry
 
 _NESTED = b"[" * 20_000 + b"]" * 20_000
 _NESTED_LESS = b"[" * 400 + b"]" * 400
 _LONG_NUMBER = "9" * 5_000
+# What remains of a character if a program cuts a text inside it. JSON can hold
+# it, UTF-8 can't.
+_HALF = "v1-\ud83d"
 
 
 def _make_entry(address: str) -> bytes:
@@ -74,6 +81,10 @@
     "crash records in 400 lists": _NESTED_LESS,
     "crash records of numbers": b'[["f", 0, [1, 2], 3]]',
     "crash records at 2^63": b'[["f", 0, [["h9", 1]], 9223372036854775808]]',
+    "half a character as address": _make_entry(_HALF),
+    "crash records of half a character": json.dumps(
+        [[_HALF, 0, [["h9", 1], ["h8", 2]], 4_000_000_000_000_000]]
+    ).encode(),
 }
 # The keys of entries other than those of nodes.
 _DIRECTORY_KEYS = {"a key": "a b&c\n", "crash records": "crashed/h9"}
@@ -106,7 +117,8 @@
         context.response = await world.send_request("h1", "one")
         context.dialled = set(world.fabric.attempted)
 
-    run_platform_world(scenario)
+    with limit_connections(200):
+        run_platform_world(scenario)
 
 
 @then("the caller gets a response")
@@ -176,6 +188,42 @@
     assert context.statuses == (200, 200), context.statuses
 
 
+@given("a configuration in which half a character is a route's name")
+def step_half_name(context: Context) -> None:
+    document = make_configuration(pathPrefix="/half/")
+    (route,) = (
+        entry
+        for entry in document["resources"]
+        if entry["entryKind"] == "routes"
+    )
+    route["metadata"]["name"] = _HALF
+    other = make_route_entry(
+        "other", "club.example", "/other/", "idempotent", SERVICE
+    )
+    document["resources"].append(other)
+    context.document = document
+
+
+@when("it is written to the store and two hosts have read it")
+def step_read_half_name(context: Context) -> None:
+    async def scenario(world: PlatformWorld) -> None:
+        await world.start_store(context.document)
+        await world.start_serving("h1", "h2")
+        context.statuses = [
+            (await world.send_request(host, f"{host}{path}", path)).status
+            for host in ("h1", "h2")
+            for path in ("/half/x", "/other/x")
+            for _ in range(4)
+        ]
+
+    run_platform_world(scenario)
+
+
+@then("both hosts serve that route and its other routes")
+def step_check_half_name(context: Context) -> None:
+    assert set(context.statuses) == {200}, context.statuses
+
+
 def _make_odd_report(fault: str) -> bytes:
     report: dict[str, Any] = make_report("i-h1", seq=6)
     match fault:
@@ -196,6 +244,13 @@
             report["born"] = 2**62
         case "a sequence far too high":
             report["seq"] = 2**50
+        case "half a character as version" | "half a character of another id":
+            report["version"] = _HALF
+        case "half a character encoded":
+            text = json.dumps(report | {"version": _HALF}, ensure_ascii=False)
+            return text.encode("utf-8", "surrogatepass")
+        case "half a character as new field":
+            report["other"] = [{_HALF: 1}]
     return json.dumps(report).encode()
 
 
@@ -208,7 +263,9 @@
     _send_bodies(context, "heartbeat", forged, json.dumps(true_report).encode())
 
 
-def _send_bodies(context: Context, endpoint: str, *bodies: bytes) -> None:
+def _send_bodies(
+    context: Context, endpoint: str, *bodies: bytes, sender: str = "i-h1"
+) -> None:
     """Sends a valid report and then further bodies to the same node."""
 
     async def scenario(world: PlatformWorld) -> None:
@@ -217,7 +274,7 @@
         await trio.sleep(1)
         assert await world.report("h1", seq=5) == 200
         for body in bodies:
-            target = f"/instances/i-h1/{endpoint}"
+            target = f"/instances/{sender}/{endpoint}"
             response = await world.send("h1:4", "POST", target, {}, body)
             context.status = response.status
         attached = world.nodes["h1"].instance_proxy.attached
@@ -232,6 +289,9 @@
     """Sends a report with an odd value after a valid one."""
     if fault == "a departure that is nested":
         _send_bodies(context, "deregister", _NESTED)
+    elif fault == "half a character of another id":
+        body = _make_odd_report(fault)
+        _send_bodies(context, "heartbeat", body, sender="i-other")
     else:
         _send_bodies(context, "heartbeat", _make_odd_report(fault))
 
@@ -318,8 +378,10 @@
     st.floats(),
     st.just(10**400),
 )
+# Includes halves of characters.
+_TEXTS = st.text(st.characters(exclude_categories=()), max_size=6)
 _VALUES = st.recursive(
-    st.one_of(st.none(), st.booleans(), _ODD_NUMBERS, st.text(max_size=6)),
+    st.one_of(st.none(), st.booleans(), _ODD_NUMBERS, _TEXTS),
     lambda inner: (
         st.lists(inner, max_size=3)
         | st.dictionaries(st.text(max_size=4), inner, max_size=3)
@@ -463,6 +525,36 @@
     assert context.decoded > 0
 
 
+_HALF_REPORTS = st.builds(
+    lambda field, text: json.dumps(make_report("i") | {field: text}).encode(),
+    st.sampled_from(["version", "service", "state", "zone", "address", "new"]),
+    _TEXTS | st.just(_HALF),
+)
+
+
+@when("{count:d} generated reports with half characters are parsed")
+def step_parse_reports(context: Context, count: int) -> None:
+    context.reports = []
+
+    @settings(max_examples=count)
+    @generate(_HALF_REPORTS)
+    def check(content: bytes) -> None:
+        with contextlib.suppress(RhubarbpaddleError):
+            context.reports.append(parse_report("i", content))
+
+    check()
+
+
+@then("each one that is accepted can be encoded again")
+def step_encode_reports(context: Context) -> None:
+    assert len({report.version for report in context.reports}) > 10
+    for report in context.reports:
+        for text in (report.service, report.version):
+            assert msgspec.msgpack.decode(msgspec.msgpack.encode(text)) == text
+            assert format_event("event", {"text": text}).encode()
+            json.dumps(text, ensure_ascii=False).encode()
+
+
 @given("a server whose handler fails for one request")
 def step_failing_handler(context: Context) -> None:
     async def respond(head: h11.Request, content: bytes) -> ShortResponse:
--- a/src/rhubarbpaddle/cli/fleet_client.py
+++ b/src/rhubarbpaddle/cli/fleet_client.py
@@ -83,4 +83,6 @@
             await conn.aclose()
         if response.status_code != 200:
             raise ValueError(f"the node responded with {response.status_code}")
-        return NodeReport.from_config(dict(decode_json(bytes(content))))
+        return NodeReport.from_config(
+            dict(decode_json(bytes(content), replace_invalid_text=True))
+        )
--- a/src/rhubarbpaddle/json_document.py
+++ b/src/rhubarbpaddle/json_document.py
@@ -4,9 +4,15 @@
 could exhaust the stack or that holds numbers which no field can have is
 rejected as a whole, by one kind of error, which does not quote the document:
 configurations hold the keys of organisations.
+
+A string that holds half of a surrogate pair, as a program leaves it that cuts a
+text inside a character, is valid JSON but no text: it can't be encoded again.
+A document about one thing is rejected because of it. In a document about many,
+it is replaced, so that the rest still holds.
 """
 
 import json
+import re
 from itertools import chain
 from typing import Any
 
@@ -17,19 +23,38 @@
 _MAX_INTEGER = 2**63 - 1
 _MAX_NUMBER_LENGTH = 32
 _OUT_OF_RANGE = "number out of range"
+_SURROGATE = re.compile("[\ud800-\udfff]")
+# Each document with half of a surrogate pair matches. Others that match have
+# whole pairs, which the decoder joins.
+_SURROGATE_OR_ESCAPE = re.compile("[\ud800-\udfff]|\\\\u[dD][89a-fA-F]")
+_REPLACEMENT = "\ufffd"
 
 
-def decode_json(content: bytes | str) -> Any:
+def decode_json(
+    content: bytes | str, *, replace_invalid_text: bool = False
+) -> Any:
     """Decodes a document.
 
+    Args:
+        content: The document; bytes are UTF-8.
+        replace_invalid_text: Whether U+FFFD replaces what is not text, instead
+            of an error.
+
     Raises:
         ValueError: The content is not valid JSON, is nested more than
-            `MAX_DEPTH` deep, or holds a number that is not finite or does not
-            fit into 64 bits.
+            `MAX_DEPTH` deep, holds a number that is not finite or does not fit
+            into 64 bits, or holds a string that can't be encoded.
     """
+    errors = "replace" if replace_invalid_text else "strict"
     try:
+        # The decoder of the library accepts encoded surrogates.
+        text = (
+            content
+            if isinstance(content, str)
+            else content.decode("utf-8-sig", errors)
+        )
         document = json.loads(
-            content,
+            text,
             parse_int=_parse_integer,
             parse_float=_parse_float,
             parse_constant=_reject_constant,
@@ -40,9 +65,18 @@
         # The representation of the original error holds the whole content.
         raise ValueError(f"not UTF-8 text: {exc}") from exc
     _check_depth(document)
+    if _SURROGATE_OR_ESCAPE.search(text):
+        if replace_invalid_text:
+            return _replace_surrogates(document)
+        _check_text(document)
     return document
 
 
+def is_text(value: str) -> bool:
+    """Returns whether a string can be encoded as UTF-8."""
+    return _SURROGATE.search(value) is None
+
+
 def _parse_integer(text: str) -> int:
     if len(text) <= _MAX_NUMBER_LENGTH:
         value = int(text)
@@ -76,3 +110,31 @@
         if not level:
             return
     raise ValueError("the document is nested too deeply")
+
+
+def _check_text(document: object) -> None:
+    match document:
+        case str():
+            if not is_text(document):
+                raise ValueError("a string holds half of a surrogate pair")
+        case dict():
+            for key, value in document.items():
+                _check_text(key)
+                _check_text(value)
+        case list():
+            for value in document:
+                _check_text(value)
+
+
+def _replace_surrogates(document: Any) -> Any:
+    match document:
+        case str():
+            return _SURROGATE.sub(_REPLACEMENT, document)
+        case dict():
+            return {
+                _replace_surrogates(key): _replace_surrogates(value)
+                for key, value in document.items()
+            }
+        case list():
+            return [_replace_surrogates(value) for value in document]
+    return document
--- a/src/rhubarbpaddle/platform/configuration_document.py
+++ b/src/rhubarbpaddle/platform/configuration_document.py
@@ -36,7 +36,7 @@
         ConfigurationError: A field is missing or has a wrong type or value.
     """
     try:
-        document = decode_json(text)
+        document = decode_json(text, replace_invalid_text=True)
         entries = document["resources"]
         limits = next(
             entry["spec"] for entry in entries if entry["entryKind"] == "limits"
--- a/src/rhubarbpaddle/platform/configuration_draft.py
+++ b/src/rhubarbpaddle/platform/configuration_draft.py
@@ -38,7 +38,7 @@
     if problems:
         raise ConfigurationError(problems, step=_STEP)
     configuration = parse_configuration_document(text)
-    entries = decode_json(text)["resources"]
+    entries = decode_json(text, replace_invalid_text=True)["resources"]
     return RoutingDraft(
         configuration=configuration,
         routes=tuple(
@@ -71,7 +71,7 @@
 def _iter_problems(text: str) -> Iterator[str]:
     """Yields the problems of entries, and of the document as a whole."""
     try:
-        document = decode_json(text)
+        document = decode_json(text, replace_invalid_text=True)
         parse_version(document["version"])
         entries = list(document["resources"])
     except _PARSE_ERRORS as exc:
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -85,7 +85,7 @@
                 a wrong type.
         """
         try:
-            document = decode_json(path.read_bytes())
+            document = decode_json(path.read_bytes(), replace_invalid_text=True)
         except (OSError, ValueError) as exc:
             raise SettingsError(str(exc), step=_STEP, peer=str(path)) from exc
         try:
--- a/src/rhubarbpaddle/platform/store_client.py
+++ b/src/rhubarbpaddle/platform/store_client.py
@@ -113,7 +113,7 @@
                     f"status {status}", "read_newest"
                 )
             try:
-                document = decode_json(body)
+                document = decode_json(body, replace_invalid_text=True)
                 page = [
                     KeyedRecord(
                         str(item["key"]),
--- a/src/rhubarbpaddle/platform/store_configuration_state.py
+++ b/src/rhubarbpaddle/platform/store_configuration_state.py
@@ -95,7 +95,7 @@
             ConfigurationError: The text is invalid.
         """
         try:
-            document = decode_json(text)
+            document = decode_json(text, replace_invalid_text=True)
             configuration = document["configuration"]
             zones = document["withdrawn"]
             entries: list[OrderEntry] = document.get("rollouts", [])
