Write log lines and metrics whose values can't be encoded

Lines now show what is not text as an escape, and labels as a question mark, as the exposition format permits no other escapes. Both scenarios fail on the parent commit.

--- a/features/log_output.feature
+++ b/features/log_output.feature
@@ -23,3 +23,9 @@
   Scenario: A rare event is written although another is frequent
     When 2000 notices of one event and then 1 of another are logged
     Then the notice of the other event is written
+
+  # Guards against a line that is lost, with a traceback in its place each time,
+  # because a value from outside can't be encoded (review/7).
+  Scenario: A value that is no text is written with an escape
+    When a warning with half of a surrogate pair is logged
+    Then the line shows the half as "\ud83d"
--- a/features/metrics_text.feature
+++ b/features/metrics_text.feature
@@ -37,3 +37,12 @@
     Then the metrics contain these lines without the scope's labels
       | line                                                                                                  |
       | rhubarbpaddle_request_duration_seconds_count{service="lanes",status="200",tenant="other"} 10050.0     |
+
+  # Guards against one label value that can't be encoded, which makes each
+  # scrape fail.
+  Scenario: A label that is no text is exposed with a question mark
+    Given a request of an organisation whose name holds half of a surrogate pair
+    When the metrics are rendered
+    Then the metrics contain these lines without the scope's labels
+      | line                                                                                                  |
+      | rhubarbpaddle_request_duration_seconds_count{service="lanes",status="200",tenant="v1-?"} 1.0          |
--- a/features/steps/metrics_text_steps.py
+++ b/features/steps/metrics_text_steps.py
@@ -78,3 +78,9 @@
                 context.metrics.record_request("other", "lanes", 200, 0.25)
 
     trio.run(record)
+
+
+@given("a request of an organisation whose name holds half of a surrogate pair")
+def step_record_half(context: Context) -> None:
+    context.metrics = Metrics()
+    context.metrics.record_request("v1-\ud83d", "lanes", 200, 0.25)
--- a/src/rhubarbpaddle/telemetry/prometheus_text.py
+++ b/src/rhubarbpaddle/telemetry/prometheus_text.py
@@ -47,8 +47,9 @@
                     self._add_metric(metric, labels)
 
     def encode(self) -> bytes:
-        """Returns the text encoded in UTF-8."""
-        return "".join(f"{line}\n" for line in self._lines).encode()
+        """Returns the text in UTF-8, with `?` for what can't be encoded."""
+        text = "".join(f"{line}\n" for line in self._lines)
+        return text.encode(errors="replace")
 
     def _add_metric(self, metric: Metric, scope: Mapping[str, str]) -> None:
         name = _make_name(metric)
--- a/src/rhubarbpaddle/telemetry/rate_limited_handler.py
+++ b/src/rhubarbpaddle/telemetry/rate_limited_handler.py
@@ -56,8 +56,10 @@
         line = str(self.format(record))  # type: ignore[no-untyped-call]
         if self.dropped:
             line += f" dropped={self.dropped}"
+        # Values from outside may hold characters that UTF-8 can't.
+        encoded = line.encode(errors="backslashreplace")
         try:
-            os.write(self._descriptor, line.encode() + b"\n")
+            os.write(self._descriptor, encoded + b"\n")
         except OSError:
             # The reader has closed the stream or is too slow, and there is
             # no other place to report it.
