Open and accept links slower after ones that ended at once

A link counted as active from its start, so the node mostly believed that its neighbours supplied it and did not read the store, which made it follow configurations late.

The delay before the next link to a neighbour now grows from 0.1 s to 4 s while links end within 2 s; a link that lasted is replaced at once, as before. A node that accepts links makes a node wait for its welcome, up to 0.5 s, while the links of that node end within 0.1 s, so that one of an earlier release without such a delay costs little. A link is active only after its first message.

--- a/features/control_links.feature
+++ b/features/control_links.feature
@@ -31,3 +31,27 @@
       | half a character as version             |
       | half a character as version, other id   |
       | the same, and then the id's departure   |
+
+  # Guards against a link that is opened again at once each time that it ends,
+  # whatever ends it (review/7: 980 links a second). With the shortest delays, 7
+  # links are opened in 3.2 s and one more each 2 s.
+  Scenario: A link that ends at once is opened less and less often
+    Given 4 nodes that know each other
+    When each control link of one node ends at once for 30 seconds
+    Then it has opened at most 21 links to each neighbour
+    And it has known that no link is active for most of that time
+
+  # Guards against a neighbour that has no such limit, for example one of an
+  # earlier release, and uses this node's processor.
+  Scenario: A node that opens links without a pause is made to wait
+    Given 2 nodes that know each other
+    When a third node opens links that end at once for 30 seconds
+    Then at most 80 of its links have been accepted
+    And its link 5 seconds later is accepted within 0.1 seconds
+
+  # Guards against a wait for nodes whose links end for good reasons, which would
+  # slow down their start.
+  Scenario: A link after one that lasted is opened and accepted at once
+    Given 2 nodes that know each other
+    When a third node opens 5 links that last 0.2 seconds each
+    Then each of them was accepted within 0.01 seconds
--- a/features/steps/control_links_steps.py
+++ b/features/steps/control_links_steps.py
@@ -1,4 +1,5 @@
 import json
+from collections import Counter
 from typing import Any
 from unittest.mock import patch
 
@@ -10,6 +11,7 @@
 
 from features.steps.membership_steps import run_group
 from features.support.connection_limit import limit_connections
+from features.support.host_network import HostNetwork
 from features.support.overlay_group import OverlayGroup
 from features.support.platform_world import (
     PlatformWorld,
@@ -19,7 +21,9 @@
 )
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.exceptions import TruncatedError
+from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.control_link import ControlLink
+from rhubarbpaddle.peer.identity import PeerIdentity
 from rhubarbpaddle.peer.link_end import LinkEnd
 from rhubarbpaddle.peer.link_end_log import LinkEndLog
 
@@ -155,3 +159,106 @@
 @then("no link has ended since the report")
 def step_check_no_ends(context: Context) -> None:
     assert not any(context.link_ends.values()), context.link_ends
+
+
+@when("each control link of one node ends at once for {seconds:g} seconds")
+def step_end_at_once(context: Context, seconds: float) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        node = group.nodes["n0"]
+
+        async def fail(link: ControlLink) -> None:
+            if link._table is node.table:
+                raise ValueError("can't send")
+            await send_pending(link)
+
+        send_pending = ControlLink._send_pending
+        before = len(group.fabric.connections)
+        active = []
+        with (
+            patch.object(ControlLink, "_send_pending", fail),
+            limit_connections(10_000),
+        ):
+            for _ in range(int(seconds * 10)):
+                await trio.sleep(0.1)
+                active.append(node.overlay.has_active_link())
+        context.opened = Counter(
+            target
+            for source, target in group.fabric.connections[before:]
+            if source == "n0"
+        )
+        context.active_share = sum(active) / len(active)
+
+    run_group(context, scenario)
+
+
+@then("it has opened at most {count:d} links to each neighbour")
+def step_check_opened(context: Context, count: int) -> None:
+    assert context.opened, "no link was opened"
+    assert max(context.opened.values()) <= count, context.opened
+
+
+@then("it has known that no link is active for most of that time")
+def step_check_inactive(context: Context) -> None:
+    assert context.active_share < 0.2, context.active_share
+
+
+class LinkOpener:
+    """Opens control links to a node, as a node of any release may do."""
+
+    def __init__(self, group: OverlayGroup, name: str) -> None:
+        identity = PeerIdentity("test", name, 1, b"secret")
+        network = HostNetwork(group.fabric, name)
+        self._connector = PeerConnector(network, identity)
+
+    async def open(self, address: str, seconds: float) -> float:
+        """Opens a link and closes it later; returns the wait for it."""
+        started_at = trio.current_time()
+        conn = await self._connector.connect(address, "control")
+        waited = trio.current_time() - started_at
+        with trio.move_on_after(seconds):
+            while True:
+                await conn.receive()
+        await conn.aclose()
+        return waited
+
+
+@when("a third node opens links that end at once for {seconds:g} seconds")
+def step_open_without_pause(context: Context, seconds: float) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        opener = LinkOpener(group, "n9")
+        end = trio.current_time() + seconds
+        context.accepted = 0
+        with limit_connections(5_000):
+            while trio.current_time() < end:
+                await opener.open("n0:2", 0.003)
+                context.accepted += 1
+        await trio.sleep(5)
+        context.waited = await opener.open("n0:2", 0.003)
+
+    run_group(context, scenario)
+
+
+@then("at most {count:d} of its links have been accepted")
+def step_check_accepted(context: Context, count: int) -> None:
+    assert context.accepted <= count, context.accepted
+
+
+@then("its link 5 seconds later is accepted within {seconds:g} seconds")
+def step_check_later_wait(context: Context, seconds: float) -> None:
+    assert context.waited <= seconds, context.waited
+
+
+@when("a third node opens {count:d} links that last {seconds:g} seconds each")
+def step_open_lasting(context: Context, count: int, seconds: float) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        opener = LinkOpener(group, "n9")
+        context.waits = [
+            await opener.open("n0:2", seconds) for _ in range(count)
+        ]
+
+    run_group(context, scenario)
+
+
+@then("each of them was accepted within {seconds:g} seconds")
+def step_check_waits(context: Context, seconds: float) -> None:
+    assert max(context.waits) <= seconds, context.waits
--- a/features/support/overlay_group.py
+++ b/features/support/overlay_group.py
@@ -80,7 +80,11 @@
             CrashLedger(name, clock),
             StoreAccessTable(self.table),
         )
-        self.listener = PeerListener(identity, {"control": self.overlay})
+        self.listener = PeerListener(
+            identity,
+            {"control": self.overlay},
+            self.overlay.get_welcome_delay,
+        )
         self.scope = trio.CancelScope()
 
     async def run(self) -> None:
--- a/src/rhubarbpaddle/cli/publisher.py
+++ b/src/rhubarbpaddle/cli/publisher.py
@@ -5,6 +5,7 @@
 import uuid
 from datetime import timedelta
 
+from rhubarbpaddle.backoff import Backoff
 from rhubarbpaddle.cli.publish_outcome import PublishOutcome
 from rhubarbpaddle.cli.publish_result import PublishResult
 from rhubarbpaddle.clock import Clock
@@ -16,7 +17,6 @@
 from rhubarbpaddle.configuration.publication import Publication
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
 from rhubarbpaddle.log import LogClient
-from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.node.configuration_reader import STREAM, ConfigurationReader
 
 
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from rhubarbpaddle.backoff import Backoff
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
@@ -16,7 +17,6 @@
 )
 from rhubarbpaddle.exceptions import LogUnavailableError
 from rhubarbpaddle.log import LogClient
-from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.node.checkpoint_writer import CheckpointWriter
 from rhubarbpaddle.node.configuration_reader import ConfigurationReader
 from rhubarbpaddle.node.configuration_state import ConfigurationState
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -186,6 +186,7 @@
                 "claims": claims,
                 "control": self.overlay,
             },
+            self.overlay.get_welcome_delay,
         )
         self._admin_handler = AdminHandler(
             self._upstream_registry,
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -68,8 +68,8 @@
 
     Attributes:
         peer_id: The neighbour's node id.
-        received_at: Monotonic time in seconds of the last message, or of the
-            link's start.
+        received_at: Monotonic time in seconds of the last message. A link
+            without one has not shown that it works.
     """
 
     def __init__(
@@ -87,7 +87,7 @@
         currency: ConfigurationCurrency | None = None,
     ) -> None:
         self.peer_id = peer_id
-        self.received_at = clock.monotonic()
+        self.received_at = float("-inf")
         self._conn = conn
         self._table = table
         self._configuration = configuration
--- a/src/rhubarbpaddle/peer/listener.py
+++ b/src/rhubarbpaddle/peer/listener.py
@@ -1,7 +1,8 @@
 """Authenticates incoming connections from other nodes."""
 
 import secrets
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from datetime import timedelta
 
 import trio
 
@@ -22,10 +23,22 @@
     """Authenticates connections and passes each to its purpose's handler."""
 
     def __init__(
-        self, identity: PeerIdentity, handlers: Mapping[str, ConnectionHandler]
+        self,
+        identity: PeerIdentity,
+        handlers: Mapping[str, ConnectionHandler],
+        get_welcome_delay: Callable[[Hello], timedelta] | None = None,
     ) -> None:
+        """Creates a listener.
+
+        Args:
+            identity: Verifies the other nodes.
+            handlers: The handler of each purpose.
+            get_welcome_delay: Returns how long the other node has to wait until
+                its connection is accepted; none has to if it is absent.
+        """
         self._identity = identity
         self._handlers = handlers
+        self._get_welcome_delay = get_welcome_delay
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serves one connection until it closes.
@@ -61,6 +74,9 @@
                 await conn.send(Reject(reason))
                 return None
             conn.peer = hello.node_id
+            if self._get_welcome_delay is not None:
+                delay = self._get_welcome_delay(hello)
+                await trio.sleep(delay.total_seconds())
             await conn.send(
                 Welcome(self._identity.node_id, self._identity.incarnation)
             )
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -32,8 +32,11 @@
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.control_link import (
     HEARTBEAT_INTERVAL_SECONDS,
+    SILENCE_SECONDS,
     ControlLink,
 )
+from rhubarbpaddle.peer.incoming_links import IncomingLinks
+from rhubarbpaddle.peer.link_backoff import LinkBackoff
 from rhubarbpaddle.peer.link_end import LinkEnd
 from rhubarbpaddle.peer.link_end_log import LinkEndLog
 from rhubarbpaddle.peer.messages import Hello
@@ -55,6 +58,10 @@
 # yet, but a change may not arrive over it.
 _ACTIVE_SECONDS = 2.5 * HEARTBEAT_INTERVAL_SECONDS
 _RECONNECT_DELAY = timedelta(milliseconds=250)
+# A link that silence ended lasted longer. It may be replaced at once.
+_STABLE_LINK_TIME = timedelta(seconds=SILENCE_SECONDS)
+# The other links, or the store, supply the node meanwhile.
+_MAX_RECONNECT_DELAY = timedelta(seconds=4)
 # How often a node that has links connects to dead members and unknown seeds,
 # and how long such a link lasts. Two heartbeats suffice to exchange the member
 # tables.
@@ -102,6 +109,7 @@
         self._get_seeds = get_seeds
         self._get_near_seeds = get_near_seeds
         self.link_ends = LinkEndLog(clock)
+        self._incoming_links = IncomingLinks(clock, rng)
         self._links: list[ControlLink] = []
         self._link_scopes: dict[str, trio.CancelScope] = {}
         self._members_changed = True
@@ -145,7 +153,14 @@
 
     async def serve(self, conn: PeerConnection, hello: Hello) -> None:
         """Runs a link that another node has opened, until it closes."""
-        await self._run_link(conn, hello.node_id, is_outgoing=False)
+        seconds = await self._run_link(conn, hello.node_id, is_outgoing=False)
+        self._incoming_links.record_end(hello.node_id, seconds)
+
+    def get_welcome_delay(self, hello: Hello) -> timedelta:
+        """Returns how long to wait before a connection is accepted."""
+        if hello.purpose != PURPOSE:
+            return timedelta()
+        return self._incoming_links.get_remaining_delay(hello.node_id)
 
     async def run(self) -> None:
         """Opens and closes links as the set of members changes."""
@@ -213,8 +228,13 @@
 
         Ends when the scope is cancelled or the neighbour is dead.
         """
+        backoff = LinkBackoff(
+            self._clock, self._rng, _STABLE_LINK_TIME, _MAX_RECONNECT_DELAY
+        )
         with scope:
             while True:
+                if delay := backoff.get_remaining_delay():
+                    await self._clock.sleep(delay)
                 member = self._table.get(node_id)
                 if member is None or member.status is MemberStatus.DEAD:
                     break
@@ -227,7 +247,8 @@
                         _log.warn("member_suspected", peer=node_id, reason=exc)
                     await self._clock.sleep(_RECONNECT_DELAY)
                     continue
-                await self._run_outgoing_link(conn, node_id)
+                seconds = await self._run_outgoing_link(conn, node_id)
+                backoff.record_end(seconds)
         if self._link_scopes.get(node_id) is scope:
             del self._link_scopes[node_id]
             self._members_changed = True
@@ -309,16 +330,21 @@
 
     async def _run_outgoing_link(
         self, conn: PeerConnection, node_id: str
-    ) -> None:
+    ) -> float:
+        """Runs a link that this node has opened; see `_run_link`."""
         try:
-            await self._run_link(conn, node_id, is_outgoing=True)
+            return await self._run_link(conn, node_id, is_outgoing=True)
         finally:
             await conn.aclose()
 
     async def _run_link(
         self, conn: PeerConnection, node_id: str, is_outgoing: bool
-    ) -> None:
-        """Runs a link until it breaks, and records why."""
+    ) -> float:
+        """Runs a link until it breaks, and records why.
+
+        Returns:
+            For how many seconds it was open.
+        """
         started_at = self._clock.monotonic()
         link = ControlLink(
             conn,
@@ -343,3 +369,4 @@
             self.link_ends.record(LinkEnd(node_id, is_outgoing, exc, seconds))
         finally:
             self._links.remove(link)
+        return self._clock.monotonic() - started_at
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -289,7 +289,9 @@
         }
         if self.usage_caps is not None:
             peer_handlers["usage"] = self.usage_caps.server
-        self._peer_listener = PeerListener(identity, peer_handlers)
+        self._peer_listener = PeerListener(
+            identity, peer_handlers, self.overlay.get_welcome_delay
+        )
         self._shutdown = Shutdown(
             self._readiness.fail,
             deadline_limit,
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from rhubarbpaddle.backoff import Backoff
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.configuration.routing_configuration import (
     RoutingConfiguration,
@@ -15,7 +16,6 @@
 from rhubarbpaddle.membership.configuration_currency import (
     ConfigurationCurrency,
 )
-from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.peer.versioned_text import VersionedText
 from rhubarbpaddle.platform.aged_configuration_text import (
     AgedConfigurationText,
--- a/src/rhubarbpaddle/platform/store_retry.py
+++ b/src/rhubarbpaddle/platform/store_retry.py
@@ -4,9 +4,9 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+from rhubarbpaddle.backoff import Backoff
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import AppendUnknownError, LogUnavailableError
-from rhubarbpaddle.node.backoff import Backoff
 from rhubarbpaddle.telemetry import get_logger
 
 _BACKOFF_LIMIT = timedelta(seconds=1)
