Do not take the end of a stream that failed to send for a valid one

An instance answered an upload of 8 MB early with a 200 without a length, sent 20 KB and reset the connection while the upload was still being written. The caller got these 20 KB as a complete response, at the instance's own node, at another node and at the product's nodes.

The kernel reports a reset once. The write of the upload got the error, so the read that followed saw the end of the stream, which ends a body without a length. A smaller upload is written before the reset, so that the read gets the error. A TCP stream now remembers that it failed to send, on each of its write paths, and an end of the stream after that is an error. What had been received before is still read, so a response with a length, or in chunks, that is complete is delivered as before.

--- a/features/support/host_network.py
+++ b/features/support/host_network.py
@@ -8,6 +8,8 @@
 from features.support.memory_fabric import MemoryFabric, StreamHandler
 from features.support.memory_stream import MemoryStream
 from rhubarbpaddle.remote_state import RemoteState
+from rhubarbpaddle.tcp_network import TcpNetwork
+from rhubarbpaddle.tcp_stream import TcpStream
 
 # The names of hosts take the place of IP addresses.
 _ADDRESS = re.compile(r"[a-z0-9-]+:([0-9]{1,5})")
@@ -43,10 +45,14 @@
                 self._fabric.stop_listening(address)
 
     def has_input(self, stream: trio.abc.Stream) -> bool:
+        if isinstance(stream, TcpStream):
+            return TcpNetwork().has_input(stream)
         assert isinstance(stream, MemoryStream)
         return stream.incoming.has_input()
 
     def get_remote_state(self, stream: trio.abc.Stream) -> RemoteState:
+        if isinstance(stream, TcpStream):
+            return TcpNetwork().get_remote_state(stream)
         assert isinstance(stream, MemoryStream)
         if stream.outgoing.broken:
             return RemoteState.CLOSED
@@ -58,9 +64,14 @@
         return "192.0.2.1"
 
     def try_send(self, stream: trio.abc.Stream, data: bytes) -> bool:
+        if isinstance(stream, TcpStream):
+            return TcpNetwork().try_send(stream, data)
         assert isinstance(stream, MemoryStream)
         return stream.outgoing.try_write(data)
 
     def reset_on_close(self, stream: trio.abc.Stream) -> None:
+        if isinstance(stream, TcpStream):
+            TcpNetwork().reset_on_close(stream)
+            return
         assert isinstance(stream, MemoryStream)
         stream.reset_on_close = True
--- a/features/support/http_world.py
+++ b/features/support/http_world.py
@@ -48,13 +48,16 @@
     scenario: Callable[[HttpWorld], Awaitable[ResultT]],
     service: Mapping[str, object] | None = None,
     slots: int = 6,
+    *,
+    in_real_time: bool = False,
 ) -> ResultT:
-    """Runs a scenario against the two nodes in virtual time.
+    """Runs a scenario against the two nodes, mostly in virtual time.
 
     Args:
         scenario: Called once both nodes serve requests.
         service: The settings of the service `lanes`; defaults if None.
         slots: The number of slots of the upstream.
+        in_real_time: Whether the scenario uses real connections.
     """
 
     async def run() -> ResultT:
@@ -85,7 +88,8 @@
             nursery.cancel_scope.cancel()
         return result
 
-    return trio.run(run, clock=MockClock(autojump_threshold=0))
+    clock = None if in_real_time else MockClock(autojump_threshold=0)
+    return trio.run(run, clock=clock)
 
 
 def make_request(
--- a/features/support/memory_fabric.py
+++ b/features/support/memory_fabric.py
@@ -8,6 +8,7 @@
 
 from features.support.memory_pipe import MemoryPipe
 from features.support.memory_stream import MemoryStream
+from rhubarbpaddle.tcp_network import TcpNetwork
 
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
@@ -23,6 +24,8 @@
             the first.
         attempted: Addresses to which connections were attempted.
         connections: The two hosts of each connection that was opened.
+        tcp_addresses: Real addresses by the addresses that stand for them.
+            Scenarios that use them run in real time.
     """
 
     def __init__(self) -> None:
@@ -30,6 +33,7 @@
         self.refused: set[tuple[str, str]] = set()
         self.attempted: set[str] = set()
         self.connections: list[tuple[str, str]] = []
+        self.tcp_addresses: dict[str, str] = {}
         self._listeners: dict[str, tuple[str, StreamHandler, trio.Nursery]] = {}
         self._pipes: list[tuple[str, str, MemoryPipe]] = []
 
@@ -47,8 +51,12 @@
         """Refuses new connections at an address."""
         self._listeners.pop(address, None)
 
-    async def connect(self, source: str, address: str) -> MemoryStream:
+    async def connect(
+        self, source: str, address: str
+    ) -> trio.abc.HalfCloseableStream:
         """Opens a connection from a host to an address."""
+        if address in self.tcp_addresses:
+            return await TcpNetwork().connect(self.tcp_addresses[address])
         await trio.lowlevel.checkpoint()
         self.attempted.add(address)
         if address not in self._listeners:
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -116,6 +116,7 @@
     Attributes:
         link_mbps: The rate of the links of hosts that are started from now on;
             None if their settings have none. The fabric itself has no limit.
+        nursery: Runs the tasks of the scenario.
         bounds: Bounds in the settings of the nodes that start from now on, in
             addition to the usual ones.
     """
@@ -128,7 +129,7 @@
         self.nodes: dict[str, PlatformNode] = {}
         self.instances: dict[str, PlatformInstance] = {}
         self.bounds: dict[str, Any] = {}
-        self._nursery = nursery
+        self.nursery = nursery
         self._node_scopes: dict[str, trio.CancelScope] = {}
 
     async def start_store(self, configuration: dict[str, Any] | None) -> None:
@@ -136,7 +137,7 @@
         if configuration is not None:
             self.put_configuration(configuration)
         network = HostNetwork(self.fabric, "store")
-        await self._nursery.start(
+        await self.nursery.start(
             network.serve, STORE_ADDRESS, self.store.handle
         )
 
@@ -151,7 +152,7 @@
         instance = PlatformInstance(f"i-{name}")
         self.instances[name] = instance
         network = HostNetwork(self.fabric, name)
-        await self._nursery.start(network.serve, f"{name}:9", instance.handle)
+        await self.nursery.start(network.serve, f"{name}:9", instance.handle)
         return instance
 
     async def start_serving(self, *names: str) -> None:
@@ -182,7 +183,7 @@
             random.Random(name),
         )
         scope = self._node_scopes[name] = trio.CancelScope()
-        await self._nursery.start(_run_within, scope, node.run)
+        await self.nursery.start(_run_within, scope, node.run)
         self.nodes[name] = node
 
     async def stop_node(self, name: str) -> None:
@@ -199,7 +200,12 @@
         Returns:
             The HTTP status of the response.
         """
-        instance = self.instances[name].instance
+        return await self.report_as(
+            name, self.instances[name].instance, **changes
+        )
+
+    async def report_as(self, name: str, instance: str, **changes: Any) -> int:
+        """Sends a status report of an instance to a host's node."""
         body = json.dumps(make_report(instance, **changes)).encode()
         target = f"/instances/{instance}/heartbeat"
         response = await self.send(f"{name}:4", "POST", target, {}, body)
@@ -273,8 +279,10 @@
 
 def run_platform_world(
     scenario: Callable[[PlatformWorld], Awaitable[ResultT]],
+    *,
+    in_real_time: bool = False,
 ) -> ResultT:
-    """Runs a scenario in virtual time and returns its result."""
+    """Runs a scenario, mostly in virtual time, and returns its result."""
 
     async def run() -> ResultT:
         async with trio.open_nursery() as nursery:
@@ -282,4 +290,5 @@
             nursery.cancel_scope.cancel()
         return result
 
-    return trio.run(run, clock=MockClock(autojump_threshold=0))
+    clock = None if in_real_time else MockClock(autojump_threshold=0)
+    return trio.run(run, clock=clock)
--- a/src/rhubarbpaddle/tcp_network.py
+++ b/src/rhubarbpaddle/tcp_network.py
@@ -1,7 +1,6 @@
 """The network of a real process."""
 
 import ipaddress
-import os
 import select
 import socket
 import struct
@@ -110,16 +109,7 @@
     def try_send(self, stream: trio.abc.Stream, data: bytes) -> bool:
         """Sends a few bytes without waiting; see `Network.try_send`."""
         assert isinstance(stream, TcpStream)
-        descriptor = stream.socket.fileno()
-        if descriptor < 0:
-            return False
-        try:
-            # The socket is non-blocking, so this does not wait.
-            return os.write(descriptor, data) == len(data)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        return stream.try_send(data)
 
     def reset_on_close(self, stream: trio.abc.Stream) -> None:
         """Makes a later close reset the connection instead of ending it."""
--- a/src/rhubarbpaddle/tcp_stream.py
+++ b/src/rhubarbpaddle/tcp_stream.py
@@ -15,6 +15,10 @@
     checkpoint only adds latency. A loop over `send_all` still lets other tasks
     run, because the reads that supply its data do.
 
+    The kernel reports a reset once, to whichever system call comes first, and
+    an end of the stream to later reads. A stream that failed to send therefore
+    has no valid end: what was received may be incomplete.
+
     Attributes:
         socket: The trio socket.
     """
@@ -22,6 +26,7 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self.socket = stream.socket
         self._stream = stream
+        self._failed_to_send = False
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         """Sends all bytes.
@@ -36,19 +41,31 @@
             return
         await trio.lowlevel.checkpoint_if_cancelled()
         try:
-            sent = os.write(descriptor, data)
-        except BlockingIOError:
-            sent = 0
-        except OSError as exc:
-            raise trio.BrokenResourceError from exc
-        if sent < len(data):
-            await self._stream.send_all(memoryview(data)[sent:])
+            sent = self._write(descriptor, data)
+            if sent < len(data):
+                await self._stream.send_all(memoryview(data)[sent:])
+        except trio.BrokenResourceError:
+            self._failed_to_send = True
+            raise
+
+    def try_send(self, data: bytes) -> bool:
+        """Sends a few bytes without waiting; see `Network.try_send`."""
+        descriptor = self.socket.fileno()
+        if descriptor < 0:
+            return False
+        try:
+            sent = self._write(descriptor, data)
+        except trio.BrokenResourceError:
+            self._failed_to_send = True
+            return False
+        return sent in (0, len(data))
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Returns the next bytes, or an empty result at the end of the stream.
 
         Raises:
-            trio.BrokenResourceError: The connection is broken.
+            trio.BrokenResourceError: The connection is broken, or the end of
+                the stream follows a failure to send.
             trio.ClosedResourceError: This side has closed it.
         """
         descriptor = self.socket.fileno()
@@ -57,11 +74,9 @@
         limit = max_bytes or _DEFAULT_RECEIVE_BYTES
         await trio.lowlevel.checkpoint_if_cancelled()
         try:
-            data = os.read(descriptor, limit)
+            data = self._read(descriptor, limit)
         except BlockingIOError:
             pass
-        except OSError as exc:
-            raise trio.BrokenResourceError from exc
         else:
             await trio.lowlevel.cancel_shielded_checkpoint()
             return data
@@ -69,11 +84,9 @@
             # Raises ClosedResourceError if another task closes the stream.
             await trio.lowlevel.wait_readable(descriptor)
             try:
-                return os.read(descriptor, limit)
+                return self._read(descriptor, limit)
             except BlockingIOError:
                 continue
-            except OSError as exc:
-                raise trio.BrokenResourceError from exc
 
     async def wait_send_all_might_not_block(self) -> None:
         """Waits until `send_all` might not block."""
@@ -86,3 +99,31 @@
     async def aclose(self) -> None:
         """Closes the stream."""
         await self._stream.aclose()
+
+    def _write(
+        self, descriptor: int, data: bytes | bytearray | memoryview
+    ) -> int:
+        """Returns how many bytes were written, 0 if the socket is full."""
+        try:
+            return os.write(descriptor, data)
+        except BlockingIOError:
+            return 0
+        except OSError as exc:
+            raise trio.BrokenResourceError from exc
+
+    def _read(self, descriptor: int, limit: int) -> bytes:
+        """Reads what has arrived.
+
+        Raises:
+            BlockingIOError: Nothing has.
+            trio.BrokenResourceError: The connection is broken.
+        """
+        try:
+            data = os.read(descriptor, limit)
+        except BlockingIOError:
+            raise
+        except OSError as exc:
+            raise trio.BrokenResourceError from exc
+        if not data and self._failed_to_send:
+            raise trio.BrokenResourceError
+        return data
