Refuse configurations that are not UTF-8 again

Only halves of surrogate pairs are replaced now; a page of the store is decoded with replacement by its client. RolloutWorld follows the renamed attribute of PlatformWorld, which made its features fail since.

--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -51,7 +51,7 @@
         for index in range(old):
             await self.start_version(f"o{index}", "v1", "ab"[index % 2])
         await trio.sleep(SETTLE_SECONDS)
-        self._nursery.start_soon(self._send_load)
+        self.nursery.start_soon(self._send_load)
         await trio.sleep(1)
         for index in range(new):
             await self.start_version(f"n{index}", "v2", "ab"[index % 2])
@@ -72,7 +72,7 @@
         self.versions[name] = version
         self._born += 100
         scope = self._reporting[name] = trio.CancelScope()
-        self._nursery.start_soon(self._report, name, self._born, scope)
+        self.nursery.start_soon(self._report, name, self._born, scope)
 
     def stop_reports(self, name: str) -> None:
         """Ends the reports of an instance."""
--- a/src/rhubarbpaddle/json_document.py
+++ b/src/rhubarbpaddle/json_document.py
@@ -37,21 +37,18 @@
 
     Args:
         content: The document; bytes are UTF-8.
-        replace_invalid_text: Whether U+FFFD replaces what is not text, instead
-            of an error.
+        replace_invalid_text: Whether U+FFFD replaces half of a surrogate pair,
+            instead of an error.
 
     Raises:
         ValueError: The content is not valid JSON, is nested more than
             `MAX_DEPTH` deep, holds a number that is not finite or does not fit
             into 64 bits, or holds a string that can't be encoded.
     """
-    errors = "replace" if replace_invalid_text else "strict"
     try:
         # The decoder of the library accepts encoded surrogates.
         text = (
-            content
-            if isinstance(content, str)
-            else content.decode("utf-8-sig", errors)
+            content if isinstance(content, str) else content.decode("utf-8-sig")
         )
         document = json.loads(
             text,
--- a/src/rhubarbpaddle/platform/store_client.py
+++ b/src/rhubarbpaddle/platform/store_client.py
@@ -113,7 +113,10 @@
                     f"status {status}", "read_newest"
                 )
             try:
-                document = decode_json(body, replace_invalid_text=True)
+                # One key that is no text must not cost the other records.
+                document = decode_json(
+                    body.decode("utf-8", "replace"), replace_invalid_text=True
+                )
                 page = [
                     KeyedRecord(
                         str(item["key"]),
