Keep a control link when one entry or message on it is bad

- A message that can't be encoded, or exceeds the frame limit, is an error of its own, before anything is written.
A link halves the entries of such a message until it has left out, and logged, those that can't be sent.
- A message that can't be decoded is ignored, up to eight without a valid one between them.
It counts as work of the connection and not as a sign of life.
- A configuration that can't be read is not requested from this neighbour again.
- Crash counts of other nodes and of the store are checked for lengths and numbers like entries of members: a sequence of 2^64 - 1 was stored, and could not be sent any more once a response had raised it.
- A call that can't be sent is refused as not run, without closing the other connections to the same node.

--- a/features/control_links.feature
+++ b/features/control_links.feature
@@ -55,3 +55,52 @@
     Given 2 nodes that know each other
     When a third node opens 5 links that last 0.2 seconds each
     Then each of them was accepted within 0.01 seconds
+
+  # Guards against one entry that can't be encoded and keeps everything else
+  # from the neighbours (review/7).
+  Scenario Outline: One entry that can't be sent does not hold back the others
+    Given 2 nodes that know each other
+    When one node gets <entries> and a configuration
+    Then the other node has all the others and the configuration within 2 seconds
+    And no link has ended meanwhile
+
+    Examples:
+      | entries                                             |
+      | 40 members of which one is no text                  |
+      | 40 members whose encoding exceeds one message       |
+      | 40 crash counts of which one is no text             |
+
+  # Guards against a link that ends, and is opened again, because of one message
+  # that this node can't decode, for example of another release.
+  Scenario: A message that can't be decoded does not end its link
+    Given 2 nodes that know each other
+    When a third node sends 8 messages that are no messages, then its entry
+    Then its link is still open and both nodes know the third one
+
+  # Guards against a neighbour whose messages are of no use and that holds a link
+  # which another one could have.
+  Scenario: A link ends after many messages that can't be decoded
+    Given 2 nodes that know each other
+    When a third node sends 20 messages that are no messages, then its entry
+    Then its link has ended
+
+  # Guards against a link that ends, and is opened again, because of a
+  # configuration that only this node can't read.
+  Scenario: A configuration that can't be read is requested once
+    Given 2 nodes that know each other
+    When a third node announces configuration 9 for 3 seconds and sends no text
+    Then it was requested once over its link, which is still open
+
+  # Guards against crash counts that can't be sent after the next change, or
+  # that grow with each message.
+  Scenario Outline: A crash count out of range is not passed on
+    Given 2 nodes that know each other
+    When a third node sends a crash count with <fault>
+    Then neither node has stored it and its link is still open
+
+    Examples:
+      | fault                      |
+      | a sequence of 2^64 - 1     |
+      | a time of 2^63             |
+      | a name of 2000 characters  |
+      | 1000 crashes               |
--- a/features/steps/control_links_steps.py
+++ b/features/steps/control_links_steps.py
@@ -1,3 +1,4 @@
+import contextlib
 import json
 from collections import Counter
 from typing import Any
@@ -21,11 +22,24 @@
 )
 from features.support.virtual_clock import VirtualClock
 from rhubarbpaddle.exceptions import TruncatedError
+from rhubarbpaddle.execution.crash_record import CrashRecord
+from rhubarbpaddle.execution.crash_update import CrashUpdate
+from rhubarbpaddle.membership import Member, MemberStatus
+from rhubarbpaddle.peer.connection import PeerConnection
 from rhubarbpaddle.peer.connector import PeerConnector
 from rhubarbpaddle.peer.control_link import ControlLink
 from rhubarbpaddle.peer.identity import PeerIdentity
 from rhubarbpaddle.peer.link_end import LinkEnd
 from rhubarbpaddle.peer.link_end_log import LinkEndLog
+from rhubarbpaddle.peer.messages import (
+    ConfigurationRequest,
+    ConfigurationUpdate,
+    CrashCounts,
+    Heartbeat,
+    MemberUpdate,
+)
+
+_TEXT = '{"services": {}, "availability_zones": {"a": {}}}'
 
 
 @when("one node fails {count:d} times to send on its control links")
@@ -262,3 +276,183 @@
 @then("each of them was accepted within {seconds:g} seconds")
 def step_check_waits(context: Context, seconds: float) -> None:
     assert max(context.waits) <= seconds, context.waits
+
+
+def _make_member(index: int, host: str) -> Member:
+    return Member(
+        node_id=f"other-{index}",
+        incarnation=1,
+        version=1,
+        # Not a neighbour, so that no link is replaced because of it.
+        status=MemberStatus.DEAD,
+        host=host,
+        availability_zone="z0",
+        peer_address=f"other-{index}:2",
+        admin_address=f"other-{index}:3",
+        upstream=None,
+    )
+
+
+@when("one node gets {entries} and a configuration")
+def step_add_entries(context: Context, entries: str) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        node, other = group.nodes["n0"], group.nodes["n1"]
+        ends = node.overlay.link_ends.counts.total()
+        now = int(VirtualClock().now().timestamp() * 1_000_000)
+        half = "half \ud83d"
+        count = int(entries.split()[0])
+        for index in range(count):
+            match entries.partition(" ")[2]:
+                case "members of which one is no text":
+                    host = half if index == count // 3 else "h"
+                    node.table.merge(_make_member(index, host))
+                case "members whose encoding exceeds one message":
+                    # A fourfold frame limit in names of the greatest length.
+                    member = _make_member(index, "\U0001f600" * 255)
+                    node.table.merge(member)
+                case "crash counts of which one is no text":
+                    name = half if index == count // 3 else f"f{index}"
+                    crash = CrashRecord("n0", now + index)
+                    node.crashes.merge(
+                        CrashUpdate(name, 0, (crash,), now + index)
+                    )
+        node.configuration.adopt_text(1, _TEXT, 1)
+        node.overlay.announce_configuration()
+        await trio.sleep(2)
+        context.known = len(other.table) - 2 + len(other.crashes.get_updates())
+        context.expected = count - ("no text" in entries)
+        context.version = other.configuration.accepted
+        context.ended = node.overlay.link_ends.counts.total() - ends
+
+    with patch("rhubarbpaddle.peer.connection.MAX_FRAME_BYTES", 16_384):
+        run_group(context, scenario)
+
+
+@then(
+    "the other node has all the others and the configuration within"
+    " {seconds:d} seconds"
+)
+def step_check_known(context: Context, seconds: int) -> None:
+    assert context.known == context.expected, context.known
+    assert context.version is not None
+
+
+@then("no link has ended meanwhile")
+def step_check_no_end(context: Context) -> None:
+    assert context.ended == 0, context.ended
+
+
+async def _open_link(group: OverlayGroup) -> PeerConnection:
+    """Opens a control link of a node `n9` to `n0`."""
+    identity = PeerIdentity("test", "n9", 1, b"secret")
+    connector = PeerConnector(HostNetwork(group.fabric, "n9"), identity)
+    return await connector.connect("n0:2", "control")
+
+
+async def _is_open(conn: PeerConnection) -> bool:
+    """Returns whether a link stays open for another second."""
+    with trio.move_on_after(1.0):
+        while True:
+            try:
+                await conn.receive()
+            except TruncatedError:
+                return False
+    return True
+
+
+@when(
+    "a third node sends {count:d} messages that are no messages, then its entry"
+)
+def step_send_malformed(context: Context, count: int) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        conn = await _open_link(group)
+        with contextlib.suppress(trio.BrokenResourceError, TruncatedError):
+            for _ in range(count):
+                await conn.stream.send_all(b"\0\0\0\3\x91\xa1x")
+            await conn.send(MemberUpdate((_make_member(9, "h"),)))
+        await trio.sleep(0.5)
+        context.is_open = await _is_open(conn)
+        context.known = [
+            node.table.get("other-9") is not None
+            for node in group.nodes.values()
+        ]
+        await conn.aclose()
+
+    run_group(context, scenario)
+
+
+@then("its link is still open and both nodes know the third one")
+def step_check_open(context: Context) -> None:
+    assert context.is_open
+    assert all(context.known), context.known
+
+
+@then("its link has ended")
+def step_check_ended(context: Context) -> None:
+    assert not context.is_open
+
+
+@when(
+    "a third node announces configuration {version:d} for {seconds:d} seconds "
+    "and sends no text"
+)
+def step_announce(context: Context, version: int, seconds: int) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        context.requests = 0
+        conn = await _open_link(group)
+
+        async def answer_requests() -> None:
+            while True:
+                if isinstance(await conn.receive(), ConfigurationRequest):
+                    context.requests += 1
+                    await conn.send(ConfigurationUpdate(version, 1, b"no text"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(answer_requests)
+            for _ in range(4 * seconds):
+                await conn.send(Heartbeat(0, version))
+                await trio.sleep(0.25)
+            nursery.cancel_scope.cancel()
+        context.is_open = await _is_open(conn)
+        await conn.aclose()
+
+    run_group(context, scenario)
+
+
+@then("it was requested once over its link, which is still open")
+def step_check_requested(context: Context) -> None:
+    assert context.requests == 1, context.requests
+    assert context.is_open
+
+
+@when("a third node sends a crash count with {fault}")
+def step_send_crash_count(context: Context, fault: str) -> None:
+    async def scenario(group: OverlayGroup) -> None:
+        now = int(VirtualClock().now().timestamp() * 1_000_000)
+        update = CrashUpdate("f", 0, (CrashRecord("n9", now),), now)
+        match fault:
+            case "a sequence of 2^64 - 1":
+                update = update._replace(sequence=2**64 - 1)
+            case "a time of 2^63":
+                update = update._replace(updated_at=2**63)
+            case "a name of 2000 characters":
+                update = update._replace(fingerprint="f" * 2_000)
+            case "1000 crashes":
+                crashes = (CrashRecord("n9", now + n) for n in range(1_000))
+                update = update._replace(crashes=tuple(crashes))
+        conn = await _open_link(group)
+        await conn.send(CrashCounts((update,)))
+        await trio.sleep(1)
+        context.is_open = await _is_open(conn)
+        context.stored = [
+            node.crashes.get_updates() for node in group.nodes.values()
+        ]
+        await conn.aclose()
+
+    run_group(context, scenario)
+
+
+@then("neither node has stored it and its link is still open")
+def step_check_not_stored(context: Context) -> None:
+    assert context.stored == [[], []], context.stored
+    assert context.is_open
--- a/features/support/overlay_group.py
+++ b/features/support/overlay_group.py
@@ -67,6 +67,7 @@
         self.table = MemberTable(own)
         self.configuration = FakeConfiguration()
         self.network = HostNetwork(fabric, name)
+        self.crashes = CrashLedger(name, clock)
         identity = PeerIdentity("test", name, incarnation, b"secret")
         self.overlay = Overlay(
             PeerConnector(self.network, identity),
@@ -77,7 +78,7 @@
             random.Random(f"{seed} {name} {incarnation}"),
             lambda: seeds,
             frozenset,
-            CrashLedger(name, clock),
+            self.crashes,
             StoreAccessTable(self.table),
         )
         self.listener = PeerListener(
--- a/src/rhubarbpaddle/execution/crash_ledger.py
+++ b/src/rhubarbpaddle/execution/crash_ledger.py
@@ -7,6 +7,7 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.execution.crash_record import CrashRecord
 from rhubarbpaddle.execution.crash_update import CrashUpdate
+from rhubarbpaddle.execution.crash_update_check import MAX_CRASHES
 
 Listener = Callable[[CrashUpdate], None]
 
@@ -109,9 +110,9 @@
         if entry is not None and update.sequence < entry.sequence:
             return False
         if entry is not None and update.sequence == entry.sequence:
-            merged_crashes = tuple(sorted({*entry.crashes, *update.crashes}))
+            merged_crashes = sorted({*entry.crashes, *update.crashes})
             update = update._replace(
-                crashes=merged_crashes,
+                crashes=tuple(merged_crashes[-MAX_CRASHES:]),
                 updated_at=max(entry.updated_at, update.updated_at),
             )
         if update == entry:
--- a/src/rhubarbpaddle/peer/connection.py
+++ b/src/rhubarbpaddle/peer/connection.py
@@ -6,9 +6,11 @@
 import trio
 
 from rhubarbpaddle.exceptions import (
+    MalformedMessageError,
     PeerSilentError,
     ProtocolError,
     TruncatedError,
+    UnsendableError,
 )
 from rhubarbpaddle.peer.messages import BodyChunk, KeepAlive, Message
 from rhubarbpaddle.remote_state import RemoteState
@@ -30,12 +32,31 @@
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
-def _make_frame(message: Message) -> bytes:
-    body = _encoder.encode(message)
+# What the encoder raises for values that no message can carry.
+_ENCODING_ERRORS = (ValueError, TypeError, OverflowError, RecursionError)
+
+
+def _make_frame(message: Message, peer: str) -> bytes:
+    try:
+        body = _encoder.encode(message)
+    except _ENCODING_ERRORS as exc:
+        raise UnsendableError(
+            f"{type(message).__name__} can't be encoded: {exc}",
+            step="send_message",
+            peer=peer,
+        ) from exc
+    if len(body) > MAX_FRAME_BYTES:
+        # The other side would end the connection.
+        raise UnsendableError(
+            f"{type(message).__name__} of {len(body)} bytes exceeds "
+            f"{MAX_FRAME_BYTES}",
+            step="send_message",
+            peer=peer,
+        )
     return _LENGTH_PREFIX.pack(len(body)) + body
 
 
-_KEEP_ALIVE_FRAME = _make_frame(KeepAlive())
+_KEEP_ALIVE_FRAME = _make_frame(KeepAlive(), "-")
 
 
 class PeerConnection:
@@ -68,8 +89,12 @@
 
         Raises:
             TruncatedError: The connection is closed.
+            UnsendableError: A message can't be encoded or is too long. Nothing
+                was sent.
         """
-        frames = b"".join([_make_frame(message) for message in messages])
+        frames = b"".join(
+            [_make_frame(message, self.peer) for message in messages]
+        )
         # A cancelled send may have written only part of a frame.
         completed = False
         self._sending = True
@@ -105,7 +130,9 @@
 
         Raises:
             TruncatedError: The connection ended.
-            ProtocolError: The frame is too long or is not a valid message.
+            MalformedMessageError: The frame is not a valid message. The next
+                call returns the one behind it.
+            ProtocolError: The frame is too long.
         """
         if self._uncounted_messages >= _MESSAGES_PER_CHECKPOINT:
             work_seconds = self._uncounted_messages * _MESSAGE_SECONDS
@@ -123,12 +150,13 @@
                 if len(received) >= end:
                     body = bytes(received[_LENGTH_PREFIX.size : end])
                     del received[:end]
+                    self._uncounted_messages += 1
                     message = self._decode(body)
                     if (
-                        not isinstance(message, BodyChunk)
-                        or len(message.content) < _LONG_CHUNK_BYTES
+                        isinstance(message, BodyChunk)
+                        and len(message.content) >= _LONG_CHUNK_BYTES
                     ):
-                        self._uncounted_messages += 1
+                        self._uncounted_messages -= 1
                     return message
             received += await self._receive_some()
 
@@ -141,7 +169,9 @@
         Raises:
             PeerSilentError: No complete message arrived in time.
             TruncatedError: The connection ended.
-            ProtocolError: The frame is too long or is not a valid message.
+            MalformedMessageError: The frame is not a valid message. The next
+                call returns the one behind it.
+            ProtocolError: The frame is too long.
         """
         with trio.move_on_after(seconds):
             return await self.receive()
@@ -185,7 +215,7 @@
             return _decoder.decode(body)
         except (msgspec.DecodeError, RecursionError) as exc:
             self.broken = True
-            raise ProtocolError(
+            raise MalformedMessageError(
                 str(exc), step="receive_message", peer=self.peer
             ) from exc
 
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -9,11 +9,15 @@
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.exceptions import (
     ConfigurationError,
-    ProtocolError,
+    MalformedMessageError,
     RhubarbpaddleError,
+    UnsendableError,
 )
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.execution.crash_update import CrashUpdate
+from rhubarbpaddle.execution.crash_update_check import (
+    find_crash_update_problem,
+)
 from rhubarbpaddle.membership import (
     Member,
     MemberTable,
@@ -33,8 +37,10 @@
     CrashCounts,
     Heartbeat,
     MemberUpdate,
+    Message,
 )
 from rhubarbpaddle.peer.messages.member_update import MEMBERS_PER_MESSAGE
+from rhubarbpaddle.peer.rejected_entries import RejectedEntries
 from rhubarbpaddle.peer.rollout_notices import RolloutNotices
 from rhubarbpaddle.peer.transit_delay import TransitDelay
 from rhubarbpaddle.rollout.rollout_board import Notice, RolloutBoard
@@ -58,6 +64,10 @@
 # merged without a wait.
 _ENTRY_SECONDS = 4e-6
 
+# A neighbour that sends only such messages is of no use. At a heartbeat each
+# 0.5 s they stop the link within 4 s.
+_MAX_MALFORMED_MESSAGES = 8
+
 _Entry = TypeVar("_Entry")
 
 _log = get_logger("control")
@@ -103,7 +113,9 @@
         }
         self._rollouts = rollouts
         self._rollout_notices = RolloutNotices(rollouts.list_notices())
-        self._rejected_ids: set[str] = set()
+        self._rejected = RejectedEntries()
+        self._invalid_version = 0
+        self._malformed_messages = 0
         self._pending: dict[str, Member] = {}
         self._pending_crash_counts = {
             update.fingerprint: update for update in crashes.get_updates()
@@ -205,24 +217,35 @@
         members = (*self._replaced_entries, *pending.values())
         self._replaced_entries.clear()
         for start in range(0, len(members), MEMBERS_PER_MESSAGE):
-            batch = members[start : start + MEMBERS_PER_MESSAGE]
-            await self._conn.send(MemberUpdate.from_members(batch))
-        if self._pending_store_access:
-            # Follows the members, because entries of unknown nodes are ignored.
-            entries = tuple(self._pending_store_access.values())
-            self._pending_store_access = {}
-            await self._conn.send(MemberUpdate((), entries))
+            await self._send_entries(
+                members[start : start + MEMBERS_PER_MESSAGE],
+                MemberUpdate.from_members,
+            )
+        # Follows the members, because entries of unknown nodes are ignored.
+        entries = tuple(self._pending_store_access.values())
+        self._pending_store_access = {}
+        await self._send_entries(
+            entries, lambda batch: MemberUpdate((), store_access=batch)
+        )
         # Likewise, counts of unknown nodes are ignored.
-        for message in self._rollout_notices.take():
-            await self._conn.send(message)
-        if self._pending_crash_counts:
-            crash_counts = tuple(self._pending_crash_counts.values())
-            self._pending_crash_counts = {}
-            await self._conn.send(CrashCounts(crash_counts))
+        await self._send_entries(
+            self._rollout_notices.take_phases(),
+            lambda batch: MemberUpdate((), rollout_phases=batch),
+        )
+        for reports in self._rollout_notices.take_reports():
+            await self._send_entries(
+                reports, lambda batch: MemberUpdate((), rollout_counts=batch)
+            )
+        crash_counts = tuple(self._pending_crash_counts.values())
+        self._pending_crash_counts = {}
+        await self._send_entries(crash_counts, CrashCounts)
         accepted = self._configuration.get_accepted()
         if self._update_requested and accepted is not None:
             self._update_requested = False
-            await self._conn.send(ConfigurationUpdate.from_accepted(accepted))
+            await self._send_entries(
+                (accepted,),
+                lambda batch: ConfigurationUpdate.from_accepted(batch[0]),
+            )
         if self._version_to_request:
             await self._conn.send(
                 ConfigurationRequest(self._version_to_request)
@@ -230,6 +253,42 @@
             self._version_to_request = 0
         await self._send_heartbeat_if_due()
 
+    async def _send_entries(
+        self,
+        entries: tuple[_Entry, ...],
+        make_message: Callable[[tuple[_Entry, ...]], Message],
+    ) -> None:
+        """Sends entries in one message, if there are any.
+
+        If it can't be sent, the entries are sent without those that prevent it:
+        one of them must not keep the others from the neighbour.
+
+        Args:
+            entries: The entries.
+            make_message: Creates the message for some of them.
+        """
+        batches = [entries] if entries else []
+        while batches:
+            batch = batches.pop()
+            try:
+                await self._conn.send(make_message(batch))
+            except UnsendableError as exc:
+                if len(batch) == 1:
+                    self._reject_unsendable(batch[0], exc)
+                    continue
+                middle = len(batch) // 2
+                batches += (batch[middle:], batch[:middle])
+
+    def _reject_unsendable(self, entry: object, exc: UnsendableError) -> None:
+        kind = type(entry).__name__
+        if self._rejected.add((kind, exc.detail)):
+            _log.warn(
+                "entry_unsendable",
+                kind=kind,
+                peer=self.peer_id,
+                reason=exc.detail,
+            )
+
     async def _send_heartbeat_if_due(self) -> None:
         version = self._get_own_version()
         now = self._clock.monotonic()
@@ -254,7 +313,12 @@
 
     async def _receive_all(self) -> None:
         while True:
-            message = await self._conn.receive_within(SILENCE_SECONDS)
+            try:
+                message = await self._conn.receive_within(SILENCE_SECONDS)
+            except MalformedMessageError as exc:
+                self._ignore_malformed(exc)
+                continue
+            self._malformed_messages = 0
             self.received_at = self._clock.monotonic()
             match message:
                 case Heartbeat():
@@ -281,7 +345,7 @@
                         ),
                     )
                 case CrashCounts(updates=updates):
-                    await self._merge_each(updates, self._crashes.merge)
+                    await self._merge_each(updates, self._merge_crash_count)
                 case ConfigurationRequest():
                     self._update_requested = True
                     self._wake.set()
@@ -310,6 +374,22 @@
                     len(batch) * _ENTRY_SECONDS
                 )
 
+    def _ignore_malformed(self, exc: MalformedMessageError) -> None:
+        """Ignores a message that can't be decoded.
+
+        Those behind it may be valid, for example heartbeats, and the neighbour
+        would send the same message over the next link.
+
+        Raises:
+            MalformedMessageError: There was no valid message between this one
+                and many others.
+        """
+        self._malformed_messages += 1
+        if self._malformed_messages > _MAX_MALFORMED_MESSAGES:
+            raise exc
+        if self._rejected.add(("message", exc.detail)):
+            _log.warn("message_malformed", peer=self.peer_id, reason=exc.detail)
+
     def _merge_member(self, member: Member) -> None:
         if not self._table.is_news(member):
             return
@@ -318,9 +398,7 @@
             self._table.merge(member, self.peer_id)
             if member.node_id == self.peer_id:
                 self._return_departure()
-        elif member.node_id not in self._rejected_ids:
-            # Neighbours send it again with each repair.
-            self._rejected_ids.add(member.node_id)
+        elif self._rejected.add(("member", member.node_id)):
             _log.warn(
                 "member_invalid",
                 member=member.node_id,
@@ -328,6 +406,13 @@
                 reason=problem,
             )
 
+    def _merge_crash_count(self, update: CrashUpdate) -> None:
+        problem = find_crash_update_problem(update)
+        if problem is None:
+            self._crashes.merge(update)
+        elif self._rejected.add(("crashes", update.fingerprint)):
+            _log.warn("crash_count_invalid", peer=self.peer_id, reason=problem)
+
     def _return_departure(self) -> None:
         """Sends a restarted neighbour the departure of its instance."""
         entry = self._table.get_replaced_departure(self.peer_id)
@@ -363,6 +448,8 @@
 
     def _request_if_newer(self, version: int) -> None:
         """Requests a version from the neighbour if it is newer."""
+        if version == self._invalid_version:
+            return
         if version > self._get_own_version() and self._requests.should_request(
             version
         ):
@@ -396,8 +483,12 @@
                 update.version, update.get_text(), update.as_of
             )
         except (ConfigurationError, ValueError) as exc:
-            raise ProtocolError(
-                "the configuration is invalid",
-                step="adopt_configuration",
+            # The neighbour, perhaps of another release, would send it over the
+            # next link too. Other links or the store may have a valid one.
+            self._invalid_version = update.version
+            _log.warn(
+                "configuration_unusable",
+                version=update.version,
                 peer=self.peer_id,
-            ) from exc
+                reason=exc,
+            )
--- a/src/rhubarbpaddle/peer/remote_dispatcher.py
+++ b/src/rhubarbpaddle/peer/remote_dispatcher.py
@@ -11,6 +11,7 @@
 from rhubarbpaddle.exceptions import (
     RefusedError,
     RhubarbpaddleError,
+    UnsendableError,
 )
 from rhubarbpaddle.execution import Body, BytesBody, Request, Response
 from rhubarbpaddle.execution.upload import Upload
@@ -132,7 +133,7 @@
             CONFIRMATION_SECONDS if request.idempotent else SILENCE_SECONDS
         )
         try:
-            await conn.send(call)
+            await _send_call(conn, call, candidate)
             response = await self._receive(conn, request, timeout)
             if isinstance(response, Admitted):
                 response = await self._upload(conn, request, body)
@@ -248,6 +249,28 @@
         )
 
 
+async def _send_call(
+    conn: PeerConnection, call: Call, candidate: Candidate
+) -> None:
+    """Sends a call.
+
+    Raises:
+        RefusedError: The call can't be sent to any node. The connection and
+            those to the same node remain usable.
+        TruncatedError: The connection is closed.
+    """
+    try:
+        await conn.send(call)
+    except UnsendableError as exc:
+        raise RefusedError(
+            "request_unsendable",
+            exc.detail,
+            step="exchange",
+            peer=candidate.node_id,
+            status=500,
+        ) from exc
+
+
 def _is_rejection(response: ResponseHead | Refusal | Admitted) -> bool:
     return not isinstance(response, ResponseHead) or response.status >= 400
 
--- a/src/rhubarbpaddle/peer/rollout_notices.py
+++ b/src/rhubarbpaddle/peer/rollout_notices.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable, Iterator
 
-from rhubarbpaddle.peer.messages import MemberUpdate
 from rhubarbpaddle.rollout.count_report import CountKey, CountReport
 from rhubarbpaddle.rollout.phase_notice import PhaseNotice
 from rhubarbpaddle.rollout.rollout_board import Notice
@@ -32,12 +31,13 @@
         else:
             self._reports[notice.key] = notice
 
-    def take(self) -> Iterator[MemberUpdate]:
-        """Returns messages with all notices and empties the queue."""
+    def take_phases(self) -> tuple[PhaseNotice, ...]:
+        """Removes and returns the phases."""
         phases, self._phases = tuple(self._phases.values()), {}
+        return phases
+
+    def take_reports(self) -> Iterator[tuple[CountReport, ...]]:
+        """Removes the counts and returns them in groups for one message."""
         reports, self._reports = tuple(self._reports.values()), {}
-        if phases:
-            yield MemberUpdate((), rollout_phases=phases)
         for start in range(0, len(reports), _REPORTS_PER_MESSAGE):
-            batch = reports[start : start + _REPORTS_PER_MESSAGE]
-            yield MemberUpdate((), rollout_counts=batch)
+            yield reports[start : start + _REPORTS_PER_MESSAGE]
--- a/src/rhubarbpaddle/platform/stored_crashes.py
+++ b/src/rhubarbpaddle/platform/stored_crashes.py
@@ -5,6 +5,9 @@
 
 from rhubarbpaddle.execution.crash_ledger import CRASHES_TO_BLOCK, CrashLedger
 from rhubarbpaddle.execution.crash_update import CrashUpdate
+from rhubarbpaddle.execution.crash_update_check import (
+    find_crash_update_problem,
+)
 from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.platform.keyed_record import KeyedRecord
 from rhubarbpaddle.platform.store_client import StoreClient
@@ -63,6 +66,8 @@
             document = decode_json(record.value)
             updates = msgspec.convert(document, list[CrashUpdate])
             for update in updates[:_MAX_REQUESTS]:
+                if problem := find_crash_update_problem(update):
+                    raise ValueError(problem)
                 self._ledger.merge(update)
         except (ValueError, msgspec.MsgspecError) as exc:
             _log.warn("directory_entry_invalid", key=record.key, reason=exc)
