Soak: odd versions in reports, and a check of links that end again and again

Another writer's reports now include some whose version is no text, under the instance's own id and another one, followed at times by a departure. The new check LINKS reads the nodes' logs and reports more than 20 ends of links between two nodes within a second. A scenario shows that it reports such a log and not one with 10 ends.

--- a/features/soak_oracle.feature
+++ b/features/soak_oracle.feature
@@ -107,3 +107,13 @@
   Scenario: A history without violations is not reported
     Given a history in which no guarantee is violated
     Then the oracle reports nothing
+
+  # Guards against links that are opened again and again while no request fails.
+  Scenario Outline: Links that end again and again are reported from the logs
+    Given the log of a node whose links with a peer end <count> times at once
+    Then the oracle of links reports <number> violations
+
+    Examples:
+      | count | number |
+      | 200   | 1      |
+      | 10    | 0      |
--- a/features/steps/soak_oracle_steps.py
+++ b/features/steps/soak_oracle_steps.py
@@ -1,10 +1,20 @@
+import tempfile
 from collections.abc import Callable
+from pathlib import Path
 
+import logbook
+import trio
+import trio.testing
 from behave import given, then
 from behave.runner import Context
 
+from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.exceptions import TruncatedError
+from rhubarbpaddle.peer.link_end import LinkEnd
+from rhubarbpaddle.peer.link_end_log import LinkEndLog
 from soak.fault_effects import FaultEffects
 from soak.key_state import KeyState
+from soak.link_oracle import LinkOracle
 from soak.oracle import Oracle
 from soak.organisation_oracle import OrganisationOracle
 from soak.records import Fault, Run, SentRequest
@@ -236,3 +246,29 @@
 @then("the oracle reports nothing")
 def step_reports_nothing(context: Context) -> None:
     assert not _get_violated(context), _get_violated(context)
+
+
+@given("the log of a node whose links with a peer end {count:d} times at once")
+def step_link_log(context: Context, count: int) -> None:
+    async def run() -> None:
+        record = LinkEndLog(VirtualClock())
+        failure = TruncatedError("connection ended", step="receive_message")
+        for _ in range(count):
+            record.record(LinkEnd("h1", True, failure, 0.002))
+        await trio.sleep(1.5)
+        record.record(LinkEnd("h1", True, failure, 0.002))
+
+    folder = tempfile.TemporaryDirectory(prefix="rhubarbpaddle-")
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name)
+    with logbook.TestHandler() as handler:
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    lines = handler.formatted_records
+    (context.folder / "h0.log").write_text("\n".join(lines))
+
+
+@then("the oracle of links reports {number:d} violations")
+def step_check_links(context: Context, number: int) -> None:
+    violations = list(LinkOracle(context.folder).iter_violations())
+    assert len(violations) == number, violations
+    assert all(line.startswith("LINKS h0") for line in violations)
--- a/soak/instance_faults.py
+++ b/soak/instance_faults.py
@@ -16,6 +16,7 @@
 _SERVING_SECONDS = 3.0
 _MAX_REPORT_DELAY_SECONDS = 2.0
 _MAX_ODD_REPORTS = 5
+_HALVES = ("v1-\ud83d", "\udc00", "\ud800\ud800v2")
 
 
 class InstanceFaults:
@@ -35,6 +36,7 @@
         self._deployment = deployment
         self._busy_hosts = busy_hosts
         self._rng = random.Random(f"instances-{seed}")
+        self._text_rng = random.Random(f"texts-{seed}")
         self._injectors: list[Callable[[SoakHost], Awaitable[None]]] = [
             self._depart_around_restart,
             self._send_odd_reports,
@@ -114,6 +116,18 @@
             }
             name = self._rng.choice((instance.instance_id, "i-other"))
             await instance.send("heartbeat", report, name)
+            # What remains of a character that was cut is no text. The report
+            # is otherwise one of a new start of the instance.
+            half = {
+                "version": self._text_rng.choice(_HALVES),
+                "born": int(time.time() * 1000),
+                "seq": 1,
+            }
+            await instance.send(
+                "heartbeat", instance.make_report() | half, name
+            )
+            if name == "i-other" and self._text_rng.random() < 0.5:
+                await instance.send("deregister", {}, name)
 
     async def _truncate_responses(self, host: SoakHost) -> None:
         instance = host.instance
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 from soak.deployment import COLD_PER_SECOND, SoakDeployment
 from soak.fault_effects import FaultEffects
 from soak.fault_schedule import FaultSchedule
+from soak.link_oracle import LinkOracle
 from soak.oracle import Oracle
 from soak.organisation_oracle import OrganisationOracle
 from soak.records import SentRequest
@@ -120,6 +121,7 @@
             *organisation_oracle.iter_violations(),
             *rollout_oracle.iter_violations(),
             *oracle.iter_late_exits(deployment.late_exits),
+            *LinkOracle(folder).iter_violations(),
             *failures,
         ],
     )
