Test responses and health checks with an odd status

It is not: eleven such status lines, three of them of interim responses, get 502 at both nodes, and a health check with one finds no instance.

--- a/standins/platform_instance.py
+++ b/standins/platform_instance.py
@@ -47,6 +47,8 @@
             closes the connection; None if it sends all. Negative numbers
             count from the end.
         garbage: Bytes that it sends in place of each response to a request.
+        garbles_checks: Whether it sends them in place of responses to health
+            checks too.
         load_figures: The number of figures of the load that it reports, 3 or 4,
             or 0 for none.
         endless_chunk: A chunk that it sends without end in place of the body of
@@ -106,6 +108,7 @@
         self.truncated_length: int | None = None
         self.response_length = 0
         self.garbage = b""
+        self.garbles_checks = False
         self.endless_chunk = b""
         self.endless_forms: dict[str, str] = {}
         self.load_figures = 4
@@ -157,7 +160,7 @@
                     await self._send_large(stream, request_id, large)
                     conn.start_next_cycle()
                     continue
-                if self.garbage and request_id:
+                if self.garbage and (request_id or self.garbles_checks):
                     await stream.send_all(self.garbage)
                     return
                 if self.truncated_length is not None and request_id:
