Keep a stand-in upstream running when its node stops, and show why one ended

The stand-in announces itself to its node and handled a refused connection only: one that the stopping node resets raised BrokenResourceError, which ended the stand-in's process.

A failing scenario with processes now prints the state, the exit code and the last lines of each of them.

--- a/demo/process_group.py
+++ b/demo/process_group.py
@@ -9,6 +9,7 @@
 from typing import Self
 
 _STOP_SECONDS = 10
+_DESCRIBED_LINES = 20
 
 
 class ProcessGroup:
@@ -45,6 +46,10 @@
         """Returns the process id of a running process."""
         return self._processes[name].pid
 
+    def describe(self) -> str:
+        """Returns the state and the last lines of each process, for errors."""
+        return "\n".join(map(self._describe_process, self._processes))
+
     def stop(self, name: str) -> int:
         """Stops a process and returns its exit code."""
         process = self._processes.pop(name)
@@ -65,6 +70,14 @@
         del self._processes[name]
         return code
 
+    def _describe_process(self, name: str) -> str:
+        code = self._processes[name].poll()
+        state = "runs" if code is None else f"ended with exit code {code}"
+        path = self._log_folder / f"{name}.log"
+        lines = path.read_text(errors="replace").splitlines()
+        last_lines = lines[-_DESCRIBED_LINES:]
+        return "\n".join([f"{name} {state}", *(f"  {x}" for x in last_lines)])
+
     def kill_all(self) -> None:
         """Kills all processes, including paused ones."""
         for process in self._processes.values():
--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,7 @@
 from hypothesis import settings
 
 from features.support.known_failures import load_known_failures
+from features.support.process_cluster import ProcessCluster
 
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 settings.load_profile("ci")
@@ -20,3 +21,10 @@
 def before_scenario(context: Context, scenario: Scenario) -> None:
     if scenario.name in context.known_failures:
         scenario.skip("listed in KNOWN-RED.txt")
+
+
+def after_scenario(context: Context, scenario: Scenario) -> None:
+    # The files of the processes are deleted with the scenario.
+    cluster = getattr(context, "cluster", None)
+    if scenario.status.has_failed() and isinstance(cluster, ProcessCluster):
+        print(cluster.group.describe())
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -34,3 +34,10 @@
     When the log is killed and restarted without its records
     Then idempotent requests succeeded and the configuration stayed in force
     And keyed requests ran at most once and were refused without the log
+
+  # Guards against a stand-in for an upstream that ends because the node to which
+  # it announces itself stops at that moment, so that its runs can't be read.
+  Scenario: A stand-in survives a node that resets its announcements
+    Given a listener that resets each connection
+    When a stand-in for an upstream announces itself to it for 1 second
+    Then it has tried again and still runs
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -1,4 +1,6 @@
 import signal
+import socket
+import struct
 import tempfile
 import threading
 import time
@@ -7,6 +9,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+import trio
 from behave import given, then, when
 from behave.runner import Context
 
@@ -17,6 +20,7 @@
     exchange,
     make_key,
 )
+from standins.upstream import Upstream
 
 _CALLERS = 6
 # The claims of an unresponsive node have a new owner within this time: 2 s
@@ -246,3 +250,39 @@
         outcome = response.headers.get("rhubarbpaddle-outcome")
         assert outcome in ("not-run", "unknown"), response
         assert runs[f"POST /keyed/{index}"] == 0
+
+
+@given("a listener that resets each connection")
+def step_resetting_listener(context: Context) -> None:
+    context.resets = 0
+
+
+@when(
+    "a stand-in for an upstream announces itself to it for {seconds:d} second"
+)
+def step_announce_to_resets(context: Context, seconds: int) -> None:
+    async def reset(stream: trio.SocketStream) -> None:
+        context.resets += 1
+        await stream.receive_some(1)
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        stream.socket.close()
+
+    async def run() -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        upstream = Upstream("lanes", "u1", 6, 0.0)
+        with trio.move_on_after(seconds) as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, reset, [listener])
+                await upstream.announce(address, "127.0.0.1:1")
+        context.still_runs = scope.cancelled_caught
+
+    trio.run(run)
+
+
+@then("it has tried again and still runs")
+def step_check_announcing(context: Context) -> None:
+    assert context.resets > 1, context.resets
+    assert context.still_runs
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -160,7 +160,8 @@
                         host, int(port)
                     ) as stream:
                         await _post(stream, admin_address, content)
-                except OSError:
+                except (OSError, trio.BrokenResourceError):
+                    # The node stops, or is not started yet.
                     pass
             await trio.sleep(_RENEWAL_SECONDS)
 
