--- a/features/support/process_cluster.py
+++ b/features/support/process_cluster.py
@@ -21,10 +21,17 @@
 
 
 class ProcessResponse(NamedTuple):
-    """A response without its body; the status is 0 if the connection broke."""
+    """A response; the status is 0 if the connection broke.
+
+    Attributes:
+        status: The status code.
+        headers: The headers.
+        problem: The body if the status is that of a failure, otherwise empty.
+    """
 
     status: int
     headers: dict[str, str]
+    problem: str = ""
 
 
 class ProcessCluster:
@@ -137,11 +144,12 @@
     try:
         conn.request(method, target, headers=headers)
         response = conn.getresponse()
-        response.read()
+        content = response.read()
     except (OSError, http.client.HTTPException):
         return ProcessResponse(0, {})
     received = {k.lower(): v for k, v in response.getheaders()}
-    return ProcessResponse(response.status, received)
+    problem = content.decode(errors="replace") if response.status >= 400 else ""
+    return ProcessResponse(response.status, received, problem)
 
 
 def make_key() -> str:
