--- a/features/control_links.feature
+++ b/features/control_links.feature
@@ -28,8 +28,8 @@
 
     Examples:
       | content                                 |
-      | half a character as version             |
-      | half a character as version, other id   |
+      | a lone surrogate as version             |
+      | a lone surrogate as version, other id   |
       | the same, and then the id's departure   |
 
   # Guards against a link that is opened again at once each time that it ends,
--- a/features/log_output.feature
+++ b/features/log_output.feature
@@ -27,5 +27,5 @@
   # Guards against a line that is lost, with a traceback in its place each time,
   # because a value from outside can't be encoded (review/7).
   Scenario: A value that is no text is written with an escape
-    When a warning with half of a surrogate pair is logged
-    Then the line shows the half as "\ud83d"
+    When a warning with a lone surrogate is logged
+    Then the line shows it as "\ud83d"
--- a/features/metrics_text.feature
+++ b/features/metrics_text.feature
@@ -41,7 +41,7 @@
   # Guards against one label value that can't be encoded, which makes each
   # scrape fail.
   Scenario: A label that is no text is exposed with a question mark
-    Given a request of an organisation whose name holds half of a surrogate pair
+    Given a request of an organisation whose name holds a lone surrogate
     When the metrics are rendered
     Then the metrics contain these lines without the scope's labels
       | line                                                                                                  |
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -24,8 +24,8 @@
       | crash records in 400 lists    |
       | crash records of numbers      |
       | crash records at 2^63         |
-      | half a character as address   |
-      | crash records of half a character |
+      | a lone surrogate as address   |
+      | crash records of a lone surrogate |
 
   # Guards against a node that ends or stops following the configuration
   # because one version can't be read. The versions before and after it hold.
@@ -47,7 +47,7 @@
   # Guards against a configuration of which no route is served because one name
   # in it can't be encoded.
   Scenario: A configuration with a name that is no text is in force
-    Given a configuration in which half a character is a route's name
+    Given a configuration in which a route's name has a lone surrogate
     When it is written to the store and two hosts have read it
     Then both hosts serve that route and its other routes
 
@@ -69,10 +69,10 @@
       | a sequence far too high       |
       | a start of 2^62               |
       | a departure that is nested    |
-      | half a character as version   |
-      | half a character encoded      |
-      | half a character as new field |
-      | half a character of another id |
+      | a lone surrogate as version   |
+      | an encoded lone surrogate     |
+      | a lone surrogate in a new field |
+      | a lone surrogate of another id |
 
   # Guards against arithmetic that fails on the time since a report that there
   # was not.
@@ -138,5 +138,5 @@
   # for a neighbour, the store or the log, which ended a link each time that it
   # was opened (review/7).
   Scenario: Each report that is accepted can be sent, stored and logged
-    When 500 generated reports with half characters are parsed
+    When 500 generated reports with lone surrogates are parsed
     Then each one that is accepted can be encoded again
--- a/features/steps/control_links_steps.py
+++ b/features/steps/control_links_steps.py
@@ -299,19 +299,19 @@
         node, other = group.nodes["n0"], group.nodes["n1"]
         ends = node.overlay.link_ends.counts.total()
         now = int(VirtualClock().now().timestamp() * 1_000_000)
-        half = "half \ud83d"
+        unencodable = "\ud83d"
         count = int(entries.split()[0])
         for index in range(count):
             match entries.partition(" ")[2]:
                 case "members of which one is no text":
-                    host = half if index == count // 3 else "h"
+                    host = unencodable if index == count // 3 else "h"
                     node.table.merge(_make_member(index, host))
                 case "members whose encoding exceeds one message":
                     # A fourfold frame limit in names of the greatest length.
                     member = _make_member(index, "\U0001f600" * 255)
                     node.table.merge(member)
                 case "crash counts of which one is no text":
-                    name = half if index == count // 3 else f"f{index}"
+                    name = unencodable if index == count // 3 else f"f{index}"
                     crash = CrashRecord("n0", now + index)
                     node.crashes.merge(
                         CrashUpdate(name, 0, (crash,), now + index)
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -105,11 +105,11 @@
     assert context.lines[-1].startswith("event=rare"), context.lines[-1]
 
 
-@when("a warning with half of a surrogate pair is logged")
-def step_log_half(context: Context) -> None:
+@when("a warning with a lone surrogate is logged")
+def step_log_surrogate(context: Context) -> None:
     _log(_open_pipe(context), logbook.WARNING, 1, "event=odd value=v1-\ud83d")
 
 
-@then('the line shows the half as "{text}"')
-def step_check_half(context: Context, text: str) -> None:
+@then('the line shows it as "{text}"')
+def step_check_surrogate(context: Context, text: str) -> None:
     assert _read_lines(context) == [f"event=odd value=v1-{text}"]
--- a/features/steps/metrics_text_steps.py
+++ b/features/steps/metrics_text_steps.py
@@ -80,7 +80,7 @@
     trio.run(record)
 
 
-@given("a request of an organisation whose name holds half of a surrogate pair")
-def step_record_half(context: Context) -> None:
+@given("a request of an organisation whose name holds a lone surrogate")
+def step_record_surrogate(context: Context) -> None:
     context.metrics = Metrics()
     context.metrics.record_request("v1-\ud83d", "lanes", 200, 0.25)
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -59,7 +59,7 @@
 _LONG_NUMBER = "9" * 5_000
 # What remains of a character if a program cuts a text inside it. JSON can hold
 # it, UTF-8 can't.
-_HALF = "v1-\ud83d"
+_UNENCODABLE = "v1-\ud83d"
 
 
 def _make_entry(address: str) -> bytes:
@@ -81,9 +81,9 @@
     "crash records in 400 lists": _NESTED_LESS,
     "crash records of numbers": b'[["f", 0, [1, 2], 3]]',
     "crash records at 2^63": b'[["f", 0, [["h9", 1]], 9223372036854775808]]',
-    "half a character as address": _make_entry(_HALF),
-    "crash records of half a character": json.dumps(
-        [[_HALF, 0, [["h9", 1], ["h8", 2]], 4_000_000_000_000_000]]
+    "a lone surrogate as address": _make_entry(_UNENCODABLE),
+    "crash records of a lone surrogate": json.dumps(
+        [[_UNENCODABLE, 0, [["h9", 1], ["h8", 2]], 4_000_000_000_000_000]]
     ).encode(),
 }
 # The keys of entries other than those of nodes.
@@ -188,15 +188,15 @@
     assert context.statuses == (200, 200), context.statuses
 
 
-@given("a configuration in which half a character is a route's name")
-def step_half_name(context: Context) -> None:
-    document = make_configuration(pathPrefix="/half/")
+@given("a configuration in which a route's name has a lone surrogate")
+def step_surrogate_name(context: Context) -> None:
+    document = make_configuration(pathPrefix="/odd/")
     (route,) = (
         entry
         for entry in document["resources"]
         if entry["entryKind"] == "routes"
     )
-    route["metadata"]["name"] = _HALF
+    route["metadata"]["name"] = _UNENCODABLE
     other = make_route_entry(
         "other", "club.example", "/other/", "idempotent", SERVICE
     )
@@ -205,14 +205,14 @@
 
 
 @when("it is written to the store and two hosts have read it")
-def step_read_half_name(context: Context) -> None:
+def step_read_surrogate_name(context: Context) -> None:
     async def scenario(world: PlatformWorld) -> None:
         await world.start_store(context.document)
         await world.start_serving("h1", "h2")
         context.statuses = [
             (await world.send_request(host, f"{host}{path}", path)).status
             for host in ("h1", "h2")
-            for path in ("/half/x", "/other/x")
+            for path in ("/odd/x", "/other/x")
             for _ in range(4)
         ]
 
@@ -220,7 +220,7 @@
 
 
 @then("both hosts serve that route and its other routes")
-def step_check_half_name(context: Context) -> None:
+def step_check_surrogate_name(context: Context) -> None:
     assert set(context.statuses) == {200}, context.statuses
 
 
@@ -244,13 +244,15 @@
             report["born"] = 2**62
         case "a sequence far too high":
             report["seq"] = 2**50
-        case "half a character as version" | "half a character of another id":
-            report["version"] = _HALF
-        case "half a character encoded":
-            text = json.dumps(report | {"version": _HALF}, ensure_ascii=False)
+        case "a lone surrogate as version" | "a lone surrogate of another id":
+            report["version"] = _UNENCODABLE
+        case "an encoded lone surrogate":
+            text = json.dumps(
+                report | {"version": _UNENCODABLE}, ensure_ascii=False
+            )
             return text.encode("utf-8", "surrogatepass")
-        case "half a character as new field":
-            report["other"] = [{_HALF: 1}]
+        case "a lone surrogate in a new field":
+            report["other"] = [{_UNENCODABLE: 1}]
     return json.dumps(report).encode()
 
 
@@ -289,7 +291,7 @@
     """Sends a report with an odd value after a valid one."""
     if fault == "a departure that is nested":
         _send_bodies(context, "deregister", _NESTED)
-    elif fault == "half a character of another id":
+    elif fault == "a lone surrogate of another id":
         body = _make_odd_report(fault)
         _send_bodies(context, "heartbeat", body, sender="i-other")
     else:
@@ -378,7 +380,7 @@
     st.floats(),
     st.just(10**400),
 )
-# Includes halves of characters.
+# Includes lone surrogates.
 _TEXTS = st.text(st.characters(exclude_categories=()), max_size=6)
 _VALUES = st.recursive(
     st.one_of(st.none(), st.booleans(), _ODD_NUMBERS, _TEXTS),
@@ -525,19 +527,19 @@
     assert context.decoded > 0
 
 
-_HALF_REPORTS = st.builds(
+_SURROGATE_REPORTS = st.builds(
     lambda field, text: json.dumps(make_report("i") | {field: text}).encode(),
     st.sampled_from(["version", "service", "state", "zone", "address", "new"]),
-    _TEXTS | st.just(_HALF),
+    _TEXTS | st.just(_UNENCODABLE),
 )
 
 
-@when("{count:d} generated reports with half characters are parsed")
+@when("{count:d} generated reports with lone surrogates are parsed")
 def step_parse_reports(context: Context, count: int) -> None:
     context.reports = []
 
     @settings(max_examples=count)
-    @generate(_HALF_REPORTS)
+    @generate(_SURROGATE_REPORTS)
     def check(content: bytes) -> None:
         with contextlib.suppress(RhubarbpaddleError):
             context.reports.append(parse_report("i", content))
--- a/soak/instance_faults.py
+++ b/soak/instance_faults.py
@@ -16,7 +16,7 @@
 _SERVING_SECONDS = 3.0
 _MAX_REPORT_DELAY_SECONDS = 2.0
 _MAX_ODD_REPORTS = 5
-_HALVES = ("v1-\ud83d", "\udc00", "\ud800\ud800v2")
+_UNENCODABLE = ("v1-\ud83d", "\udc00", "\ud800\ud800v2")
 
 
 class InstanceFaults:
@@ -116,15 +116,14 @@
             }
             name = self._rng.choice((instance.instance_id, "i-other"))
             await instance.send("heartbeat", report, name)
-            # What remains of a character that was cut is no text. The report
-            # is otherwise one of a new start of the instance.
-            half = {
-                "version": self._text_rng.choice(_HALVES),
+            # A report of a new start of the instance, except for its version.
+            changes = {
+                "version": self._text_rng.choice(_UNENCODABLE),
                 "born": int(time.time() * 1000),
                 "seq": 1,
             }
             await instance.send(
-                "heartbeat", instance.make_report() | half, name
+                "heartbeat", instance.make_report() | changes, name
             )
             if name == "i-other" and self._text_rng.random() < 0.5:
                 await instance.send("deregister", {}, name)
--- a/src/rhubarbpaddle/json_document.py
+++ b/src/rhubarbpaddle/json_document.py
@@ -5,10 +5,10 @@
 rejected as a whole, by one kind of error, which does not quote the document:
 configurations hold the keys of organisations.
 
-A string that holds half of a surrogate pair, as a program leaves it that cuts a
-text inside a character, is valid JSON but no text: it can't be encoded again.
-A document about one thing is rejected because of it. In a document about many,
-it is replaced, so that the rest still holds.
+A lone surrogate, which remains in a string that a program cuts inside a
+character, is valid JSON but can't be encoded as UTF-8 again. A document about
+one thing is rejected because of it. In a document about many, it is replaced,
+so that the rest still holds.
 """
 
 import json
@@ -24,8 +24,8 @@
 _MAX_NUMBER_LENGTH = 32
 _OUT_OF_RANGE = "number out of range"
 _SURROGATE = re.compile("[\ud800-\udfff]")
-# Each document with half of a surrogate pair matches. Others that match have
-# whole pairs, which the decoder joins.
+# Each document with a lone surrogate matches. Others that match have pairs of
+# surrogates, which the decoder joins.
 _SURROGATE_OR_ESCAPE = re.compile("[\ud800-\udfff]|\\\\u[dD][89a-fA-F]")
 _REPLACEMENT = "\ufffd"
 
@@ -37,7 +37,7 @@
 
     Args:
         content: The document; bytes are UTF-8.
-        replace_invalid_text: Whether U+FFFD replaces half of a surrogate pair,
+        replace_invalid_text: Whether U+FFFD replaces lone surrogates,
             instead of an error.
 
     Raises:
@@ -108,7 +108,7 @@
     match document:
         case str():
             if _SURROGATE.search(document):
-                raise ValueError("a string holds half of a surrogate pair")
+                raise ValueError("a string holds a lone surrogate")
         case dict():
             for key, value in document.items():
                 _check_text(key)
