--- /dev/null
+++ b/review/harness3/__init__.py
@@ -0,0 +1,1 @@
+"""The programs and stand-ins of the cases of the third review."""
