--- a/review/harness3/instance.py
+++ b/review/harness3/instance.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import random
 import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -41,6 +42,9 @@
         state: What it reports, `ready` or `draining`.
         born: The Unix millisecond of its start by its machine's clock.
         work_seconds: How long a request takes.
+        slots: How many requests it runs at once.
+        load_percent: The fourth figure of its load.
+        cold_until: Until when it is cold, by the record's clock.
         answer: Writes the answer to a request, in place of the usual one; it
             returns whether the connection stays open.
         acks: When each of its reports was acknowledged, and its state then.
@@ -63,6 +67,8 @@
         self.born = born or int(time.time() * 1000)
         self.work_seconds = 0.02
         self.slots = 8
+        self.load_percent = 100
+        self.cold_until = 0.0
         self.answer: (
             Callable[[HttpMessage, asyncio.StreamWriter], Awaitable[bool]]
             | None
@@ -111,7 +117,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self.get_cold_ms(),
             "seq": next(self._sequence),
             "born": self.born,
         }
@@ -168,14 +174,20 @@
 
     def make_headers(self, request_id: str = "") -> dict[str, str]:
         """Returns the headers of an answer."""
-        headers = {"Server-Load": f"{self._running},0,{self.slots},100"}
+        load = f"{self._running},0,{self.slots},{self.load_percent}"
+        headers = {"Server-Load": load}
         if request_id:
             headers["Request-Id"] = request_id
             headers["Server-Signature"] = SIGNATURE
         else:
             headers["Instance-Id"] = self.instance_id
+            headers["Cold-Ms"] = str(self.get_cold_ms())
         return headers
 
+    def get_cold_ms(self) -> int:
+        """Returns for how long it stays cold."""
+        return max(0, int((self.cold_until - self._record.now()) * 1000))
+
     async def _serve(
         self, request: HttpMessage, writer: asyncio.StreamWriter
     ) -> bool:
@@ -213,7 +225,7 @@
         try:
             if self.answer is not None:
                 return await self.answer(request, writer)
-            await asyncio.sleep(self.work_seconds)
+            await asyncio.sleep(self.work_seconds * random.uniform(0.5, 1.5))
         finally:
             self._running -= 1
         self.write_success(writer, request_id)
--- a/review/harness3/machine.py
+++ b/review/harness3/machine.py
@@ -49,6 +49,7 @@
         ip: Its address.
         zone: Its zone.
         service: The service of its instance.
+        store_address: The `IP:PORT` at which its node calls the store.
         process: The node's newest process, or None.
     """
 
@@ -68,7 +69,7 @@
         self.ip = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}.{number}"
         self.process: subprocess.Popen[bytes] | None = None
         self._processes: list[subprocess.Popen[bytes]] = []
-        self._store_address = store_address
+        self.store_address = store_address
         self._folder = folder
         self._record = record
         self._first = True
@@ -82,6 +83,11 @@
         """The port of the instance at the machine's address."""
         return _INSTANCE_PORT
 
+    @property
+    def store_port(self) -> int:
+        """The port at which its node calls the store."""
+        return int(self.store_address.rpartition(":")[2])
+
     def start(self, bounds: dict[str, Any] | None = None) -> None:
         """Starts the node process."""
         path = self._folder / f"{self.name}.json"
@@ -124,6 +130,10 @@
                 writer.close()
                 return True
 
+    def lose_power(self) -> None:
+        """Stops the node's process for good: nothing answers any more."""
+        self.signal(signal.SIGSTOP)
+
     def end_all(self) -> None:
         """Kills all node processes of this machine."""
         for process in self._processes:
@@ -166,7 +176,7 @@
                 "entry": "static",
                 "heartbeatMs": HEARTBEAT_MS,
                 "platform": {
-                    "address": self._store_address,
+                    "address": self.store_address,
                     "form": "log",
                     "writesPerS": 400,
                     "readsPerS": 2000,
--- a/review/harness3/requester.py
+++ b/review/harness3/requester.py
@@ -72,3 +72,47 @@
         bool(answer and "server-signature" in answer.headers),
         answer.body if answer else b"",
     )
+
+
+class KeptConnection:
+    """A requester that sends its requests on one connection."""
+
+    def __init__(self, address: str, record: Record) -> None:
+        """Creates a requester that is not connected."""
+        self._address = address
+        self._record = record
+
+    async def request_all(self, target: str, deadline_ms: int = 1200) -> None:
+        """Sends one request after the other until cancelled."""
+        host, _, port = self._address.rpartition(":")
+        while True:
+            with contextlib.suppress(EOFError, OSError):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                try:
+                    while True:
+                        await self._exchange(
+                            reader, writer, target, deadline_ms
+                        )
+                finally:
+                    writer.close()
+
+    async def _exchange(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        target: str,
+        deadline_ms: int,
+    ) -> None:
+        request_id = secrets.token_hex(8)
+        self._record.add("send", id=request_id, to=self._address)
+        headers = {
+            "Host": "shop.example",
+            "Request-Id": request_id,
+            "Deadline-Ms": str(deadline_ms),
+        }
+        writer.write(make_message(f"GET {target} HTTP/1.1", headers))
+        answer = await read_message(reader)
+        self._record.add("answer", id=request_id, status=answer.status)
+        if answer.status == 503:
+            delay = float(answer.headers.get("retry-after", "0.1"))
+            await asyncio.sleep(min(delay, deadline_ms / 3000))
--- a/review/harness3/store.py
+++ b/review/harness3/store.py
@@ -26,6 +26,7 @@
 
     Attributes:
         era: The value of the header `Store-Era` in all answers.
+        polled_at: When `keyed.op` was last polled at each of its ports.
         away: Whether the store is down: it resets what is open and refuses
             new connections by resetting them.
         topics: The records of each topic; offsets count from 0.
@@ -34,6 +35,7 @@
     def __init__(self, record: Record) -> None:
         """Creates an empty store."""
         self.era = 1
+        self.polled_at: dict[int, float] = {}
         self.away = False
         self.topics: dict[str, list[Entry]] = {}
         self._record = record
@@ -92,6 +94,9 @@
             ):
                 while True:
                     call = await read_message(reader)
+                    if "/log-read?topic=keyed.op" in call.start[1]:
+                        port = writer.get_extra_info("sockname")[1]
+                        self.polled_at[port] = self._record.now()
                     status, body = await self._respond(call)
                     headers = {
                         "Content-Type": "application/json",
--- a/review/harness3/world.py
+++ b/review/harness3/world.py
@@ -42,11 +42,12 @@
 
     def add_machine(self, zone: str, service: str) -> Machine:
         """Adds a machine on which nothing runs."""
+        number = len(self.machines) + 1
         machine = Machine(
-            len(self.machines) + 1,
+            number,
             zone,
             service,
-            f"{self._store_ip}:{_STORE_PORT}",
+            f"{self._store_ip}:{_STORE_PORT + number}",
             self.folder,
             self.record,
         )
@@ -55,8 +56,10 @@
 
     async def start(self, bounds: dict[str, Any] | None = None) -> None:
         """Starts the store, all instances and all nodes."""
-        await self.store.serve(self._store_ip, _STORE_PORT)
         for machine in self.machines:
+            # Each machine has a port of its own, so that a case can tell
+            # which of them poll the store.
+            await self.store.serve(self._store_ip, machine.store_port)
             machine.start(bounds)
         for machine in self.machines:
             await machine.wait_ready()
