--- a/review/harness3/http_message.py
+++ b/review/harness3/http_message.py
@@ -57,7 +57,9 @@
     return head._replace(body=body)
 
 
-def make_message(start: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+def make_message(
+    start: str, headers: dict[str, str], body: bytes = b""
+) -> bytes:
     """Returns the bytes of a message whose body has a length."""
     lines = [start, *(f"{key}: {value}" for key, value in headers.items())]
     lines.append(f"Content-Length: {len(body)}")
--- a/review/harness3/instance.py
+++ b/review/harness3/instance.py
@@ -163,9 +163,7 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            with contextlib.suppress(
-                EOFError, OSError, asyncio.CancelledError
-            ):
+            with contextlib.suppress(EOFError, OSError, asyncio.CancelledError):
                 while await self._serve(await read_message(reader), writer):
                     await writer.drain()
         finally:
@@ -200,9 +198,7 @@
         request_id = request.headers.get("request-id", "")
         expected = request.headers.get("expected-instance", self.instance_id)
         if expected != self.instance_id:
-            self._record.add(
-                "misdirected", id=request_id, at=self.instance_id
-            )
+            self._record.add("misdirected", id=request_id, at=self.instance_id)
             headers = {"Instance-Id": self.instance_id, "Not-Executed": "1"}
             writer.write(make_message("HTTP/1.1 421 -", headers))
             return True
--- a/review/harness3/machine.py
+++ b/review/harness3/machine.py
@@ -15,6 +15,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 _PORTS = {"inbound": 8300, "outbound": 8304, "readiness": 8302, "control": 8306}
 _INSTANCE_PORT = 8301
+ZONES = ("costa-a", "costa-b", "costa-c")
 HEARTBEAT_MS = 1500
 
 # The bounds of SYSTEM.md.
@@ -66,7 +67,9 @@
         self.name = f"sidecar-{zone}-{number}"
         self.zone = zone
         self.service = service
-        self.ip = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}.{number}"
+        self.ip = (
+            f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}.{number}"
+        )
         self.process: subprocess.Popen[bytes] | None = None
         self._processes: list[subprocess.Popen[bytes]] = []
         self.store_address = store_address
@@ -169,7 +172,7 @@
                 "listen": {name: self.address(name) for name in _PORTS},
                 "portRange": [7620, 7635],
                 "seeds": [],
-                "zones": {"costa-a": "costa", "costa-b": "costa"},
+                "zones": dict.fromkeys(ZONES, "costa"),
             },
             "platform": {
                 "discovery": "static",
--- a/review/harness3/requester.py
+++ b/review/harness3/requester.py
@@ -75,10 +75,15 @@
 
 
 class KeptConnection:
-    """A requester that sends its requests on one connection."""
+    """A requester that sends its requests on one connection.
+
+    Attributes:
+        sent_at: When it sent each request, by the record's clock.
+    """
 
     def __init__(self, address: str, record: Record) -> None:
         """Creates a requester that is not connected."""
+        self.sent_at: dict[str, float] = {}
         self._address = address
         self._record = record
 
@@ -105,6 +110,7 @@
     ) -> None:
         request_id = secrets.token_hex(8)
         self._record.add("send", id=request_id, to=self._address)
+        self.sent_at[request_id] = self._record.now()
         headers = {
             "Host": "shop.example",
             "Request-Id": request_id,
--- a/review/harness3/store.py
+++ b/review/harness3/store.py
@@ -89,9 +89,7 @@
             return
         self._writers.add(writer)
         try:
-            with contextlib.suppress(
-                EOFError, OSError, asyncio.CancelledError
-            ):
+            with contextlib.suppress(EOFError, OSError, asyncio.CancelledError):
                 while True:
                     call = await read_message(reader)
                     if "/log-read?topic=keyed.op" in call.start[1]:
--- a/review/harness3/world.py
+++ b/review/harness3/world.py
@@ -7,7 +7,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 from harness3.instance import Instance, Run
 from harness3.machine import HEARTBEAT_MS, Machine
@@ -114,20 +114,28 @@
         async with asyncio.timeout(_LIMIT_SECONDS):
             return await case(world, trouble)
 
+    broken: list[str] | None = None
     try:
         broken = asyncio.run(run())
     except Exception as exc:
         record.add("case_failed", reason=repr(exc))
         print(f"the case could not run: {exc!r}")
-        sys.exit(2)
     finally:
         world.end()
         if keep := os.environ.get("KEEP_LOGS"):
             shutil.copytree(temporary, keep, dirs_exist_ok=True)
         shutil.rmtree(temporary, ignore_errors=True)
+    if broken is None:
+        _exit(2)
     for line in broken:
         record.add("broken", what=line)
         print(line)
     record.add("end", broken=len(broken))
     print(f"{'broken' if broken else 'held'} (trouble={trouble})")
-    sys.exit(1 if broken else 0)
+    _exit(1 if broken else 0)
+
+
+def _exit(status: int) -> NoReturn:
+    """Exits without closing what is still open on the ended event loop."""
+    sys.stdout.flush()
+    os._exit(status)
