--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,7 @@
-"""A departure that is acknowledged after the time of day jumped back."""
+"""An upload that crashes the instances that run it, among sound uploads."""
 
 import asyncio
-import time
+import secrets
 from pathlib import Path
 
 from harness3.configuration import (
@@ -9,82 +9,130 @@
     make_route,
     make_service,
 )
+from harness3.http_message import HttpMessage
+from harness3.instance import Instance
+from harness3.machine import Machine
 from harness3.requester import send_request
 from harness3.world import World, run_case
 
-_SERVICES = [make_service("bidding"), make_service("catalogue")]
-_JUMP_MS = 2400
-_DRAIN_SECONDS = 2.5
-_SERVE_ON_SECONDS = 10.0
-_REQUEST_INTERVAL = 0.1
+_SERVICES = [make_service("lanes"), make_service("coaching")]
+_TARGET = "/video/up"
+_BODY_BYTES = 24 * 1024
+_CRASHING_BODY = b"frames that crash the decoder. " * 800
+_CONTACT_SECONDS = 3.0
+_TOLERATED = 3
+_BACK_SECONDS = 2.0
+_CRASHING_INTERVAL = 4.0
+_SOUND_INTERVAL = 0.25
+_SECONDS = 80.0
 
 
-async def _request_all(world: World) -> None:
-    """Sends requests at each machine until cancelled."""
+class _Crashes:
+    """Lets instances crash when they run the upload.
 
-    async def send_at(address: str) -> None:
-        while True:
-            await send_request(
-                address, world.record, "/bid/1", "POST", b"lot 7"
-            )
-            await asyncio.sleep(_REQUEST_INTERVAL)
+    Attributes:
+        at: When each instance crashed.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.at: list[float] = []
+        self._world = world
+        self._starts: set[asyncio.Task[None]] = set()
+
+    def watch(self, machine: Machine) -> None:
+        """Lets the newest instance of a machine crash."""
+        instance = self._world.instances[machine.name]
 
-    async with asyncio.TaskGroup() as group:
-        for machine in world.machines:
-            group.create_task(send_at(machine.address("outbound")))
+        async def answer(
+            request: HttpMessage, writer: asyncio.StreamWriter
+        ) -> bool:
+            await asyncio.sleep(0.1)
+            if request.body == _CRASHING_BODY:
+                self.at.append(self._world.record.now())
+                await instance.crash()
+                task = asyncio.create_task(self._start(machine, instance))
+                self._starts.add(task)
+                return False
+            request_id = request.headers["request-id"]
+            instance.write_success(writer, request_id)
+            return True
+
+        instance.answer = answer
+
+    async def _start(self, machine: Machine, crashed: Instance) -> None:
+        await asyncio.sleep(_BACK_SECONDS)
+        name, _, number = crashed.instance_id.rpartition("-")
+        await self._world.start_instance(machine, f"{name}-{int(number) + 1}")
+        self.watch(machine)
 
 
 async def _run(world: World, trouble: bool) -> list[str]:
-    for zone in ("alex-a", "alex-b"):
-        for service in ("bidding", "catalogue"):
+    for zone in ("costa-a", "costa-b"):
+        for service in ("coaching", "coaching", "lanes"):
             world.add_machine(zone, service)
-    route = make_route("bid", "/bid/", "non_idempotent", "bidding")
+    route = make_route("video", "/video/", "upload", "coaching")
     world.store.write("config", make_configuration(3, [route, *_SERVICES]))
-    await world.start({"drainMs": 2500, "ackMs": 5000, "configApplyMs": 2500})
+    await world.start()
+    crashes = _Crashes(world)
+    for machine in world.machines:
+        if machine.service == "coaching":
+            crashes.watch(machine)
     await asyncio.sleep(5.0)
-    requests = asyncio.create_task(_request_all(world))
-    await asyncio.sleep(2.0)
-
-    # The instance of the first machine goes down and up twice. In trouble the
-    # machine's time of day is ahead from before the first start until between
-    # the two.
-    machine = world.machines[0]
-    instance = world.instances[machine.name]
-    name = instance.instance_id
-    await instance.crash()
-    await asyncio.sleep(1.0)
-    jump = _JUMP_MS if trouble else 0
-    world.record.add("time_of_day", machine=machine.name, ahead_ms=jump)
-    born = int(time.time() * 1000) + jump
-    instance = await world.start_instance(machine, name, born)
-    await asyncio.sleep(0.7)
-    world.record.add("time_of_day", machine=machine.name, ahead_ms=0)
-    await instance.crash()
-    await asyncio.sleep(0.7)
-    instance = await world.start_instance(machine, name)
-
-    # Long after the jump (`contactMs`), the instance is drained.
-    await asyncio.sleep(8.0)
-    instance.state = "draining"
-    while not any(state == "draining" for _, state in instance.acks):
-        await instance.report()
-    acked_at = next(at for at, state in instance.acks if state == "draining")
-    await asyncio.sleep(_DRAIN_SECONDS + _SERVE_ON_SECONDS)
-    requests.cancel()
-    await instance.crash()
-
-    late = [
-        run
-        for run in world.runs
-        if run.instance == name and run.at > acked_at + _DRAIN_SECONDS
+    callers = [
+        machine for machine in world.machines if machine.service == "lanes"
+    ]
+    sent: list[str] = []
+
+    async def send_sound(address: str) -> None:
+        while True:
+            body = secrets.token_bytes(_BODY_BYTES)
+            await send_request(
+                address, world.record, _TARGET, "POST", body, chunked=True
+            )
+            await asyncio.sleep(_SOUND_INTERVAL)
+
+    async def send_crashing(address: str) -> None:
+        while True:
+            await asyncio.sleep(_CRASHING_INTERVAL)
+            outcome = await send_request(
+                address,
+                world.record,
+                _TARGET,
+                "POST",
+                _CRASHING_BODY,
+                chunked=True,
+            )
+            world.record.add("crashing_upload", id=outcome.request_id)
+            sent.append(outcome.request_id)
+
+    tasks = [
+        asyncio.create_task(send_sound(machine.address("outbound")))
+        for machine in callers
     ]
-    world.record.add("result", acked_at=f"{acked_at:.3f}", late=len(late))
-    if not late:
+    if trouble:
+        address = callers[0].address("outbound")
+        tasks.append(asyncio.create_task(send_crashing(address)))
+    await asyncio.sleep(_SECONDS)
+    for task in tasks:
+        task.cancel()
+
+    if len(crashes.at) < _TOLERATED:
+        world.record.add("result", crashes=len(crashes.at), later=0)
+        return []
+    since = crashes.at[_TOLERATED - 1] + _CONTACT_SECONDS
+    ids = set(sent)
+    later = {
+        run.request_id
+        for run in world.runs
+        if run.request_id in ids and run.at > since
+    }
+    world.record.add("result", crashes=len(crashes.at), later=len(later))
+    if len(later) <= _TOLERATED:
         return []
     return [
-        f"DRAIN: `draining` of {name} was acknowledged at {acked_at:.2f}; "
-        f"{len(late)} requests reached it over {_DRAIN_SECONDS} s later, the "
-        f"last at {late[-1].at:.2f}"
+        f"BUDGET: the upload crashed {len(crashes.at)} instances; "
+        f"{len(later)} of its retries reached instances later than "
+        f"{_CONTACT_SECONDS} s after it had crashed the third"
     ]
 
 
