--- a/review/11/case.py
+++ b/review/11/case.py
@@ -27,14 +27,20 @@
     return make_configuration(version, [route, *_SERVICES])
 
 
-async def _request_all(world: World) -> None:
-    """Sends requests at each machine until cancelled."""
+async def _request_all(world: World, sent_at: dict[str, float]) -> None:
+    """Sends requests at each machine until cancelled.
+
+    Args:
+        world: The deployment.
+        sent_at: Gets the time at which each request was sent.
+    """
 
     async def send_at(address: str) -> None:
         while True:
-            await send_request(
+            outcome = await send_request(
                 address, world.record, "/book/1", "POST", b"lane 4"
             )
+            sent_at[outcome.request_id] = outcome.sent_at
             await asyncio.sleep(_REQUEST_INTERVAL)
 
     async with asyncio.TaskGroup() as group:
@@ -50,7 +56,8 @@
     store.write("config", _make(3, "lanes"))
     await world.start()
     await asyncio.sleep(5.0)
-    requests = asyncio.create_task(_request_all(world))
+    sent_at: dict[str, float] = {}
+    requests = asyncio.create_task(_request_all(world, sent_at))
     await asyncio.sleep(3.0)
 
     # Three versions in quick succession, which change a timeout.
@@ -72,16 +79,11 @@
     await asyncio.sleep(_WATCH_SECONDS)
     requests.cancel()
 
-    sent_at = {}
-    for line in (Path(__file__).parent / "record.txt").read_text().splitlines():
-        at, event, *fields = line.split()
-        if event == "send":
-            sent_at[fields[0].removeprefix("id=")] = float(at)
     late = [
         run
         for run in world.runs
         if run.service == "lanes"
-        and sent_at[run.request_id] > acked_at + _APPLY_SECONDS
+        and sent_at.get(run.request_id, 0.0) > acked_at + _APPLY_SECONDS
     ]
     total = sum(at > acked_at + _APPLY_SECONDS for at in sent_at.values())
     world.record.add(
