--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,6 @@
-"""An upload that crashes the instances that run it, among sound uploads."""
+"""A change of the configuration just after machines lost their power."""
 
 import asyncio
-import secrets
 from pathlib import Path
 
 from harness3.configuration import (
@@ -9,130 +8,99 @@
     make_route,
     make_service,
 )
-from harness3.http_message import HttpMessage
-from harness3.instance import Instance
-from harness3.machine import Machine
+from harness3.machine import ZONES
 from harness3.requester import send_request
 from harness3.world import World, run_case
 
-_SERVICES = [make_service("lanes"), make_service("coaching")]
-_TARGET = "/video/up"
-_BODY_BYTES = 24 * 1024
-_CRASHING_BODY = b"frames that crash the decoder. " * 800
-_CONTACT_SECONDS = 3.0
-_TOLERATED = 3
-_BACK_SECONDS = 2.0
-_CRASHING_INTERVAL = 4.0
-_SOUND_INTERVAL = 0.25
-_SECONDS = 80.0
+_SERVICES = ("lanes", "reservas")
+_MACHINES_PER_ZONE = 4
+# `configApplyMs` of SYSTEM.md.
+_APPLY_SECONDS = 2.0
+_POLL_SECONDS = 4.0
+_DARK_SECONDS = 4.0
+_WATCH_SECONDS = 2.0
+_REQUEST_INTERVAL = 0.05
+_DEADLINE_MS = 500
 
 
-class _Crashes:
-    """Lets instances crash when they run the upload.
-
-    Attributes:
-        at: When each instance crashed.
-    """
-
-    def __init__(self, world: World) -> None:
-        self.at: list[float] = []
-        self._world = world
-        self._starts: set[asyncio.Task[None]] = set()
-
-    def watch(self, machine: Machine) -> None:
-        """Lets the newest instance of a machine crash."""
-        instance = self._world.instances[machine.name]
-
-        async def answer(
-            request: HttpMessage, writer: asyncio.StreamWriter
-        ) -> bool:
-            await asyncio.sleep(0.1)
-            if request.body == _CRASHING_BODY:
-                self.at.append(self._world.record.now())
-                await instance.crash()
-                task = asyncio.create_task(self._start(machine, instance))
-                self._starts.add(task)
-                return False
-            request_id = request.headers["request-id"]
-            instance.write_success(writer, request_id)
-            return True
-
-        instance.answer = answer
-
-    async def _start(self, machine: Machine, crashed: Instance) -> None:
-        await asyncio.sleep(_BACK_SECONDS)
-        name, _, number = crashed.instance_id.rpartition("-")
-        await self._world.start_instance(machine, f"{name}-{int(number) + 1}")
-        self.watch(machine)
+def _make(version: int, service: str) -> bytes:
+    route = make_route("avail", "/avail/", "idempotent", service)
+    services = [make_service(name) for name in _SERVICES]
+    return make_configuration(version, [route, *services])
 
 
 async def _run(world: World, trouble: bool) -> list[str]:
-    for zone in ("costa-a", "costa-b"):
-        for service in ("coaching", "coaching", "lanes"):
-            world.add_machine(zone, service)
-    route = make_route("video", "/video/", "upload", "coaching")
-    world.store.write("config", make_configuration(3, [route, *_SERVICES]))
+    for index in range(len(ZONES) * _MACHINES_PER_ZONE):
+        zone = ZONES[index % len(ZONES)]
+        world.add_machine(zone, _SERVICES[index // len(ZONES) % 2])
+    world.store.write("config", _make(3, "lanes"))
     await world.start()
-    crashes = _Crashes(world)
-    for machine in world.machines:
-        if machine.service == "coaching":
-            crashes.watch(machine)
-    await asyncio.sleep(5.0)
-    callers = [
-        machine for machine in world.machines if machine.service == "lanes"
+    await asyncio.sleep(8.0)
+    oldest = world.record.now() - _POLL_SECONDS
+    dark = [
+        machine
+        for machine in world.machines
+        if world.store.polled_at.get(machine.store_port, 0.0) > oldest
     ]
-    sent: list[str] = []
-
-    async def send_sound(address: str) -> None:
+    others = [machine for machine in world.machines if machine not in dark]
+    world.record.add(
+        "machines",
+        dark=[(machine.name, machine.service) for machine in dark],
+        others=[(machine.name, machine.service) for machine in others],
+    )
+    sent_at: dict[str, float] = {}
+
+    async def send_at(address: str) -> None:
         while True:
-            body = secrets.token_bytes(_BODY_BYTES)
-            await send_request(
-                address, world.record, _TARGET, "POST", body, chunked=True
-            )
-            await asyncio.sleep(_SOUND_INTERVAL)
-
-    async def send_crashing(address: str) -> None:
-        while True:
-            await asyncio.sleep(_CRASHING_INTERVAL)
             outcome = await send_request(
                 address,
                 world.record,
-                _TARGET,
-                "POST",
-                _CRASHING_BODY,
-                chunked=True,
+                "/avail/1",
+                deadline_ms=_DEADLINE_MS,
             )
-            world.record.add("crashing_upload", id=outcome.request_id)
-            sent.append(outcome.request_id)
+            sent_at[outcome.request_id] = outcome.sent_at
+            await asyncio.sleep(_REQUEST_INTERVAL)
 
     tasks = [
-        asyncio.create_task(send_sound(machine.address("outbound")))
-        for machine in callers
+        asyncio.create_task(send_at(machine.address("outbound")))
+        for machine in others
     ]
+    await asyncio.sleep(2.0)
     if trouble:
-        address = callers[0].address("outbound")
-        tasks.append(asyncio.create_task(send_crashing(address)))
-    await asyncio.sleep(_SECONDS)
+        for machine in dark:
+            machine.lose_power()
+    await asyncio.sleep(0.1)
+    world.store.write("config", _make(7, "reservas"))
+    acked_at = world.record.now()
+    await asyncio.sleep(_DARK_SECONDS)
+    if trouble:
+        for machine in dark:
+            machine.end_all()
+            machine.start()
+    await asyncio.sleep(_WATCH_SECONDS)
     for task in tasks:
         task.cancel()
 
-    if len(crashes.at) < _TOLERATED:
-        world.record.add("result", crashes=len(crashes.at), later=0)
-        return []
-    since = crashes.at[_TOLERATED - 1] + _CONTACT_SECONDS
-    ids = set(sent)
     later = {
-        run.request_id
-        for run in world.runs
-        if run.request_id in ids and run.at > since
+        request_id
+        for request_id, at in sent_at.items()
+        if at > acked_at + _APPLY_SECONDS
     }
-    world.record.add("result", crashes=len(crashes.at), later=len(later))
-    if len(later) <= _TOLERATED:
+    late = [
+        run
+        for run in world.runs
+        if run.service == "lanes" and run.request_id in later
+    ]
+    world.record.add(
+        "result", sent_later=len(later), run_by_the_old_service=len(late)
+    )
+    if not late:
         return []
     return [
-        f"BUDGET: the upload crashed {len(crashes.at)} instances; "
-        f"{len(later)} of its retries reached instances later than "
-        f"{_CONTACT_SECONDS} s after it had crashed the third"
+        f"CONFIG: r7 moved the route to reservas and was acknowledged at "
+        f"{acked_at:.2f}; of {len(later)} requests sent over "
+        f"{_APPLY_SECONDS} s later at machines in touch, {len(late)} were run "
+        f"by lanes, the last at {late[-1].at:.2f}"
     ]
 
 
