--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -4,6 +4,7 @@
 import json
 import struct
 from collections import defaultdict
+from collections.abc import Mapping
 from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
@@ -18,6 +19,7 @@
 _OFFSETS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _PAGE_SIZE = 500
+_ERA_HEADER = "Store-Era"
 
 
 class StoredRecord(NamedTuple):
@@ -32,6 +34,7 @@
     """Serves appends, long polls and the newest record of each key.
 
     Attributes:
+        era: How often it has come back from a copy, plus 1.
         status: The status of the response to every call, or 0 to serve calls.
         loses_responses: Whether appends take effect but get no response.
         is_silent: Whether calls that arrive get no response, also later.
@@ -45,6 +48,7 @@
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.status = 0
         self.loses_responses = False
         self.is_silent = False
@@ -76,6 +80,20 @@
         records = self._records[topic]
         self._first[topic] = records[-1].offset + 1
 
+    def copy(self) -> Mapping[str, tuple[StoredRecord, ...]]:
+        """Returns a copy of all records, for `restore`."""
+        return {topic: tuple(kept) for topic, kept in self._records.items()}
+
+    def restore(self, copy: Mapping[str, tuple[StoredRecord, ...]]) -> None:
+        """Replaces all records by a copy; offsets go on where it ends."""
+        self._records.clear()
+        self._records.update(
+            {topic: list(kept) for topic, kept in copy.items()}
+        )
+        self.era += 1
+        self._appended.set()
+        self._appended = trio.Event()
+
     def count_calls(self) -> int:
         """Returns the number of calls other than reads that wait."""
         return self.calls - self.long_polls
@@ -90,6 +108,11 @@
 
     async def respond(self, request: StandinRequest) -> StandinResponse:
         """Responds to one call."""
+        response = await self._respond(request)
+        header = (_ERA_HEADER, str(self.era))
+        return response._replace(headers=(*response.headers, header))
+
+    async def _respond(self, request: StandinRequest) -> StandinResponse:
         self.calls += 1
         self._called.set()
         self._called = trio.Event()
@@ -180,7 +203,7 @@
                     await self._appended.wait()
             finally:
                 self.pending_reads -= 1
-        if start < self._first[topic]:
+        if not self._first[topic] <= start <= self._get_end(topic):
             return StandinResponse(410, b'{"first": 0}')
         data = _OFFSETS.pack(self._get_end(topic), self._first[topic])
         for record in self._records[topic]:
