Compare versions of the platform's state by era and offset

Cause: the offset in the log was taken for the version of the state wherever it was compared, kept, read on from or sent: a state read again after the 410 had a lower offset and was dropped, a neighbour's likewise, and a read from an offset that was given out again brought records of another history without any 410.

Change: a version is an era (the header Store-Era) and an offset. A read that ends in another era than it began is discarded and all keys are read again. A version names the earlier eras whose lost keys it includes, so that a node which has just started and one which has run on agree in any order. Departures and blocked requests of the last minute are stored again by the nodes that wrote them; missing entries of the directory by a reader, in one call. Numbers of orders include the era, and a conditional append of a status is refused in another era. Neighbours of earlier releases count as in the first era that a node has seen.

--- a/features/steps/configuration_history_steps.py
+++ b/features/steps/configuration_history_steps.py
@@ -22,6 +22,7 @@
 from rhubarbpaddle.configuration.configuration_history import (
     ConfigurationHistory,
 )
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.log import HttpLogClient
 from rhubarbpaddle.node.configuration_reader import ConfigurationReader
 from standins.http_server import StandinRequest, StandinResponse
@@ -195,7 +196,9 @@
         first, second = (cluster.nodes[f"node-{i}"] for i in range(2))
         cluster.log.available = False
         await trio.sleep(1)
-        assert second.configuration.adopt_text(1, make_text(1), 0)
+        assert second.configuration.adopt_text(
+            StateVersion(0, 1), make_text(1), 0
+        )
         context.state_during_outage = second.configuration.get_state()
         append_publication(cluster.log.streams["configuration"], 1)
         await trio.sleep(seconds)
--- a/features/steps/control_links_steps.py
+++ b/features/steps/control_links_steps.py
@@ -21,6 +21,7 @@
     run_platform_world,
 )
 from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.exceptions import TruncatedError
 from rhubarbpaddle.execution.crash_record import CrashRecord
 from rhubarbpaddle.execution.crash_update import CrashUpdate
@@ -316,7 +317,7 @@
                     node.crashes.merge(
                         CrashUpdate(name, 0, (crash,), now + index)
                     )
-        node.configuration.adopt_text(1, _TEXT, 1)
+        node.configuration.adopt_text(StateVersion(0, 1), _TEXT, 1)
         node.overlay.announce_configuration()
         await trio.sleep(2)
         context.known = len(other.table) - 2 + len(other.crashes.get_updates())
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -26,6 +26,7 @@
 )
 from rhubarbpaddle.cli.document_check import check_document
 from rhubarbpaddle.configuration.records import parse_record
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.http.request_responder import (
     RequestResponder,
@@ -41,7 +42,11 @@
 from rhubarbpaddle.platform.configuration_document import (
     parse_configuration_document,
 )
-from rhubarbpaddle.platform.keyed_record import parse_read_response
+from rhubarbpaddle.platform.keyed_record import (
+    KeyedRecord,
+    parse_read_response,
+)
+from rhubarbpaddle.platform.newest_records import NewestRecords
 from rhubarbpaddle.platform.report_document import (
     parse_departure,
     parse_report,
@@ -50,6 +55,7 @@
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
 )
+from rhubarbpaddle.platform.store_reading import StoreReading
 from rhubarbpaddle.platform.upstream_dialect import PlatformUpstreamDialect
 from rhubarbpaddle.telemetry.event_logger import format_event
 from standins.platform_documents import make_route_entry
@@ -433,9 +439,15 @@
 
 
 def _parse_state(content: bytes) -> None:
-    state = StoreConfigurationState.from_records({"config": content}, 1)
+    version = StateVersion(1, 1)
+    newest = NewestRecords([KeyedRecord("config", content, 0)], 1, 1)
+    state = StoreReading.from_newest(newest, (), 0.0, 0.0).make_state()
     state.get_records()
-    StoreConfigurationState.from_text(content.decode("utf-8", "replace"), 1)
+    if state.configuration is not None:
+        StoreConfigurationState.from_text(state.get_text(0.0), version)
+    StoreConfigurationState.from_text(
+        content.decode("utf-8", "replace"), version
+    )
 
 
 def _parse_load_header(content: bytes) -> None:
--- a/features/steps/rollout_decisions_steps.py
+++ b/features/steps/rollout_decisions_steps.py
@@ -19,6 +19,7 @@
     run_platform_world,
 )
 from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.measuring import EvidenceKind
 from rhubarbpaddle.membership import (
     Member,
@@ -29,6 +30,9 @@
     UpstreamSummary,
 )
 from rhubarbpaddle.peer.messages import MemberUpdate
+from rhubarbpaddle.platform.configuration_document import (
+    parse_configuration_document,
+)
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
@@ -205,11 +209,12 @@
     async def scenario(world: PlatformWorld) -> None:
         await world.start_store(None)
         client = StoreClient(HostNetwork(world.fabric, "h1"), STORE_ADDRESS)
-        end = (await client.read_newest(context.topic)).end
+        newest = await client.read_newest(context.topic)
+        end, era = newest.end, newest.era
         world.store.put(context.topic, "k", b"other")
         context.results = [
-            await client.put_at(context.topic, "k", b"late", end),
-            await client.put_at(context.topic, "k", b"new", end + 1),
+            await client.put_at(context.topic, "k", b"late", end, era),
+            await client.put_at(context.topic, "k", b"new", end + 1, era),
         ]
         records = world.store.list_records(context.topic, "k")
         context.values = [record.value for record in records]
@@ -265,17 +270,22 @@
 @given("a state with an order that was read {seconds:g} s ago")
 def step_state(context: Context, seconds: float) -> None:
     order = RolloutOrder(SERVICE, "v2", timedelta(seconds=12), 7)
-    records = {"config": json.dumps(make_configuration()).encode()}
-    context.state = StoreConfigurationState.from_records(
-        records, 8, [ObservedOrder(order, 100.0 - seconds, True)], 100.0
+    document = json.dumps(make_configuration())
+    context.state = StoreConfigurationState(
+        StateVersion(1, 8),
+        document,
+        parse_configuration_document(document),
+        (ObservedOrder(order, 100.0 - seconds, True),),
     )
 
 
 @when("another node adopts its text {seconds:g} s later")
 def step_adopt(context: Context, seconds: float) -> None:
-    text = context.state.get_current_text(100.0 + seconds)
+    text = context.state.get_text(100.0 + seconds)
     # Monotonic times of different nodes have different starts.
-    context.adopted = StoreConfigurationState.from_text(text, 8, 2000.0)
+    context.adopted = StoreConfigurationState.from_text(
+        text, StateVersion(1, 8), 2000.0
+    )
 
 
 @then("that node knows the order since {seconds:g} s")
--- a/features/steps/work_share_steps.py
+++ b/features/steps/work_share_steps.py
@@ -13,6 +13,7 @@
 from features.support.memory_stream import MemoryStream
 from features.support.raw_caller import RawCaller
 from features.support.virtual_clock import VirtualClock
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.exceptions import TruncatedError
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.http.request_responder import (
@@ -41,7 +42,10 @@
     def get_accepted(self) -> VersionedText | None:
         return None
 
-    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
+    def get_first_era(self) -> int:
+        return 0
+
+    def adopt_text(self, version: StateVersion, text: str, as_of: int) -> bool:
         return False
 
 
--- a/features/support/overlay_group.py
+++ b/features/support/overlay_group.py
@@ -10,6 +10,7 @@
 from rhubarbpaddle.configuration.accepted_configuration import (
     AcceptedConfiguration,
 )
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.execution.crash_ledger import CrashLedger
 from rhubarbpaddle.membership import (
     Member,
@@ -33,10 +34,14 @@
     def get_accepted(self) -> AcceptedConfiguration | None:
         return self.accepted
 
-    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
-        if self.accepted and self.accepted.version >= version:
+    def get_first_era(self) -> int:
+        return 0
+
+    def adopt_text(self, version: StateVersion, text: str, as_of: int) -> bool:
+        number = version.number
+        if self.accepted and self.accepted.version >= number:
             return False
-        self.accepted = AcceptedConfiguration.from_text(version, text, as_of)
+        self.accepted = AcceptedConfiguration.from_text(number, text, as_of)
         return True
 
 
--- a/src/rhubarbpaddle/configuration/accepted_configuration.py
+++ b/src/rhubarbpaddle/configuration/accepted_configuration.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Self
 
 from rhubarbpaddle.configuration.configuration import Configuration
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.configuration.text import parse_configuration
 
 
@@ -25,6 +26,11 @@
     as_of: int
     configuration: Configuration
 
+    @property
+    def state_version(self) -> StateVersion:
+        """The version as nodes compare it; the product's log has one era."""
+        return StateVersion(0, self.version)
+
     @classmethod
     def from_text(cls, version: int, text: str, as_of: int) -> Self:
         """Creates an accepted configuration from a log record or a peer's text.
--- a/src/rhubarbpaddle/http/service_client.py
+++ b/src/rhubarbpaddle/http/service_client.py
@@ -5,6 +5,7 @@
 
 from rhubarbpaddle.execution import BytesBody
 from rhubarbpaddle.http.client_connection import ClientConnection
+from rhubarbpaddle.http.service_response import ServiceResponse
 from rhubarbpaddle.network import Network
 
 _MAX_IDLE_CONNECTIONS = 32
@@ -71,8 +72,8 @@
 
     async def exchange(
         self, conn: ClientConnection, method: str, target: str, payload: bytes
-    ) -> tuple[int, bytes]:
-        """Sends a request and returns the status and the body.
+    ) -> ServiceResponse:
+        """Sends a request and returns the whole response.
 
         Raises:
             RhubarbpaddleError: The connection failed; the request may have
@@ -91,4 +92,6 @@
         content = bytearray()
         while chunk := await body.receive():
             content += chunk
-        return response.status_code, bytes(content)
+        return ServiceResponse(
+            response.status_code, tuple(response.headers), bytes(content)
+        )
--- a/src/rhubarbpaddle/log/http_log_client.py
+++ b/src/rhubarbpaddle/log/http_log_client.py
@@ -44,7 +44,7 @@
         conn = await self._acquire("append")
         try:
             with trio.fail_after(SILENCE_SECONDS):
-                status, content = await self._service.exchange(
+                status, _, content = await self._service.exchange(
                     conn, "POST", f"/streams/{stream}", payload
                 )
             if status == 200:
@@ -94,7 +94,7 @@
     async def _read_once(self, target: str) -> Batch:
         conn = await self._acquire("read")
         try:
-            status, content = await self._service.exchange(
+            status, _, content = await self._service.exchange(
                 conn, "GET", target, b""
             )
             if status == 200:
--- a/src/rhubarbpaddle/node/configuration_follower.py
+++ b/src/rhubarbpaddle/node/configuration_follower.py
@@ -15,6 +15,7 @@
 from rhubarbpaddle.configuration.configuration_history import (
     ConfigurationHistory,
 )
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.exceptions import LogUnavailableError
 from rhubarbpaddle.log import LogClient
 from rhubarbpaddle.node.checkpoint_writer import CheckpointWriter
@@ -118,7 +119,11 @@
             unapplied_records=self.history.unapplied_records,
         )
 
-    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
+    def get_first_era(self) -> int:
+        """Returns the era of all versions, because the log has only one."""
+        return 0
+
+    def adopt_text(self, version: StateVersion, text: str, as_of: int) -> bool:
         """Adopts a peer's configuration if it is newer.
 
         Args:
@@ -132,7 +137,7 @@
         Raises:
             ConfigurationError: The text is invalid.
         """
-        accepted = AcceptedConfiguration.from_text(version, text, as_of)
+        accepted = AcceptedConfiguration.from_text(version.number, text, as_of)
         changed = self.history.adopt(accepted)
         if changed:
             self._notify_change()
--- a/src/rhubarbpaddle/peer/configuration_requests.py
+++ b/src/rhubarbpaddle/peer/configuration_requests.py
@@ -1,6 +1,7 @@
 """Limits how often this node requests a configuration version."""
 
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration.state_version import NO_STATE, StateVersion
 
 # A neighbour responds within one round trip plus the transfer, which takes
 # 0.1 s at 10 Mbit/s for the largest configurations.
@@ -16,10 +17,10 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._requested_version = 0
+        self._requested_version = NO_STATE
         self._requested_at = float("-inf")
 
-    def should_request(self, version: int) -> bool:
+    def should_request(self, version: StateVersion) -> bool:
         """Returns whether to request a version now, and records the request.
 
         Args:
@@ -27,7 +28,7 @@
         """
         now = self._clock.monotonic()
         if (
-            version <= self._requested_version
+            not self._requested_version.lacks(version)
             and now - self._requested_at < _RESPONSE_SECONDS
         ):
             return False
--- a/src/rhubarbpaddle/peer/configuration_source.py
+++ b/src/rhubarbpaddle/peer/configuration_source.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.peer.versioned_text import VersionedText
 
 
@@ -12,16 +13,23 @@
         """Returns the configuration in force, or None if there is none."""
         ...
 
-    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
+    def get_first_era(self) -> int:
+        """Returns the first era that this node has seen.
+
+        It is taken for that of neighbours of earlier releases, which know none.
+        """
+        ...
+
+    def adopt_text(self, version: StateVersion, text: str, as_of: int) -> bool:
         """Puts a peer's configuration in force if it is newer.
 
         Args:
-            version: The version number; a higher one is newer.
+            version: The version of the configuration.
             text: The configuration in the format that nodes exchange.
             as_of: The log offset up to which no newer version exists.
 
         Returns:
-            Whether the configuration is now in force.
+            Whether what is in force has changed.
 
         Raises:
             ConfigurationError: The text is invalid.
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -7,6 +7,7 @@
 import trio
 
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration.state_version import NO_STATE, StateVersion
 from rhubarbpaddle.exceptions import (
     ConfigurationError,
     MalformedMessageError,
@@ -115,7 +116,7 @@
         self._rollouts = rollouts
         self._rollout_notices = RolloutNotices(rollouts.list_notices())
         self._rejected = RejectedEntries()
-        self._invalid_version = 0
+        self._received_version: StateVersion | None = None
         self._malformed_messages = 0
         self._pending: dict[str, Member] = {}
         self._pending_crash_counts = {
@@ -126,8 +127,8 @@
         self._wake = trio.Event()
         self._sent_at = float("-inf")
         self._heartbeat_at = float("-inf")
-        self._announced_version = 0
-        self._version_to_request = 0
+        self._announced_version = NO_STATE
+        self._version_to_request: StateVersion | None = None
         self._update_requested = False
         self._consecutive_differences = 0
         self._repaired_at = float("-inf")
@@ -249,11 +250,11 @@
                 (accepted,),
                 lambda batch: ConfigurationUpdate.from_accepted(batch[0]),
             )
-        if self._version_to_request:
+        if self._version_to_request is not None:
             await self._conn.send(
-                ConfigurationRequest(self._version_to_request)
+                ConfigurationRequest(self._version_to_request.number)
             )
-            self._version_to_request = 0
+            self._version_to_request = None
         await self._send_heartbeat_if_due()
 
     async def _send_entries(
@@ -304,7 +305,14 @@
             age_ms = self._get_age_ms()
             sent_ms = None if age_ms is None else int(now * 1000)
             await self._conn.send(
-                Heartbeat(self._table.digest, version, age_ms, sent_ms)
+                Heartbeat(
+                    self._table.digest,
+                    version.number,
+                    age_ms,
+                    sent_ms,
+                    version.era,
+                    version.carried,
+                )
             )
 
     def _get_age_ms(self) -> int | None:
@@ -326,8 +334,11 @@
             match message:
                 case Heartbeat():
                     self._repair_if_different(message)
-                    self._request_if_newer(message.configuration_version)
-                    self._confirm(message)
+                    version = message.get_version(
+                        self._configuration.get_first_era()
+                    )
+                    self._request_if_newer(version)
+                    self._confirm(message, version)
                 case MemberUpdate(store_access=entries):
                     members = message.get_members()
                     await self._merge_each(members, self._merge_member)
@@ -449,21 +460,25 @@
             for member in self._table:
                 self.enqueue(member)
 
-    def _get_own_version(self) -> int:
+    def _get_own_version(self) -> StateVersion:
         accepted = self._configuration.get_accepted()
-        return accepted.version if accepted else 0
+        return accepted.state_version if accepted else NO_STATE
+
+    def _request_if_newer(self, version: StateVersion) -> None:
+        """Requests a version from the neighbour if it is newer.
 
-    def _request_if_newer(self, version: int) -> None:
-        """Requests a version from the neighbour if it is newer."""
-        if version == self._invalid_version:
+        One that this link has brought already was invalid, or brought nothing
+        new although it is of another era.
+        """
+        if version == self._received_version:
             return
-        if version > self._get_own_version() and self._requests.should_request(
+        if self._get_own_version().lacks(
             version
-        ):
+        ) and self._requests.should_request(version):
             self._version_to_request = version
             self._wake.set()
 
-    def _confirm(self, heartbeat: Heartbeat) -> None:
+    def _confirm(self, heartbeat: Heartbeat, version: StateVersion) -> None:
         """Applies the neighbour's confirmation of the configuration.
 
         One of a version that this node doesn't hold yet says nothing about the
@@ -479,23 +494,25 @@
             delay = self._transit_delay.measure(
                 sent_ms / 1000, self.received_at
             )
-        if heartbeat.configuration_version <= self._get_own_version():
+        if not self._get_own_version().lacks(version):
             self._currency.confirm(age_ms / 1000 + delay)
 
     def _adopt_configuration(self, update: ConfigurationUpdate) -> None:
-        if self._get_own_version() >= update.version:
+        version = update.get_version(self._configuration.get_first_era())
+        self._received_version = version
+        if not self._get_own_version().lacks(version):
             return
         try:
             self._configuration.adopt_text(
-                update.version, update.get_text(), update.as_of
+                version, update.get_text(), update.as_of
             )
         except (ConfigurationError, ValueError) as exc:
             # The neighbour, perhaps of another release, would send it over the
             # next link too. Other links or the store may have a valid one.
-            self._invalid_version = update.version
             _log.warn(
                 "configuration_unusable",
-                version=update.version,
+                era=version.era,
+                version=version.number,
                 peer=self.peer_id,
                 reason=exc,
             )
--- a/src/rhubarbpaddle/peer/messages/configuration_update.py
+++ b/src/rhubarbpaddle/peer/messages/configuration_update.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from rhubarbpaddle.configuration.state_version import Position, StateVersion
 from rhubarbpaddle.peer.versioned_text import VersionedText
 
 # Valid configurations are far smaller; decompression stops at this length.
@@ -17,25 +18,41 @@
     """Carries the configuration in force at the sender.
 
     Attributes:
-        version: The number of accepted publications up to this one.
+        version: The number of the version.
         as_of: The log offset up to which the sender knows of no newer version.
         compressed: The configuration text, compressed with zlib because it is
             repetitive and the links of small hosts are slow.
+        era: The era of the version, or None from nodes of earlier releases.
+        carried: What the version keeps of earlier eras; see `StateVersion`.
     """
 
     version: int
     as_of: int
     compressed: bytes
+    era: int | None = None
+    carried: tuple[Position, ...] = ()
 
     @classmethod
     def from_accepted(cls, accepted: VersionedText) -> Self:
         """Creates the message for a configuration."""
+        version = accepted.state_version
         return cls(
-            accepted.version,
+            version.number,
             accepted.as_of,
             zlib.compress(accepted.text.encode()),
+            version.era,
+            version.carried,
         )
 
+    def get_version(self, first_era: int) -> StateVersion:
+        """Returns the version of the text.
+
+        Args:
+            first_era: The era of senders that know none.
+        """
+        era = first_era if self.era is None else self.era
+        return StateVersion(era, self.version, self.carried)
+
     def get_text(self) -> str:
         """Returns the decompressed text.
 
--- a/src/rhubarbpaddle/peer/versioned_text.py
+++ b/src/rhubarbpaddle/peer/versioned_text.py
@@ -2,19 +2,21 @@
 
 from typing import Protocol
 
+from rhubarbpaddle.configuration.state_version import StateVersion
+
 
 class VersionedText(Protocol):
     """A configuration with its version.
 
     Attributes:
-        version: The version number; a higher one is newer.
+        state_version: The version, which says whether another one is newer.
         text: The configuration in the format that nodes exchange.
         as_of: The log offset up to which no newer version exists.
     """
 
     @property
-    def version(self) -> int:
-        """The version number; a higher one is newer."""
+    def state_version(self) -> StateVersion:
+        """The version, which says whether another one is newer."""
         ...
 
     @property
--- a/src/rhubarbpaddle/platform/aged_configuration_text.py
+++ b/src/rhubarbpaddle/platform/aged_configuration_text.py
@@ -1,6 +1,7 @@
 """The state in force as it is sent to a peer."""
 
 from rhubarbpaddle.clock import Clock
+from rhubarbpaddle.configuration.state_version import StateVersion
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
 )
@@ -14,16 +15,16 @@
         self._clock = clock
 
     @property
-    def version(self) -> int:
-        """The offset after the last record that the text includes."""
-        return self._state.version
+    def state_version(self) -> StateVersion:
+        """The era, and the offset after the last record that is included."""
+        return self._state.state_version
 
     @property
     def text(self) -> str:
         """The text with the present ages of the orders."""
-        return self._state.get_current_text(self._clock.monotonic())
+        return self._state.get_text(self._clock.monotonic())
 
     @property
     def as_of(self) -> int:
         """The offset up to which the state is known to be the newest."""
-        return self._state.as_of
+        return self._state.state_version.number
--- a/src/rhubarbpaddle/platform/newest_records.py
+++ b/src/rhubarbpaddle/platform/newest_records.py
@@ -11,7 +11,9 @@
     Attributes:
         records: The records; deleted keys have none.
         end: The end offset of the partition when the read began.
+        era: How often the store has come back from a copy, as it says.
     """
 
     records: list[KeyedRecord]
     end: int
+    era: int
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -49,6 +49,7 @@
 from rhubarbpaddle.peer.pool import PeerPool
 from rhubarbpaddle.peer.remote_dispatcher import RemoteDispatcher
 from rhubarbpaddle.platform.configuration_view import ConfigurationView
+from rhubarbpaddle.platform.directory_repair import DirectoryRepair
 from rhubarbpaddle.platform.node_directory import NodeDirectory
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
 from rhubarbpaddle.platform.reader_duty import ReaderDuty
@@ -137,28 +138,34 @@
         store = StoreClient(network, settings.store_address)
         store_retry = StoreRetry(clock, rng)
         self._stored_crashes = StoredCrashes(
-            settings.node_id, crash_ledger, store, store_retry
+            settings.node_id, crash_ledger, store, store_retry, clock
         )
         store_access = StoreAccessTable(self.table)
         currency = ConfigurationCurrency(
             clock, lambda: self.settings.revocation_deadline is not None
         )
+        duty = ReaderDuty(
+            StoreReaderElection(
+                self.table,
+                store_access,
+                lambda: self.overlay.has_active_link(),
+            ),
+            store_access,
+            clock,
+        )
         self.configuration = StoreConfigurationFollower(
             store,
             clock,
             rng,
             self._apply_configuration,
-            ReaderDuty(
-                StoreReaderElection(
-                    self.table,
-                    store_access,
-                    lambda: self.overlay.has_active_link(),
-                ),
-                store_access,
-                clock,
-            ),
+            self._handle_new_era,
+            duty,
             PollSchedule.from_config(settings),
             currency,
+            settings.recovery_time,
+        )
+        self._directory_repair = DirectoryRepair(
+            self.table, duty.get_position, store, clock, store_retry
         )
         get_configuration = self.configuration.get_configuration
         view = ConfigurationView(
@@ -360,6 +367,7 @@
             nursery.start_soon(self.configuration.run)
             nursery.start_soon(self._directory.run)
             nursery.start_soon(self._directory.run_departures)
+            nursery.start_soon(self._directory_repair.run)
             nursery.start_soon(self._stored_crashes.run)
             nursery.start_soon(self.overlay.run)
             nursery.start_soon(self._stream_watch.run)
@@ -410,6 +418,12 @@
         self._rollouts.apply(self.configuration.get_orders())
         self.overlay.announce_configuration()
 
+    def _handle_new_era(self) -> None:
+        """Writes again what the store may have lost."""
+        self._directory.handle_new_era()
+        self._directory_repair.handle_new_era()
+        self._stored_crashes.handle_new_era()
+
     def _get_instance(self) -> str | None:
         attached = self.instance_proxy.attached
         return attached.summary.instance if attached else None
--- a/src/rhubarbpaddle/platform/node_directory.py
+++ b/src/rhubarbpaddle/platform/node_directory.py
@@ -10,13 +10,17 @@
 from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.node.departures import Departures
 from rhubarbpaddle.node.instance_boot import InstanceBoot
+from rhubarbpaddle.platform.directory_entry import (
+    NODES_TOPIC,
+    make_directory_entry,
+)
 from rhubarbpaddle.platform.keyed_record import KeyedRecord
+from rhubarbpaddle.platform.recent_write import RecentWrite
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_retry import StoreRetry
 from rhubarbpaddle.platform.stored_crashes import CRASHES_PREFIX
 from rhubarbpaddle.telemetry import get_logger
 
-_TOPIC = "keyed.nodes"
 # Precedes the id of a node in the key under which the departures of its
 # instances are stored, as an object of instance ids and incarnations.
 _DEPARTURE_PREFIX = "departed/"
@@ -99,6 +103,7 @@
         self._is_registered = False
         self._entries_read = trio.Event()
         self._departures = Departures()
+        self._recent_departure = RecentWrite(clock)
         self._departure_recorded = trio.Event()
         self._departure_stored = trio.Event()
         self._departure_stored.set()
@@ -151,6 +156,11 @@
         with trio.move_on_after(_STORE_TIMEOUT_SECONDS):
             await self._departure_stored.wait()
 
+    def handle_new_era(self) -> None:
+        """Stores departures again if the store may have lost them."""
+        if self._recent_departure.may_be_lost():
+            self._departure_recorded.set()
+
     async def run_departures(self) -> None:
         """Stores each departure that is recorded."""
         while True:
@@ -163,20 +173,19 @@
     async def _store_departure(self) -> None:
         document = dict(self._departures)
         key = _DEPARTURE_PREFIX + self._node_id
-        await self._store.put(_TOPIC, key, json.dumps(document).encode())
+        await self._store.put(NODES_TOPIC, key, json.dumps(document).encode())
+        self._recent_departure.record()
         _log.info("departures_stored", instances=",".join(document))
 
     async def _register(self) -> None:
-        document = {
-            "peer_address": self._peer_address,
-            "zone": self._availability_zone,
-        }
-        value = json.dumps(document).encode()
-        await self._store.put(_TOPIC, self._node_id, value)
+        value = make_directory_entry(
+            self._peer_address, self._availability_zone
+        )
+        await self._store.put(NODES_TOPIC, self._node_id, value)
         self._is_registered = True
 
     async def _read_entries(self) -> None:
-        newest = await self._store.read_newest(_TOPIC)
+        newest = await self._store.read_newest(NODES_TOPIC)
         addresses = []
         near_addresses = []
         for record in newest.records:
--- a/src/rhubarbpaddle/platform/rollout_status_store.py
+++ b/src/rhubarbpaddle/platform/rollout_status_store.py
@@ -6,6 +6,7 @@
 from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.platform.keyed_record import KeyedRecord
 from rhubarbpaddle.platform.store_client import StoreClient
+from rhubarbpaddle.rollout.log_end import LogEnd
 from rhubarbpaddle.rollout.rollout_state import RolloutState
 from rhubarbpaddle.rollout.rollout_status import RolloutStatus
 from rhubarbpaddle.telemetry import get_logger
@@ -23,19 +24,20 @@
     def __init__(self, store: StoreClient) -> None:
         self._store = store
 
-    async def read(self, service: str) -> tuple[RolloutStatus | None, int]:
+    async def read(self, service: str) -> tuple[RolloutStatus | None, LogEnd]:
         """Returns the newest status of a service and the end of the topic.
 
         Raises:
             LogUnavailableError: The store sent no valid response.
         """
         newest = await self._store.read_newest(_TOPIC)
+        end = LogEnd(newest.era, newest.end)
         for record in newest.records:
             if record.key == _PREFIX + service and record.value:
-                return _parse_status(service, record), newest.end
-        return None, newest.end
+                return _parse_status(service, record), end
+        return None, end
 
-    async def write(self, status: RolloutStatus, end: int) -> bool:
+    async def write(self, status: RolloutStatus, end: LogEnd) -> bool:
         """Writes a status if the topic still has the given end.
 
         Raises:
@@ -54,13 +56,15 @@
             _TOPIC,
             _PREFIX + status.service,
             json.dumps(document).encode(),
-            end,
+            end.offset,
+            end.era,
         )
         fields = {
             "service": status.service,
             "order": status.order,
             "state": status.state.value,
-            "offset": end,
+            "era": end.era,
+            "offset": end.offset,
         }
         if written:
             _log.info("rollout_status_written", **fields)
--- a/src/rhubarbpaddle/platform/settings.py
+++ b/src/rhubarbpaddle/platform/settings.py
@@ -37,6 +37,9 @@
             acknowledgement of a configuration until it must be in force.
         contact_time: The platform's `contactMs`: how long after a disruption
             all bounds hold again.
+        recovery_time: The platform's `recoveryS`: how long after a loss
+            requests must be served again; operators have written again by then
+            what the store has lost.
         retry_terms: The retry budget that all nodes share.
         cold_multiplier: The platform's `coldMultiplier`: how many times its
             sustained rate a cold instance may get within a second.
@@ -67,6 +70,7 @@
     shutdown_grace: timedelta
     configuration_deadline: timedelta
     contact_time: timedelta
+    recovery_time: timedelta
     retry_terms: RetryTerms
     cold_multiplier: float
     link_rate: float
@@ -135,6 +139,7 @@
             contact_time=timedelta(
                 milliseconds=float(bounds.get("contactMs", 3000))
             ),
+            recovery_time=timedelta(seconds=float(bounds.get("recoveryS", 15))),
             retry_terms=RetryTerms(
                 ratio=float(bounds["retryBudgetRatio"]),
                 slack=float(bounds["retryBudgetSlack"]),
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -11,7 +11,8 @@
 from rhubarbpaddle.configuration.routing_configuration import (
     RoutingConfiguration,
 )
-from rhubarbpaddle.exceptions import ConfigurationError, RhubarbpaddleError
+from rhubarbpaddle.configuration.state_version import StateVersion
+from rhubarbpaddle.exceptions import RhubarbpaddleError
 from rhubarbpaddle.membership import ReaderPosition
 from rhubarbpaddle.membership.configuration_currency import (
     ConfigurationCurrency,
@@ -23,7 +24,7 @@
 from rhubarbpaddle.platform.history_lost import HistoryLostError
 from rhubarbpaddle.platform.poll_schedule import PollSchedule
 from rhubarbpaddle.platform.reader_duty import ReaderDuty
-from rhubarbpaddle.platform.rollout_orders import RolloutOrders
+from rhubarbpaddle.platform.state_in_force import StateInForce
 from rhubarbpaddle.platform.store_client import (
     RESPONSE_TIMEOUT,
     StoreClient,
@@ -31,6 +32,7 @@
 from rhubarbpaddle.platform.store_configuration_state import (
     StoreConfigurationState,
 )
+from rhubarbpaddle.platform.store_reading import StoreReading
 from rhubarbpaddle.platform.store_silent import StoreSilentError
 from rhubarbpaddle.rollout.observed_order import ObservedOrder
 from rhubarbpaddle.telemetry import get_logger
@@ -49,8 +51,6 @@
 
     Attributes:
         store_responded: Set once the store has responded to a read.
-        state: The configuration and withdrawn zones in force, or None before
-            the first read.
     """
 
     def __init__(
@@ -59,9 +59,11 @@
         clock: Clock,
         rng: random.Random,
         on_change: Callable[[RoutingConfiguration], None],
+        on_new_era: Callable[[], None],
         duty: ReaderDuty,
         schedule: PollSchedule,
         currency: ConfigurationCurrency,
+        settling_time: timedelta,
     ) -> None:
         """Creates a follower without a configuration.
 
@@ -70,28 +72,34 @@
             clock: The source of time.
             rng: The source of jitter for retries.
             on_change: Called with each configuration that comes into force.
+            on_new_era: Called when the store has come back from an older copy.
             duty: Whether this node reads the store for others. If it doesn't,
                 it reads the store only once and then receives changes from its
                 peers.
             schedule: Determines how long the store holds reads.
             currency: Learns of each read by which the state is the newest.
+            settling_time: How long operators may take to write again what the
+                store has lost.
         """
         self._store = store
         self._clock = clock
-        self._on_change = on_change
         self._duty = duty
         self._schedule = schedule
         self._currency = currency
+        self._in_force = StateInForce(
+            clock, settling_time.total_seconds(), on_change, on_new_era
+        )
         self.store_responded = trio.Event()
         self._backoff = Backoff(rng, _BACKOFF_LIMIT)
-        self._records: dict[str, bytes] = {}
-        self._orders = RolloutOrders()
-        self._end_offset: int | None = None
         self._unreachable_since: float | None = None
         self._was_reader = False
         self._retries_silence = False
         self._call_started_at = 0.0
-        self.state: StoreConfigurationState | None = None
+
+    @property
+    def state(self) -> StoreConfigurationState | None:
+        """What is in force, as far as it is known; None before a read."""
+        return self._in_force.state
 
     def is_reader(self) -> bool:
         """Returns whether this node reads the store for other nodes."""
@@ -99,8 +107,8 @@
 
     def get_accepted(self) -> VersionedText | None:
         """Returns the state in force, to be sent to peers."""
-        if self.state is None or not self.state.orders:
-            return self.state
+        if self.state is None or self.state.configuration is None:
+            return None
         return AgedConfigurationText(self.state, self._clock)
 
     def get_orders(self) -> tuple[ObservedOrder, ...]:
@@ -109,33 +117,29 @@
 
     def get_version(self) -> int:
         """Returns the offset up to which the state was read, or 0."""
-        return self.state.version if self.state else 0
+        return self.state.state_version.number if self.state else 0
+
+    def get_first_era(self) -> int:
+        """Returns the first era that this node has seen, or 0."""
+        return self._in_force.first_era
 
     def get_configuration(self) -> RoutingConfiguration | None:
         """Returns the configuration in force."""
         return self.state.configuration if self.state else None
 
-    def adopt_text(self, version: int, text: str, as_of: int) -> bool:
-        """Adopts a peer's state if it is newer.
+    def adopt_text(self, version: StateVersion, text: str, as_of: int) -> bool:
+        """Merges a peer's state into the one in force.
 
         Returns:
-            Whether the state was adopted.
+            Whether what is in force has changed.
 
         Raises:
             ConfigurationError: The text is invalid.
         """
-        if version <= self.get_version():
-            return False
-        state = StoreConfigurationState.from_text(
-            text, version, self._clock.monotonic()
+        now = self._clock.monotonic()
+        return self._in_force.adopt(
+            StoreConfigurationState.from_text(text, version, now)
         )
-        if not self._put_in_force(state, "peer"):
-            return False
-        if self._end_offset is not None and self._end_offset < version:
-            self._records = state.get_records()
-            self._orders.adopt(state.orders)
-            self._end_offset = version
-        return True
 
     async def run(self) -> None:
         """Reads the topic until cancelled."""
@@ -143,9 +147,11 @@
             position = self._duty.get_position()
             self._log_reader_change(position is not None)
             self._call_started_at = self._clock.monotonic()
+            self._in_force.drop_lost_keys()
+            reading = self._in_force.reading
             wait = timedelta()
             try:
-                if self._end_offset is None:
+                if reading is None:
                     await self._read_all()
                 elif position is None and not (
                     self._retries_silence or self._duty.is_probe_due()
@@ -154,12 +160,11 @@
                     continue
                 else:
                     wait = self._choose_wait(position)
-                    await self._read_new_records(self._end_offset, wait)
-                self._record_success(wait)
+                    await self._read_new_records(reading, wait)
+                self._record_success()
+                if self._in_force.reading is not None:
+                    self._confirm(wait)
                 self._backoff.reset()
-            except HistoryLostError:
-                _log.info("configuration_history_lost", offset=self._end_offset)
-                self._end_offset = None
             except StoreSilentError as exc:
                 # The timeout takes the place of a backoff. If only the
                 # connection was silent, a retry is faster than another reader.
@@ -187,95 +192,41 @@
     async def _read_all(self) -> None:
         newest = await self._store.read_newest(_TOPIC)
         self.store_responded.set()
-        self._records = {record.key: record.value for record in newest.records}
-        self._orders.adopt(self.get_orders())
-        self._orders.replace(newest.records, self._clock.monotonic())
-        self._end_offset = newest.end
-        self._apply_records()
-
-    async def _read_new_records(self, start: int, wait: timedelta) -> None:
-        end, records = await self._store.read(_TOPIC, start, wait)
-        if self._end_offset != start:
-            # A newer state of a peer was adopted during the read; the records
-            # that it includes are skipped.
-            records = (
-                [
-                    record
-                    for record in records
-                    if record.offset >= self._end_offset
-                ]
-                if self._end_offset is not None
-                else []
-            )
-        if not records:
-            return
-        now = self._clock.monotonic()
-        for record in records:
-            self._orders.apply(record, now)
-            if record.value:
-                self._records[record.key] = record.value
-            else:
-                self._records.pop(record.key, None)
-        self._end_offset = max(end, self._end_offset or 0)
-        self._apply_records()
-
-    def _apply_records(self) -> None:
-        assert self._end_offset is not None
-        if self._end_offset <= self.get_version():
-            return
+        self._in_force.take_newest(newest, self._get_call_ms())
+
+    async def _read_new_records(
+        self, reading: StoreReading, wait: timedelta
+    ) -> None:
+        """Reads the records that follow those of a reading.
+
+        Args:
+            reading: What this node has read.
+            wait: How long the store may hold the read.
+        """
+        era = reading.era
         try:
-            state = StoreConfigurationState.from_records(
-                self._records,
-                self._end_offset,
-                self._orders.list_entries(),
-                self._clock.monotonic(),
-            )
-        except ConfigurationError as exc:
-            _log.warn(
-                "configuration_invalid", offset=self._end_offset, error=exc
-            )
+            result = await self._store.read(_TOPIC, reading.end, wait)
+        except HistoryLostError:
+            self._in_force.discard_reading(reading, "records_deleted")
             return
-        self._put_in_force(state, "store")
-
-    def _put_in_force(
-        self, state: StoreConfigurationState, source: str
-    ) -> bool:
-        current = self.get_configuration()
-        cfg = state.configuration
-        if current is not None and cfg.version < current.version:
-            _log.warn(
-                "configuration_older",
-                version=cfg.version,
-                held=current.version,
-                source=source,
-            )
-            return False
-        self.state = state
-        _log.info(
-            "configuration_in_force",
-            version=cfg.version,
-            offset=state.version,
-            source=source,
-            call_ms=self._get_call_ms() if source == "store" else 0,
-            routes=len(cfg.routes),
-            withdrawn_zones=",".join(sorted(cfg.withdrawn_zones)),
-        )
-        self._on_change(cfg)
-        return True
+        self._in_force.take_records(reading, era, result, self._get_call_ms())
 
-    def _record_success(self, wait: timedelta) -> None:
-        """Records that a call to the store has succeeded.
+    def _confirm(self, wait: timedelta) -> None:
+        """Records that the state was the newest when the store responded.
 
         Args:
             wait: How long the store might hold the call.
         """
-        self._retries_silence = False
-        self._duty.record_success()
         elapsed = self._clock.monotonic() - self._call_started_at
         # A response that comes later than any timeout was read after a pause
         # of the process, and may be as old as the pause.
         if elapsed <= (wait + RESPONSE_TIMEOUT).total_seconds():
             self._currency.confirm()
+
+    def _record_success(self) -> None:
+        """Records that a call to the store has succeeded."""
+        self._retries_silence = False
+        self._duty.record_success()
         if self._unreachable_since is not None:
             seconds = self._clock.monotonic() - self._unreachable_since
             _log.info("store_regained", lost_ms=round(seconds * 1000))
--- a/src/rhubarbpaddle/platform/stored_crashes.py
+++ b/src/rhubarbpaddle/platform/stored_crashes.py
@@ -3,20 +3,22 @@
 import msgspec
 import trio
 
+from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.execution.crash_ledger import CRASHES_TO_BLOCK, CrashLedger
 from rhubarbpaddle.execution.crash_update import CrashUpdate
 from rhubarbpaddle.execution.crash_update_check import (
     find_crash_update_problem,
 )
 from rhubarbpaddle.json_document import decode_json
+from rhubarbpaddle.platform.directory_entry import NODES_TOPIC
 from rhubarbpaddle.platform.keyed_record import KeyedRecord
+from rhubarbpaddle.platform.recent_write import RecentWrite
 from rhubarbpaddle.platform.store_client import StoreClient
 from rhubarbpaddle.platform.store_retry import StoreRetry
 from rhubarbpaddle.telemetry import get_logger
 
 # Precedes the id of a node in the key under which it stores crash records.
 CRASHES_PREFIX = "crashed/"
-_TOPIC = "keyed.nodes"
 # All nodes read all entries when they start. An entry of this many requests has
 # about a kilobyte.
 _MAX_REQUESTS = 8
@@ -42,6 +44,7 @@
         ledger: CrashLedger,
         store: StoreClient,
         retry: StoreRetry,
+        clock: Clock,
     ) -> None:
         """Creates the records of a node and listens to its ledger.
 
@@ -50,7 +53,9 @@
             ledger: The crash records of all nodes.
             store: The platform's store.
             retry: Repeats failed calls to the store.
+            clock: The source of time.
         """
+        self._recent = RecentWrite(clock)
         self._node_id = node_id
         self._ledger = ledger
         self._store = store
@@ -74,6 +79,11 @@
         finally:
             self._is_reading = False
 
+    def handle_new_era(self) -> None:
+        """Stores the requests again if the store may have lost them."""
+        if self._recent.may_be_lost():
+            self._changed.set()
+
     async def run(self) -> None:
         """Stores the requests that this node's records block."""
         while True:
@@ -100,5 +110,8 @@
             if self._is_own_block(update)
         ][-_MAX_REQUESTS:]
         value = msgspec.json.encode(blocked)
-        await self._store.put(_TOPIC, CRASHES_PREFIX + self._node_id, value)
+        await self._store.put(
+            NODES_TOPIC, CRASHES_PREFIX + self._node_id, value
+        )
+        self._recent.record()
         _log.info("crashes_stored", requests=len(blocked))
--- a/src/rhubarbpaddle/rollout/order_status.py
+++ b/src/rhubarbpaddle/rollout/order_status.py
@@ -2,6 +2,7 @@
 
 from rhubarbpaddle.clock import Clock
 from rhubarbpaddle.rollout.contact_watch import ContactWatch
+from rhubarbpaddle.rollout.log_end import LogEnd
 from rhubarbpaddle.rollout.observed_order import ObservedOrder
 from rhubarbpaddle.rollout.order_phase import OrderPhase
 from rhubarbpaddle.rollout.rollout_phase import RolloutPhase
@@ -52,7 +53,7 @@
         self._started_at: float | None = None
         self._read_at = float("-inf")
 
-    async def read(self) -> tuple[bool, int]:
+    async def read(self) -> tuple[bool, LogEnd]:
         """Reads the status and adopts one of this order, or of a later one.
 
         Returns:
@@ -76,7 +77,7 @@
         if self._clock.monotonic() - self._read_at >= interval:
             await self.read()
 
-    async def write_running(self, end: int) -> None:
+    async def write_running(self, end: LogEnd) -> None:
         """Writes that the roll-out runs, and begins the trial.
 
         Args:
@@ -152,7 +153,7 @@
             self._phase.announce(RolloutPhase.TRIAL, "status")
         return True
 
-    async def _read(self) -> tuple[RolloutStatus | None, int]:
+    async def _read(self) -> tuple[RolloutStatus | None, LogEnd]:
         self._read_at = self._clock.monotonic()
         result = await self._store.read(self._order.service)
         self._contact.record_store_read()
