Read the store on nodes that no sign of its readers reaches

Cause: a node that doesn't read the store waits for the first of several time-outs: 2 s of silence on a link, 2 s until a silent node counts as dead, 1 s for each attempt to open a link to a dark node. None follows from configApplyMs, and they add up. It has an active link as long as any neighbour sends, also one that hears nothing either, so the existing fallback (no active link for 1.25 s) doesn't apply.

Change: readers give a pulse with their heartbeats, and nodes pass the newest one on with its age (ReaderContact). A node without a pulse for half of configApplyMs, plus up to a fifth by a hash of its id, reads the store itself and gives pulses, until it hears of an elected reader again. It need not know why no pulse came. The log says when a node begins and ends to substitute.

Evidence: store_readers.feature fails before at "all readers" and at draw 3 of 30 nodes (over 2 s).

--- a/features/steps/control_links_steps.py
+++ b/features/steps/control_links_steps.py
@@ -318,7 +318,7 @@
                         CrashUpdate(name, 0, (crash,), now + index)
                     )
         node.configuration.adopt_text(StateVersion(0, 1), _TEXT, 1)
-        node.overlay.announce_configuration()
+        node.overlay.flush()
         await trio.sleep(2)
         context.known = len(other.table) - 2 + len(other.crashes.get_updates())
         context.expected = count - ("no text" in entries)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -170,7 +170,7 @@
             1, "digest", _TEXT, 0, parse_configuration(_TEXT)
         )
         group.nodes["n3"].configuration.accepted = accepted
-        group.nodes["n3"].overlay.announce_configuration()
+        group.nodes["n3"].overlay.flush()
         started = trio.current_time()
         nodes = group.nodes.values()
         while not all(n.configuration.accepted for n in nodes):
--- a/features/steps/store_readers_steps.py
+++ b/features/steps/store_readers_steps.py
@@ -1,3 +1,4 @@
+import random
 from itertools import combinations
 
 import trio
@@ -80,6 +81,54 @@
     defer_step(context, run_step)
 
 
+@when("all readers lose power")
+def step_lose_all_readers(context: Context) -> None:
+    async def run_step() -> None:
+        _lose_power(context.world, _list_readers(context.world))
+
+    defer_step(context, run_step)
+
+
+@when("{count:d} nodes of draw {draw:d} lose power")
+def step_lose_drawn(context: Context, count: int, draw: int) -> None:
+    async def run_step() -> None:
+        world: PlatformWorld = context.world
+        names = random.Random(draw).sample(sorted(world.nodes), count)
+        _lose_power(world, names)
+
+    defer_step(context, run_step)
+
+
+@when("the nodes run for {seconds:d} s")
+def step_wait(context: Context, seconds: int) -> None:
+    async def run_step() -> None:
+        context.substitutes = set()
+        world: PlatformWorld = context.world
+        for _ in range(round(seconds / _CHECK_SECONDS)):
+            await trio.sleep(_CHECK_SECONDS)
+            context.substitutes |= set(_list_substitutes(world))
+        context.waiting_reads = world.store.pending_reads
+
+    defer_step(context, run_step)
+
+
+@then("no node has substituted a reader")
+def step_no_substitutes(context: Context) -> None:
+    async def run_step() -> None:
+        assert not context.substitutes, context.substitutes
+
+    defer_step(context, run_step)
+
+
+@then("no node is a substitute of a reader")
+def step_no_substitute_now(context: Context) -> None:
+    async def run_step() -> None:
+        substitutes = _list_substitutes(context.world)
+        assert not substitutes, substitutes
+
+    defer_step(context, run_step)
+
+
 @when("all open connections to the store go silent")
 def step_go_silent(context: Context) -> None:
     async def run_step() -> None:
@@ -250,10 +299,7 @@
     async def run_step() -> None:
         world: PlatformWorld = context.world
         assert len(world.nodes) == count
-        while any(_get_version(node) != 2 for node in world.nodes.values()):
-            await trio.sleep(_CHECK_SECONDS)
-            elapsed = trio.current_time() - context.changed_at
-            assert elapsed < seconds, elapsed
+        await _wait_for_prefix(context, seconds)
         for name in world.nodes:
             response = await world.send_request(name, f"at-{name}", "/new/x")
             assert response.status == 200, response.status
@@ -261,6 +307,23 @@
     defer_step(context, run_step)
 
 
+@then("the remaining nodes have the new prefix within {seconds:g} s")
+def step_have_prefix(context: Context, seconds: float) -> None:
+    async def run_step() -> None:
+        # Requests may still go to instances that have lost power.
+        await _wait_for_prefix(context, seconds)
+
+    defer_step(context, run_step)
+
+
+async def _wait_for_prefix(context: Context, seconds: float) -> None:
+    nodes = context.world.nodes.values()
+    while any(_get_version(node) != 2 for node in nodes):
+        await trio.sleep(_CHECK_SECONDS)
+        elapsed = trio.current_time() - context.changed_at
+        assert elapsed < seconds, elapsed
+
+
 @when("the store refuses all calls and a node starts")
 def step_refuses_calls(context: Context) -> None:
     async def run_step() -> None:
@@ -301,6 +364,24 @@
     return cfg.version
 
 
+def _lose_power(world: PlatformWorld, names: list[str]) -> None:
+    """Makes nodes vanish: nothing that is sent to them is answered."""
+    for name in names:
+        for other in (*world.nodes, "store"):
+            if other != name:
+                world.fabric.block_both_ways(name, other)
+    for name in names:
+        del world.nodes[name]
+
+
+def _list_substitutes(world: PlatformWorld) -> list[str]:
+    return [
+        name
+        for name, node in world.nodes.items()
+        if node.reader_contact.is_substitute()
+    ]
+
+
 def _list_readers(world: PlatformWorld) -> list[str]:
     return sorted(name for name in world.nodes if _is_reader(world, name))
 
--- a/features/store_readers.feature
+++ b/features/store_readers.feature
@@ -32,6 +32,41 @@
     Then 2 nodes wait for the store
     And all 4 nodes serve the new prefix within 0.5 s
 
+  # Guards against machines that keep their power and get a change 3 s later,
+  # because they wait for readers, or neighbours, that lost theirs (review/12).
+  Scenario Outline: A change comes into force in time after a loss of power
+    Given <count> nodes in 3 zones that read the platform's store
+    When <lost> lose power
+    And <seconds> s later operators change the route's prefix
+    Then the remaining nodes have the new prefix within 2 s
+
+    Examples:
+      | count | lost                | seconds |
+      | 12    | all readers         | 0       |
+      | 12    | all readers         | 1       |
+      | 12    | all readers         | 2       |
+      | 30    | 18 nodes of draw 1  | 0       |
+      | 30    | 18 nodes of draw 2  | 0       |
+      | 30    | 18 nodes of draw 3  | 0       |
+      | 30    | 18 nodes of draw 1  | 1       |
+      | 30    | 27 nodes of draw 1  | 0       |
+      | 30    | 15 nodes of draw 1  | 0       |
+
+  # Guards against nodes that read the store although readers do, which would
+  # make the calls grow with the fleet.
+  Scenario: The readers alone read the store while nothing happens
+    Given 36 nodes in 3 zones that read the platform's store
+    When the nodes run for 20 s
+    Then no node has substituted a reader
+    And 6 nodes wait for the store
+
+  # Guards against substitutes that go on reading once others are elected.
+  Scenario: Substitutes of lost readers give way to newly elected ones
+    Given 30 nodes in 3 zones that read the platform's store
+    When 18 nodes of draw 1 lose power
+    And the nodes run for 12 s
+    Then no node is a substitute of a reader
+
   # Guards against a change that goes unnoticed because the connections on which
   # the readers wait have gone silent.
   Scenario: Silent connections to the store are replaced in time
--- a/src/rhubarbpaddle/node/node.py
+++ b/src/rhubarbpaddle/node/node.py
@@ -319,7 +319,7 @@
         zone = self.settings.availability_zone
         in_service = accepted.configuration.is_in_service(zone)
         self.sidecar.in_service = in_service
-        self.overlay.announce_configuration()
+        self.overlay.flush()
         self._router.observe_configuration(accepted.configuration)
         self._upstream_registry.apply_configuration(accepted)
 
--- a/src/rhubarbpaddle/peer/control_link.py
+++ b/src/rhubarbpaddle/peer/control_link.py
@@ -29,6 +29,8 @@
     ConfigurationCurrency,
 )
 from rhubarbpaddle.membership.member_check import find_member_problem
+from rhubarbpaddle.membership.reader_contact import ReaderContact
+from rhubarbpaddle.membership.reader_pulse import ReaderPulse
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
 from rhubarbpaddle.peer.connection import PeerConnection
@@ -48,6 +50,10 @@
 from rhubarbpaddle.telemetry import get_logger
 
 HEARTBEAT_INTERVAL_SECONDS = 0.5
+# The heartbeats of nodes that pass on the pulses of readers follow these. With
+# the same interval, a node would often send one just before a pulse arrives and
+# another one with it.
+_RELAY_INTERVAL_SECONDS = 0.6
 # Changes that arrive within this time of the last message are sent together.
 # When 195 nodes start at once, each would otherwise send and receive some 1,800
 # messages, which took longer than the start of its process.
@@ -97,6 +103,7 @@
         store_access: StoreAccessTable,
         rollouts: RolloutBoard,
         currency: ConfigurationCurrency | None = None,
+        reader_contact: ReaderContact | None = None,
     ) -> None:
         self.peer_id = peer_id
         self.received_at = float("-inf")
@@ -109,6 +116,7 @@
         self._is_valid_address = is_valid_address
         self._store_access = store_access
         self._currency = currency
+        self._reader_contact = reader_contact
         self._transit_delay = TransitDelay()
         self._pending_store_access = {
             entry.node_id: entry for entry in store_access.list_changed()
@@ -128,6 +136,7 @@
         self._sent_at = float("-inf")
         self._heartbeat_at = float("-inf")
         self._announced_version = NO_STATE
+        self._relayed_at = float("-inf")
         self._version_to_request: StateVersion | None = None
         self._update_requested = False
         self._consecutive_differences = 0
@@ -206,7 +215,7 @@
         while True:
             self._wake = trio.Event()
             await self._send_pending()
-            heartbeat_due = self._heartbeat_at + HEARTBEAT_INTERVAL_SECONDS
+            heartbeat_due = self._heartbeat_at + self._get_interval()
             with trio.move_on_after(
                 max(0.0, heartbeat_due - self._clock.monotonic())
             ):
@@ -296,25 +305,41 @@
     async def _send_heartbeat_if_due(self) -> None:
         version = self._get_own_version()
         now = self._clock.monotonic()
+        contact = self._reader_contact
         if (
             version != self._announced_version
-            or now - self._heartbeat_at >= HEARTBEAT_INTERVAL_SECONDS
+            or now - self._heartbeat_at >= self._get_interval()
+            or (contact is not None and contact.relayed_at > self._relayed_at)
         ):
             self._heartbeat_at = now
             self._announced_version = version
             age_ms = self._get_age_ms()
-            sent_ms = None if age_ms is None else int(now * 1000)
+            pulse = None
+            if contact is not None:
+                self._relayed_at = contact.relayed_at
+                pulse = contact.get_pulse()
+            needs_time = age_ms is not None or pulse is not None
             await self._conn.send(
                 Heartbeat(
                     self._table.digest,
                     version.number,
                     age_ms,
-                    sent_ms,
+                    int(now * 1000) if needs_time else None,
                     version.era,
                     version.carried,
+                    None if pulse is None else pulse.rank,
+                    0 if pulse is None else round(pulse.age_seconds * 1000),
                 )
             )
 
+    def _get_interval(self) -> float:
+        """Returns the seconds between heartbeats that carry no news."""
+        if self._reader_contact is not None and (
+            self._reader_contact.is_relaying()
+        ):
+            return _RELAY_INTERVAL_SECONDS
+        return HEARTBEAT_INTERVAL_SECONDS
+
     def _get_age_ms(self) -> int | None:
         """Returns how long ago the configuration was confirmed, if known."""
         if self._currency is None or not self._currency.may_be_needed():
@@ -338,7 +363,9 @@
                         self._configuration.get_first_era()
                     )
                     self._request_if_newer(version)
-                    self._confirm(message, version)
+                    delay = self._measure_delay(message)
+                    self._confirm(message, version, delay)
+                    self._record_reader(message, delay)
                 case MemberUpdate(store_access=entries):
                     members = message.get_members()
                     await self._merge_each(members, self._merge_member)
@@ -478,22 +505,38 @@
             self._version_to_request = version
             self._wake.set()
 
-    def _confirm(self, heartbeat: Heartbeat, version: StateVersion) -> None:
+    def _measure_delay(self, heartbeat: Heartbeat) -> float:
+        """Returns how much longer a message took than the fastest one."""
+        # Nodes of an earlier release don't send the time.
+        if heartbeat.sent_ms is None:
+            return 0.0
+        return self._transit_delay.measure(
+            heartbeat.sent_ms / 1000, self.received_at
+        )
+
+    def _record_reader(self, heartbeat: Heartbeat, delay: float) -> None:
+        """Records how long ago the neighbour knew of a reader of the store."""
+        # Nodes of an earlier release pass no pulses on.
+        if self._reader_contact is None or heartbeat.era is None:
+            return
+        pulse = None
+        if heartbeat.reader_rank is not None:
+            age = max(0, heartbeat.reader_age_ms) / 1000 + delay
+            pulse = ReaderPulse(heartbeat.reader_rank, age)
+        self._reader_contact.record(pulse)
+
+    def _confirm(
+        self, heartbeat: Heartbeat, version: StateVersion, delay: float
+    ) -> None:
         """Applies the neighbour's confirmation of the configuration.
 
         One of a version that this node doesn't hold yet says nothing about the
         version that it holds. The age has grown while the message was on its
         way, for seconds if the process was paused.
         """
-        age_ms, sent_ms = heartbeat.configuration_age_ms, heartbeat.sent_ms
+        age_ms = heartbeat.configuration_age_ms
         if self._currency is None or age_ms is None:
             return
-        delay = 0.0
-        # Nodes of an earlier release don't send the time.
-        if sent_ms is not None:
-            delay = self._transit_delay.measure(
-                sent_ms / 1000, self.received_at
-            )
         if not self._get_own_version().lacks(version):
             self._currency.confirm(age_ms / 1000 + delay)
 
--- a/src/rhubarbpaddle/peer/messages/heartbeat.py
+++ b/src/rhubarbpaddle/peer/messages/heartbeat.py
@@ -18,6 +18,9 @@
             that the receiver can add the time in transit.
         era: The era of the version, or None from nodes of earlier releases.
         carried: What the version keeps of earlier eras; see `StateVersion`.
+        reader_rank: The rank of the newest pulse of a node that reads the
+            platform's store, or None if the sender knows of none.
+        reader_age_ms: How long ago that node gave it.
     """
 
     members_digest: int
@@ -26,6 +29,8 @@
     sent_ms: int | None = None
     era: int | None = None
     carried: tuple[Position, ...] = ()
+    reader_rank: int | None = None
+    reader_age_ms: int = 0
 
     def get_version(self, first_era: int) -> StateVersion:
         """Returns the version in force at the sender.
--- a/src/rhubarbpaddle/peer/overlay.py
+++ b/src/rhubarbpaddle/peer/overlay.py
@@ -26,6 +26,7 @@
     RINGS,
     choose_missing_neighbours,
 )
+from rhubarbpaddle.membership.reader_contact import ReaderContact
 from rhubarbpaddle.peer.configuration_requests import ConfigurationRequests
 from rhubarbpaddle.peer.configuration_source import ConfigurationSource
 from rhubarbpaddle.peer.connection import PeerConnection
@@ -98,6 +99,7 @@
         store_access: StoreAccessTable,
         rollouts: RolloutBoard | None = None,
         currency: ConfigurationCurrency | None = None,
+        reader_contact: ReaderContact | None = None,
     ) -> None:
         self._connector = connector
         self._table = table
@@ -121,6 +123,9 @@
         self._store_access = store_access
         self._rollouts = rollouts or RolloutBoard(table)
         self._currency = currency
+        self._reader_contact = reader_contact
+        if reader_contact is not None:
+            reader_contact.add_listener(self.flush)
         table.add_listener(self._broadcast_member)
         crashes.add_listener(self._broadcast_crash_count)
         store_access.add_listener(self._broadcast_store_access)
@@ -146,8 +151,11 @@
             await self._first_link.wait()
             await self._clock.sleep(_FIRST_ENTRIES_DELAY)
 
-    def announce_configuration(self) -> None:
-        """Announces a new configuration to all neighbours immediately."""
+    def flush(self) -> None:
+        """Sends what is due to all neighbours immediately.
+
+        These are the version of a new configuration and news of a reader.
+        """
         for link in self._links:
             link.flush()
 
@@ -358,6 +366,7 @@
             self._store_access,
             self._rollouts,
             self._currency,
+            self._reader_contact,
         )
         self._links.append(link)
         self._first_link.set()
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -31,6 +31,7 @@
 from rhubarbpaddle.membership.configuration_currency import (
     ConfigurationCurrency,
 )
+from rhubarbpaddle.membership.reader_contact import ReaderContact
 from rhubarbpaddle.network import Network, split_address
 from rhubarbpaddle.node.event_loop_reporter import EventLoopReporter
 from rhubarbpaddle.node.instance_factory import InstanceFactory
@@ -99,6 +100,7 @@
         instance_proxy: The proxy of the instance on this host.
         configuration: Holds the configuration in force.
         overlay: The control connections to other nodes.
+        reader_contact: Whether news of the store's readers reach this node.
         registry: Tracks the instance on this host by its reports.
         usage_caps: Keeps organisations to their usage caps; None if the
             settings have no bounds for it.
@@ -144,6 +146,9 @@
         currency = ConfigurationCurrency(
             clock, lambda: self.settings.revocation_deadline is not None
         )
+        self.reader_contact = ReaderContact(
+            clock, settings.node_id, settings.configuration_deadline / 2
+        )
         duty = ReaderDuty(
             StoreReaderElection(
                 self.table,
@@ -151,6 +156,7 @@
                 lambda: self.overlay.has_active_link(),
             ),
             store_access,
+            self.reader_contact,
             clock,
         )
         self.configuration = StoreConfigurationFollower(
@@ -215,6 +221,7 @@
             store_access,
             self._rollouts.board,
             currency,
+            self.reader_contact,
         )
         instance_factory = InstanceFactory(
             settings.instance_address,
@@ -416,7 +423,7 @@
         self.instance_proxy.in_service = cfg.is_in_service(zone)
         self.registry.apply_limits()
         self._rollouts.apply(self.configuration.get_orders())
-        self.overlay.announce_configuration()
+        self.overlay.flush()
 
     def _handle_new_era(self) -> None:
         """Writes again what the store may have lost."""
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -38,8 +38,6 @@
 from rhubarbpaddle.telemetry import get_logger
 
 _TOPIC = "keyed.op"
-# How often a node checks whether it has to replace a reader that failed.
-_READER_CHECK_INTERVAL = timedelta(milliseconds=250)
 # Half of the 2 s within which an accepted configuration must be in force.
 _BACKOFF_LIMIT = timedelta(seconds=1)
 
@@ -144,10 +142,11 @@
     async def run(self) -> None:
         """Reads the topic until cancelled."""
         while True:
-            position = self._duty.get_position()
+            position = self._duty.choose_position()
             self._log_reader_change(position is not None)
             self._call_started_at = self._clock.monotonic()
-            self._in_force.drop_lost_keys()
+            if self._duty.has_contact():
+                self._in_force.drop_lost_keys()
             reading = self._in_force.reading
             wait = timedelta()
             try:
@@ -156,7 +155,7 @@
                 elif position is None and not (
                     self._retries_silence or self._duty.is_probe_due()
                 ):
-                    await self._clock.sleep(_READER_CHECK_INTERVAL)
+                    await self._clock.sleep(self._duty.get_check_delay())
                     continue
                 else:
                     wait = self._choose_wait(position)
