Soak: the store comes back from an older copy

A drill permits an outdated configuration for a time, and no other failure: requests need no store, and withdrawals hold.

--- a/soak/fault_effects.py
+++ b/soak/fault_effects.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Sequence
 
-from soak.records import Fault, SentRequest
+from soak.records import DRILL, Fault, SentRequest
 
 # How long the effects of a fault may last after it: reconnecting, replacing a
 # reader of the store, or receiving a configuration.
 _RECOVERY_SECONDS = 3.0
 # Faults that affect the calls of all hosts to the store.
-_STORE_FAULTS = frozenset({"reject_store_calls", "lose_store_responses"})
+_STORE_FAULTS = frozenset({"reject_store_calls", "lose_store_responses", DRILL})
 
 
 class FaultEffects:
@@ -21,7 +21,9 @@
     def has_unplanned_fault(self, start: float, end: float) -> bool:
         """Returns whether a fault permits failures within a time."""
         return any(
-            self._is_relevant(fault, start, end) for fault in self._faults
+            # Requests need no store, and withdrawals hold in a drill.
+            fault.name != DRILL and self._is_relevant(fault, start, end)
+            for fault in self._faults
         )
 
     def may_be_outdated(self, request: SentRequest) -> bool:
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -11,10 +11,14 @@
 from soak.host import SoakHost
 from soak.instance_faults import InstanceFaults
 from soak.records import Fault
+from soak.store_drills import StoreDrills
 
 _DRAIN_SECONDS = 2.0
 _WITHDRAWAL_SECONDS = 5.0
 _MAX_FAULTS_PER_ROUND = 3
+# Every second of the seeds with unplanned faults has drills of the store.
+_SEEDS_PER_DRILLS = 2
+_DRILLS_REMAINDER = 1
 
 FaultInjector = Callable[[SoakHost], Awaitable[None]]
 
@@ -63,6 +67,10 @@
         self._planned_names = {injector.__name__ for injector in planned}
         self._injectors = planned if planned_only else planned + unplanned
         self._has_unplanned = not planned_only
+        self._has_drills = self._has_unplanned and (
+            seed % _SEEDS_PER_DRILLS == _DRILLS_REMAINDER
+        )
+        self._drills = StoreDrills(deployment, seed)
         # The other faults of a seed stay the same.
         self._silence_rng = random.Random(seed)
         self._instance_faults = InstanceFaults(
@@ -72,6 +80,8 @@
     async def run(self) -> None:
         """Starts faults at random intervals until cancelled."""
         async with trio.open_nursery() as nursery:
+            if self._has_drills:
+                nursery.start_soon(self._drills.run)
             if self._has_unplanned:
                 nursery.start_soon(self._silence_store_repeatedly)
                 nursery.start_soon(self._instance_faults.run)
--- a/soak/records.py
+++ b/soak/records.py
@@ -4,6 +4,9 @@
 
 from soak.key_state import KeyState
 
+# The name of the fault in which the store comes back from an older copy.
+DRILL = "drill_store"
+
 
 class SentRequest(NamedTuple):
     """A request and its result, as observed by its caller.
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -37,6 +37,7 @@
         era: How often it has come back from a copy, plus 1.
         status: The status of the response to every call, or 0 to serve calls.
         loses_responses: Whether appends take effect but get no response.
+        is_away: Whether connections end without a response to a call.
         is_silent: Whether calls that arrive get no response, also later.
         delay: How long each call takes, in seconds.
         append_delay: How long after the call an append takes effect. The call
@@ -51,6 +52,7 @@
         self.era = 1
         self.status = 0
         self.loses_responses = False
+        self.is_away = False
         self.is_silent = False
         self.delay = 0.0
         self.append_delay = 0.0
@@ -109,6 +111,8 @@
     async def respond(self, request: StandinRequest) -> StandinResponse:
         """Responds to one call."""
         response = await self._respond(request)
+        if self.is_away:
+            return StandinResponse(0, b"")
         header = (_ERA_HEADER, str(self.era))
         return response._replace(headers=(*response.headers, header))
 
