Keep numbers of orders equal on nodes that start after a drill

Cause: numbers included the era in which a node had read the order. A node that started in era 2 numbered an order of era 1 higher than all others did, and its decider began it again before a neighbour's state arrived.

An order that was lost and written again keeps its number by the merge, an order that is new after a drill gets a higher number than the one before it, and a decider is replaced when its order is renumbered.

Not covered, as before: a node that starts while no neighbour answers may take an order that was written again at a higher offset for a new one.

--- a/features/steps/store_drills_steps.py
+++ b/features/steps/store_drills_steps.py
@@ -247,6 +247,17 @@
         await trio.sleep(_CHECK_SECONDS)
 
 
+@then("the metric of each node says era {era:d}")
+@deferred
+async def step_check_metric(context: Context, era: int) -> None:
+    world: PlatformWorld = context.world
+    for name in world.nodes:
+        response = await world.send(f"{name}:3", "GET", "/metrics", {})
+        lines = response.body.decode().splitlines()
+        values = [line for line in lines if "_store_era{" in line]
+        assert values and values[0].endswith(f" {era}.0"), values
+
+
 @when("an instance departs, and the store loses all that nodes had stored")
 @deferred
 async def step_lose_entries(context: Context) -> None:
--- a/features/store_drills.feature
+++ b/features/store_drills.feature
@@ -34,6 +34,7 @@
     When the store comes back from a copy without the last 0 configurations
     And 0 s later the operator writes a further configuration
     Then all nodes have the newest configuration within 2 s
+    And the metric of each node says era 2
 
   # Guards against nodes that read on from an offset that was given out again. The
   # store has such an offset, so it doesn't respond with 410.
--- a/src/rhubarbpaddle/platform/node.py
+++ b/src/rhubarbpaddle/platform/node.py
@@ -259,6 +259,7 @@
         self.metrics = Metrics()
         self.metrics.observe_event_loop(self.load)
         self.metrics.observe_link_ends(self.overlay.link_ends.counts)
+        self.metrics.observe_store_era(self.configuration.get_era)
         if settings.rollout_terms is not None:
             self.metrics.observe_rollouts(self._rollouts.board.list_readings)
         self._stream_watch = StreamWatch(network, clock)
--- a/src/rhubarbpaddle/platform/rollout_order_document.py
+++ b/src/rhubarbpaddle/platform/rollout_order_document.py
@@ -6,7 +6,6 @@
 
 from rhubarbpaddle.json_document import decode_json
 from rhubarbpaddle.platform.keyed_record import KeyedRecord
-from rhubarbpaddle.platform.order_number import make_order_number
 from rhubarbpaddle.rollout.observed_order import ObservedOrder
 from rhubarbpaddle.rollout.rollout_order import RolloutOrder
 
@@ -22,7 +21,8 @@
         service: The service.
         targetVersion: The version that is to receive all requests.
         durationS: The time within which the roll-out must end, in seconds.
-        offset: The number of the order; see `order_number`.
+        offset: The number of the order: the offset of its record, unless a
+            drill of the store changed that.
         ageMs: Milliseconds since a node first read the record.
         exact: Whether that node saw the record being written.
     """
@@ -35,20 +35,16 @@
     exact: bool
 
 
-def parse_order(record: KeyedRecord, era: int) -> RolloutOrder:
+def parse_order(record: KeyedRecord) -> RolloutOrder:
     """Parses the record of an order.
 
-    Args:
-        record: The record.
-        era: The era in which it was read.
-
     Raises:
         ValueError: A field has a wrong value.
         KeyError: A field is missing.
         TypeError: A field has a wrong type.
     """
     document: Any = decode_json(record.value)
-    order = _parse_order(document, make_order_number(era, record.offset))
+    order = _parse_order(document, record.offset)
     if record.key != ORDER_PREFIX + order.service:
         raise ValueError(f"the service {order.service!r} differs from the key")
     return order
--- a/src/rhubarbpaddle/platform/rollout_orders.py
+++ b/src/rhubarbpaddle/platform/rollout_orders.py
@@ -16,13 +16,7 @@
 class RolloutOrders:
     """Holds the newest order of each service and since when it is known."""
 
-    def __init__(self, era: int) -> None:
-        """Creates an empty table.
-
-        Args:
-            era: The era of the records.
-        """
-        self._era = era
+    def __init__(self) -> None:
         self._entries: dict[str, ObservedOrder] = {}
 
     def list_entries(self) -> tuple[ObservedOrder, ...]:
@@ -66,7 +60,7 @@
         if not record.value:
             return
         try:
-            order = parse_order(record, self._era)
+            order = parse_order(record)
         except (ValueError, KeyError, TypeError, OverflowError) as exc:
             _log.warn(
                 "rollout_order_invalid",
--- a/src/rhubarbpaddle/platform/state_merge.py
+++ b/src/rhubarbpaddle/platform/state_merge.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 
 from rhubarbpaddle.configuration.state_version import StateVersion
-from rhubarbpaddle.platform.order_number import get_order_era
 from rhubarbpaddle.platform.rollout_order_document import ORDER_PREFIX
 from rhubarbpaddle.platform.store_configuration_state import (
     WITHDRAWAL_PREFIX,
@@ -127,36 +126,46 @@
         entries = [
             orders[service] for orders in (earlier, later) if service in orders
         ]
+        if len(entries) == 1:
+            yield entries[0]
+            continue
         is_lost = ORDER_PREFIX + service in older.lost
-        yield (
-            entries[0]
-            if len(entries) == 1
-            else _merge_orders(*entries, is_lost=is_lost)
+        yield _merge_orders(
+            *entries,
+            is_lost=is_lost,
+            since=(older.state_version.since, newer.state_version.since),
         )
 
 
 def _merge_orders(
-    earlier: ObservedOrder, later: ObservedOrder, *, is_lost: bool
+    earlier: ObservedOrder,
+    later: ObservedOrder,
+    *,
+    is_lost: bool,
+    since: tuple[int, int],
 ) -> ObservedOrder:
     """Returns the order in force of two of the same service.
 
-    An order that was written again after the store had lost it has another
-    number, but its roll-out goes on.
+    Its number is the offset of its record. After a drill, an order that is
+    written again keeps the number that it had, so that its roll-out goes on,
+    and another one gets a higher number than those before it.
 
     Args:
         earlier: The order of the older state.
         later: That of the newer one.
         is_lost: Whether the store had lost the earlier one.
+        since: The first eras that the states follow. Numbers of the state
+            that follows from an earlier era are known to more nodes.
     """
     if earlier.order == later.order:
         return later.merge(earlier)
-    first, second = sorted(
-        (earlier, later), key=lambda entry: entry.order.number
-    )
-    is_written_again = (
-        (is_lost or not second.is_exact)
-        and first.order._replace(number=second.order.number) == second.order
-        and get_order_era(first.order.number)
-        < get_order_era(second.order.number)
-    )
-    return first if is_written_again else later
+    number, later_number = earlier.order.number, later.order.number
+    is_same = earlier.order._replace(number=later_number) == later.order
+    if is_same and since[0] != since[1] and not later.is_exact:
+        return earlier if since[0] < since[1] else later
+    if is_same and is_lost:
+        return earlier
+    if since[0] < since[1] and later_number <= number:
+        order = later.order._replace(number=number + 1)
+        return later._replace(order=order)
+    return later
--- a/src/rhubarbpaddle/platform/store_configuration_follower.py
+++ b/src/rhubarbpaddle/platform/store_configuration_follower.py
@@ -117,6 +117,10 @@
         """Returns the offset up to which the state was read, or 0."""
         return self.state.state_version.number if self.state else 0
 
+    def get_era(self) -> int | None:
+        """Returns the era of the state in force, or None before a read."""
+        return self.state.state_version.era if self.state else None
+
     def get_first_era(self) -> int:
         """Returns the first era that this node has seen, or 0."""
         return self._in_force.first_era
--- a/src/rhubarbpaddle/platform/store_reading.py
+++ b/src/rhubarbpaddle/platform/store_reading.py
@@ -48,7 +48,7 @@
         self._began_at = began_at
         self._records: dict[str, bytes] = {}
         self._deleted: set[str] = set()
-        self._orders = RolloutOrders(era)
+        self._orders = RolloutOrders()
         self._document: str | None = None
         self._configuration: RoutingConfiguration | None = None
 
--- a/src/rhubarbpaddle/rollout/rollout_controller.py
+++ b/src/rhubarbpaddle/rollout/rollout_controller.py
@@ -89,7 +89,7 @@
     ) -> None:
         service, number = entry.order.service, entry.order.number
         current = self._deciders.get(service)
-        if current is not None and current.entry.order.number >= number:
+        if current is not None and current.entry.order.number == number:
             return
         if service in self._scopes:
             self._scopes[service].cancel()
--- a/src/rhubarbpaddle/telemetry/instruments.py
+++ b/src/rhubarbpaddle/telemetry/instruments.py
@@ -120,6 +120,20 @@
             description="Tries after work that may have been done",
         )
 
+    def observe_store_era(self, read: Callable[[], int | None]) -> None:
+        """Adds a gauge of the era; see `Metrics.observe_store_era`."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            era = read()
+            if era is not None:
+                yield Observation(era)
+
+        self._meter.create_observable_gauge(
+            f"{_PREFIX}store.era",
+            [observe],
+            description="Era of the store that the configuration includes",
+        )
+
     def observe_event_loop(self, load: EventLoopLoad) -> None:
         """Adds metrics of the event loop, which are read at each scrape."""
         self._meter.create_observable_gauge(
--- a/src/rhubarbpaddle/telemetry/metrics.py
+++ b/src/rhubarbpaddle/telemetry/metrics.py
@@ -115,6 +115,17 @@
             lambda instruments: instruments.observe_link_ends(counts)
         )
 
+    def observe_store_era(self, read: Callable[[], int | None]) -> None:
+        """Adds a metric of the era of the configuration in force.
+
+        Args:
+            read: Returns the era, or None if it is not known; called at each
+                scrape.
+        """
+        self._observers.append(
+            lambda instruments: instruments.observe_store_era(read)
+        )
+
     def observe_shares(
         self,
         results: Mapping[str, int],
