Send the pulse of a substitute at once

Cause: a node that had begun to substitute a reader gave its first pulse with its next heartbeat, up to 0.6 s later, and its neighbours read the store meanwhile.

Change: the decision to substitute flushes the links.

--- a/src/rhubarbpaddle/membership/reader_contact.py
+++ b/src/rhubarbpaddle/membership/reader_contact.py
@@ -29,7 +29,7 @@
 
     Attributes:
         relayed_at: Monotonic seconds at which the reader gave the pulse that
-            was last passed on at once.
+            was last sent at once.
     """
 
     def __init__(self, clock: Clock, node_id: str, limit: timedelta) -> None:
@@ -79,9 +79,7 @@
             not self.is_reading()
             and read_at - self.relayed_at >= _RELAY_STEP_SECONDS
         ):
-            self.relayed_at = read_at
-            for listener in self._listeners:
-                listener()
+            self._notify(read_at)
 
     def get_pulse(self) -> ReaderPulse | None:
         """Returns the pulse for a heartbeat, or None if there is none."""
@@ -128,12 +126,17 @@
         # A substitute gives way to elected nodes and to one of lower rank.
         since = self._preferred_at if self._is_substitute else self._read_at
         is_substitute = not is_elected and self._is_overdue(since)
-        if is_substitute != self._is_substitute:
-            self._is_substitute = is_substitute
-            for listener in self._listeners:
-                listener()
+        if is_substitute and not self._is_substitute:
+            # The first pulse keeps the neighbours from reading too.
+            self._notify(self._clock.monotonic())
+        self._is_substitute = is_substitute
         return is_substitute
 
+    def _notify(self, read_at: float) -> None:
+        self.relayed_at = read_at
+        for listener in self._listeners:
+            listener()
+
     def _is_overdue(self, read_at: float) -> bool:
         age = self._clock.monotonic() - read_at
         return self._read_at > -math.inf and age > self._limit_seconds
