--- a/soak/store_drills.py
+++ b/soak/store_drills.py
@@ -50,12 +50,15 @@
         for host in (*deployment.hosts, *deployment.target_hosts):
             host.store_proxy.reset()
         await trio.sleep(rng.uniform(0.2, 1.5))
-        lost = self._list_lost(copy)
+        lost = self._list_written_since(copy)
         deployment.store.restore(copy)
         deployment.store.is_away = False
         await trio.sleep(rng.choice((0.0, rng.uniform(0.0, 3.0))))
+        # Operators don't replace what they have written since.
+        written = {record.key for record in self._list_written_since(copy)}
         for record in lost:
-            deployment.store.put(_OPERATORS_TOPIC, record.key, record.value)
+            if record.key not in written:
+                deployment.store.put(_OPERATORS_TOPIC, record.key, record.value)
         deployment.faults.append(
             Fault(
                 DRILL,
@@ -66,10 +69,10 @@
             )
         )
 
-    def _list_lost(
+    def _list_written_since(
         self, copy: Mapping[str, tuple[StoredRecord, ...]]
     ) -> list[StoredRecord]:
-        """Returns the newest record of each key that operators have lost."""
+        """Returns the newest record of each key written since a copy."""
         kept = set(copy.get(_OPERATORS_TOPIC, ()))
         records = self._deployment.store.copy()[_OPERATORS_TOPIC]
         newest = {
