--- a/bench/news_delay.py
+++ b/bench/news_delay.py
@@ -2,9 +2,11 @@
 
 `python -m bench.news_delay [COUNT...]` runs fleets of nodes in memory under a
 virtual clock, without requests. For each it prints the calls to the store and
-the bytes that nodes send, mostly each other, in calm seconds. Then 60 % of the
-nodes lose their power and the configuration changes. It prints after which time
-the last of the others has it, and their calls in the 6 s after the loss.
+the bytes that nodes send, mostly each other, in calm seconds. Then the store
+comes back from a copy without anything that the nodes had written, and it
+prints the calls in the 10 s after that. Last, 60 % of the nodes lose their
+power and the configuration changes. It prints after which time the last of the
+others has it, and their calls in the 6 s after the loss.
 """
 
 import random
@@ -20,6 +22,7 @@
 _ZONES = 3
 _START_SECONDS = 8.0
 _CALM_SECONDS = 20.0
+_DRILL_SECONDS = 10.0
 _LOST_SHARE = 0.6
 _LOSS_SECONDS = 6.0
 _CHECK_SECONDS = 0.01
@@ -29,7 +32,10 @@
 def main(arguments: list[str]) -> int:
     """Prints a row for each size of the fleet."""
     logbook.NullHandler().push_application()  # type: ignore[no-untyped-call]
-    print("nodes  calls/min  bytes/s/node  late after loss, s  calls in 6 s")
+    print(
+        "nodes  calls/min  bytes/s/node  calls after drill"
+        "  late after loss, s  calls after loss"
+    )
     for count in map(int, arguments or ("12", "100", "300")):
         for draw in range(_DRAWS):
             trio.run(
@@ -49,15 +55,29 @@
         await trio.sleep(_CALM_SECONDS)
         calm_calls = (world.store.calls - calls) * 60 / _CALM_SECONDS
         rate = (MemoryPipe.total_bytes - sent) / _CALM_SECONDS / count
+        drill_calls = await _play_drill(world)
         delay, lost_calls = await _lose_power(world, draw)
         print(
-            f"{count:5}  {calm_calls:9.0f}  {rate:12.0f}  {delay:18.2f}"
-            f"  {lost_calls:12}",
+            f"{count:5}  {calm_calls:9.0f}  {rate:12.0f}  {drill_calls:17}"
+            f"  {delay:18.2f}  {lost_calls:16}",
             flush=True,
         )
         nursery.cancel_scope.cancel()
 
 
+async def _play_drill(world: PlatformWorld) -> int:
+    """Restores a copy with the operators' records alone.
+
+    Returns:
+        The calls to the store in the seconds after it.
+    """
+    calls = world.store.calls
+    records = world.store.copy()["keyed.op"]
+    world.store.restore({"keyed.op": records})
+    await trio.sleep(_DRILL_SECONDS)
+    return world.store.calls - calls
+
+
 async def _lose_power(world: PlatformWorld, draw: int) -> tuple[float, int]:
     """Loses the power of most nodes just before a change.
 
