--- a/bench/news_delay.py
+++ b/bench/news_delay.py
@@ -2,7 +2,7 @@
 
 `python -m bench.news_delay [COUNT...]` runs fleets of nodes in memory under a
 virtual clock, without requests. For each it prints the calls to the store and
-the bytes that nodes send, mostly each other, in calm seconds. Then the store
+the bytes that nodes send, mostly each other, while nothing happens. Then the store
 comes back from a copy without anything that the nodes had written, and it
 prints the calls in the 10 s after that. Last, 60 % of the nodes lose their
 power and the configuration changes. It prints after which time the last of the
@@ -21,7 +21,7 @@
 
 _ZONES = 3
 _START_SECONDS = 8.0
-_CALM_SECONDS = 20.0
+_IDLE_SECONDS = 20.0
 _DRILL_SECONDS = 10.0
 _LOST_SHARE = 0.6
 _LOSS_SECONDS = 6.0
@@ -52,13 +52,13 @@
             await world.start_node(f"h{index}", f"z{index % _ZONES}")
         await trio.sleep(_START_SECONDS)
         calls, sent = world.store.calls, MemoryPipe.total_bytes
-        await trio.sleep(_CALM_SECONDS)
-        calm_calls = (world.store.calls - calls) * 60 / _CALM_SECONDS
-        rate = (MemoryPipe.total_bytes - sent) / _CALM_SECONDS / count
+        await trio.sleep(_IDLE_SECONDS)
+        idle_calls = (world.store.calls - calls) * 60 / _IDLE_SECONDS
+        rate = (MemoryPipe.total_bytes - sent) / _IDLE_SECONDS / count
         drill_calls = await _play_drill(world)
         delay, lost_calls = await _lose_power(world, draw)
         print(
-            f"{count:5}  {calm_calls:9.0f}  {rate:12.0f}  {drill_calls:17}"
+            f"{count:5}  {idle_calls:9.0f}  {rate:12.0f}  {drill_calls:17}"
             f"  {delay:18.2f}  {lost_calls:16}",
             flush=True,
         )
--- a/src/rhubarbpaddle/platform/recent_write.py
+++ b/src/rhubarbpaddle/platform/recent_write.py
@@ -11,7 +11,7 @@
 
 
 class RecentWrite:
-    """Tells whether a store that came back from a copy may lack a write."""
+    """Determines whether a store that came back may lack a write."""
 
     def __init__(self, clock: Clock) -> None:
         """Creates the record of a key that was not written.
