--- a/bench/news_delay.py
+++ b/bench/news_delay.py
@@ -2,8 +2,8 @@
 
 `python -m bench.news_delay [COUNT...]` runs fleets of nodes in memory under a
 virtual clock, without requests. For each it prints the calls to the store and
-the bytes that nodes send, mostly each other, while nothing happens. Then the store
-comes back from a copy without anything that the nodes had written, and it
+the bytes that nodes send, mostly each other, while nothing happens. Then the
+store comes back from a copy without anything that the nodes had written, and it
 prints the calls in the 10 s after that. Last, 60 % of the nodes lose their
 power and the configuration changes. It prints after which time the last of the
 others has it, and their calls in the 6 s after the loss.
